Lay the ground: modules, micro-kernel, shared records, design

Cause: a new repository. The boundaries are settled first so that parts can grow side by side. Checked: mvn verify passes on kernel and model; no behaviour to measure yet.

--- /dev/null
+++ b/kernel/src/main/java/org/dahliapass/kernel/IniFile.java
@@ -0,0 +1,121 @@
+package org.dahliapass.kernel;
+
+import java.io.IOException;
+import java.io.StringReader;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.ini4j.Config;
+import org.ini4j.Ini;
+import org.ini4j.Profile;
+
+/**
+ * A settings file in INI, whose problems are collected and reported all at once.
+ *
+ * <p>Sections and keys that nobody asked for are problems too: {@link #check()} reports them.
+ */
+public final class IniFile {
+    private final String mName;
+    private final List<Problem> mProblems = new ArrayList<>();
+    private final List<IniSection> mSections = new ArrayList<>();
+
+    private IniFile(String name) {
+        mName = name;
+    }
+
+    /**
+     * Reads a file.
+     *
+     * @throws SettingsException if it can't be read or isn't INI
+     */
+    public static IniFile read(Path path) {
+        try {
+            return parse(path.toString(), Files.readString(path));
+        } catch (IOException failure) {
+            throw new SettingsException(
+                    List.of(new Problem(path.toString(), "", "", "no readable file", "INI text")));
+        }
+    }
+
+    /**
+     * Reads a text.
+     *
+     * @param name what problems call the file
+     * @throws SettingsException if it isn't INI or names a section or key twice
+     */
+    public static IniFile parse(String name, String text) {
+        IniFile file = new IniFile(name);
+        Ini ini = new Ini();
+        Config config = Config.getGlobal().clone();
+        config.setMultiSection(true);
+        config.setMultiOption(true);
+        config.setEscape(false);
+        ini.setConfig(config);
+        try {
+            ini.load(new StringReader(text));
+        } catch (IOException failure) {
+            throw new SettingsException(
+                    List.of(new Problem(name, "", "", failure.getMessage(), "INI text")));
+        }
+        for (String sectionName : ini.keySet()) {
+            file.addSection(sectionName, ini.getAll(sectionName));
+        }
+        return file;
+    }
+
+    private void addSection(String sectionName, List<Profile.Section> sections) {
+        if (sections.size() > 1) {
+            report(sectionName, "", sections.size() + " sections of this name", "one");
+        }
+        mSections.add(new IniSection(this, sectionName, sections.get(0)));
+    }
+
+    /** Returns the section of this name; a missing one is a problem and reads as empty. */
+    public IniSection section(String name) {
+        Optional<IniSection> found = optionalSection(name);
+        if (found.isPresent()) {
+            return found.get();
+        }
+        report(name, "", "no such section", "a section of this name");
+        return new IniSection(this, name, null);
+    }
+
+    /** Returns the section of this name if the file has it. */
+    public Optional<IniSection> optionalSection(String name) {
+        Optional<IniSection> found =
+                mSections.stream().filter(section -> section.name().equals(name)).findFirst();
+        found.ifPresent(IniSection::use);
+        return found;
+    }
+
+    /** Returns, in file order, the sections whose names begin with this word and a space. */
+    public List<IniSection> sectionsOf(String word) {
+        List<IniSection> found =
+                mSections.stream()
+                        .filter(section -> section.name().startsWith(word + " "))
+                        .toList();
+        found.forEach(IniSection::use);
+        return found;
+    }
+
+    /** Adds a problem. */
+    public void report(String section, String key, String met, String allowed) {
+        mProblems.add(new Problem(mName, section, key, met, allowed));
+    }
+
+    /**
+     * Ends the reading.
+     *
+     * @throws SettingsException with all problems, unknown sections and keys included
+     */
+    public void check() {
+        for (IniSection section : mSections) {
+            section.reportUnknown();
+        }
+        if (!mProblems.isEmpty()) {
+            throw new SettingsException(mProblems);
+        }
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/dahliapass/model/Idempotency.java
@@ -0,0 +1,22 @@
+package org.dahliapass.model;
+
+/** Whether a request may run more than once. */
+public enum Idempotency {
+    /** May run any number of times; may be retried and hedged. */
+    IDEMPOTENT {
+        @Override
+        public boolean mayRepeat() {
+            return true;
+        }
+    },
+    /** Runs at most once under its idempotency key; never retried once a try may have run. */
+    GUARDED {
+        @Override
+        public boolean mayRepeat() {
+            return false;
+        }
+    };
+
+    /** Returns whether a try whose outcome is unknown may be followed by another. */
+    public abstract boolean mayRepeat();
+}
