Read templates from INI and report all their problems at once

Cause: operators change the fleet only by templates, so a wrong one must be refused whole, with every problem named, before it can be accepted.

Ruled out: checking contradictions against the stand-in value of a key that was itself wrong: "deadline = soon" would also report the patience as too long. A section is asked whether it is sound first (IniSection.isSound, new in the kernel).

An objective of 100% is refused, as the burn rate divides by what it leaves.

Conclusion: a template either reads whole or says all that is wrong.

--- a/kernel/src/main/java/org/dahliapass/kernel/IniFile.java
+++ b/kernel/src/main/java/org/dahliapass/kernel/IniFile.java
@@ -105,6 +105,10 @@
         mProblems.add(new Problem(mName, section, key, met, allowed));
     }
 
+    boolean isSound(String section) {
+        return mProblems.stream().noneMatch(problem -> problem.section().equals(section));
+    }
+
     /**
      * Ends the reading.
      *
--- a/kernel/src/main/java/org/dahliapass/kernel/IniSection.java
+++ b/kernel/src/main/java/org/dahliapass/kernel/IniSection.java
@@ -183,6 +183,14 @@
         mFile.report(mName, key, met, allowed);
     }
 
+    /**
+     * Returns whether no problem of this section is known so far. What clashes with a stand-in
+     * value is no problem of its own: check for clashes only while the section is sound.
+     */
+    public boolean isSound() {
+        return mFile.isSound(mName);
+    }
+
     void use() {
         mUsed = true;
     }
--- /dev/null
+++ b/model/src/main/java/org/dahliapass/model/KindReader.java
@@ -0,0 +1,133 @@
+package org.dahliapass.model;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Set;
+import org.dahliapass.kernel.IniSection;
+
+/**
+ * Reads one section {@code [kind SERVICE NAME]} of a template.
+ *
+ * <p>The keys, with their bounds and defaults:
+ *
+ * <ul>
+ *   <li>{@code method}: DELETE, GET, HEAD, PATCH, POST or PUT, must be given
+ *   <li>{@code path}: must be given; ending in {@code /**} it stands for all that begin so
+ *   <li>{@code idempotent}: yes or no, must be given
+ *   <li>{@code deadline}: 10ms to 24h, default 30s
+ *   <li>{@code patience}: 0s to the deadline, default 10s or the deadline if that is shorter
+ *   <li>{@code late-after}: 1ms to the deadline, default 5s or the deadline if that is shorter
+ *   <li>{@code maximum-body}: 0B to 16GB, default 64KB
+ *   <li>{@code rate}: 0 to 1000000 requests a second per VM of the cell, default 0: no limit
+ *   <li>{@code retry-budget}: 0% to 100%, default 10%, or 0% if not idempotent
+ *   <li>{@code hedge-after}: 0s to the deadline, default 0s: never
+ *   <li>{@code bulky}: yes or no, default no
+ *   <li>{@code objective}: 50% to 99.9999%, default 99.9%
+ * </ul>
+ */
+final class KindReader {
+    private static final Set<String> METHODS =
+            Set.of("DELETE", "GET", "HEAD", "PATCH", "POST", "PUT");
+    private static final Duration LEAST_DEADLINE = Duration.ofMillis(10);
+    private static final Duration MOST_DEADLINE = Duration.ofHours(24);
+    private static final Duration DEFAULT_DEADLINE = Duration.ofSeconds(30);
+    private static final Duration DEFAULT_PATIENCE = Duration.ofSeconds(10);
+    private static final Duration LEAST_LATE = Duration.ofMillis(1);
+    private static final Duration DEFAULT_LATE = Duration.ofSeconds(5);
+    private static final long DEFAULT_BODY_BYTES = 64L << 10;
+    private static final long MOST_BODY_BYTES = 16L << 30;
+    private static final double MOST_RATE = 1_000_000;
+    private static final double DEFAULT_RETRY_SHARE = 0.1;
+    private static final double LEAST_OBJECTIVE = 0.5;
+    private static final double MOST_OBJECTIVE = 0.999_999;
+    private static final double DEFAULT_OBJECTIVE = 0.999;
+
+    private final IniSection mSection;
+
+    /** Creates a reader of a section. */
+    KindReader(IniSection section) {
+        mSection = section;
+    }
+
+    /** Reads the section; problems go to its file. */
+    RequestKind read(String name) {
+        String method =
+                mSection.value(
+                        "method", "DELETE, GET, HEAD, PATCH, POST or PUT", this::method, "GET");
+        RequestPath path =
+                mSection.value(
+                        "path",
+                        RequestPath.ALLOWED,
+                        RequestPath::parse,
+                        new RequestPath("/", false));
+        Idempotency idempotency =
+                mSection.yesNo("idempotent") ? Idempotency.IDEMPOTENT : Idempotency.GUARDED;
+        Duration deadline =
+                mSection.duration("deadline", LEAST_DEADLINE, MOST_DEADLINE, DEFAULT_DEADLINE);
+        RequestKind kind =
+                new RequestKind(
+                        name,
+                        method,
+                        path.path(),
+                        path.prefix(),
+                        idempotency,
+                        deadline,
+                        upToDeadline("patience", Duration.ZERO, DEFAULT_PATIENCE, deadline),
+                        upToDeadline("late-after", LEAST_LATE, DEFAULT_LATE, deadline),
+                        mSection.size("maximum-body", 0, MOST_BODY_BYTES, DEFAULT_BODY_BYTES),
+                        mSection.decimal("rate", 0, MOST_RATE, 0),
+                        mSection.share(
+                                "retry-budget", idempotency.mayRepeat() ? DEFAULT_RETRY_SHARE : 0),
+                        upToDeadline("hedge-after", Duration.ZERO, Duration.ZERO, deadline),
+                        mSection.yesNo("bulky", false),
+                        mSection.share("objective", DEFAULT_OBJECTIVE));
+        if (mSection.isSound()) {
+            reportContradictions(kind);
+        }
+        return kind;
+    }
+
+    private Optional<String> method(String text) {
+        return Optional.of(text).filter(METHODS::contains);
+    }
+
+    private Duration upToDeadline(
+            String key, Duration least, Duration fallback, Duration deadline) {
+        Duration shorter = fallback.compareTo(deadline) < 0 ? fallback : deadline;
+        return mSection.duration(key, least, MOST_DEADLINE, shorter);
+    }
+
+    private void reportContradictions(RequestKind kind) {
+        reportBeyondDeadline("patience", kind.patience(), kind);
+        reportBeyondDeadline("late-after", kind.lateAfter(), kind);
+        reportBeyondDeadline("hedge-after", kind.hedgeAfter(), kind);
+        if (kind.objective() < LEAST_OBJECTIVE || kind.objective() > MOST_OBJECTIVE) {
+            mSection.reportProblem(
+                    "objective", kind.objective() * 100 + "%", "a percentage from 50% to 99.9999%");
+        }
+        if (kind.idempotency().mayRepeat()) {
+            return;
+        }
+        if (kind.retryShare() > 0) {
+            mSection.reportProblem(
+                    "retry-budget",
+                    "retries of a kind that isn't idempotent",
+                    "0%, or idempotent = yes");
+        }
+        if (!kind.hedgeAfter().isZero()) {
+            mSection.reportProblem(
+                    "hedge-after",
+                    "second tries of a kind that isn't idempotent",
+                    "0s, or idempotent = yes");
+        }
+    }
+
+    private void reportBeyondDeadline(String key, Duration value, RequestKind kind) {
+        if (value.compareTo(kind.deadline()) > 0) {
+            mSection.reportProblem(
+                    key,
+                    value.toMillis() + "ms, longer than the deadline",
+                    "at most the deadline, " + kind.deadline().toMillis() + "ms");
+        }
+    }
+}
