--- /dev/null
+++ b/entry/src/main/java/org/dahliapass/entry/AnswerObserver.java
@@ -0,0 +1,98 @@
+package org.dahliapass.entry;
+
+import com.linecorp.armeria.common.HttpHeaderNames;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.ResponseHeaders;
+import com.linecorp.armeria.common.ResponseHeadersBuilder;
+import java.time.Clock;
+import java.util.Locale;
+import org.dahliapass.model.RequestKind;
+import org.dahliapass.model.burn.BurnLedger;
+import org.dahliapass.model.burn.Outcome;
+
+/** Gives callers their answers and accounts for each of them once. */
+final class AnswerObserver {
+    private static final int SERVER_ERROR = 500;
+
+    private final Clock mClock;
+    private final EntryMetrics mMetrics;
+    private final BurnLedger mBurn;
+    private final RefusalLog mRefusals;
+
+    AnswerObserver(Clock clock, EntryMetrics metrics, BurnLedger burn, RefusalLog refusals) {
+        mClock = clock;
+        mMetrics = metrics;
+        mBurn = burn;
+        mRefusals = refusals;
+    }
+
+    /** Passes a target's answer on; the account is closed when its body has ended. */
+    HttpResponse passOn(CallerRequest request, TryResult.Answered answered) {
+        boolean late = isLate(request);
+        boolean error = answered.headers().status().code() >= SERVER_ERROR;
+        answered.body()
+                .whenComplete()
+                .whenComplete(
+                        (ignored, failure) -> account(request, outcome(failure, error, late)));
+        return HttpResponse.of(headers(request, answered.headers()), answered.body());
+    }
+
+    /** Answers with a refusal and keeps it, so that the caller's operator can look it up. */
+    HttpResponse refuse(CallerRequest request, Refusal refusal) {
+        account(request, outcomeOf(refusal));
+        mRefusals.add(mClock.millis(), request.id(), request.route().customer(), refusal);
+        return refusal.toResponse(request.id());
+    }
+
+    /** Accounts for an answer that was recorded earlier. */
+    void onReplayed(CallerRequest request) {
+        account(request, Outcome.GOOD);
+    }
+
+    /** Accounts for a caller that went away before its answer began: nobody's failure. */
+    void onCallerGone(CallerRequest request) {
+        mMetrics.onAnswer(
+                request.route().customer(),
+                request.route().own().name(),
+                request.kind().name(),
+                "caller-gone");
+    }
+
+    private boolean isLate(CallerRequest request) {
+        long latency = mClock.millis() - request.arrivalMillis();
+        return latency > request.kind().lateAfter().toMillis();
+    }
+
+    private void account(CallerRequest request, Outcome outcome) {
+        RequestKind kind = request.kind();
+        String customer = request.route().customer();
+        String service = request.route().own().name();
+        mMetrics.onAnswer(customer, service, kind.name(), outcome.name().toLowerCase(Locale.ROOT));
+        mBurn.record(customer, service, kind.name(), kind.objective(), outcome, mClock.millis());
+    }
+
+    private static Outcome outcome(Throwable failure, boolean error, boolean late) {
+        if (failure != null) {
+            return Outcome.CUT;
+        }
+        if (error) {
+            return Outcome.FAILED;
+        }
+        return late ? Outcome.LATE : Outcome.GOOD;
+    }
+
+    private static Outcome outcomeOf(Refusal refusal) {
+        return switch (refusal.code()) {
+            case OPERATION_UNKNOWN, DEADLINE_EXCEEDED -> Outcome.UNKNOWN;
+            case TARGET_FAILED -> Outcome.FAILED;
+            default -> Outcome.REFUSED;
+        };
+    }
+
+    private static ResponseHeaders headers(CallerRequest request, ResponseHeaders answered) {
+        ResponseHeadersBuilder headers = answered.toBuilder();
+        headers.remove(HttpHeaderNames.CONNECTION);
+        headers.remove(HttpHeaderNames.TRANSFER_ENCODING);
+        return headers.set(CallerHeaders.REQUEST_ID, request.id()).build();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/dahliapass/entry/EntryMetrics.java
@@ -0,0 +1,110 @@
+package org.dahliapass.entry;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.concurrent.CompletableFuture;
+import org.dahliapass.kernel.Kernel;
+import org.dahliapass.kernel.KernelService;
+
+/** The Prometheus metrics of one entry VM. */
+public final class EntryMetrics implements KernelService {
+    /** The name under which the kernel holds the metrics. */
+    public static final String NAME = "metrics";
+
+    private static final double MILLIS_PER_SECOND = 1000.0;
+
+    private final PrometheusRegistry mRegistry = new PrometheusRegistry();
+    private final Counter mAnswers =
+            Counter.builder()
+                    .name("dahliapass_answers_total")
+                    .help("Answers given to callers, by customer, service, kind and outcome.")
+                    .labelNames("customer", "service", "kind", "outcome")
+                    .register(mRegistry);
+    private final Counter mTries =
+            Counter.builder()
+                    .name("dahliapass_tries_total")
+                    .help("Tries at targets, by service and how they ended.")
+                    .labelNames("service", "end")
+                    .register(mRegistry);
+    private final Histogram mHeadSeconds =
+            Histogram.builder()
+                    .name("dahliapass_target_head_seconds")
+                    .help("Seconds from sending to the head of a target's answer.")
+                    .labelNames("service", "kind")
+                    .classicOnly()
+                    .register(mRegistry);
+    private final Counter mActions =
+            Counter.builder()
+                    .name("dahliapass_actions_total")
+                    .help("Automatic actions, by action.")
+                    .labelNames("action")
+                    .register(mRegistry);
+    private final Gauge mRevision =
+            Gauge.builder()
+                    .name("dahliapass_configuration_number")
+                    .help("Number of the newest configuration change that this VM knows.")
+                    .register(mRegistry);
+    private final Gauge mMembers =
+            Gauge.builder()
+                    .name("dahliapass_members")
+                    .help("VMs of the fleet that this VM knows, by state.")
+                    .labelNames("state")
+                    .register(mRegistry);
+
+    /** Counts an answer to a caller. */
+    public void onAnswer(String customer, String service, String kind, String outcome) {
+        mAnswers.labelValues(customer, service, kind, outcome).inc();
+    }
+
+    /** Counts the end of a try at a target. */
+    public void onTry(String service, String end) {
+        mTries.labelValues(service, end).inc();
+    }
+
+    /** Observes the time to the head of a target's answer. */
+    public void onHead(String service, String kind, long latencyMillis) {
+        mHeadSeconds.labelValues(service, kind).observe(latencyMillis / MILLIS_PER_SECOND);
+    }
+
+    /** Counts an automatic action. */
+    public void onAction(String action) {
+        mActions.labelValues(action).inc();
+    }
+
+    /** Sets the number of the newest configuration change. */
+    public void onConfiguration(long number) {
+        mRevision.set(number);
+    }
+
+    /** Sets the number of VMs in a state. */
+    public void onMembers(String state, int count) {
+        mMembers.labelValues(state).set(count);
+    }
+
+    /** Returns all metrics in the Prometheus text format. */
+    public byte[] scrape() {
+        ByteArrayOutputStream output = new ByteArrayOutputStream();
+        try {
+            new PrometheusTextFormatWriter(true).write(output, mRegistry.scrape());
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+        return output.toByteArray();
+    }
+
+    @Override
+    public CompletableFuture<Void> start(Kernel kernel) {
+        return CompletableFuture.completedFuture(null);
+    }
+
+    @Override
+    public CompletableFuture<Void> stop() {
+        return CompletableFuture.completedFuture(null);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/dahliapass/entry/GuardedExchange.java
@@ -0,0 +1,169 @@
+package org.dahliapass.entry;
+
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.ResponseHeaders;
+import com.linecorp.armeria.common.ResponseHeadersBuilder;
+import com.linecorp.armeria.common.stream.StreamMessage;
+import java.time.Clock;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.dahliapass.decisions.once.Beginning;
+import org.dahliapass.decisions.once.HomeAction;
+import org.dahliapass.decisions.once.Operation;
+import org.dahliapass.decisions.once.OperationAnswer;
+import org.dahliapass.decisions.once.RecordedResult;
+import org.dahliapass.model.Endpoint;
+
+/**
+ * Serves one request that must run at most once, on the VM that its key names as home.
+ *
+ * <p>The slot is asked for only after the witness has the intent: a refusal before that would be
+ * true of this try alone, while the same key may run through another. A caller that goes away does
+ * not end the work, so that its result can be asked for by the key.
+ */
+final class GuardedExchange {
+    private static final long RETRY_AFTER_MILLIS = 1000;
+
+    private final CallerRequest mRequest;
+    private final Operation mOperation;
+    private final ServiceRuntime mRuntime;
+    private final TargetClients mClients;
+    private final Clock mClock;
+    private final OnceService mOnce;
+    private final AnswerObserver mObserver;
+    private final String mFreshToken;
+    private final CompletableFuture<HttpResponse> mAnswer = new CompletableFuture<>();
+    private final Set<Endpoint> mTried = new HashSet<>();
+
+    GuardedExchange(
+            CallerRequest request,
+            Operation operation,
+            ServiceRuntime runtime,
+            TargetClients clients,
+            Clock clock,
+            OnceService once,
+            AnswerObserver observer,
+            String freshToken) {
+        mRequest = request;
+        mOperation = operation;
+        mRuntime = runtime;
+        mClients = clients;
+        mClock = clock;
+        mOnce = once;
+        mObserver = observer;
+        mFreshToken = freshToken;
+    }
+
+    /** Goes on from what the ledger said to the request and returns the caller's answer. */
+    HttpResponse start(Beginning beginning) {
+        if (beginning instanceof Beginning.Answered answered) {
+            return answer(answered.answer());
+        }
+        Beginning.AskWitness ask = (Beginning.AskWitness) beginning;
+        mOnce.askWitness(ask.witness(), mOperation).whenComplete(this::onAction);
+        return HttpResponse.of(mAnswer);
+    }
+
+    private void onAction(HomeAction action, Throwable failure) {
+        if (failure != null) {
+            mAnswer.complete(refuse(RefusalCode.OPERATION_UNKNOWN, failure.getMessage()));
+            return;
+        }
+        if (action instanceof HomeAction.Dispatch dispatch) {
+            dispatch(dispatch.attempt());
+        } else if (action instanceof HomeAction.Settle settle) {
+            mAnswer.complete(answer(settle.answer()));
+        }
+    }
+
+    private void dispatch(int attempt) {
+        TargetTry next = new TargetTry(mRequest, mRuntime, mClients, mClock);
+        next.start(mRuntime.acquire(mRequest, mTried))
+                .whenComplete((result, failure) -> onTry(attempt, result, failure));
+    }
+
+    private void onTry(int attempt, TryResult result, Throwable failure) {
+        if (result instanceof TryResult.Answered answered) {
+            mAnswer.complete(passOn(attempt, answered));
+        } else if (result instanceof TryResult.Refused) {
+            mOnce.targetRefused(mOperation, attempt, false).whenComplete(this::onAction);
+        } else if (result instanceof TryResult.Failed failed && !failed.kind().mayHaveRun()) {
+            mTried.add(failed.target());
+            mOnce.targetRefused(mOperation, attempt, true).whenComplete(this::onAction);
+        } else {
+            mOnce.lostTouch(mOperation, attempt).whenComplete(this::onAction);
+        }
+    }
+
+    private HttpResponse passOn(int attempt, TryResult.Answered answered) {
+        ResultRecorder recorder = new ResultRecorder(answered.headers());
+        StreamMessage<HttpData> body = answered.body().peek(recorder::add);
+        body.whenComplete()
+                .whenComplete(
+                        (ignored, failure) ->
+                                mOnce.finished(
+                                        mOperation, attempt, recorder.result(failure == null)));
+        return mObserver.passOn(
+                mRequest, new TryResult.Answered(answered.target(), answered.headers(), body));
+    }
+
+    private HttpResponse answer(OperationAnswer answer) {
+        if (answer instanceof OperationAnswer.Result result) {
+            return replay(result.result());
+        }
+        return mObserver.refuse(mRequest, refusal(answer, mFreshToken));
+    }
+
+    private HttpResponse replay(RecordedResult result) {
+        mObserver.onReplayed(mRequest);
+        return replayed(mRequest.id(), result);
+    }
+
+    /** Returns a recorded result as an answer; a body that wasn't kept is said to be missing. */
+    static HttpResponse replayed(String requestId, RecordedResult result) {
+        ResponseHeadersBuilder headers =
+                ResponseHeaders.builder(result.status())
+                        .set(CallerHeaders.REQUEST_ID, requestId)
+                        .set(CallerHeaders.OUTCOME, "ran")
+                        .set(CallerHeaders.REPLAYED, result.body().isPresent() ? "whole" : "head");
+        result.headers().forEach(header -> headers.add(header.name(), header.value()));
+        byte[] body = result.body().map(kept -> kept.toByteArray()).orElse(new byte[0]);
+        return HttpResponse.of(headers.build(), HttpData.wrap(body));
+    }
+
+    /** Returns the refusal that tells an answer other than a result. */
+    static Refusal refusal(OperationAnswer answer, String freshToken) {
+        if (answer instanceof OperationAnswer.NotRun notRun) {
+            String message =
+                    "The operation did not run and never will under this key: "
+                            + notRun.reason().explanation()
+                            + ". Send it again under a new key.";
+            return Refusal.of(RefusalCode.OPERATION_NOT_RUN, message, RETRY_AFTER_MILLIS)
+                    .withToken(freshToken);
+        }
+        if (answer instanceof OperationAnswer.InProgress) {
+            return Refusal.of(
+                    RefusalCode.IN_PROGRESS,
+                    "The operation is running. Ask again by the same key.",
+                    RETRY_AFTER_MILLIS);
+        }
+        if (answer instanceof OperationAnswer.Mismatch) {
+            return Refusal.of(
+                    RefusalCode.KEY_MISMATCH, "The key belongs to another request.", 0);
+        }
+        OperationAnswer.Unknown unknown = (OperationAnswer.Unknown) answer;
+        return Refusal.of(
+                RefusalCode.OPERATION_UNKNOWN,
+                "Whether the operation ran can't be told now ("
+                        + unknown.reason()
+                        + "). Don't send it under a new key; ask for this one by GET"
+                        + " /outcomes/CUSTOMER/KEY.",
+                RETRY_AFTER_MILLIS);
+    }
+
+    private HttpResponse refuse(RefusalCode code, String message) {
+        return mObserver.refuse(mRequest, Refusal.of(code, message, RETRY_AFTER_MILLIS));
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/dahliapass/entry/OnceService.java
@@ -0,0 +1,211 @@
+package org.dahliapass.entry;
+
+import java.time.Clock;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.dahliapass.decisions.once.Beginning;
+import org.dahliapass.decisions.once.HomeAction;
+import org.dahliapass.decisions.once.HomeLedger;
+import org.dahliapass.decisions.once.IntentReply;
+import org.dahliapass.decisions.once.Operation;
+import org.dahliapass.decisions.once.OperationAnswer;
+import org.dahliapass.decisions.once.OutcomeNotice;
+import org.dahliapass.decisions.once.RecordedResult;
+import org.dahliapass.decisions.once.Resolver;
+import org.dahliapass.decisions.once.ResolverStep;
+import org.dahliapass.decisions.once.RetentionWindow;
+import org.dahliapass.decisions.once.TableLimits;
+import org.dahliapass.decisions.once.WitnessRegister;
+import org.dahliapass.kernel.ControlLoop;
+import org.dahliapass.kernel.Kernel;
+import org.dahliapass.kernel.KernelService;
+import org.dahliapass.kernel.PartLog;
+import org.dahliapass.model.VmIdentity;
+
+/** Holds this VM's records of guarded operations on the control thread and talks to the peers. */
+public final class OnceService implements KernelService {
+    /** The name under which the kernel holds the service. */
+    public static final String NAME = "once";
+
+    private static final PartLog LOG = PartLog.of("once");
+    private static final int TARGETS_OFFERED = 3;
+    private static final long CLOCK_MARGIN_MILLIS = 60_000;
+    private static final int MOST_BODY_BYTES = 16 * 1024;
+    private static final long MOST_BYTES = 8L * 1024 * 1024;
+    private static final int NOTICE_TRIES = 3;
+
+    private final Clock mClock;
+    private final ControlLoop mLoop;
+    private final PeerClient mPeers;
+    private final HomeLedger mLedger;
+    private final WitnessRegister mRegister;
+    private final Resolver mResolver;
+
+    /** Creates empty records for this life of this VM. */
+    OnceService(
+            VmIdentity self, VmSettings settings, Clock clock, ControlLoop loop, PeerClient peers) {
+        RetentionWindow window =
+                new RetentionWindow(CLOCK_MARGIN_MILLIS, settings.operationWindow().toMillis());
+        int capacity = settings.operationCapacity();
+        TableLimits limits = new TableLimits(capacity, capacity / 10, MOST_BYTES, MOST_BODY_BYTES);
+        mClock = clock;
+        mLoop = loop;
+        mPeers = peers;
+        mLedger = new HomeLedger(self, TARGETS_OFFERED, window, limits);
+        mRegister = new WitnessRegister(self, window, limits);
+        mResolver = new Resolver(self, mRegister);
+    }
+
+    /** Begins with a guarded request that has arrived. */
+    CompletableFuture<Beginning> begin(Operation operation, String digest, long deadlineMillis) {
+        return mLoop.ask(
+                () -> mLedger.begin(operation, digest, deadlineMillis, mClock.millis()));
+    }
+
+    /** Asks the witness for its acknowledgement and returns what the home does on its reply. */
+    CompletableFuture<HomeAction> askWitness(VmIdentity witness, Operation operation) {
+        return mPeers.recordIntent(witness, operation)
+                .handle((reply, failure) -> onWitness(operation, reply, failure))
+                .thenCompose(action -> action);
+    }
+
+    private CompletableFuture<HomeAction> onWitness(
+            Operation operation, IntentReply reply, Throwable failure) {
+        if (failure != null) {
+            LOG.info("No word from the witness of " + operation.key() + ": " + failure.getMessage());
+            return act(operation, () -> mLedger.witnessTimedOut(operation, mClock.millis()));
+        }
+        return act(operation, () -> mLedger.witnessReplied(operation, reply, mClock.millis()));
+    }
+
+    /** Takes the proof that an attempt ran nothing. */
+    CompletableFuture<HomeAction> targetRefused(
+            Operation operation, int attempt, boolean anotherTarget) {
+        return act(
+                operation,
+                () -> mLedger.targetRefused(operation, attempt, anotherTarget, mClock.millis()));
+    }
+
+    /** Takes that an attempt may have run and its answer is lost. */
+    CompletableFuture<HomeAction> lostTouch(Operation operation, int attempt) {
+        return act(operation, () -> mLedger.lostTouch(operation, attempt, mClock.millis()));
+    }
+
+    /** Takes the end of an attempt that ran. */
+    CompletableFuture<HomeAction> finished(
+            Operation operation, int attempt, RecordedResult result) {
+        return act(operation, () -> mLedger.finished(operation, attempt, result, mClock.millis()));
+    }
+
+    private CompletableFuture<HomeAction> act(Operation operation, Supplier<HomeAction> decision) {
+        return mLoop.ask(decision)
+                .thenApply(
+                        action -> {
+                            if (action instanceof HomeAction.Settle settle) {
+                                settle.notice().ifPresent(notice -> tell(notice, NOTICE_TRIES));
+                            }
+                            return action;
+                        });
+    }
+
+    /** A notice that is lost leaves the witness with "unknown", which is true but less helpful. */
+    private void tell(OutcomeNotice notice, int triesLeft) {
+        VmIdentity witness = notice.operation().key().witness();
+        mPeers.recordOutcome(witness, notice)
+                .whenComplete(
+                        (ignored, failure) -> {
+                            if (failure != null && triesLeft > 1) {
+                                tell(notice, triesLeft - 1);
+                            }
+                        });
+    }
+
+    /** Finds the answer for a key whose home is another life than this one. */
+    CompletableFuture<OperationAnswer> resolveAfterHome(Operation operation) {
+        return mLoop.ask(() -> mResolver.homeSilent(operation, mClock.millis()))
+                .thenCompose(step -> follow(operation, step));
+    }
+
+    /** Finds the answer for a key whichever VM is its home. */
+    CompletableFuture<OperationAnswer> outcome(Operation operation) {
+        return mLoop.ask(() -> mLedger.query(operation, mClock.millis()))
+                .thenCompose(
+                        own ->
+                                own.isPresent()
+                                        ? CompletableFuture.completedFuture(own.get())
+                                        : startResolve(operation));
+    }
+
+    private CompletableFuture<OperationAnswer> startResolve(Operation operation) {
+        return mLoop.ask(() -> mResolver.start(operation, mClock.millis()))
+                .thenCompose(step -> follow(operation, step));
+    }
+
+    private CompletableFuture<OperationAnswer> follow(Operation operation, ResolverStep step) {
+        if (step instanceof ResolverStep.Answer answer) {
+            return CompletableFuture.completedFuture(answer.answer());
+        }
+        if (step instanceof ResolverStep.ForwardToHome forward) {
+            return mPeers.resolve(forward.home(), operation)
+                    .handle((word, failure) -> onHome(operation, word, failure))
+                    .thenCompose(next -> next)
+                    .thenCompose(next -> follow(operation, next));
+        }
+        ResolverStep.AskWitness ask = (ResolverStep.AskWitness) step;
+        return mPeers.resolve(ask.witness(), operation)
+                .handle((word, failure) -> onWitnessWord(operation, word, failure))
+                .thenCompose(next -> follow(operation, next));
+    }
+
+    private CompletableFuture<ResolverStep> onHome(
+            Operation operation, PeerClient.Word word, Throwable failure) {
+        return mLoop.ask(
+                () ->
+                        failure != null
+                                ? mResolver.homeSilent(operation, mClock.millis())
+                                : mResolver.homeAnswered(
+                                        operation, word.from(), word.answer(), mClock.millis()));
+    }
+
+    private ResolverStep onWitnessWord(
+            Operation operation, PeerClient.Word word, Throwable failure) {
+        return failure != null
+                ? mResolver.witnessSilent()
+                : mResolver.witnessAnswered(operation, word.from(), word.answer());
+    }
+
+    /** Answers a home that wants to dispatch a key of which this VM is the witness. */
+    CompletableFuture<IntentReply> onIntent(VmIdentity from, Operation operation) {
+        return mLoop.ask(() -> mRegister.recordIntent(from, operation, mClock.millis()));
+    }
+
+    /** Takes a home's word on how an operation ended. */
+    void onOutcome(VmIdentity from, OutcomeNotice notice) {
+        mLoop.execute(() -> mRegister.recordOutcome(from, notice, mClock.millis()));
+    }
+
+    /** Answers a peer that asks what became of an operation. */
+    CompletableFuture<OperationAnswer> onResolve(Operation operation) {
+        return mLoop.ask(
+                () -> {
+                    Optional<OperationAnswer> own = mLedger.query(operation, mClock.millis());
+                    return own.orElseGet(() -> mRegister.resolve(operation, mClock.millis()));
+                });
+    }
+
+    /** Returns how many keys this VM keeps as home and as witness. */
+    CompletableFuture<int[]> sizes() {
+        return mLoop.ask(() -> new int[] {mLedger.size(), mRegister.size()});
+    }
+
+    @Override
+    public CompletableFuture<Void> start(Kernel kernel) {
+        return CompletableFuture.completedFuture(null);
+    }
+
+    @Override
+    public CompletableFuture<Void> stop() {
+        return CompletableFuture.completedFuture(null);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/dahliapass/entry/RefusedException.java
@@ -0,0 +1,20 @@
+package org.dahliapass.entry;
+
+import org.dahliapass.kernel.StepException;
+
+/** No slot was given; holds the caller's answer. */
+final class RefusedException extends StepException {
+    private static final long serialVersionUID = 1L;
+
+    private final transient Refusal mRefusal;
+
+    RefusedException(Refusal refusal) {
+        super("admit", "self", refusal.message());
+        mRefusal = refusal;
+    }
+
+    /** Returns the caller's answer. */
+    Refusal refusal() {
+        return mRefusal;
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/dahliapass/entry/RequestHandler.java
@@ -0,0 +1,134 @@
+package org.dahliapass.entry;
+
+import com.linecorp.armeria.common.AggregatedHttpRequest;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.server.HttpService;
+import com.linecorp.armeria.server.ServiceRequestContext;
+import java.time.Clock;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.dahliapass.model.RequestKind;
+
+/** Matches callers' requests with templates and hands them to the exchange that serves them. */
+final class RequestHandler implements HttpService {
+    private static final long RETRY_AFTER_MILLIS = 1000;
+
+    private final Clock mClock;
+    private final RequestIds mIds;
+    private final Readiness mReadiness;
+    private final ConfigurationService mConfiguration;
+    private final ServiceTable mServices;
+    private final Forwarder mForwarder;
+    private final ExchangeFactory mExchanges;
+
+    RequestHandler(
+            Clock clock,
+            RequestIds ids,
+            Readiness readiness,
+            ConfigurationService configuration,
+            ServiceTable services,
+            Forwarder forwarder,
+            ExchangeFactory exchanges) {
+        mClock = clock;
+        mIds = ids;
+        mReadiness = readiness;
+        mConfiguration = configuration;
+        mServices = services;
+        mForwarder = forwarder;
+        mExchanges = exchanges;
+    }
+
+    @Override
+    public HttpResponse serve(ServiceRequestContext context, HttpRequest request) {
+        context.clearRequestTimeout();
+        String id = mIds.next();
+        Optional<Refusal> standDown = mReadiness.refusal();
+        if (standDown.isPresent()) {
+            return standDown.get().toResponse(id);
+        }
+        Optional<ServicePath> path = ServicePath.parse(request.path());
+        if (path.isEmpty()) {
+            return refuse(id, RefusalCode.NO_SUCH_SERVICE, "Use /services/CUSTOMER/SERVICE/...");
+        }
+        return route(context, request, id, path.get());
+    }
+
+    private HttpResponse route(
+            ServiceRequestContext context, HttpRequest request, String id, ServicePath path) {
+        Optional<Route> found = mConfiguration.table().find(path.customer(), path.service());
+        if (found.isEmpty()) {
+            return mForwarder
+                    .toCell(request, path)
+                    .orElseGet(() -> refuse(id, RefusalCode.NO_SUCH_SERVICE, noSuchService(path)));
+        }
+        Route route = found.get();
+        Optional<RequestKind> kind = route.own().kindOf(request.method().name(), path.path());
+        if (kind.isEmpty()) {
+            return refuse(id, RefusalCode.NO_SUCH_KIND, noSuchKind(request, path));
+        }
+        Optional<ServiceRuntime> runtime = mServices.find(route.provided().id());
+        if (runtime.isEmpty()) {
+            return mForwarder
+                    .toCell(request, path)
+                    .orElseGet(() -> refuse(id, RefusalCode.WRONG_VM, "Ask again."));
+        }
+        context.setMaxRequestLength(kind.get().maximumBodyBytes());
+        CompletableFuture<HttpResponse> answer =
+                request.aggregate()
+                        .handle(
+                                (message, failure) ->
+                                        failure != null
+                                                ? refuse(
+                                                        id,
+                                                        RefusalCode.BODY_TOO_LARGE,
+                                                        "The body didn't arrive whole: "
+                                                                + failure.getMessage())
+                                                : serve(id, route, kind.get(), path, message));
+        return HttpResponse.of(answer);
+    }
+
+    private HttpResponse serve(
+            String id,
+            Route route,
+            RequestKind kind,
+            ServicePath path,
+            AggregatedHttpRequest message) {
+        long now = mClock.millis();
+        long patience = callersTimeout(message, kind.deadline().toMillis());
+        CallerRequest request =
+                new CallerRequest(
+                        id, route, kind, path.pathAndQuery(), message, now, now + patience);
+        return mExchanges.serve(request);
+    }
+
+    private static long callersTimeout(AggregatedHttpRequest message, long most) {
+        String text = message.headers().get(CallerHeaders.REQUEST_TIMEOUT);
+        if (text == null) {
+            return most;
+        }
+        try {
+            return Math.max(1, Math.min(most, Long.parseLong(text)));
+        } catch (NumberFormatException expected) {
+            return most;
+        }
+    }
+
+    private static HttpResponse refuse(String id, RefusalCode code, String message) {
+        return Refusal.of(code, message, RETRY_AFTER_MILLIS).toResponse(id);
+    }
+
+    private static String noSuchService(ServicePath path) {
+        return "Customer '" + path.customer() + "' has no service '" + path.service() + "'.";
+    }
+
+    private static String noSuchKind(HttpRequest request, ServicePath path) {
+        return "The template of '"
+                + path.customer()
+                + "' has no kind for "
+                + request.method()
+                + " "
+                + path.path()
+                + ".";
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/dahliapass/entry/ServiceRuntime.java
@@ -0,0 +1,326 @@
+package org.dahliapass.entry;
+
+import com.linecorp.armeria.common.util.Exceptions;
+import java.time.Clock;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.random.RandomGenerator;
+import org.dahliapass.decisions.health.Outcome;
+import org.dahliapass.decisions.traffic.Admission;
+import org.dahliapass.decisions.traffic.AdmissionQueue;
+import org.dahliapass.decisions.traffic.Balancer;
+import org.dahliapass.decisions.traffic.Dispatched;
+import org.dahliapass.decisions.traffic.Expired;
+import org.dahliapass.decisions.traffic.FailedTry;
+import org.dahliapass.decisions.traffic.FailureKind;
+import org.dahliapass.decisions.traffic.HedgePolicy;
+import org.dahliapass.decisions.traffic.QueueEntry;
+import org.dahliapass.decisions.traffic.QueueLimits;
+import org.dahliapass.decisions.traffic.QueueStep;
+import org.dahliapass.decisions.traffic.RateLimiter;
+import org.dahliapass.decisions.traffic.RetryBudget;
+import org.dahliapass.decisions.traffic.RetryDecision;
+import org.dahliapass.decisions.traffic.RetryPolicy;
+import org.dahliapass.decisions.traffic.ServiceTimes;
+import org.dahliapass.decisions.traffic.SlotTable;
+import org.dahliapass.decisions.traffic.TargetInFlight;
+import org.dahliapass.decisions.traffic.WeightedTarget;
+import org.dahliapass.model.Endpoint;
+import org.dahliapass.model.RequestKind;
+import org.dahliapass.model.ServiceId;
+import org.dahliapass.model.ServiceTemplate;
+import org.dahliapass.model.VmIdentity;
+
+/**
+ * The traffic decisions of one service on this VM behind one lock, which traffic threads and the
+ * control thread share. No callback runs while the lock is held.
+ */
+public final class ServiceRuntime {
+    private static final long REPORT_HALF_LIFE_MILLIS = 1000;
+    private static final double BULKY_SHARE = 0.5;
+    private static final int RATE_BUCKETS = 10_000;
+    private static final int QUEUED_PER_SLOT = 4;
+    private static final int LEAST_QUEUE = 64;
+
+    private final ServiceId mId;
+    private final Clock mClock;
+    private final EvidenceSink mEvidence;
+    private final EntryMetrics mMetrics;
+    private final SlotTable mSlots;
+    private final Balancer mBalancer;
+    private final ServiceTimes mTimes = new ServiceTimes();
+    private final RetryBudget mBudget = new RetryBudget();
+    private final AdmissionQueue<SlotWaiter> mQueue;
+    private final RetryPolicy mRetries;
+    private final HedgePolicy mHedges;
+    private final RateLimiter mRates = new RateLimiter(RATE_BUCKETS);
+
+    ServiceRuntime(
+            ServiceTemplate template,
+            Clock clock,
+            RandomGenerator random,
+            EvidenceSink evidence,
+            EntryMetrics metrics) {
+        mId = template.id();
+        mClock = clock;
+        mEvidence = evidence;
+        mMetrics = metrics;
+        mSlots = new SlotTable(template.slotsPerTarget(), REPORT_HALF_LIFE_MILLIS);
+        mBalancer = new Balancer(mSlots, bulkyShare(template), random);
+        mQueue = new AdmissionQueue<>(limits(template), mSlots, mBalancer, mTimes, random);
+        mRetries = new RetryPolicy(mBudget, mBalancer, mSlots, mTimes);
+        mHedges = new HedgePolicy(mBudget, mBalancer, mSlots, mTimes);
+    }
+
+    /** Returns the service. */
+    public ServiceId id() {
+        return mId;
+    }
+
+    /**
+     * Gets a slot for a request's first try, at once or after a wait.
+     *
+     * @return fails with a {@link RefusedException}; cancel it if the caller goes away
+     */
+    CompletableFuture<Slot> acquire(CallerRequest request, Set<Endpoint> excluded) {
+        CompletableFuture<Slot> future = new CompletableFuture<>();
+        QueueEntry<SlotWaiter> entry =
+                new QueueEntry<>(
+                        new SlotWaiter(future),
+                        request.route().customer(),
+                        request.kind(),
+                        request.arrivalMillis(),
+                        request.deadlineMillis(),
+                        excluded);
+        offer(entry, request.kind());
+        future.whenComplete(
+                (slot, failure) -> {
+                    if (future.isCancelled()) {
+                        withdraw(entry);
+                    }
+                });
+        return future;
+    }
+
+    private void offer(QueueEntry<SlotWaiter> entry, RequestKind kind) {
+        long now = mClock.millis();
+        OptionalLong wait;
+        synchronized (this) {
+            wait = mRates.refusal(entry.customer(), mId, kind, now);
+        }
+        if (wait.isPresent()) {
+            entry.request().slot().completeExceptionally(rateLimited(wait.getAsLong()));
+            return;
+        }
+        Admission admission;
+        synchronized (this) {
+            admission = mQueue.offer(entry, now);
+            mBudget.onFirstTry(kind, now);
+        }
+        if (admission instanceof Admission.Dispatch dispatch) {
+            give(entry, dispatch.target(), now);
+        } else if (admission instanceof Admission.Refused refused) {
+            entry.request().slot().completeExceptionally(refused(refused));
+        }
+    }
+
+    /** Gets a slot for a retry if policy and budget allow one. */
+    Optional<Slot> retry(CallerRequest request, FailedTry failed) {
+        long now = mClock.millis();
+        RetryDecision decision;
+        synchronized (this) {
+            decision = mRetries.decide(failed, mQueue.isOverloaded(), now);
+        }
+        if (decision instanceof RetryDecision.Go go) {
+            mMetrics.onTry(mId.name(), "retry");
+            return Optional.of(extraSlot(request, go.target(), now));
+        }
+        return Optional.empty();
+    }
+
+    /** Gets a slot for a hedge if policy and budget allow one. */
+    Optional<Slot> hedge(CallerRequest request, Set<Endpoint> tried) {
+        long now = mClock.millis();
+        Optional<Endpoint> target;
+        synchronized (this) {
+            target =
+                    mHedges.start(
+                            request.kind(),
+                            tried,
+                            request.deadlineMillis(),
+                            mQueue.isOverloaded(),
+                            now);
+        }
+        target.ifPresent(ignored -> mMetrics.onTry(mId.name(), "hedge"));
+        return target.map(endpoint -> extraSlot(request, endpoint, now));
+    }
+
+    private static Slot extraSlot(CallerRequest request, Endpoint target, long now) {
+        QueueEntry<SlotWaiter> entry =
+                new QueueEntry<>(
+                        new SlotWaiter(new CompletableFuture<>()),
+                        request.route().customer(),
+                        request.kind(),
+                        request.arrivalMillis(),
+                        request.deadlineMillis(),
+                        Set.of());
+        return new Slot(entry, target, now, true);
+    }
+
+    /** Observes the head of an answer. */
+    void onHead(RequestKind kind, long latencyMillis) {
+        mMetrics.onHead(mId.name(), kind.name(), latencyMillis);
+    }
+
+    /**
+     * Gives a slot back and hands it to whoever waits.
+     *
+     * @param outcome what the try says of the target's health
+     * @param latencyMillis from sending to the answer's head, or to the failure
+     */
+    void release(Slot slot, Outcome outcome, long latencyMillis) {
+        long now = mClock.millis();
+        boolean answered = outcome == Outcome.SUCCESS;
+        QueueStep<SlotWaiter> step;
+        synchronized (this) {
+            step =
+                    slot.extra()
+                            ? mQueue.onExtraTryEnded(
+                                    slot.entry(), slot.target(), slot.startedMillis(), answered, now)
+                            : mQueue.onTryEnded(
+                                    slot.entry(),
+                                    slot.target(),
+                                    slot.startedMillis(),
+                                    answered,
+                                    now);
+        }
+        mMetrics.onTry(mId.name(), outcome.name().toLowerCase(Locale.ROOT));
+        mEvidence.onOutcome(
+                mId, slot.target(), slot.entry().kind().name(), outcome, latencyMillis);
+        carryOut(step, now);
+    }
+
+    /** Takes a target's own word that it is leaving. */
+    void onDraining(Endpoint target) {
+        mEvidence.onDraining(mId, target);
+    }
+
+    /** Takes a new view of the targets, and gives the slots that it opens to those who wait. */
+    void onTargets(List<WeightedTarget> targets) {
+        long now = mClock.millis();
+        QueueStep<SlotWaiter> step;
+        synchronized (this) {
+            mSlots.retainTargets(targets);
+            mBalancer.onTargets(targets);
+            step = mQueue.onSlotFreed(now);
+        }
+        carryOut(step, now);
+    }
+
+    /** Takes the members of the service's cell. */
+    synchronized void onCell(VmIdentity self, List<VmIdentity> members) {
+        mSlots.onCell(self, members);
+    }
+
+    /** Takes a peer's count of its own requests in flight. */
+    synchronized void onPeerInFlight(VmIdentity observer, Endpoint target, int inFlight) {
+        mSlots.onPeerInFlight(observer, target, inFlight, mClock.millis());
+    }
+
+    /** Returns this VM's requests in flight at each target. */
+    synchronized List<TargetInFlight> inFlight() {
+        return new ArrayList<>(mSlots.ownReport());
+    }
+
+    /** Refuses those who waited as long as they may; called often by the control thread. */
+    void upkeep() {
+        long now = mClock.millis();
+        QueueStep<SlotWaiter> step;
+        synchronized (this) {
+            step = mQueue.onSlotFreed(now);
+        }
+        carryOut(step, now);
+    }
+
+    /** Returns how many requests wait for slots. */
+    public synchronized int waiting() {
+        return mQueue.size();
+    }
+
+    private void withdraw(QueueEntry<SlotWaiter> entry) {
+        synchronized (this) {
+            mQueue.cancel(entry);
+        }
+    }
+
+    private void carryOut(QueueStep<SlotWaiter> step, long now) {
+        for (Expired<SlotWaiter> expired : step.expired()) {
+            expired.entry()
+                    .request()
+                    .slot()
+                    .completeExceptionally(refused(expired.refusal()));
+        }
+        for (Dispatched<SlotWaiter> dispatched : step.dispatched()) {
+            give(dispatched.entry(), dispatched.target(), now);
+        }
+    }
+
+    /**
+     * Guards against a slot given to a caller that went away in the same moment: it would stay
+     * taken for ever. The future is completed once, so who loses the race gives the slot back.
+     */
+    private void give(QueueEntry<SlotWaiter> entry, Endpoint target, long now) {
+        Slot slot = new Slot(entry, target, now, false);
+        if (!entry.request().slot().complete(slot)) {
+            release(slot, Outcome.CANCELLED, 0);
+        }
+    }
+
+    /** Returns the caller's answer for a failed acquire. */
+    static Refusal refusalOf(Throwable failure) {
+        Throwable cause = Exceptions.peel(failure);
+        if (cause instanceof RefusedException refused) {
+            return refused.refusal();
+        }
+        return Refusal.of(RefusalCode.OVERLOADED, "The request was withdrawn.", 1000);
+    }
+
+    private static RefusedException rateLimited(long waitMillis) {
+        return new RefusedException(
+                Refusal.of(
+                        RefusalCode.RATE_LIMITED,
+                        "More requests of this kind than the template's rate allows.",
+                        waitMillis));
+    }
+
+    private static RefusedException refused(Admission.Refused refused) {
+        RefusalCode code =
+                refused.reason() == org.dahliapass.decisions.traffic.RefusalReason.NO_TARGET
+                        ? RefusalCode.NO_TARGET
+                        : RefusalCode.OVERLOADED;
+        String message =
+                switch (refused.reason()) {
+                    case NO_TARGET -> "No target of the service takes work of this kind now.";
+                    case QUEUE_FULL -> "The queue, or this customer's part of it, is full.";
+                    case TOO_LATE -> "No slot comes free in time, by the rate measured now.";
+                    case WAITED_OUT -> "No slot came free within the kind's patience.";
+                };
+        return new RefusedException(Refusal.of(code, message, refused.retryAfterMillis()));
+    }
+
+    private static double bulkyShare(ServiceTemplate template) {
+        boolean onlyBulky = template.kinds().stream().allMatch(RequestKind::bulky);
+        return onlyBulky ? 1.0 : BULKY_SHARE;
+    }
+
+    private static QueueLimits limits(ServiceTemplate template) {
+        int slots = template.slotsPerTarget() * template.targets().size();
+        int capacity = Math.max(LEAST_QUEUE, slots * QUEUED_PER_SLOT);
+        return new QueueLimits(capacity, Math.max(1, capacity / 2), Math.max(1, slots / 2));
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/dahliapass/entry/SlotWaiter.java
@@ -0,0 +1,10 @@
+package org.dahliapass.entry;
+
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * What goes on with a request once it has a slot.
+ *
+ * @param slot completes with the slot, or fails with a {@link RefusedException}
+ */
+record SlotWaiter(CompletableFuture<Slot> slot) {}
--- /dev/null
+++ b/entry/src/main/java/org/dahliapass/entry/TargetTry.java
@@ -0,0 +1,237 @@
+package org.dahliapass.entry;
+
+import com.linecorp.armeria.client.ClientRequestContext;
+import com.linecorp.armeria.client.ResponseTimeoutException;
+import com.linecorp.armeria.client.UnprocessedRequestException;
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpHeaderNames;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.RequestHeaders;
+import com.linecorp.armeria.common.RequestHeadersBuilder;
+import com.linecorp.armeria.common.ResponseHeaders;
+import com.linecorp.armeria.common.SplitHttpResponse;
+import com.linecorp.armeria.common.stream.StreamMessage;
+import com.linecorp.armeria.common.util.Exceptions;
+import com.linecorp.armeria.common.util.TimeoutMode;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.dahliapass.decisions.health.Outcome;
+import org.dahliapass.decisions.traffic.FailureKind;
+import org.dahliapass.model.Endpoint;
+
+/**
+ * One try of one request at one target: waits for a slot, sends, and hands on the answer as it
+ * comes. Every try ends with exactly one release of its slot.
+ *
+ * <p>A response belongs to its try by construction: it is the object that the HTTP client returned
+ * for this very exchange, on a connection that serves one exchange at a time and is closed when an
+ * exchange is cancelled or breaks off. So a late answer can't reach another caller.
+ */
+final class TargetTry {
+    private static final int SERVER_ERROR = 500;
+    private static final int SERVICE_UNAVAILABLE = 503;
+    private static final Duration LEAST_STALL_TIMEOUT = Duration.ofSeconds(30);
+    private static final List<CharSequence> HOP_HEADERS =
+            List.of(
+                    HttpHeaderNames.CONNECTION,
+                    HttpHeaderNames.of("keep-alive"),
+                    HttpHeaderNames.of("proxy-connection"),
+                    HttpHeaderNames.PROXY_AUTHORIZATION,
+                    HttpHeaderNames.TE,
+                    HttpHeaderNames.TRANSFER_ENCODING,
+                    HttpHeaderNames.UPGRADE,
+                    HttpHeaderNames.HOST,
+                    CallerHeaders.FORWARDED_BY);
+
+    private final CallerRequest mRequest;
+    private final ServiceRuntime mRuntime;
+    private final TargetClients mClients;
+    private final Clock mClock;
+    private final AtomicBoolean mReleased = new AtomicBoolean();
+    private final CompletableFuture<TryResult> mResult = new CompletableFuture<>();
+    private volatile CompletableFuture<Slot> mSlot;
+    private volatile TargetClients.Sent mSent;
+    private volatile boolean mCancelled;
+    private volatile long mSentMillis;
+    private volatile long mHeadMillis;
+
+    TargetTry(
+            CallerRequest request, ServiceRuntime runtime, TargetClients clients, Clock clock) {
+        mRequest = request;
+        mRuntime = runtime;
+        mClients = clients;
+        mClock = clock;
+    }
+
+    /** Starts the try; the future completes when the answer's head is there or the try failed. */
+    CompletableFuture<TryResult> start(CompletableFuture<Slot> slot) {
+        mSlot = slot;
+        slot.whenComplete(this::onSlot);
+        return mResult;
+    }
+
+    /** Returns the target once the try has a slot. */
+    Optional<Endpoint> target() {
+        CompletableFuture<Slot> slot = mSlot;
+        boolean given = slot != null && slot.isDone() && !slot.isCompletedExceptionally();
+        return given ? Optional.of(slot.join().target()) : Optional.empty();
+    }
+
+    /** Ends the try, because the caller went away or another try answered first. */
+    void cancel() {
+        mCancelled = true;
+        mSlot.cancel(false);
+        TargetClients.Sent sent = mSent;
+        if (sent != null) {
+            sent.response().abort();
+        }
+    }
+
+    private void onSlot(Slot slot, Throwable failure) {
+        if (failure != null) {
+            mResult.complete(new TryResult.Refused(ServiceRuntime.refusalOf(failure)));
+            return;
+        }
+        long remaining = mRequest.remainingMillis(mClock.millis());
+        if (mCancelled || remaining == 0) {
+            release(slot, FailureKind.CANCELLED_BY_CALLER);
+            mResult.complete(new TryResult.Refused(tooLate()));
+            return;
+        }
+        send(slot, remaining);
+    }
+
+    private void send(Slot slot, long remaining) {
+        mSentMillis = mClock.millis();
+        HttpRequest message = HttpRequest.of(headersFor(remaining), mRequest.message().content());
+        mSent = mClients.send(slot.target(), message, Duration.ofMillis(remaining));
+        SplitHttpResponse split = mSent.response().split();
+        split.headers()
+                .whenComplete(
+                        (headers, failure) -> {
+                            if (failure != null) {
+                                fail(slot, classify(failure), failure);
+                                return;
+                            }
+                            onHeaders(slot, headers, split);
+                        });
+        if (mCancelled) {
+            mSent.response().abort();
+        }
+    }
+
+    private void onHeaders(Slot slot, ResponseHeaders headers, SplitHttpResponse split) {
+        mHeadMillis = mClock.millis();
+        mRuntime.onHead(mRequest.kind(), mHeadMillis - mSentMillis);
+        if (isRefusedByTarget(headers)) {
+    XX            split.body().abort();
+            fail(slot, FailureKind.REFUSED_NOT_PROCESSED, null);
+            return;
+        }
+        boolean error = headers.status().code() >= SERVER_ERROR;
+        ClientRequestContext context = mSent.context();
+        extendTimeout(context);
+        StreamMessage<HttpData> body = split.body().peek(piece -> extendTimeout(context));
+        body.whenComplete()
+                .whenComplete(
+                        (ignored, failure) ->
+                                release(slot, error ? FailureKind.SERVER_ERROR : cut(failure)));
+        mResult.complete(new TryResult.Answered(slot.target(), headers, body));
+    }
+
+    /** An answer that has begun may take as long as it makes progress; one that stalls ends. */
+    private void extendTimeout(ClientRequestContext context) {
+        Duration deadline = mRequest.kind().deadline();
+        Duration stall =
+                deadline.compareTo(LEAST_STALL_TIMEOUT) > 0 ? deadline : LEAST_STALL_TIMEOUT;
+        context.setResponseTimeout(TimeoutMode.SET_FROM_NOW, stall);
+    }
+
+    private FailureKind cut(Throwable failure) {
+        if (failure == null) {
+            return null;
+        }
+        return mCancelled || isCallersDoing(failure)
+                ? FailureKind.CANCELLED_BY_CALLER
+                : FailureKind.CUT_SHORT;
+    }
+
+    private void fail(Slot slot, FailureKind kind, Throwable failure) {
+        release(slot, kind);
+        String cause = failure == null ? "refused by the target" : describe(failure);
+        mResult.complete(new TryResult.Failed(slot.target(), kind, cause));
+    }
+
+    private void release(Slot slot, FailureKind kind) {
+        if (!mReleased.compareAndSet(false, true)) {
+            return;
+        }
+        long headMillis = mHeadMillis == 0 ? mClock.millis() : mHeadMillis;
+        long latency = mSentMillis == 0 ? 0 : headMillis - mSentMillis;
+        mRuntime.release(slot, outcome(kind), latency);
+    }
+
+    private static Outcome outcome(FailureKind kind) {
+        if (kind == null) {
+            return Outcome.SUCCESS;
+        }
+        return switch (kind) {
+            case CONNECT_FAILED -> Outcome.CONNECT_FAILED;
+            case REFUSED_NOT_PROCESSED -> Outcome.REFUSED_SHED;
+            case SERVER_ERROR -> Outcome.FAILURE;
+            case TIMED_OUT -> Outcome.TIMEOUT;
+            case CUT_SHORT, RESET_AFTER_SEND -> Outcome.CUT_SHORT;
+            case CANCELLED_BY_CALLER -> Outcome.CANCELLED;
+        };
+    }
+
+    private FailureKind classify(Throwable failure) {
+        Throwable cause = Exceptions.peel(failure);
+        if (mCancelled) {
+            return FailureKind.CANCELLED_BY_CALLER;
+        }
+        if (cause instanceof UnprocessedRequestException) {
+            return FailureKind.CONNECT_FAILED;
+        }
+        if (cause instanceof ResponseTimeoutException) {
+            return FailureKind.TIMED_OUT;
+        }
+        return FailureKind.RESET_AFTER_SEND;
+    }
+
+    private static boolean isCallersDoing(Throwable failure) {
+        Throwable cause = Exceptions.peel(failure);
+        return cause instanceof com.linecorp.armeria.common.stream.CancelledSubscriptionException
+                || cause instanceof com.linecorp.armeria.common.stream.AbortedStreamException;
+    }
+
+    private static boolean isRefusedByTarget(ResponseHeaders headers) {
+        return headers.status().code() == SERVICE_UNAVAILABLE
+                && headers.contains(CallerHeaders.NOT_PROCESSED);
+    }
+
+    private RequestHeaders headersFor(long remaining) {
+        RequestHeadersBuilder headers = mRequest.message().headers().toBuilder();
+        HOP_HEADERS.forEach(headers::remove);
+        return headers.path(mRequest.path())
+                .scheme("http")
+                .set(CallerHeaders.REQUEST_TIMEOUT, Long.toString(remaining))
+                .set(CallerHeaders.REQUEST_ID, mRequest.id())
+                .build();
+    }
+
+    private static Refusal tooLate() {
+        return Refusal.of(
+                RefusalCode.OVERLOADED, "No slot came free before the deadline.", 1000);
+    }
+
+    private static String describe(Throwable failure) {
+        Throwable cause = Exceptions.peel(failure);
+        Throwable root = cause.getCause() == null ? cause : cause.getCause();
+        return root.getClass().getSimpleName() + ": " + root.getMessage();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/dahliapass/entry/VmSettings.java
@@ -0,0 +1,120 @@
+package org.dahliapass.entry;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.regex.Pattern;
+import org.dahliapass.kernel.IniFile;
+import org.dahliapass.kernel.IniSection;
+import org.dahliapass.kernel.SettingsException;
+import org.dahliapass.model.Endpoint;
+
+/**
+ * The settings of one entry VM.
+ *
+ * @param fleet the fleet's name; VMs of other fleets are strangers
+ * @param name the VM's name, unique in the fleet
+ * @param availabilityZone the VM's availability zone
+ * @param address the IP number on which the VM listens
+ * @param callersPort the port for callers; 0 for any free one
+ * @param peersPort the port for other VMs, TCP and UDP; 0 for any free one
+ * @param operatorsPort the port for operators; 0 for any free one
+ * @param store where the platform's key-value service is reached
+ * @param vmList where the platform's VM list is reached
+ * @param askTimeToLive how long a caller may use an ask's answer
+ * @param gossipPeriod the period of the failure detector
+ * @param controlPeriod the period of evidence, queue and snapshot upkeep
+ * @param operationWindow how long keys of guarded operations are kept
+ * @param operationCapacity keys that are kept at most, as home and as witness each
+ */
+public record VmSettings(
+        String fleet,
+        String name,
+        String availabilityZone,
+        String address,
+        int callersPort,
+        int peersPort,
+        int operatorsPort,
+        Endpoint store,
+        Endpoint vmList,
+        Duration askTimeToLive,
+        Duration gossipPeriod,
+        Duration controlPeriod,
+        Duration operationWindow,
+        int operationCapacity) {
+    private static final Pattern NAME = Pattern.compile("[a-z0-9][a-z0-9-]{0,40}");
+    private static final Pattern ADDRESS = Pattern.compile("[0-9]{1,3}(\\.[0-9]{1,3}){3}");
+    private static final int HIGHEST_PORT = 65_535;
+    private static final String NAME_RULE = "lower-case letters, digits and hyphens, 41 at most";
+
+    /**
+     * Reads a settings file.
+     *
+     * @throws SettingsException with all problems of the file
+     */
+    public static VmSettings read(Path path) {
+        return from(IniFile.read(path));
+    }
+
+    /**
+     * Reads settings from a parsed file.
+     *
+     * @throws SettingsException with all problems of the file
+     */
+    public static VmSettings from(IniFile file) {
+        IniSection vm = file.section("vm");
+        IniSection platform = file.section("platform");
+        IniSection control = file.section("control");
+        VmSettings settings =
+                new VmSettings(
+                        name(vm, "fleet"),
+                        name(vm, "name"),
+                        name(vm, "availability-zone"),
+                        vm.value("address", "an IP number", VmSettings::address, "127.0.0.1"),
+                        (int) vm.number("callers-port", 0, HIGHEST_PORT),
+                        (int) vm.number("peers-port", 0, HIGHEST_PORT),
+                        (int) vm.number("operators-port", 0, HIGHEST_PORT),
+                        endpoint(platform, "store"),
+                        endpoint(platform, "vm-list"),
+                        control.duration(
+                                "ask-time-to-live",
+                                Duration.ofSeconds(1),
+                                Duration.ofMinutes(5),
+                                Duration.ofSeconds(30)),
+                        control.duration(
+                                "gossip-period",
+                                Duration.ofMillis(50),
+                                Duration.ofSeconds(5),
+                                Duration.ofSeconds(1)),
+                        control.duration(
+                                "control-period",
+                                Duration.ofMillis(20),
+                                Duration.ofSeconds(2),
+                                Duration.ofMillis(250)),
+                        control.duration(
+                                "operation-window",
+                                Duration.ofMinutes(1),
+                                Duration.ofHours(24),
+                                Duration.ofHours(1)),
+                        (int) control.number("operation-capacity", 100, 1_000_000, 20_000));
+        file.check();
+        return settings;
+    }
+
+    private static String name(IniSection section, String key) {
+        return section.value(
+                key,
+                NAME_RULE,
+                text -> NAME.matcher(text).matches() ? Optional.of(text) : Optional.empty(),
+                "x");
+    }
+
+    private static Optional<String> address(String text) {
+        return ADDRESS.matcher(text).matches() ? Optional.of(text) : Optional.empty();
+    }
+
+    private static Endpoint endpoint(IniSection section, String key) {
+        return section.value(
+                key, "an address such as 10.0.0.7:8500", Endpoint::parse, new Endpoint("x", 1));
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/dahliapass/entry/package-info.java
@@ -0,0 +1,2 @@
+/** The entry VM: the process between callers and targets. */
+package org.dahliapass.entry;
