Decide who serves, waits, is refused and is tried again

Cause: slots at targets are few (3 or 6), so a VM must know which are free, and say at once when none will be in time. Ruled out: believing the peers' reports alone (late ones would idle a VM's own part of the slots); one queue by deadline only (a customer's flood would hold all of it).

--- /dev/null
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/AdmissionQueue.java
@@ -0,0 +1,303 @@
+package org.dahliapass.decisions.traffic;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.TreeSet;
+import java.util.random.RandomGenerator;
+import org.dahliapass.model.Endpoint;
+
+/**
+ * Gives requests of one service a slot, lets them wait for one, or refuses them at once.
+ *
+ * <p>Each offered entry ends exactly once: dispatched, refused, expired or cancelled. Not safe for
+ * use by several threads: the caller guards it, its slot table and its balancer by one lock. A call
+ * costs O(targets + customers), and O(log n) in the entries that wait, but for an offer that must
+ * wait: that one counts the customer's own entries ahead of it.
+ *
+ * @param <T> what the caller needs to go on with a request
+ */
+public final class AdmissionQueue<T> {
+    private final QueueLimits mLimits;
+    private final SlotTable mSlots;
+    private final Balancer mBalancer;
+    private final ServiceTimes mTimes;
+    private final RetryAfter mRetryAfter;
+    private final Map<QueueLane, LaneQueue<T>> mLanes = new EnumMap<>(QueueLane.class);
+    private final Map<QueueLane, Integer> mCredit = new EnumMap<>(QueueLane.class);
+    private final Map<QueueEntry<T>, Waiting<T>> mWaiting = new HashMap<>();
+    private final TreeSet<Waiting<T>> mByLatestStart = new TreeSet<>();
+    private final CustomerCounts mWaitingByCustomer = new CustomerCounts();
+    private final CustomerCounts mBulkyByCustomer = new CustomerCounts();
+    private long mSequence;
+    private long mWaitingSinceMillis;
+
+    /**
+     * Starts empty.
+     *
+     * @param limits how much may wait
+     * @param slots the slots of the service
+     * @param balancer picks the targets
+     * @param times how fast slots come free
+     * @param random spreads the times at which refused callers come back
+     */
+    public AdmissionQueue(
+            QueueLimits limits,
+            SlotTable slots,
+            Balancer balancer,
+            ServiceTimes times,
+            RandomGenerator random) {
+        mLimits = limits;
+        mSlots = slots;
+        mBalancer = balancer;
+        mTimes = times;
+        mRetryAfter = new RetryAfter(random);
+        for (QueueLane lane : QueueLane.values()) {
+            mLanes.put(lane, new LaneQueue<>());
+            mCredit.put(lane, 0);
+        }
+    }
+
+    /** Decides on a new request. */
+    public Admission offer(QueueEntry<T> entry, long nowMillis) {
+        if (!mBalancer.hasTargetFor(entry.kind(), entry.excluded())) {
+            return refuse(RefusalReason.NO_TARGET, 0);
+        }
+        if (nowMillis >= entry.deadlineMillis()) {
+            return refuse(RefusalReason.TOO_LATE, 0);
+        }
+        Optional<Endpoint> target = targetFor(entry, nowMillis);
+        if (target.isPresent() && !isOvertaking(entry, nowMillis)) {
+            take(entry, target.get());
+            return new Admission.Dispatch(target.get());
+        }
+        return queueOrRefuse(entry, nowMillis);
+    }
+
+    /**
+     * Gives back the slot of a dispatched entry and decides who is next.
+     *
+     * @param entry the entry
+     * @param target where it was dispatched to
+     * @param startedMillis when it was dispatched, in milliseconds
+     * @param answered whether a whole answer came
+     * @param nowMillis the time, in milliseconds
+     */
+    public QueueStep<T> onTryEnded(
+            QueueEntry<T> entry,
+            Endpoint target,
+            long startedMillis,
+            boolean answered,
+            long nowMillis) {
+        if (entry.kind().bulky()) {
+            mBulkyByCustomer.subtract(entry.customer());
+        }
+        return onExtraTryEnded(entry, target, startedMillis, answered, nowMillis);
+    }
+
+    /** Does as {@code onTryEnded} for a retry or a hedge, whose slot the retry policy took. */
+    public QueueStep<T> onExtraTryEnded(
+            QueueEntry<T> entry,
+            Endpoint target,
+            long startedMillis,
+            boolean answered,
+            long nowMillis) {
+        mSlots.onEnded(target, entry.kind().bulky());
+        mTimes.onTryEnded(entry.kind(), nowMillis - startedMillis, answered, nowMillis);
+        return onSlotFreed(nowMillis);
+    }
+
+    /**
+     * Decides who is next: to be called whenever a slot may have come free, also by a new view of
+     * the targets or a peer's report, and after an offer that was queued.
+     */
+    public QueueStep<T> onSlotFreed(long nowMillis) {
+        List<Expired<T>> expired = expire(nowMillis);
+        List<Dispatched<T>> dispatched = new ArrayList<>();
+        Optional<Dispatched<T>> next = dispatchNext(nowMillis);
+        while (next.isPresent()) {
+            dispatched.add(next.get());
+            next = dispatchNext(nowMillis);
+        }
+        return new QueueStep<>(dispatched, expired);
+    }
+
+    /** Takes out the entries whose patience or deadline is over, to be refused at once. */
+    public List<Expired<T>> expire(long nowMillis) {
+        List<Expired<T>> expired = new ArrayList<>();
+        while (!mByLatestStart.isEmpty()
+                && mByLatestStart.first().entry().latestStartMillis() <= nowMillis) {
+            Waiting<T> waiting = mByLatestStart.first();
+            long drainMillis = waitMillis(waiting.entry(), nowMillis);
+            mLanes.get(QueueLane.of(waiting.entry().kind())).remove(waiting);
+            forget(waiting);
+            expired.add(
+                    new Expired<>(waiting.entry(), refuse(RefusalReason.WAITED_OUT, drainMillis)));
+        }
+        return expired;
+    }
+
+    /** Returns when {@code expire} has to be called next, in milliseconds; empty if none waits. */
+    public OptionalLong nextExpiryMillis() {
+        return mByLatestStart.isEmpty()
+                ? OptionalLong.empty()
+                : OptionalLong.of(mByLatestStart.first().entry().latestStartMillis());
+    }
+
+    /** Takes out an entry whose caller went away; false if it doesn't wait here any more. */
+    public boolean cancel(QueueEntry<T> entry) {
+        Waiting<T> waiting = mWaiting.get(entry);
+        if (waiting == null) {
+            return false;
+        }
+        mLanes.get(QueueLane.of(entry.kind())).remove(waiting);
+        forget(waiting);
+        return true;
+    }
+
+    /** Returns how many entries wait. */
+    public int size() {
+        return mWaiting.size();
+    }
+
+    /** Returns whether somebody waits, so that work beyond first tries would do harm. */
+    public boolean isOverloaded() {
+        return !mWaiting.isEmpty();
+    }
+
+    private Admission queueOrRefuse(QueueEntry<T> entry, long nowMillis) {
+        if (mWaiting.isEmpty()) {
+            mWaitingSinceMillis = nowMillis;
+        }
+        long waitMillis = waitMillis(entry, nowMillis);
+        if (mWaiting.size() >= mLimits.capacity()
+                || mWaitingByCustomer.of(entry.customer()) >= mLimits.capacityPerCustomer()) {
+            return refuse(RefusalReason.QUEUE_FULL, waitMillis);
+        }
+        long typicalMillis = mTimes.typicalMillis(entry.kind());
+        long startByMillis =
+                Math.min(entry.latestStartMillis(), entry.deadlineMillis() - typicalMillis);
+        long spareMillis = startByMillis - nowMillis;
+        if (waitMillis >= spareMillis) {
+            return refuse(RefusalReason.TOO_LATE, waitMillis - Math.max(0, spareMillis));
+        }
+        enqueue(entry);
+        return new Admission.Queued();
+    }
+
+    private void enqueue(QueueEntry<T> entry) {
+        Waiting<T> waiting = new Waiting<>(entry, mSequence++);
+        mWaiting.put(entry, waiting);
+        mByLatestStart.add(waiting);
+        mWaitingByCustomer.add(entry.customer());
+        mLanes.get(QueueLane.of(entry.kind())).add(waiting);
+    }
+
+    private void forget(Waiting<T> waiting) {
+        mWaiting.remove(waiting.entry());
+        mByLatestStart.remove(waiting);
+        mWaitingByCustomer.subtract(waiting.entry().customer());
+    }
+
+    private void take(QueueEntry<T> entry, Endpoint target) {
+        mSlots.onStarted(target, entry.kind().bulky());
+        if (entry.kind().bulky()) {
+            mBulkyByCustomer.add(entry.customer());
+        }
+    }
+
+    private Admission.Refused refuse(RefusalReason reason, long waitMillis) {
+        return new Admission.Refused(reason, mRetryAfter.millis(waitMillis));
+    }
+
+    /** Returns whether an entry that waits in the same lane could take the free slot as well. */
+    private boolean isOvertaking(QueueEntry<T> entry, long nowMillis) {
+        return candidate(QueueLane.of(entry.kind()), nowMillis).isPresent();
+    }
+
+    private Optional<Endpoint> targetFor(QueueEntry<T> entry, long nowMillis) {
+        if (entry.kind().bulky()
+                && mBulkyByCustomer.of(entry.customer()) >= mLimits.bulkyPerCustomer()) {
+            return Optional.empty();
+        }
+        return mBalancer.pick(entry.kind(), entry.excluded(), nowMillis);
+    }
+
+    private Optional<Dispatched<T>> dispatchNext(long nowMillis) {
+        Map<QueueLane, Candidate<T>> candidates = new EnumMap<>(QueueLane.class);
+        for (QueueLane lane : QueueLane.values()) {
+            candidate(lane, nowMillis).ifPresent(candidate -> candidates.put(lane, candidate));
+        }
+        if (candidates.isEmpty()) {
+            return Optional.empty();
+        }
+        QueueLane lane = nextLane(candidates);
+        Candidate<T> chosen = candidates.get(lane);
+        mLanes.get(lane).serve(chosen.waiting());
+        forget(chosen.waiting());
+        take(chosen.waiting().entry(), chosen.target());
+        return Optional.of(new Dispatched<>(chosen.waiting().entry(), chosen.target()));
+    }
+
+    private Optional<Candidate<T>> candidate(QueueLane lane, long nowMillis) {
+        for (Waiting<T> waiting : mLanes.get(lane).heads()) {
+            if (waiting.entry().latestStartMillis() <= nowMillis) {
+                continue;
+            }
+            Optional<Endpoint> target = targetFor(waiting.entry(), nowMillis);
+            if (target.isPresent()) {
+                return Optional.of(new Candidate<>(waiting, target.get()));
+            }
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Chooses among the lanes that could go on, by smooth weighted round robin.
+     *
+     * <p>Guards against a lane that always has entries and so starves the lanes behind it: every
+     * lane that waits gains credit by its weight, and the one served pays for all.
+     */
+    private QueueLane nextLane(Map<QueueLane, Candidate<T>> candidates) {
+        QueueLane best = null;
+        int total = 0;
+        for (QueueLane lane : candidates.keySet()) {
+            mCredit.merge(lane, lane.weight(), Integer::sum);
+            total += lane.weight();
+            if (best == null || mCredit.get(lane) > mCredit.get(best)) {
+                best = lane;
+            }
+        }
+        mCredit.merge(best, -total, Integer::sum);
+        return best;
+    }
+
+    /** Estimates how long a new entry of this kind and customer would wait, in milliseconds. */
+    private long waitMillis(QueueEntry<T> entry, long nowMillis) {
+        QueueLane own = QueueLane.of(entry.kind());
+        int ahead = mLanes.get(own).ahead(entry.customer(), entry.latestStartMillis());
+        double turns = ahead + 1.0;
+        if (own == QueueLane.BULKY && mSlots.ownBulkyTotal() > 0) {
+            return millis(
+                    turns / mTimes.bulkySlotsFreedPerMilli(mSlots, mWaitingSinceMillis, nowMillis));
+        }
+        double all = turns;
+        for (QueueLane lane : QueueLane.values()) {
+            if (lane != own) {
+                all += Math.min(mLanes.get(lane).size(), turns * lane.weight() / own.weight());
+            }
+        }
+        return millis(all / mTimes.slotsFreedPerMilli(mSlots, mWaitingSinceMillis, nowMillis));
+    }
+
+    /** Nothing in flight means no rate: the wait is then unknown and patience bounds it. */
+    private static long millis(double estimate) {
+        return Double.isInfinite(estimate) || Double.isNaN(estimate) ? 0 : (long) estimate;
+    }
+
+    private record Candidate<T>(Waiting<T> waiting, Endpoint target) {}
+}
--- /dev/null
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/CustomerCounts.java
@@ -0,0 +1,21 @@
+package org.dahliapass.decisions.traffic;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** A count for each customer that has one above zero. */
+final class CustomerCounts {
+    private final Map<String, Integer> mCounts = new HashMap<>();
+
+    void add(String customer) {
+        mCounts.merge(customer, 1, Integer::sum);
+    }
+
+    void subtract(String customer) {
+        mCounts.computeIfPresent(customer, (unused, count) -> count == 1 ? null : count - 1);
+    }
+
+    int of(String customer) {
+        return mCounts.getOrDefault(customer, 0);
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/ServiceTimes.java
@@ -0,0 +1,103 @@
+package org.dahliapass.decisions.traffic;
+
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.Map;
+import org.dahliapass.model.RequestKind;
+
+/**
+ * Measures how long tries take, and so how fast this VM's slots come free.
+ *
+ * <p>Not safe for use by several threads: the caller guards it by the lock of its slot table. Each
+ * call costs O(1).
+ */
+public final class ServiceTimes {
+    /** The newest time's weight in a moving mean: about the last ten tries count. */
+    private static final double NEWEST_WEIGHT = 0.1;
+
+    /**
+     * While nothing comes free, at most this many slots are taken to come free in as long again.
+     */
+    private static final double HOPED_IN_STALL = 2;
+
+    private final Map<String, MovingMean> mAnswerByKind = new HashMap<>();
+    private final Map<QueueLane, MovingMean> mHoldByLane = new EnumMap<>(QueueLane.class);
+    private long mLastEndMillis = Long.MIN_VALUE;
+
+    /**
+     * Takes the end of a try.
+     *
+     * @param kind the request's kind
+     * @param tookMillis how long it held its slot, in milliseconds
+     * @param answered whether a whole answer came; else it says nothing of the kind's latency
+     * @param nowMillis the time, in milliseconds
+     */
+    public void onTryEnded(RequestKind kind, long tookMillis, boolean answered, long nowMillis) {
+        mLastEndMillis = nowMillis;
+        mHoldByLane.computeIfAbsent(holdLane(kind), unused -> new MovingMean()).add(tookMillis);
+        if (answered) {
+            mAnswerByKind.computeIfAbsent(kind.name(), unused -> new MovingMean()).add(tookMillis);
+        }
+    }
+
+    /** Returns the mean time of a kind's latest answers in milliseconds; 0 while none is known. */
+    public long typicalMillis(RequestKind kind) {
+        MovingMean mean = mAnswerByKind.get(kind.name());
+        return mean == null ? 0 : Math.round(mean.mMean);
+    }
+
+    /**
+     * Estimates how many slots come free a millisecond.
+     *
+     * <p>By Little's law from the slots in use and the mean time each is held, which holds also
+     * right after an idle time, when a count of recent ends would tell too little. Guards against
+     * targets that hang: no try ends, so the mean stays at its old low value while nothing comes
+     * free; the rate is then held under what the time since the last end allows.
+     *
+     * @param slots the slots in use
+     * @param waitingSinceMillis since when somebody waits for a slot, in milliseconds
+     * @param nowMillis the time, in milliseconds
+     * @return slots a millisecond; infinite while nothing is known
+     */
+    double slotsFreedPerMilli(SlotTable slots, long waitingSinceMillis, long nowMillis) {
+        int bulky = slots.ownBulkyTotal();
+        double rate =
+                rate(bulky, QueueLane.BULKY) + rate(slots.ownTotal() - bulky, QueueLane.SHORT);
+        return Math.min(rate, stallRate(waitingSinceMillis, nowMillis));
+    }
+
+    /** Estimates as {@code slotsFreedPerMilli}, for the slots that bulky requests hold. */
+    double bulkySlotsFreedPerMilli(SlotTable slots, long waitingSinceMillis, long nowMillis) {
+        double rate = rate(slots.ownBulkyTotal(), QueueLane.BULKY);
+        return Math.min(rate, stallRate(waitingSinceMillis, nowMillis));
+    }
+
+    /** Guarded and short requests share their slots, so they share a mean. */
+    private static QueueLane holdLane(RequestKind kind) {
+        return kind.bulky() ? QueueLane.BULKY : QueueLane.SHORT;
+    }
+
+    private double stallRate(long waitingSinceMillis, long nowMillis) {
+        long stalledMillis = nowMillis - Math.max(mLastEndMillis, waitingSinceMillis);
+        return stalledMillis <= 0 ? Double.POSITIVE_INFINITY : HOPED_IN_STALL / stalledMillis;
+    }
+
+    private double rate(int inFlight, QueueLane lane) {
+        if (inFlight == 0) {
+            return 0;
+        }
+        MovingMean mean = mHoldByLane.get(lane);
+        return mean == null ? Double.POSITIVE_INFINITY : inFlight / Math.max(1, mean.mMean);
+    }
+
+    /** A mean in which older values fade. */
+    private static final class MovingMean {
+        private double mMean;
+        private int mCount;
+
+        private void add(long value) {
+            mCount++;
+            mMean += (value - mMean) * Math.max(NEWEST_WEIGHT, 1.0 / mCount);
+        }
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/SlotTable.java
@@ -0,0 +1,190 @@
+package org.dahliapass.decisions.traffic;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+import org.dahliapass.model.Endpoint;
+import org.dahliapass.model.VmIdentity;
+
+/**
+ * Counts the slots that are taken at each target of one service: this VM's own exactly, those of
+ * the cell's other VMs by their last reports.
+ *
+ * <p>Not safe for use by several threads: the caller guards each instance by a lock. Each call
+ * costs at most O(VMs of the cell).
+ */
+public final class SlotTable {
+    /** After this many half-lives a report counts for nothing and is dropped. */
+    private static final int HALF_LIVES_KEPT = 4;
+
+    private final int mSlotsPerTarget;
+    private final long mHalfLifeMillis;
+    private final Map<Endpoint, OwnUse> mOwn = new HashMap<>();
+    private final Map<Endpoint, Map<VmIdentity, PeerReport>> mReports = new HashMap<>();
+    private int mOwnTotal;
+    private int mOwnBulkyTotal;
+    private int mCellSize = 1;
+    private int mRankInCell;
+
+    /**
+     * Starts with nothing in flight and this VM alone in the cell.
+     *
+     * @param slotsPerTarget requests that a target works on at once
+     * @param halfLifeMillis the age at which a peer's report counts half, in milliseconds
+     */
+    public SlotTable(int slotsPerTarget, long halfLifeMillis) {
+        mSlotsPerTarget = slotsPerTarget;
+        mHalfLifeMillis = halfLifeMillis;
+    }
+
+    /** Takes the live members of the cell, this VM among them; forgets reports of all others. */
+    public void onCell(VmIdentity self, List<VmIdentity> members) {
+        TreeSet<VmIdentity> sorted = new TreeSet<>(members);
+        sorted.add(self);
+        mCellSize = sorted.size();
+        mRankInCell = sorted.headSet(self).size();
+        mReports.values().forEach(reports -> reports.keySet().retainAll(sorted));
+    }
+
+    /** Forgets the reports on targets that aren't in this list. */
+    public void retainTargets(List<WeightedTarget> targets) {
+        mReports.keySet().retainAll(targets.stream().map(WeightedTarget::endpoint).toList());
+    }
+
+    /** Takes a peer's report of its own requests in flight at a target. */
+    public void onPeerInFlight(VmIdentity observer, Endpoint target, int inFlight, long nowMillis) {
+        Map<VmIdentity, PeerReport> reports =
+                mReports.computeIfAbsent(target, unused -> new HashMap<>());
+        if (inFlight <= 0) {
+            reports.remove(observer);
+            return;
+        }
+        reports.put(observer, new PeerReport(inFlight, nowMillis));
+    }
+
+    /** Takes a slot for a request of this VM. */
+    public void onStarted(Endpoint target, boolean bulky) {
+        OwnUse use = mOwn.computeIfAbsent(target, unused -> new OwnUse());
+        use.mInFlight++;
+        mOwnTotal++;
+        if (bulky) {
+            use.mBulky++;
+            mOwnBulkyTotal++;
+        }
+    }
+
+    /**
+     * Gives a slot back.
+     *
+     * @throws IllegalStateException if no such request is in flight: a slot was given back twice
+     */
+    public void onEnded(Endpoint target, boolean bulky) {
+        OwnUse use = mOwn.get(target);
+        if (use == null || use.mInFlight == 0 || (bulky && use.mBulky == 0)) {
+            throw new IllegalStateException(
+                    "No request in flight at " + target + "; each start has exactly one end");
+        }
+        use.mInFlight--;
+        mOwnTotal--;
+        if (bulky) {
+            use.mBulky--;
+            mOwnBulkyTotal--;
+        }
+        if (use.mInFlight == 0) {
+            mOwn.remove(target);
+        }
+    }
+
+    /** Returns how many of this VM's requests are in flight at a target. */
+    public int own(Endpoint target) {
+        OwnUse use = mOwn.get(target);
+        return use == null ? 0 : use.mInFlight;
+    }
+
+    /** Returns how many of this VM's bulky requests are in flight at a target. */
+    public int ownBulky(Endpoint target) {
+        OwnUse use = mOwn.get(target);
+        return use == null ? 0 : use.mBulky;
+    }
+
+    /** Returns how many of this VM's requests are in flight at all targets. */
+    public int ownTotal() {
+        return mOwnTotal;
+    }
+
+    /** Returns how many of this VM's bulky requests are in flight at all targets. */
+    public int ownBulkyTotal() {
+        return mOwnBulkyTotal;
+    }
+
+    /** Returns the requests that a target works on at once. */
+    public int slotsPerTarget() {
+        return mSlotsPerTarget;
+    }
+
+    /** Returns the number of VMs in the cell, this one among them. */
+    public int cellSize() {
+        return mCellSize;
+    }
+
+    /** Estimates how many requests of the cell's other VMs are in flight at a target. */
+    public double others(Endpoint target, long nowMillis) {
+        Map<VmIdentity, PeerReport> reports = mReports.get(target);
+        if (reports == null) {
+            return 0;
+        }
+        long oldest = nowMillis - HALF_LIVES_KEPT * mHalfLifeMillis;
+        reports.values().removeIf(report -> report.atMillis() < oldest);
+        double sum = 0;
+        for (PeerReport report : reports.values()) {
+            sum += report.inFlight() * trust(nowMillis - report.atMillis());
+        }
+        return sum;
+    }
+
+    /**
+     * Returns how many more requests this VM may start at a target.
+     *
+     * <p>Guards against reports that are late or wrong: they say "full" when the slots are long
+     * free, and a VM that believed them would refuse work for nothing. Each slot belongs to one VM
+     * of the cell, which may take it whatever the others report; the shares of all VMs add up to
+     * the target's slots, so this alone never overloads a target.
+     */
+    public int free(Endpoint target, long nowMillis) {
+        int own = own(target);
+        int shared = mSlotsPerTarget - own - (int) Math.round(others(target, nowMillis));
+        int entitled = share(target) - own;
+        return Math.max(0, Math.max(shared, entitled));
+    }
+
+    /** Returns how many slots of a target this VM may take whatever the others report. */
+    public int share(Endpoint target) {
+        int whole = mSlotsPerTarget / mCellSize;
+        int rest = mSlotsPerTarget % mCellSize;
+        // All VMs must agree on it, and a record's own hash code may differ between runtimes.
+        int place = 31 * target.host().hashCode() + target.port();
+        int distance = Math.floorMod(mRankInCell - place, mCellSize);
+        return distance < rest ? whole + 1 : whole;
+    }
+
+    /** Returns this VM's requests in flight at each target where it has any, to tell the peers. */
+    public List<TargetInFlight> ownReport() {
+        List<TargetInFlight> report = new ArrayList<>(mOwn.size());
+        mOwn.forEach((target, use) -> report.add(new TargetInFlight(target, use.mInFlight)));
+        return report;
+    }
+
+    private double trust(long ageMillis) {
+        return Math.pow(0.5, (double) Math.max(0, ageMillis) / mHalfLifeMillis);
+    }
+
+    private record PeerReport(int inFlight, long atMillis) {}
+
+    /** This VM's use of one target. */
+    private static final class OwnUse {
+        private int mInFlight;
+        private int mBulky;
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/dahliapass/decisions/traffic/Kinds.java
@@ -0,0 +1,55 @@
+package org.dahliapass.decisions.traffic;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.dahliapass.model.Endpoint;
+import org.dahliapass.model.Idempotency;
+import org.dahliapass.model.RequestKind;
+
+/** Request kinds and targets for the tests of this package. */
+final class Kinds {
+    static final RequestKind LOOKUP = kind("lookup", Idempotency.IDEMPOTENT, 2_000, 1_000, false);
+    static final RequestKind LISTING =
+            kind("listing", Idempotency.IDEMPOTENT, 60_000, 30_000, false);
+    static final RequestKind SIGN_OFF = kind("sign-off", Idempotency.GUARDED, 10_000, 5_000, false);
+    static final RequestKind EXTRACT =
+            kind("extract", Idempotency.IDEMPOTENT, 60_000, 30_000, true);
+
+    private Kinds() {}
+
+    static RequestKind kind(
+            String name,
+            Idempotency idempotency,
+            long deadlineMillis,
+            long patienceMillis,
+            boolean bulky) {
+        return new RequestKind(
+                name,
+                "GET",
+                "/" + name,
+                true,
+                idempotency,
+                Duration.ofMillis(deadlineMillis),
+                Duration.ofMillis(patienceMillis),
+                Duration.ofMillis(deadlineMillis),
+                1_000,
+                10,
+                0.1,
+                Duration.ofMillis(100),
+                bulky,
+                0.99);
+    }
+
+    static Endpoint endpoint(int number) {
+        return new Endpoint("10.0.0." + number, 80);
+    }
+
+    static WeightedTarget target(int number, double weight) {
+        return new WeightedTarget(endpoint(number), "a", weight, true);
+    }
+
+    static List<WeightedTarget> targets(int count) {
+        return IntStream.range(0, count).mapToObj(number -> target(number, 1)).toList();
+    }
+}
