Decide at most once by home and witness

Cause: a doubled sign-off or certification is what the users fear most.

Holes found in the design and closed here: - A full home that says "not run" without a record lets a late copy of the same key run once there is room, after its caller took a new key.

Ruled out: comparing the clocks of two VMs anywhere for safety; each record is dropped only once the same clock refuses its key.

--- /dev/null
+++ b/decisions/src/test/java/org/dahliapass/decisions/once/OperationTableTest.java
@@ -0,0 +1,81 @@
+package org.dahliapass.decisions.once;
+
+import static org.dahliapass.decisions.once.OnceFixtures.BORN;
+import static org.dahliapass.decisions.once.OnceFixtures.LIMITS;
+import static org.dahliapass.decisions.once.OnceFixtures.OPERATION;
+import static org.dahliapass.decisions.once.OnceFixtures.RESULT;
+import static org.dahliapass.decisions.once.OnceFixtures.WINDOW;
+import static org.dahliapass.decisions.once.OnceFixtures.operation;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.Optional;
+import org.testng.annotations.Test;
+
+/** Tests of {@link OperationTable} and {@link RetentionWindow}. */
+public final class OperationTableTest {
+
+    private static final long LAST = BORN + WINDOW.windowMillis();
+
+    /** The last place is for refusals only, and nothing makes room in a full table. */
+    @Test
+    public void addKeepsTheReserveAndNeverDropsALiveRecord() {
+        OperationTable<String> table = new OperationTable<>(WINDOW, LIMITS);
+        table.advance(BORN);
+        assertTrue(table.add(operation("a"), "a"));
+        assertFalse(table.add(operation("a"), "again"));
+        assertTrue(table.add(operation("b"), "b"));
+        assertFalse(table.add(operation("c"), "c"));
+        assertTrue(table.addRefusal(operation("c"), "c"));
+        assertFalse(table.addRefusal(operation("d"), "d"));
+        assertEquals(table.find(operation("a")), Optional.of("a"));
+        assertEquals(table.size(), 3);
+    }
+
+    /** The record lives exactly as long as its key is taken. */
+    @Test
+    public void advanceDropsOnceTheKeyIsRefused() {
+        OperationTable<String> table = new OperationTable<>(WINDOW, LIMITS);
+        table.advance(LAST);
+        assertTrue(table.add(OPERATION, "kept"));
+        table.fit(OPERATION, RESULT);
+        assertEquals(table.refusal(OPERATION.key()), Optional.empty());
+        table.advance(LAST + 1);
+        assertEquals(table.find(OPERATION), Optional.empty());
+        assertEquals(table.bytes(), 0);
+        assertEquals(table.refusal(OPERATION.key()), Optional.of(UnknownReason.EXPIRED));
+    }
+
+    /**
+     * A clock is set back by an hour. The record has been dropped, so the key would be taken again
+     * and run twice, if the table followed the clock.
+     */
+    @Test
+    public void advanceIgnoresAClockThatGoesBack() {
+        OperationTable<String> table = new OperationTable<>(WINDOW, LIMITS);
+        table.advance(LAST + 1);
+        table.advance(BORN);
+        assertEquals(table.refusal(OPERATION.key()), Optional.of(UnknownReason.EXPIRED));
+    }
+
+    /** A key from the future within the margin is taken, beyond it not yet. */
+    @Test
+    public void refusalAllowsTheMargin() {
+        assertEquals(WINDOW.refusal(BORN, BORN - 1_000), Optional.empty());
+        assertEquals(WINDOW.refusal(BORN, BORN - 1_001), Optional.of(UnknownReason.NOT_YET_VALID));
+    }
+
+    /** A body too long, or more bytes than are left, costs the body but never the status. */
+    @Test
+    public void fitGivesUpTheBodyBeforeTheStatus() {
+        TableLimits shortBodies = new TableLimits(3, 1, 10_000, 2);
+        OperationTable<String> table = new OperationTable<>(WINDOW, shortBodies);
+        assertEquals(table.fit(operation("a"), RESULT), RESULT.withoutBody());
+        TableLimits fewBytes = new TableLimits(3, 1, 1, 100);
+        OperationTable<String> full = new OperationTable<>(WINDOW, fewBytes);
+        assertFalse(full.add(operation("a"), "a"));
+        assertEquals(full.fit(operation("a"), RESULT), RESULT.statusOnly());
+        assertEquals(full.bytes(), 0);
+    }
+}
