--- a/entry/src/main/java/org/dahliapass/entry/CallerHeaders.java
+++ b/entry/src/main/java/org/dahliapass/entry/CallerHeaders.java
@@ -32,5 +32,8 @@
     /** Set when the answer to a guarded request is a recorded one. */
     public static final AsciiString REPLAYED = HttpHeaderNames.of("x-replayed");
 
+    /** The life of the VM that gave the answer. */
+    public static final AsciiString ANSWERED_BY = HttpHeaderNames.of("x-answered-by-vm");
+
     private CallerHeaders() {}
 }
--- /dev/null
+++ b/entry/src/main/java/org/dahliapass/entry/FleetMember.java
@@ -0,0 +1,13 @@
+package org.dahliapass.entry;
+
+import org.dahliapass.model.Endpoint;
+import org.dahliapass.model.Vm;
+
+/**
+ * A VM as operators see it.
+ *
+ * @param vm the VM
+ * @param operators where operators reach it
+ * @param state its state in the membership, in lower case
+ */
+public record FleetMember(Vm vm, Endpoint operators, String state) {}
--- /dev/null
+++ b/entry/src/main/java/org/dahliapass/entry/Forwarder.java
@@ -0,0 +1,104 @@
+package org.dahliapass.entry;
+
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.RequestHeaders;
+import com.linecorp.armeria.common.ResponseHeaders;
+import com.linecorp.armeria.common.SplitHttpResponse;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.dahliapass.decisions.once.Operation;
+import org.dahliapass.kernel.PartLog;
+import org.dahliapass.model.Vm;
+
+/** Sends a request that reached the wrong VM to the right one, once. */
+final class Forwarder {
+    private static final PartLog LOG = PartLog.of("forward");
+    private static final Duration MOST = Duration.ofMinutes(10);
+
+    private final Clock mClock;
+    private final TargetClients mClients;
+    private final FleetService mFleet;
+
+    Forwarder(Clock clock, TargetClients clients, FleetService fleet) {
+        mClock = clock;
+        mClients = clients;
+        mFleet = fleet;
+    }
+
+    /**
+     * Forwards a request to a VM of the service's cell.
+     *
+     * @return empty if it was forwarded already or the cell has no other VM
+     */
+    Optional<HttpResponse> toCell(HttpRequest request, ServicePath path) {
+        if (request.headers().contains(CallerHeaders.FORWARDED_BY)) {
+            return Optional.empty();
+        }
+        String self = mFleet.view().self().identity().name();
+        List<Vm> cell = mFleet.cellOf(path.customer(), path.service());
+        return cell.stream()
+                .filter(vm -> !vm.identity().name().equals(self))
+                .findFirst()
+                .map(vm -> send(vm, request));
+    }
+
+    private HttpResponse send(Vm vm, HttpRequest request) {
+        RequestHeaders headers =
+                request.headers().toBuilder()
+                        .set(CallerHeaders.FORWARDED_BY, mFleet.view().self().identity().name())
+                        .build();
+        return mClients.send(vm.callers(), request.withHeaders(headers), MOST).response();
+    }
+
+    /**
+     * Forwards a guarded request to its key's home.
+     *
+     * @return empty if the home gave no word: it is unknown here, didn't answer, or is another life
+     */
+    CompletableFuture<Optional<HttpResponse>> toHome(CallerRequest request, Operation operation) {
+        Optional<Vm> home = mFleet.view().find(operation.key().home());
+        boolean forwarded = request.message().headers().contains(CallerHeaders.FORWARDED_BY);
+        if (home.isEmpty() || forwarded) {
+            return CompletableFuture.completedFuture(Optional.empty());
+        }
+        RequestHeaders headers =
+                request.message().headers().toBuilder()
+                        .set(CallerHeaders.FORWARDED_BY, mFleet.view().self().identity().name())
+                        .build();
+        long remaining = Math.max(1, request.remainingMillis(mClock.millis()));
+        HttpResponse response =
+                mClients.send(
+                                home.get().callers(),
+                                HttpRequest.of(headers, request.message().content()),
+                                Duration.ofMillis(remaining))
+                        .response();
+        return headOf(response, operation);
+    }
+
+    private static CompletableFuture<Optional<HttpResponse>> headOf(
+            HttpResponse response, Operation operation) {
+        SplitHttpResponse split = response.split();
+        return split.headers()
+                .handle(
+                        (headers, failure) -> {
+                            if (failure != null) {
+                                LOG.info("No word from home: " + failure.getMessage());
+                                return Optional.empty();
+                            }
+                            if (!isFromHome(headers, operation)) {
+                                split.body().abort();
+                                return Optional.empty();
+                            }
+                            return Optional.of(HttpResponse.of(headers, split.body()));
+                        });
+    }
+
+    /** Guards against a restarted home, whose new life knows nothing of what its old one ran. */
+    private static boolean isFromHome(ResponseHeaders headers, Operation operation) {
+        return operation.key().home().toString().equals(headers.get(CallerHeaders.ANSWERED_BY));
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/dahliapass/entry/OperatorAnswers.java
@@ -0,0 +1,187 @@
+package org.dahliapass.entry;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Clock;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.dahliapass.decisions.health.TargetStatus;
+import org.dahliapass.kernel.ControlLoop;
+import org.dahliapass.model.ServiceTemplate;
+import org.dahliapass.model.Vm;
+import org.dahliapass.model.burn.BurnBucket;
+import org.dahliapass.model.burn.BurnLedger;
+import org.dahliapass.model.explain.Explanation;
+
+/** Puts what operators ask a VM for into JSON. */
+final class OperatorAnswers {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final Clock mClock;
+    private final ControlLoop mLoop;
+    private final FleetService mFleet;
+    private final Readiness mReadiness;
+    private final ConfigurationService mConfiguration;
+    private final ServiceTable mServices;
+    private final OnceService mOnce;
+    private final ExplanationLog mExplanations;
+    private final RefusalLog mRefusals;
+    private final BurnLedger mBurn;
+    private final long mStartedMillis;
+
+    OperatorAnswers(
+            Clock clock,
+            ControlLoop loop,
+            FleetService fleet,
+            Readiness readiness,
+            ConfigurationService configuration,
+            ServiceTable services,
+            OnceService once,
+            ExplanationLog explanations,
+            RefusalLog refusals,
+            BurnLedger burn) {
+        mClock = clock;
+        mLoop = loop;
+        mFleet = fleet;
+        mReadiness = readiness;
+        mConfiguration = configuration;
+        mServices = services;
+        mOnce = once;
+        mExplanations = explanations;
+        mRefusals = refusals;
+        mBurn = burn;
+        mStartedMillis = clock.millis();
+    }
+
+    /** Returns this VM's state. */
+    CompletableFuture<String> status() {
+        return mOnce.sizes()
+                .thenApply(
+                        sizes -> {
+                            ObjectNode root = MAPPER.createObjectNode();
+                            Vm self = mFleet.view().self();
+                            root.put("vm", self.identity().toString());
+                            root.put("availabilityZone", self.availabilityZone());
+                            root.put("state", written(mReadiness.state().name()));
+                            root.put("sinceMillis", mStartedMillis);
+                            root.put("configurationNumber", mConfiguration.number());
+                            root.put("members", mFleet.view().all().size());
+                            root.put("keysAsHome", sizes[0]);
+                            root.put("keysAsWitness", sizes[1]);
+                            ArrayNode services = root.putArray("services");
+                            for (ServiceRuntime runtime : mServices.runtimes()) {
+                                ObjectNode service = services.addObject();
+                                service.put("service", runtime.id().toString());
+                                service.put("waiting", runtime.waiting());
+                            }
+                            return root.toString();
+                        });
+    }
+
+    /** Returns the fleet as this VM sees it. */
+    String members() {
+        ArrayNode root = MAPPER.createArrayNode();
+        for (FleetMember member : mFleet.view().all()) {
+            ObjectNode node = root.addObject();
+            node.put("name", member.vm().identity().name());
+            node.put(
+                    "incarnation",
+                    Long.toString(member.vm().identity().incarnation(), Character.MAX_RADIX));
+            node.put("availabilityZone", member.vm().availabilityZone());
+            node.put("callers", member.vm().callers().toString());
+            node.put("operators", member.operators().toString());
+            node.put("state", member.state());
+        }
+        return root.toString();
+    }
+
+    /** Returns which revision of a customer's template is in force here. */
+    Optional<String> template(String customer) {
+        return mConfiguration
+                .inForce(customer)
+                .map(
+                        revision -> {
+                            ObjectNode node = MAPPER.createObjectNode();
+                            node.put("customer", customer);
+                            node.put("number", revision.number());
+                            node.put("digest", revision.digest());
+                            return node.toString();
+                        });
+    }
+
+    /** Returns the health of all targets of the services that this VM serves. */
+    CompletableFuture<String> targets() {
+        return mLoop.ask(
+                () -> {
+                    ArrayNode root = MAPPER.createArrayNode();
+                    for (ServiceTemplate template : mServices.served()) {
+                        for (TargetStatus status : mServices.statuses(template.id())) {
+                            ObjectNode node = root.addObject();
+                            node.put("service", template.id().toString());
+                            node.put("target", status.target().endpoint().toString());
+                            node.put("state", written(status.state().name()));
+                            node.put("weight", status.weight());
+                        }
+                    }
+                    return root.toString();
+                });
+    }
+
+    /** Returns what this VM did on its own, and the refusal that a request id names. */
+    String explanations(ExplanationQuery query) {
+        ArrayNode root = MAPPER.createArrayNode();
+        String vm = mFleet.view().self().identity().toString();
+        if (query.request() != null) {
+            mRefusals.find(query.request()).ifPresent(entry -> addRefusal(root, vm, entry));
+            return root.toString();
+        }
+        mExplanations
+                .find(
+                        explanation ->
+                                explanation.atMillis() >= query.sinceMillis()
+                                        && query.wants(explanation.subject()))
+                .forEach(explanation -> addExplanation(root, vm, explanation));
+        return root.toString();
+    }
+
+    private static void addExplanation(ArrayNode root, String vm, Explanation explanation) {
+        ObjectNode node = root.addObject();
+        node.put("atMillis", explanation.atMillis());
+        node.put("vm", vm);
+        node.put("action", written(explanation.action().name()));
+        node.put("subject", explanation.subject());
+        node.put("cause", explanation.cause());
+        node.put("evidence", explanation.evidence());
+        node.put("setting", explanation.setting());
+    }
+
+    private static void addRefusal(ArrayNode root, String vm, RefusalLog.Entry entry) {
+        ObjectNode node = root.addObject();
+        node.put("atMillis", entry.atMillis());
+        node.put("vm", vm);
+        node.put("action", "refused");
+        node.put("subject", entry.requestId() + " of " + entry.customer());
+        node.put("cause", entry.refusal().message());
+        node.put("evidence", written(entry.refusal().code().name()));
+        node.put("setting", "");
+    }
+
+    /** Returns this VM's share of the burn report. */
+    String burn() {
+        ObjectNode root = MAPPER.createObjectNode();
+        root.put("vm", mFleet.view().self().identity().toString());
+        root.put("sinceMillis", mStartedMillis);
+        root.put("nowMillis", mClock.millis());
+        ArrayNode buckets = root.putArray("buckets");
+        for (BurnBucket bucket : mBurn.buckets(mClock.millis())) {
+            buckets.add(MAPPER.valueToTree(bucket));
+        }
+        return root.toString();
+    }
+
+    private static String written(String constant) {
+        return constant.toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/dahliapass/entry/OperatorServer.java
@@ -0,0 +1,132 @@
+package org.dahliapass.entry;
+
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.MediaType;
+import com.linecorp.armeria.common.SessionProtocol;
+import com.linecorp.armeria.server.Server;
+import com.linecorp.armeria.server.ServiceRequestContext;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import org.dahliapass.kernel.Kernel;
+import org.dahliapass.kernel.KernelService;
+import org.dahliapass.model.Endpoint;
+
+/** The HTTP server for operators: health, metrics, status, explanations, drain. */
+public final class OperatorServer implements KernelService {
+    /** The name under which the kernel holds the server. */
+    public static final String NAME = "operator-server";
+
+    private final Server mServer;
+    private final OperatorAnswers mAnswers;
+    private final EntryMetrics mMetrics;
+    private final Readiness mReadiness;
+    private final Runnable mDrain;
+
+    OperatorServer(
+            VmSettings settings,
+            OperatorAnswers answers,
+            EntryMetrics metrics,
+            Readiness readiness,
+            Runnable drain) {
+        mAnswers = answers;
+        mMetrics = metrics;
+        mReadiness = readiness;
+        mDrain = drain;
+        mServer =
+                Server.builder()
+                        .port(
+                                new InetSocketAddress(
+                                        settings.address(), settings.operatorsPort()),
+                                SessionProtocol.HTTP)
+                        .service("/health", (context, request) -> health())
+                        .service("/metrics", (context, request) -> metrics())
+                        .service("/operations/status", (context, request) -> json(answers.status()))
+                        .service(
+                                "/operations/members",
+                                (context, request) -> json(done(answers.members())))
+                        .service(
+                                "/operations/templates/{customer}",
+                                (context, request) -> template(context))
+                        .service(
+                                "/operations/targets",
+                                (context, request) -> json(answers.targets()))
+                        .service(
+                                "/operations/explanations",
+                                (context, request) -> json(done(explanations(context))))
+                        .service("/operations/burn", (context, request) -> json(done(answers.burn())))
+                        .service(
+                                "/operations/drain",
+                                (context, request) -> drain(request.method()))
+                        .build();
+    }
+
+    /** Returns where operators reach this VM; valid once started. */
+    public Endpoint endpoint() {
+        InetSocketAddress address = mServer.activePort().localAddress();
+        return new Endpoint(address.getAddress().getHostAddress(), address.getPort());
+    }
+
+    private HttpResponse health() {
+        HttpStatus status =
+                mReadiness.state().serves() ? HttpStatus.OK : HttpStatus.SERVICE_UNAVAILABLE;
+        return HttpResponse.of(
+                status, MediaType.PLAIN_TEXT_UTF_8, mReadiness.state().name().toLowerCase() + "\n");
+    }
+
+    private HttpResponse metrics() {
+        MediaType type = MediaType.parse("text/plain; version=0.0.4; charset=utf-8");
+        return HttpResponse.of(HttpStatus.OK, type, HttpData.wrap(mMetrics.scrape()));
+    }
+
+    private HttpResponse template(ServiceRequestContext context) {
+        return mAnswers.template(context.pathParam("customer"))
+                .map(text -> json(done(text)))
+                .orElseGet(
+                        () ->
+                                HttpResponse.of(
+                                        HttpStatus.NOT_FOUND,
+                                        MediaType.PLAIN_TEXT_UTF_8,
+                                        "This VM holds no template of this customer.\n"));
+    }
+
+    private String explanations(ServiceRequestContext context) {
+        return mAnswers.explanations(
+                new ExplanationQuery(
+                        context.queryParam("target"),
+                        context.queryParam("request"),
+                        context.queryParam("customer"),
+                        context.queryParam("since")));
+    }
+
+    private HttpResponse drain(HttpMethod method) {
+        if (method != HttpMethod.POST) {
+            return HttpResponse.of(
+                    HttpStatus.METHOD_NOT_ALLOWED, MediaType.PLAIN_TEXT_UTF_8, "Use POST.\n");
+        }
+        mDrain.run();
+        return HttpResponse.of(HttpStatus.ACCEPTED, MediaType.PLAIN_TEXT_UTF_8, "draining\n");
+    }
+
+    private static CompletableFuture<String> done(String text) {
+        return CompletableFuture.completedFuture(text);
+    }
+
+    private static HttpResponse json(CompletableFuture<String> text) {
+        return HttpResponse.of(
+                text.thenApply(
+                        body -> HttpResponse.of(HttpStatus.OK, MediaType.JSON, body + "\n")));
+    }
+
+    @Override
+    public CompletableFuture<Void> start(Kernel kernel) {
+        return mServer.start();
+    }
+
+    @Override
+    public CompletableFuture<Void> stop() {
+        return mServer.stop();
+    }
+}
--- a/entry/src/main/java/org/dahliapass/entry/RoutingTable.java
+++ b/entry/src/main/java/org/dahliapass/entry/RoutingTable.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.dahliapass.model.ServiceId;
@@ -31,6 +32,14 @@
         return mTemplates.values();
     }
 
+    /** Returns all services that have targets here. */
+    public List<ServiceTemplate> provided() {
+        return mTemplates.values().stream()
+                .flatMap(template -> template.services().stream())
+                .filter(service -> !service.targets().isEmpty())
+                .toList();
+    }
+
     /** Finds a customer's way to a service; empty if either template lacks it. */
     public Optional<Route> find(String customer, String service) {
         Template template = mTemplates.get(customer);
--- a/entry/src/main/java/org/dahliapass/entry/ServiceRuntime.java
+++ b/entry/src/main/java/org/dahliapass/entry/ServiceRuntime.java
@@ -48,6 +48,7 @@
     private static final int LEAST_QUEUE = 64;
 
     private final ServiceId mId;
+    private final int mSlotsPerTarget;
     private final Clock mClock;
     private final EvidenceSink mEvidence;
     private final EntryMetrics mMetrics;
@@ -67,6 +68,7 @@
             EvidenceSink evidence,
             EntryMetrics metrics) {
         mId = template.id();
+        mSlotsPerTarget = template.slotsPerTarget();
         mClock = clock;
         mEvidence = evidence;
         mMetrics = metrics;
@@ -82,6 +84,11 @@
         return mId;
     }
 
+    /** Returns whether these decisions still fit a new revision of the service. */
+    boolean fits(ServiceTemplate template) {
+        return template.slotsPerTarget() == mSlotsPerTarget;
+    }
+
     /**
      * Gets a slot for a request's first try, at once or after a wait.
      *
--- /dev/null
+++ b/entry/src/main/java/org/dahliapass/entry/ServiceTable.java
@@ -0,0 +1,249 @@
+package org.dahliapass.entry;
+
+import java.time.Clock;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.dahliapass.decisions.health.EvidenceReport;
+import org.dahliapass.decisions.health.HealthReport;
+import org.dahliapass.decisions.health.Outcome;
+import org.dahliapass.decisions.health.TargetHealth;
+import org.dahliapass.decisions.health.TargetStatus;
+import org.dahliapass.decisions.traffic.TargetInFlight;
+import org.dahliapass.decisions.traffic.WeightedTarget;
+import org.dahliapass.kernel.ControlLoop;
+import org.dahliapass.kernel.Kernel;
+import org.dahliapass.kernel.KernelService;
+import org.dahliapass.model.Endpoint;
+import org.dahliapass.model.ServiceId;
+import org.dahliapass.model.ServiceTemplate;
+import org.dahliapass.model.Vm;
+import org.dahliapass.model.VmIdentity;
+
+/**
+ * The services that this VM serves: for each its traffic decisions and the health of its targets.
+ *
+ * <p>Health belongs to the control thread; traffic threads find the runtimes in a published map.
+ */
+public final class ServiceTable implements KernelService, EvidenceSink {
+    /** The name under which the kernel holds the table. */
+    public static final String NAME = "services";
+
+    private final Clock mClock;
+    private final ControlLoop mLoop;
+    private final RandomGenerator mRandom;
+    private final EntryMetrics mMetrics;
+    private final ExplanationLog mExplanations;
+    private final FleetService mFleet;
+    private final ConfigurationService mConfiguration;
+    private final VmSettings mSettings;
+    private final Map<ServiceId, TargetHealth> mHealth = new HashMap<>();
+    private final Map<ServiceId, ServiceTemplate> mTemplates = new HashMap<>();
+    private volatile Map<ServiceId, ServiceRuntime> mRuntimes = Map.of();
+
+    ServiceTable(
+            Clock clock,
+            ControlLoop loop,
+            RandomGenerator random,
+            EntryMetrics metrics,
+            ExplanationLog explanations,
+            FleetService fleet,
+            ConfigurationService configuration,
+            VmSettings settings) {
+        mClock = clock;
+        mLoop = loop;
+        mRandom = random;
+        mMetrics = metrics;
+        mExplanations = explanations;
+        mFleet = fleet;
+        mConfiguration = configuration;
+        mSettings = settings;
+    }
+
+    /** Finds the traffic decisions of a service that this VM serves. */
+    Optional<ServiceRuntime> find(ServiceId id) {
+        return Optional.ofNullable(mRuntimes.get(id));
+    }
+
+    /** Returns the traffic decisions of all services that this VM serves. */
+    Collection<ServiceRuntime> runtimes() {
+        return mRuntimes.values();
+    }
+
+    @Override
+    public void onOutcome(
+            ServiceId service, Endpoint target, String kind, Outcome outcome, long latencyMillis) {
+        mLoop.execute(
+                () ->
+                        withHealth(
+                                service,
+                                health ->
+                                        health.onOutcome(
+                                                target,
+                                                kind,
+                                                outcome,
+                                                latencyMillis,
+                                                mClock.millis())));
+    }
+
+    @Override
+    public void onDraining(ServiceId service, Endpoint target) {
+        mLoop.execute(
+                () -> {
+                    withHealth(
+                            service,
+                            health ->
+                                    health.onLeaving(
+                                            target,
+                                            "it refused work because it drains",
+                                            mClock.millis()));
+                    publish(service);
+                });
+    }
+
+    /** Takes a target's health and load report, or that it gave none; control thread only. */
+    void onReports(
+            ServiceId service, Endpoint target, Optional<HealthReport> report, double load) {
+        long now = mClock.millis();
+        withHealth(
+                service,
+                health -> {
+                    health.onProbe(target, report.isPresent(), now);
+                    report.ifPresent(found -> health.onHealthReport(target, found, now));
+                    health.onLoadReport(target, load);
+                });
+        if (report.filter(HealthReport::wantsNothingNew).isPresent()) {
+            publish(service);
+        }
+    }
+
+    /** Takes what a peer of the cell saw; control thread only. */
+    void onPeerReport(EvidenceReport report, List<TargetInFlight> inFlight) {
+        withHealth(
+                report.service(), health -> health.onPeerEvidence(report, mClock.millis()));
+        find(report.service())
+                .ifPresent(
+                        runtime ->
+                                inFlight.forEach(
+                                        use ->
+                                                runtime.onPeerInFlight(
+                                                        report.observer(),
+                                                        use.target(),
+                                                        use.inFlight())));
+    }
+
+    /** Takes the delta of a service's evidence for the cell; control thread only. */
+    Optional<EvidenceReport> takeReport(ServiceId service) {
+        return Optional.ofNullable(mHealth.get(service))
+                .map(health -> health.takeReport(mClock.millis()));
+    }
+
+    /** Returns the health of a service's targets, for operators; control thread only. */
+    List<TargetStatus> statuses(ServiceId service) {
+        TargetHealth health = mHealth.get(service);
+        return health == null ? List.of() : List.copyOf(health.view().targets().values());
+    }
+
+    /** Returns the templates of the services that this VM serves; control thread only. */
+    List<ServiceTemplate> served() {
+        return List.copyOf(mTemplates.values());
+    }
+
+    /** Makes the table agree with configuration and membership; control thread only. */
+    void refresh() {
+        Map<ServiceId, ServiceRuntime> runtimes = new HashMap<>();
+        VmIdentity self = mFleet.view().self().identity();
+        for (ServiceTemplate template : mConfiguration.table().provided()) {
+            List<VmIdentity> cell =
+                    mFleet.cellOf(template).stream().map(Vm::identity).toList();
+            if (cell.contains(self) || mRuntimes.containsKey(template.id()) && isLeaving()) {
+                runtimes.put(template.id(), keep(template, self, cell));
+            }
+        }
+        mHealth.keySet().retainAll(runtimes.keySet());
+        mTemplates.keySet().retainAll(runtimes.keySet());
+        mRuntimes = Map.copyOf(runtimes);
+        runtimes.keySet().forEach(this::publish);
+    }
+
+    /** A VM that is leaving is in no cell any more but serves until it stops. */
+    private boolean isLeaving() {
+        return mFleet.isLeaving();
+    }
+
+    private ServiceRuntime keep(
+            ServiceTemplate template, VmIdentity self, List<VmIdentity> cell) {
+        ServiceTemplate before = mTemplates.put(template.id(), template);
+        ServiceRuntime runtime = mRuntimes.get(template.id());
+        if (runtime == null || !runtime.fits(template)) {
+            runtime = new ServiceRuntime(template, mClock, mRandom, this, mMetrics);
+        }
+        runtime.onCell(self, cell);
+        TargetHealth health = mHealth.get(template.id());
+        if (health == null) {
+            mHealth.put(template.id(), newHealth(template, self));
+        } else if (!template.equals(before)) {
+            health.update(template, mClock.millis());
+        }
+        return runtime;
+    }
+
+    private TargetHealth newHealth(ServiceTemplate template, VmIdentity self) {
+        return new TargetHealth(
+                self, mSettings.availabilityZone(), template, mClock.millis());
+    }
+
+    /** Decides anew and publishes; called every control period on the control thread. */
+    void tick() {
+        for (ServiceId id : mRuntimes.keySet()) {
+            withHealth(id, health -> health.onTick(mClock.millis()));
+            publish(id);
+            mRuntimes.get(id).upkeep();
+        }
+    }
+
+    private void publish(ServiceId id) {
+        ServiceRuntime runtime = mRuntimes.get(id);
+        TargetHealth health = mHealth.get(id);
+        if (runtime == null || health == null) {
+            return;
+        }
+        health.takeExplanations().forEach(mExplanations::add);
+        List<WeightedTarget> targets = new ArrayList<>();
+        for (TargetStatus status : health.view().targets().values()) {
+            double weight = status.state().getsWork() ? status.weight() : 0;
+            targets.add(
+                    new WeightedTarget(
+                            status.target().endpoint(),
+                            status.target().availabilityZone(),
+                            weight,
+                            status.mayCarryGuarded()));
+        }
+        runtime.onTargets(targets);
+    }
+
+    private void withHealth(
+            ServiceId service, Consumer<TargetHealth> event) {
+        TargetHealth health = mHealth.get(service);
+        if (health != null) {
+            event.accept(health);
+        }
+    }
+
+    @Override
+    public CompletableFuture<Void> start(Kernel kernel) {
+        mLoop.every(mSettings.controlPeriod(), this::tick);
+        return CompletableFuture.completedFuture(null);
+    }
+
+    @Override
+    public CompletableFuture<Void> stop() {
+        return CompletableFuture.completedFuture(null);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/dahliapass/entry/Tokens.java
@@ -0,0 +1,57 @@
+package org.dahliapass.entry;
+
+import java.time.Clock;
+import java.util.List;
+import org.dahliapass.decisions.once.OperationToken;
+import org.dahliapass.model.Vm;
+import org.dahliapass.model.VmIdentity;
+
+/** Mints the tokens with which the keys of guarded operations begin. */
+final class Tokens {
+    private final Clock mClock;
+    private final FleetService mFleet;
+
+    Tokens(Clock clock, FleetService fleet) {
+        mClock = clock;
+        mFleet = fleet;
+    }
+
+    /** Returns a token whose home is this VM; empty text while there is no second VM. */
+    String forSelf() {
+        return of(mFleet.view().self(), mFleet.view().members());
+    }
+
+    /**
+     * Returns a token whose home is the given VM.
+     *
+     * <p>The witness is another VM of the home's cell, in another availability zone if there is
+     * one, so that one zone's loss doesn't take both. Which VM it is matters for availability
+     * only: the key names it, and nobody else's word counts.
+     */
+    String of(Vm home, List<Vm> cell) {
+        return cell.stream()
+                .filter(vm -> !vm.identity().name().equals(home.identity().name()))
+                .min(
+                        (left, right) -> {
+                            int byZone = Boolean.compare(sameZone(left, home), sameZone(right, home));
+                            return byZone != 0
+                                    ? byZone
+                                    : Integer.compare(distance(home, left), distance(home, right));
+                        })
+                .map(witness -> token(home.identity(), witness.identity()))
+                .orElse("");
+    }
+
+    private String token(VmIdentity home, VmIdentity witness) {
+        return new OperationToken(home, witness, mClock.millis()).toString();
+    }
+
+    private static boolean sameZone(Vm vm, Vm home) {
+        return vm.availabilityZone().equals(home.availabilityZone());
+    }
+
+    /** Spreads the homes over the witnesses. */
+    private static int distance(Vm home, Vm vm) {
+        return (vm.identity().name() + home.identity().name()).hashCode() & Integer.MAX_VALUE;
+    }
+}
