--- a/kernel/src/main/java/org/dahliapass/kernel/ControlLoop.java
+++ b/kernel/src/main/java/org/dahliapass/kernel/ControlLoop.java
@@ -52,19 +52,34 @@
         }
     }
 
-    /** Runs a question on the control thread and completes with its answer. */
+    /**
+     * Runs a question on the control thread and completes with its answer.
+     *
+     * @return fails with the question's own failure, or with a {@link StepException} if the loop
+     *     has stopped
+     */
     public <T> CompletableFuture<T> ask(Supplier<T> question) {
-        return CompletableFuture.supplyAsync(question, mExecutor);
+        try {
+            return CompletableFuture.supplyAsync(question, mExecutor);
+        } catch (RejectedExecutionException expected) {
+            return CompletableFuture.failedFuture(
+                    new StepException(
+                            "ask", "control loop", "The loop has stopped. Ask another VM."));
+        }
     }
 
     /** Runs an event on the control thread every period, first after one period. */
     public void every(Duration period, Runnable event) {
-        Future<?> unused =
-                mExecutor.scheduleWithFixedDelay(
-                        () -> runLogged(event),
-                        period.toMillis(),
-                        period.toMillis(),
-                        TimeUnit.MILLISECONDS);
+        try {
+            Future<?> unused =
+                    mExecutor.scheduleWithFixedDelay(
+                            () -> runLogged(event),
+                            period.toMillis(),
+                            period.toMillis(),
+                            TimeUnit.MILLISECONDS);
+        } catch (RejectedExecutionException expected) {
+            LOG.debug("Periodic event dropped: the loop has stopped.");
+        }
     }
 
     /** Runs an event on the control thread once, after a delay. */
--- a/kernel/src/main/java/org/dahliapass/kernel/Kernel.java
+++ b/kernel/src/main/java/org/dahliapass/kernel/Kernel.java
@@ -89,10 +89,13 @@
                         });
     }
 
+    /**
+     * Guards against a service that throws instead of returning a failed future: the services below
+     * it would never be stopped, which would show as requests cut off when the process exits. A
+     * throw inside {@code thenCompose} becomes a failed future like any other.
+     */
     private CompletableFuture<Void> stopOne(String name) {
-        return mServices
-                .get(name)
-                .stop()
+        return done().thenCompose(ignored -> mServices.get(name).stop())
                 .exceptionally(
                         failure -> {
                             LOG.warn("Stopping " + name + " failed: " + failure.getMessage());
--- /dev/null
+++ b/kernel/src/test/java/org/dahliapass/kernel/IniSectionTest.java
@@ -0,0 +1,94 @@
+package org.dahliapass.kernel;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.function.Function;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests {@link IniSection}. */
+public final class IniSectionTest {
+    private static final Duration SECOND = Duration.ofSeconds(1);
+    private static final Duration HOUR = Duration.ofHours(1);
+
+    private enum Pace {
+        SLOW,
+        VERY_FAST
+    }
+
+    /** Gives a getter, a text that it takes, what it makes of it, and texts that it refuses. */
+    @DataProvider
+    public Object[][] getters() {
+        return new Object[][] {
+            row(s -> s.text("k"), "a b", "a b", List.of("")),
+            row(s -> s.number("k", 1, 5), "5", 5L, List.of("0", "6", "1.5", "x", "")),
+            row(s -> s.decimal("k", 0, 1), "0.25", 0.25, List.of("-1", "1.1", "NaN", "x")),
+            row(s -> s.share("k"), "12.5%", 0.125, List.of("0.5", "101%", "-1%", "%")),
+            row(s -> s.duration("k", SECOND, HOUR), "2m", Duration.ofMinutes(2), DURATIONS),
+            row(s -> s.size("k", 1, 1 << 20), "64KB", 65_536L, List.of("0B", "2MB", "64", "9kb")),
+            row(s -> s.yesNo("k"), "yes", true, List.of("true", "YES", "1")),
+            row(s -> s.choice("k", Pace.class), "very-fast", Pace.VERY_FAST, List.of("VERY_FAST")),
+            row(s -> s.list("k"), "a, b,,c", List.of("a", "b", "c"), List.of("")),
+        };
+    }
+
+    private static final List<String> DURATIONS = List.of("999ms", "2h", "5", "5 m", "-5s", "1d");
+
+    private static Object[] row(
+            Function<IniSection, Object> getter, String taken, Object value, List<String> refused) {
+        return new Object[] {getter, taken, value, refused};
+    }
+
+    @Test(dataProvider = "getters")
+    public void getterTakesAndRefuses(
+            Function<IniSection, Object> getter, String taken, Object value, List<String> refused) {
+        IniFile sound = IniFile.parse("f.ini", "[s]\nk = " + taken + "\n");
+        assertEquals(getter.apply(sound.section("s")), value);
+        sound.check();
+
+        for (String text : refused) {
+            IniFile wrong = IniFile.parse("f.ini", "[s]\nk = " + text + "\n");
+            Object unused = getter.apply(wrong.section("s"));
+
+            List<Problem> problems = expectThrows(SettingsException.class, wrong::check).problems();
+
+            assertEquals(problems.size(), 1, text);
+            assertEquals(problems.get(0).met(), "'" + text + "'");
+            assertEquals(problems.get(0).key(), "k");
+        }
+    }
+
+    @Test
+    public void getterWithAFallbackTakesAMissingKeyButNoWrongOne() {
+        IniFile file = IniFile.parse("f.ini", "[s]\nwrong = 9\n");
+        IniSection section = file.section("s");
+
+        assertEquals(section.number("missing", 1, 5, 3), 3);
+        assertTrue(section.isSound());
+        long unused = section.number("wrong", 1, 5, 3);
+
+        assertFalse(section.isSound());
+    }
+
+    @Test
+    public void keyThatStandsTwiceIsAProblem() {
+        IniFile file = IniFile.parse("f.ini", "[s]\nk = 1\nk = 2\n");
+        long unused = file.section("s").number("k", 1, 5);
+
+        List<Problem> problems = expectThrows(SettingsException.class, file::check).problems();
+
+        assertEquals(problems.get(0).met(), "2 values");
+    }
+
+    @Test
+    public void qualifiersAreTheWordsAfterTheFirst() {
+        IniFile file = IniFile.parse("f.ini", "[kind desk listing]\n");
+
+        assertEquals(file.section("kind desk listing").qualifiers(), List.of("desk", "listing"));
+    }
+}
--- a/model/src/main/java/org/dahliapass/model/ServiceTemplate.java
+++ b/model/src/main/java/org/dahliapass/model/ServiceTemplate.java
@@ -33,6 +33,7 @@
         String loadPath,
         DetectionPolicy detection,
         List<RequestKind> kinds) {
+    private static final double ROUNDING_ERROR = 1e-9;
 
     /** Copies the lists. */
     public ServiceTemplate {
@@ -50,8 +51,13 @@
         return kinds.stream().filter(kind -> kind.matches(method, path)).findFirst();
     }
 
-    /** Returns how many targets must stay in service: the floor's share, rounded up. */
+    /**
+     * Returns how many targets must stay in service: the floor's share, rounded up.
+     *
+     * <p>Guards against binary fractions: 55% of 100 targets multiplies to a little more than 55,
+     * which would show as a floor of 56. Taking off less than any real share gives keeps it at 55.
+     */
     public int floorTargets() {
-        return (int) Math.ceil(floorShare * targets.size());
+        return (int) Math.ceil(floorShare * targets.size() - ROUNDING_ERROR);
     }
 }
--- a/model/src/main/java/org/dahliapass/model/TemplateParser.java
+++ b/model/src/main/java/org/dahliapass/model/TemplateParser.java
@@ -20,7 +20,8 @@
  * [service NAME]} for each service, and one section {@code [kind SERVICE NAME]} for each kind of
  * request. {@link ServiceReader} and {@link KindReader} list the keys, their bounds and their
  * defaults. Names are letters, digits and hyphens. A comment takes a line of its own, which begins
- * with a semicolon. Kinds are tried in the order of the file.
+ * with a semicolon; a value goes on in the next line after a backslash. Kinds are tried in the
+ * order of the file.
  */
 public final class TemplateParser {
     /** What may stand where a customer, a service, a kind or an availability zone is named. */
