Find the entry VM's services by name

Cause: ports are known only after the servers have started. Change: services look each other up in the kernel at their start.

--- a/entry/src/main/java/org/dahliapass/entry/AskHandler.java
+++ b/entry/src/main/java/org/dahliapass/entry/AskHandler.java
@@ -10,6 +10,13 @@
 import com.linecorp.armeria.server.HttpService;
 import com.linecorp.armeria.server.ServiceRequestContext;
 import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.dahliapass.decisions.assignment.AskAnswer;
+import org.dahliapass.decisions.assignment.AskPolicy;
+import org.dahliapass.decisions.membership.MemberState;
+import org.dahliapass.decisions.membership.MemberUpdate;
+import org.dahliapass.model.ServiceTemplate;
 import org.dahliapass.model.Vm;
 
 /** Answers callers who ask which addresses to use for a customer's service. */
@@ -18,16 +25,28 @@
     private static final int MOST_ADDRESSES = 4;
     private static final long RETRY_AFTER_MILLIS = 1000;
 
-    private final VmSettings mSettings;
     private final RequestIds mIds;
     private final FleetService mFleet;
+    private final ConfigurationService mConfiguration;
     private final Tokens mTokens;
+    private final Readiness mReadiness;
+    private final AskPolicy mPolicy;
 
-    AskHandler(VmSettings settings, RequestIds ids, FleetService fleet, Tokens tokens) {
-        mSettings = settings;
+    AskHandler(
+            VmSettings settings,
+            RequestIds ids,
+            FleetService fleet,
+            ConfigurationService configuration,
+            Tokens tokens,
+            Readiness readiness) {
         mIds = ids;
         mFleet = fleet;
+        mConfiguration = configuration;
         mTokens = tokens;
+        mReadiness = readiness;
+        mPolicy =
+                new AskPolicy(
+                        MOST_ADDRESSES, settings.askTimeToLive(), new SplittableRandom());
     }
 
     @Override
@@ -40,29 +59,47 @@
                     MediaType.PLAIN_TEXT_UTF_8,
                     "Use /ask?customer=CUSTOMER&service=SERVICE.\n");
         }
-        List<Vm> cell = mFleet.cellOf(customer, service);
-        if (cell.isEmpty()) {
-            return Refusal.of(
-                            RefusalCode.NOT_SERVING,
-                            "No VM serves this service now.",
-                            RETRY_AFTER_MILLIS)
+        Optional<Refusal> standDown = mReadiness.refusal();
+        if (standDown.isPresent()) {
+            return standDown.get().toResponse(mIds.next());
+        }
+        Optional<ServiceTemplate> template = mConfiguration.directory(customer, service);
+        if (template.isEmpty()) {
+            return Refusal.of(RefusalCode.NO_SUCH_SERVICE, "No such customer or service.", 0)
+                    .toResponse(mIds.next());
+        }
+        List<MemberUpdate> cell =
+                mFleet.membersOf(template.get().id(), template.get().cellSize());
+        AskAnswer answer;
+        synchronized (mPolicy) {
+            answer = mPolicy.answer(cell, Optional.ofNullable(context.queryParam("zone")));
+        }
+        if (answer.vms().isEmpty()) {
+            return Refusal.of(RefusalCode.NOT_SERVING, "No VM serves now.", RETRY_AFTER_MILLIS)
                     .toResponse(mIds.next());
         }
         return HttpResponse.of(
-                HttpStatus.OK, MediaType.JSON, answer(customer, service, cell) + "\n");
+                HttpStatus.OK, MediaType.JSON, written(customer, service, answer, cell) + "
+");
     }
 
-    private String answer(String customer, String service, List<Vm> cell) {
+    private String written(
+            String customer, String service, AskAnswer answer, List<MemberUpdate> cell) {
+        List<Vm> witnesses =
+                cell.stream()
+                        .filter(member -> member.state() == MemberState.ALIVE)
+                        .map(MemberUpdate::vm)
+                        .toList();
         ObjectNode root = MAPPER.createObjectNode();
         root.put("customer", customer);
         root.put("service", service);
-        root.put("timeToLiveMillis", mSettings.askTimeToLive().toMillis());
+        root.put("timeToLiveMillis", answer.timeToLive().toMillis());
         ArrayNode addresses = root.putArray("addresses");
-        for (Vm vm : cell.subList(0, Math.min(MOST_ADDRESSES, cell.size()))) {
+        for (Vm vm : answer.vms()) {
             ObjectNode address = addresses.addObject();
             address.put("address", vm.callers().toString());
             address.put("availabilityZone", vm.availabilityZone());
-            address.put("token", mTokens.of(vm, cell));
+            address.put("token", mTokens.of(vm, witnesses));
         }
         return root.toString();
     }
--- /dev/null
+++ b/entry/src/main/java/org/dahliapass/entry/EntryMain.java
@@ -0,0 +1,78 @@
+package org.dahliapass.entry;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+import org.dahliapass.kernel.ExitCode;
+import org.dahliapass.kernel.MonotonicClock;
+import org.dahliapass.kernel.PartLog;
+import org.dahliapass.kernel.Program;
+import org.dahliapass.kernel.StepException;
+
+/** The binary {@code dahliapass-vm}: one entry VM. */
+public final class EntryMain extends Program {
+    private static final PartLog LOG = PartLog.of("vm");
+    private static final Duration STOP_LIMIT = Duration.ofMinutes(15);
+
+    private final CountDownLatch mStopRequested = new CountDownLatch(1);
+    private final CountDownLatch mStopped = new CountDownLatch(1);
+    private OptionSpec<String> mSettings;
+
+    private EntryMain() {
+        super("dahliapass-vm", "An entry VM: asks, requests, and its part in the fleet.");
+    }
+
+    /** Runs until SIGTERM, then drains. */
+    public static void main(String[] arguments) {
+        ExitCode code = new EntryMain().main(arguments, System.out, System.err);
+        System.exit(code.code());
+    }
+
+    @Override
+    protected void declare(OptionParser parser) {
+        mSettings =
+                parser.accepts("settings", "The VM's settings file (INI).")
+                        .withRequiredArg()
+                        .required();
+    }
+
+    @Override
+    protected ExitCode run(OptionSet options) throws InterruptedException {
+        VmSettings settings = VmSettings.read(Path.of(options.valueOf(mSettings)));
+        EntryVm vm = new EntryVm(settings, new MonotonicClock(), mStopRequested::countDown);
+        start(vm);
+        Runtime.getRuntime().addShutdownHook(new Thread(this::onSignal, "stop"));
+        System.out.println(vm.readyLine());
+        mStopRequested.await();
+        LOG.info("Stopping: leaving the asks, then draining.");
+        vm.leaveAndStop().join();
+        LOG.info("Stopped.");
+        mStopped.countDown();
+        return ExitCode.OK;
+    }
+
+    private static void start(EntryVm vm) {
+        try {
+            vm.start().join();
+        } catch (CompletionException failure) {
+            throw new StepException("start", "self", failure.getCause().getMessage(), failure);
+        }
+    }
+
+    /** The runtime ends with its hooks, so the hook waits until the VM has drained. */
+    private void onSignal() {
+        mStopRequested.countDown();
+        try {
+            if (!mStopped.await(STOP_LIMIT.toMillis(), TimeUnit.MILLISECONDS)) {
+                LOG.warn("Draining took longer than " + STOP_LIMIT.toMinutes() + " minutes.");
+            }
+        } catch (InterruptedException failure) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/dahliapass/entry/FleetService.java
@@ -0,0 +1,285 @@
+package org.dahliapass.entry;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.random.RandomGenerator;
+import org.dahliapass.decisions.assignment.CellPlanner;
+import org.dahliapass.decisions.membership.GossipMessage;
+import org.dahliapass.decisions.membership.JoinAnswer;
+import org.dahliapass.decisions.membership.JoinRequest;
+import org.dahliapass.decisions.membership.MemberState;
+import org.dahliapass.decisions.membership.MemberUpdate;
+import org.dahliapass.decisions.membership.Membership;
+import org.dahliapass.decisions.membership.MembershipAction;
+import org.dahliapass.kernel.ControlLoop;
+import org.dahliapass.kernel.Kernel;
+import org.dahliapass.kernel.KernelService;
+import org.dahliapass.kernel.PartLog;
+import org.dahliapass.model.Endpoint;
+import org.dahliapass.model.ServiceId;
+import org.dahliapass.model.ServiceTemplate;
+import org.dahliapass.model.Vm;
+import org.dahliapass.model.VmIdentity;
+import org.dahliapass.platform.ListedVm;
+import org.dahliapass.platform.VmListClient;
+
+/** Runs the membership on the control thread and publishes the fleet as traffic threads see it. */
+public final class FleetService implements KernelService {
+    /** The name under which the kernel holds the service. */
+    public static final String NAME = "fleet";
+
+    private static final PartLog LOG = PartLog.of("fleet");
+    private static final Duration TICK = Duration.ofMillis(100);
+    private static final Duration LIST_WAIT = Duration.ofSeconds(10);
+    private static final Duration LIST_RETRY = Duration.ofSeconds(2);
+
+    private final VmIdentity mIdentity;
+    private final VmSettings mSettings;
+    private final RandomGenerator mRandom;
+    private ControlLoop mLoop;
+    private Membership mMembership;
+    private GossipLink mLink;
+    private final VmListClient mVmList;
+    private EntryMetrics mMetrics;
+    private final Runnable mReplaced;
+    private final List<Runnable> mListeners = new ArrayList<>();
+    private volatile FleetView mView;
+    private volatile List<MemberUpdate> mMembers;
+    private volatile boolean mLeaving;
+    private volatile boolean mStopped;
+
+    FleetService(
+            VmIdentity identity,
+            VmSettings settings,
+            RandomGenerator random,
+            VmListClient vmList,
+            Runnable replaced) {
+        mIdentity = identity;
+        mSettings = settings;
+        mRandom = random;
+        mVmList = vmList;
+        mReplaced = replaced;
+    }
+
+    /** Adds what is run on the control thread after each change of the fleet; before the start. */
+    void onChange(Runnable listener) {
+        mListeners.add(listener);
+    }
+
+    /** Returns the fleet. */
+    FleetView view() {
+        return mView;
+    }
+
+    /** Returns whether this VM has begun to leave. */
+    boolean isLeaving() {
+        return mLeaving;
+    }
+
+    /** Returns the cell of a service in order of rank. */
+    List<Vm> cellOf(ServiceTemplate template) {
+        return membersOf(template.id(), template.cellSize()).stream().map(MemberUpdate::vm).toList();
+    }
+
+    /** Returns the cell of a service with the members' states. */
+    List<MemberUpdate> membersOf(ServiceId service, int cellSize) {
+        return CellPlanner.plan(service, cellSize, mMembers);
+    }
+
+    /** Returns this VM's rank in a service's cell; -1 if it isn't in it. */
+    int placeInCell(ServiceTemplate template) {
+        List<Vm> cell = cellOf(template);
+        for (int place = 0; place < cell.size(); place++) {
+            if (cell.get(place).identity().equals(mView.self().identity())) {
+                return place;
+            }
+        }
+        return -1;
+    }
+
+    /** Returns which share of the VMs was heard within the window; control thread only. */
+    double heardFromShare(List<VmIdentity> vms, Duration window) {
+        return mMembership.heardFromShare(vms, mLoop.nowMillis(), window.toMillis());
+    }
+
+    /** Returns whether this life of a VM is a member; control thread only. */
+    boolean isMember(VmIdentity identity) {
+        return mMembership.isMember(identity);
+    }
+
+    /** Sets the number of the newest configuration change; control thread only. */
+    void setHeadNumber(long number) {
+        mMembership.setHeadNumber(number);
+    }
+
+    /** Takes a datagram; control thread only. */
+    void onGossip(GossipMessage message) {
+        carryOut(mMembership.onGossip(message, mLoop.nowMillis()));
+    }
+
+    /** Notes that a VM was heard by a request or reply; control thread only. */
+    void onHeard(VmIdentity identity) {
+        mMembership.onHeard(identity, mLoop.nowMillis());
+    }
+
+    /** Answers another VM's request for the member list; control thread only. */
+    List<MemberUpdate> onJoin(JoinRequest request) {
+        JoinAnswer answer = mMembership.onJoinRequest(request, mLoop.nowMillis());
+        carryOut(answer.actions());
+        return answer.members();
+    }
+
+    /** Enters this VM into the platform's list, for platforms that leave that to the VM. */
+    CompletableFuture<Void> announce(boolean leaving) {
+        MemberUpdate self = mMembership.self();
+        return mVmList.register(new ListedVm(self.vm(), self.operators(), leaving));
+    }
+
+    /** Takes this VM out of the platform's list. */
+    CompletableFuture<Void> withdraw() {
+        return mVmList.deregister(mView.self().identity().name());
+    }
+
+    /** Tells the fleet that this VM leaves; asks no longer name it. */
+    CompletableFuture<Void> leave() {
+        return mLoop.ask(
+                () -> {
+                    mLeaving = true;
+                    carryOut(mMembership.leave(mLoop.nowMillis()));
+                    publish();
+                    mListeners.forEach(Runnable::run);
+                    return null;
+                });
+    }
+
+    private void tick() {
+        carryOut(mMembership.onTick(mLoop.nowMillis()));
+    }
+
+    private void carryOut(List<MembershipAction> actions) {
+        boolean changed = false;
+        for (MembershipAction action : actions) {
+            if (action instanceof MembershipAction.SendGossip gossip) {
+                mLink.send(gossip.to(), gossip.message());
+            } else if (action instanceof MembershipAction.ExchangeMembers exchange) {
+                exchange(exchange);
+            } else if (action instanceof MembershipAction.MemberChanged change) {
+                log(change);
+                changed = true;
+            } else if (action instanceof MembershipAction.Replaced replaced) {
+                LOG.warn("Replaced by " + replaced.successor() + ". Stopping.");
+                mReplaced.run();
+            }
+        }
+        if (changed) {
+            publish();
+            mListeners.forEach(Runnable::run);
+        }
+    }
+
+    private void exchange(MembershipAction.ExchangeMembers exchange) {
+        mLink.exchange(exchange.peer(), exchange.recipientIncarnation(), exchange.request())
+                .whenComplete(
+                        (members, failure) -> {
+                            if (failure == null) {
+                                mLoop.execute(() -> onExchanged(members));
+                            }
+                        });
+    }
+
+    private void onExchanged(List<MemberUpdate> members) {
+        carryOut(mMembership.onJoinReply(members, mLoop.nowMillis()));
+    }
+
+    private static void log(MembershipAction.MemberChanged change) {
+        String before =
+                change.before().map(update -> update.state().name()).orElse("unknown");
+        LOG.info(
+                change.after().identity()
+                        + " is "
+                        + change.after().state().name().toLowerCase(Locale.ROOT)
+                        + ", was "
+                        + before.toLowerCase(Locale.ROOT)
+                        + ".");
+    }
+
+    private void publish() {
+        List<MemberUpdate> members = mMembership.members();
+        Map<MemberState, Integer> counts = new EnumMap<>(MemberState.class);
+        List<Vm> usable = new ArrayList<>();
+        List<FleetMember> all = new ArrayList<>();
+        for (MemberUpdate member : members) {
+            counts.merge(member.state(), 1, Integer::sum);
+            if (member.state() == MemberState.ALIVE) {
+                usable.add(member.vm());
+            }
+            String state = member.state().name().toLowerCase(Locale.ROOT);
+            all.add(new FleetMember(member.vm(), member.operators(), state));
+        }
+        mMembers = List.copyOf(members);
+        mView = new FleetView(mMembership.self().vm(), usable, all);
+        for (MemberState state : MemberState.values()) {
+            String name = state.name().toLowerCase(Locale.ROOT);
+            mMetrics.onMembers(name, counts.getOrDefault(state, 0));
+        }
+    }
+
+    /** The platform's list lags both ways: it gives addresses to contact, never a verdict. */
+    private void followVmList(long index) {
+        if (mStopped) {
+            return;
+        }
+        mVmList.watch(index, LIST_WAIT)
+                .whenComplete(
+                        (list, failure) -> {
+                            if (failure != null) {
+                                mLoop.after(LIST_RETRY, () -> followVmList(0));
+                                return;
+                            }
+                            mLoop.execute(() -> onVmList(list.vms()));
+                            followVmList(list.index());
+                        });
+    }
+
+    private void onVmList(List<ListedVm> listed) {
+        List<Endpoint> hints = listed.stream().map(entry -> entry.vm().peers()).toList();
+        mMembership.setHints(hints);
+    }
+
+    @Override
+    public CompletableFuture<Void> start(Kernel kernel) {
+        mLoop = kernel.find(ControlLoop.NAME, ControlLoop.class);
+        mMetrics = kernel.find(EntryMetrics.NAME, EntryMetrics.class);
+        PeerLink link = kernel.find(PeerLink.NAME, PeerLink.class);
+        mLink = link;
+        Vm self =
+                new Vm(
+                        mIdentity,
+                        mSettings.availabilityZone(),
+                        kernel.find(CallerServer.NAME, CallerServer.class).endpoint(),
+                        link.endpoint());
+        Endpoint operators = kernel.find(OperatorServer.NAME, OperatorServer.class).endpoint();
+        MemberUpdate update = new MemberUpdate(self, operators, MemberState.ALIVE, 0);
+        mMembership =
+                new Membership(
+                        FleetSettings.of(mSettings.gossipPeriod()).membership(),
+                        update,
+                        mRandom,
+                        mLoop.nowMillis());
+        publish();
+        mLoop.every(TICK, this::tick);
+        followVmList(0);
+        return CompletableFuture.completedFuture(null);
+    }
+
+    @Override
+    public CompletableFuture<Void> stop() {
+        mStopped = true;
+        return CompletableFuture.completedFuture(null);
+    }
+}
--- a/entry/src/main/java/org/dahliapass/entry/Forwarder.java
+++ b/entry/src/main/java/org/dahliapass/entry/Forwarder.java
@@ -7,7 +7,6 @@
 import com.linecorp.armeria.common.SplitHttpResponse;
 import java.time.Clock;
 import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.dahliapass.decisions.once.Operation;
@@ -22,8 +21,14 @@
     private final Clock mClock;
     private final TargetClients mClients;
     private final FleetService mFleet;
+    private final ConfigurationService mConfiguration;
 
-    Forwarder(Clock clock, TargetClients clients, FleetService fleet) {
+    Forwarder(
+            Clock clock,
+            TargetClients clients,
+            FleetService fleet,
+            ConfigurationService configuration) {
+        mConfiguration = configuration;
         mClock = clock;
         mClients = clients;
         mFleet = fleet;
@@ -39,8 +44,8 @@
             return Optional.empty();
         }
         String self = mFleet.view().self().identity().name();
-        List<Vm> cell = mFleet.cellOf(path.customer(), path.service());
-        return cell.stream()
+        return mConfiguration.directory(path.customer(), path.service()).stream()
+                .flatMap(template -> mFleet.cellOf(template).stream())
                 .filter(vm -> !vm.identity().name().equals(self))
                 .findFirst()
                 .map(vm -> send(vm, request));
--- a/entry/src/main/java/org/dahliapass/entry/HealthPoller.java
+++ b/entry/src/main/java/org/dahliapass/entry/HealthPoller.java
@@ -34,20 +34,12 @@
     private static final Duration TIMEOUT = Duration.ofMillis(800);
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
-    private final ControlLoop mLoop;
-    private final TargetClients mClients;
-    private final ServiceTable mServices;
-    private final FleetService mFleet;
+    private ControlLoop mLoop;
+    private TargetClients mClients;
+    private ServiceTable mServices;
+    private FleetService mFleet;
     private long mRound;
 
-    HealthPoller(
-            ControlLoop loop, TargetClients clients, ServiceTable services, FleetService fleet) {
-        mLoop = loop;
-        mClients = clients;
-        mServices = services;
-        mFleet = fleet;
-    }
-
     private void poll() {
         mRound++;
         for (ServiceTemplate template : mServices.served()) {
@@ -112,6 +104,10 @@
 
     @Override
     public CompletableFuture<Void> start(Kernel kernel) {
+        mLoop = kernel.find(ControlLoop.NAME, ControlLoop.class);
+        mClients = kernel.find(TargetClients.NAME, TargetClients.class);
+        mServices = kernel.find(ServiceTable.NAME, ServiceTable.class);
+        mFleet = kernel.find(FleetService.NAME, FleetService.class);
         mLoop.every(PERIOD, this::poll);
         return CompletableFuture.completedFuture(null);
     }
--- a/entry/src/main/java/org/dahliapass/entry/OnceService.java
+++ b/entry/src/main/java/org/dahliapass/entry/OnceService.java
@@ -36,22 +36,19 @@
     private static final int NOTICE_TRIES = 3;
 
     private final Clock mClock;
-    private final ControlLoop mLoop;
-    private final PeerClient mPeers;
+    private ControlLoop mLoop;
+    private PeerClient mPeers;
     private final HomeLedger mLedger;
     private final WitnessRegister mRegister;
     private final Resolver mResolver;
 
     /** Creates empty records for this life of this VM. */
-    OnceService(
-            VmIdentity self, VmSettings settings, Clock clock, ControlLoop loop, PeerClient peers) {
+    OnceService(VmIdentity self, VmSettings settings, Clock clock) {
         RetentionWindow window =
                 new RetentionWindow(CLOCK_MARGIN_MILLIS, settings.operationWindow().toMillis());
         int capacity = settings.operationCapacity();
         TableLimits limits = new TableLimits(capacity, capacity / 10, MOST_BYTES, MOST_BODY_BYTES);
         mClock = clock;
-        mLoop = loop;
-        mPeers = peers;
         mLedger = new HomeLedger(self, TARGETS_OFFERED, window, limits);
         mRegister = new WitnessRegister(self, window, limits);
         mResolver = new Resolver(self, mRegister);
@@ -201,6 +198,8 @@
 
     @Override
     public CompletableFuture<Void> start(Kernel kernel) {
+        mLoop = kernel.find(ControlLoop.NAME, ControlLoop.class);
+        mPeers = kernel.find(PeerLink.NAME, PeerLink.class);
         return CompletableFuture.completedFuture(null);
     }
 
--- a/entry/src/main/java/org/dahliapass/entry/OperatorServer.java
+++ b/entry/src/main/java/org/dahliapass/entry/OperatorServer.java
@@ -9,7 +9,9 @@
 import com.linecorp.armeria.server.Server;
 import com.linecorp.armeria.server.ServiceRequestContext;
 import java.net.InetSocketAddress;
+import java.util.Locale;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
 import org.dahliapass.kernel.Kernel;
 import org.dahliapass.kernel.KernelService;
 import org.dahliapass.model.Endpoint;
@@ -19,48 +21,46 @@
     /** The name under which the kernel holds the server. */
     public static final String NAME = "operator-server";
 
-    private final Server mServer;
-    private final OperatorAnswers mAnswers;
-    private final EntryMetrics mMetrics;
+    private final VmSettings mSettings;
+    private final Function<Kernel, OperatorAnswers> mAnswersOf;
     private final Readiness mReadiness;
     private final Runnable mDrain;
+    private OperatorAnswers mAnswers;
+    private EntryMetrics mMetrics;
+    private Server mServer;
 
     OperatorServer(
             VmSettings settings,
-            OperatorAnswers answers,
-            EntryMetrics metrics,
+            Function<Kernel, OperatorAnswers> answersOf,
             Readiness readiness,
             Runnable drain) {
-        mAnswers = answers;
-        mMetrics = metrics;
+        mSettings = settings;
+        mAnswersOf = answersOf;
         mReadiness = readiness;
         mDrain = drain;
-        mServer =
-                Server.builder()
-                        .port(
-                                new InetSocketAddress(
-                                        settings.address(), settings.operatorsPort()),
-                                SessionProtocol.HTTP)
-                        .service("/health", (context, request) -> health())
-                        .service("/metrics", (context, request) -> metrics())
-                        .service("/operations/status", (context, request) -> json(answers.status()))
-                        .service(
-                                "/operations/members",
-                                (context, request) -> json(done(answers.members())))
-                        .service(
-                                "/operations/templates/{customer}",
-                                (context, request) -> template(context))
-                        .service(
-                                "/operations/targets",
-                                (context, request) -> json(answers.targets()))
-                        .service(
-                                "/operations/explanations",
-                                (context, request) -> json(done(explanations(context))))
-                        .service("/operations/burn", (context, request) -> json(done(answers.burn())))
-                        .service(
-                                "/operations/drain",
-                                (context, request) -> drain(request.method()))
-                        .build();
+    }
+
+    private Server newServer() {
+        return Server.builder()
+                .port(
+                        new InetSocketAddress(mSettings.address(), mSettings.operatorsPort()),
+                        SessionProtocol.HTTP)
+                .service("/health", (context, request) -> health())
+                .service("/metrics", (context, request) -> metrics())
+                .service("/operations/status", (context, request) -> json(mAnswers.status()))
+                .service(
+                        "/operations/members",
+                        (context, request) -> json(done(mAnswers.members())))
+                .service(
+                        "/operations/templates/{customer}",
+                        (context, request) -> template(context))
+                .service("/operations/targets", (context, request) -> json(mAnswers.targets()))
+                .service(
+                        "/operations/explanations",
+                        (context, request) -> json(done(explanations(context))))
+                .service("/operations/burn", (context, request) -> json(done(mAnswers.burn())))
+                .service("/operations/drain", (context, request) -> drain(request.method()))
+                .build();
     }
 
     /** Returns where operators reach this VM; valid once started. */
@@ -73,7 +73,7 @@
         HttpStatus status =
                 mReadiness.state().serves() ? HttpStatus.OK : HttpStatus.SERVICE_UNAVAILABLE;
         return HttpResponse.of(
-                status, MediaType.PLAIN_TEXT_UTF_8, mReadiness.state().name().toLowerCase() + "\n");
+                status, MediaType.PLAIN_TEXT_UTF_8, mReadiness.state().name().toLowerCase(Locale.ROOT) + "\n");
     }
 
     private HttpResponse metrics() {
@@ -122,6 +122,9 @@
 
     @Override
     public CompletableFuture<Void> start(Kernel kernel) {
+        mAnswers = mAnswersOf.apply(kernel);
+        mMetrics = kernel.find(EntryMetrics.NAME, EntryMetrics.class);
+        mServer = newServer();
         return mServer.start();
     }
 
--- a/entry/src/main/java/org/dahliapass/entry/ServiceTable.java
+++ b/entry/src/main/java/org/dahliapass/entry/ServiceTable.java
@@ -36,33 +36,20 @@
     public static final String NAME = "services";
 
     private final Clock mClock;
-    private final ControlLoop mLoop;
+    private ControlLoop mLoop;
     private final RandomGenerator mRandom;
-    private final EntryMetrics mMetrics;
-    private final ExplanationLog mExplanations;
-    private final FleetService mFleet;
-    private final ConfigurationService mConfiguration;
+    private EntryMetrics mMetrics;
+    private ExplanationLog mExplanations;
+    private FleetService mFleet;
+    private ConfigurationService mConfiguration;
     private final VmSettings mSettings;
     private final Map<ServiceId, TargetHealth> mHealth = new HashMap<>();
     private final Map<ServiceId, ServiceTemplate> mTemplates = new HashMap<>();
     private volatile Map<ServiceId, ServiceRuntime> mRuntimes = Map.of();
 
-    ServiceTable(
-            Clock clock,
-            ControlLoop loop,
-            RandomGenerator random,
-            EntryMetrics metrics,
-            ExplanationLog explanations,
-            FleetService fleet,
-            ConfigurationService configuration,
-            VmSettings settings) {
+    ServiceTable(Clock clock, RandomGenerator random, VmSettings settings) {
         mClock = clock;
-        mLoop = loop;
         mRandom = random;
-        mMetrics = metrics;
-        mExplanations = explanations;
-        mFleet = fleet;
-        mConfiguration = configuration;
         mSettings = settings;
     }
 
@@ -238,6 +225,14 @@
 
     @Override
     public CompletableFuture<Void> start(Kernel kernel) {
+        mLoop = kernel.find(ControlLoop.NAME, ControlLoop.class);
+        mMetrics = kernel.find(EntryMetrics.NAME, EntryMetrics.class);
+        mExplanations = kernel.find(ExplanationLog.NAME, ExplanationLog.class);
+        mFleet = kernel.find(FleetService.NAME, FleetService.class);
+        mConfiguration = kernel.find(ConfigurationService.NAME, ConfigurationService.class);
+        mFleet.onChange(this::refresh);
+        mConfiguration.onChange(this::refresh);
+        mLoop.execute(this::refresh);
         mLoop.every(mSettings.controlPeriod(), this::tick);
         return CompletableFuture.completedFuture(null);
     }
--- a/entry/src/main/java/org/dahliapass/entry/VmSettings.java
+++ b/entry/src/main/java/org/dahliapass/entry/VmSettings.java
@@ -21,6 +21,7 @@
  * @param operatorsPort the port for operators; 0 for any free one
  * @param store where the platform's key-value service is reached
  * @param vmList where the platform's VM list is reached
+ * @param announce whether the VM enters itself into the VM list; no if the platform does it
  * @param askTimeToLive how long a caller may use an ask's answer
  * @param gossipPeriod the period of the failure detector
  * @param controlPeriod the period of evidence, queue and snapshot upkeep
@@ -37,6 +38,7 @@
         int operatorsPort,
         Endpoint store,
         Endpoint vmList,
+        boolean announce,
         Duration askTimeToLive,
         Duration gossipPeriod,
         Duration controlPeriod,
@@ -76,6 +78,7 @@
                         (int) vm.number("operators-port", 0, HIGHEST_PORT),
                         endpoint(platform, "store"),
                         endpoint(platform, "vm-list"),
+                        platform.yesNo("announce", false),
                         control.duration(
                                 "ask-time-to-live",
                                 Duration.ofSeconds(1),
