--- /dev/null
+++ b/decisions/src/main/java/org/dahliapass/decisions/membership/JoinAnswer.java
@@ -0,0 +1,11 @@
+package org.dahliapass.decisions.membership;
+
+import java.util.List;
+
+/**
+ * What follows from a {@link JoinRequest}.
+ *
+ * @param members the list to reply with; empty if both lists are equal
+ * @param actions what else to do
+ */
+public record JoinAnswer(List<MemberUpdate> members, List<MembershipAction> actions) {}
--- /dev/null
+++ b/decisions/src/main/java/org/dahliapass/decisions/membership/Member.java
@@ -0,0 +1,87 @@
+package org.dahliapass.decisions.membership;
+
+import org.dahliapass.model.VmIdentity;
+
+/** What this VM holds of one other VM; the only mutable object a member costs. */
+final class Member {
+    private static final long NEVER = Long.MIN_VALUE / 2;
+
+    private MemberUpdate mUpdate;
+    private long mSinceMillis;
+    private long mHeardMillis = NEVER;
+    private int mSent;
+    private boolean mLocalVerdict;
+
+    Member(MemberUpdate update, long nowMillis) {
+        mUpdate = update;
+        mSinceMillis = nowMillis;
+    }
+
+    MemberUpdate update() {
+        return mUpdate;
+    }
+
+    MemberState state() {
+        return mUpdate.state();
+    }
+
+    VmIdentity identity() {
+        return mUpdate.identity();
+    }
+
+    String name() {
+        return mUpdate.identity().name();
+    }
+
+    boolean isDead() {
+        return state() == MemberState.DEAD;
+    }
+
+    /** Takes news; the time since when the state is held starts anew with another state. */
+    void take(MemberUpdate update, boolean localVerdict, long nowMillis) {
+        boolean sameLife = identity().equals(update.identity());
+        if (!sameLife || update.state() != state()) {
+            mSinceMillis = nowMillis;
+        }
+        if (!sameLife) {
+            mHeardMillis = NEVER;
+        }
+        mUpdate = update;
+        mLocalVerdict = localVerdict;
+    }
+
+    long sinceMillis() {
+        return mSinceMillis;
+    }
+
+    /** Moves the time since when the state is held, for a time in which this process was paused. */
+    void shiftSince(long gapMillis) {
+        mSinceMillis += gapMillis;
+    }
+
+    /** Lets the time since when the state is held start anew. */
+    void restartSince(long nowMillis) {
+        mSinceMillis = nowMillis;
+    }
+
+    long heardMillis() {
+        return mHeardMillis;
+    }
+
+    void heard(long nowMillis) {
+        mHeardMillis = nowMillis;
+    }
+
+    int sent() {
+        return mSent;
+    }
+
+    void setSent(int sent) {
+        mSent = sent;
+    }
+
+    /** Returns whether the state is a verdict of this VM alone that it has told nobody. */
+    boolean isLocalVerdict() {
+        return mLocalVerdict;
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/dahliapass/decisions/membership/MemberJudge.java
@@ -0,0 +1,213 @@
+package org.dahliapass.decisions.membership;
+
+import java.util.List;
+import java.util.Optional;
+import org.dahliapass.decisions.membership.MembershipAction.MemberChanged;
+import org.dahliapass.decisions.membership.MembershipAction.Replaced;
+
+/** Judges what is held of each VM: takes news, suspects, declares dead and forgets. */
+final class MemberJudge {
+    private static final int HEARD_PERIODS = 2;
+
+    private final MembershipSettings mSettings;
+    private final MemberTable mTable;
+    private final RumorQueue mRumors;
+    private final GossipComposer mComposer;
+    private final Prober mProber;
+    private final ContactBook mContacts;
+    private long mHeardAnyMillis;
+    private boolean mUrgentNews;
+
+    MemberJudge(
+            MembershipSettings settings,
+            MemberTable table,
+            RumorQueue rumors,
+            GossipComposer composer,
+            Prober prober,
+            ContactBook contacts,
+            long nowMillis) {
+        mSettings = settings;
+        mTable = table;
+        mRumors = rumors;
+        mComposer = composer;
+        mProber = prober;
+        mContacts = contacts;
+        mHeardAnyMillis = nowMillis;
+    }
+
+    /** Notes that some VM was heard. */
+    void heardAny(long nowMillis) {
+        mHeardAnyMillis = nowMillis;
+    }
+
+    /** Returns whether there is news that others should get at once. */
+    boolean hasUrgentNews() {
+        return mUrgentNews;
+    }
+
+    /** Notes that the urgent news is on its way. */
+    void urgentNewsSent() {
+        mUrgentNews = false;
+    }
+
+    /** Takes one piece of news. */
+    void apply(MemberUpdate update, long nowMillis, List<MembershipAction> actions) {
+        if (update.identity().name().equals(mComposer.self().identity().name())) {
+            applyToSelf(update, actions);
+            return;
+        }
+        Member member = mTable.find(update.identity().name());
+        if (member == null) {
+            addMember(update, nowMillis, actions);
+            return;
+        }
+        MemberUpdate softened = softened(member, update, nowMillis);
+        boolean withdrawsLocalVerdict =
+                member.isLocalVerdict()
+                        && update.state().isOwnWord()
+                        && update.sameRound(member.update());
+        if (softened.supersedes(member.update()) || withdrawsLocalVerdict) {
+            change(member, softened, false, nowMillis, actions);
+        }
+    }
+
+    /** Takes news from a list; a VM that is only known there as dead needs no tombstone here. */
+    void applyIfListed(MemberUpdate update, long nowMillis, List<MembershipAction> actions) {
+        boolean self = update.identity().name().equals(mComposer.self().identity().name());
+        if (self || update.state() != MemberState.DEAD) {
+            apply(update, nowMillis, actions);
+        }
+    }
+
+    /**
+     * Takes that a member answered neither directly nor through others. One that was leaving has
+     * most likely stopped; a suspicion would put it back into its cells.
+     */
+    void onUnanswered(Member member, long nowMillis, List<MembershipAction> actions) {
+        if (!member.state().isOwnWord()) {
+            return;
+        }
+        boolean leaving = member.state() == MemberState.LEAVING;
+        judge(member, leaving ? MemberState.DEAD : MemberState.SUSPECT, nowMillis, actions);
+        actions.add(mComposer.tell(member.update(), member.update()));
+    }
+
+    /** Ends suspicions that weren't refuted in time, and forgets the long dead. */
+    void expire(long nowMillis, List<MembershipAction> actions) {
+        long suspicionMillis = mSettings.suspicionMillis(mTable.live());
+        long tombstoneMillis = mSettings.tombstone().toMillis();
+        boolean forget = false;
+        for (Member member : mTable.all()) {
+            long heldMillis = nowMillis - member.sinceMillis();
+            if (member.state() == MemberState.SUSPECT && heldMillis >= suspicionMillis) {
+                endSuspicion(member, nowMillis, actions);
+            } else if (member.isDead() && heldMillis >= tombstoneMillis) {
+                mContacts.rememberFormer(member.update().vm().peers());
+                forget = true;
+            }
+        }
+        if (forget) {
+            mTable.forgetDead(member -> nowMillis - member.sinceMillis() >= tombstoneMillis);
+        }
+    }
+
+    private boolean isDeaf(long nowMillis) {
+        long window = mSettings.suspicionMillis(mTable.live()) / 2;
+        return nowMillis - mHeardAnyMillis > window;
+    }
+
+    /** Returns whether a member, null if unknown, was heard within the window. */
+    static boolean heardWithin(Member member, long nowMillis, long windowMillis) {
+        return member != null && nowMillis - member.heardMillis() <= windowMillis;
+    }
+
+    /**
+     * Guards against another VM's false verdict on a VM that this one hears well: its death would
+     * show as lost capacity. A suspicion gives the VM the time to refute.
+     */
+    private MemberUpdate softened(Member member, MemberUpdate update, long nowMillis) {
+        long window = HEARD_PERIODS * mSettings.period().toMillis();
+        boolean contradicted =
+                update.state() == MemberState.DEAD
+                        && !member.isDead()
+                        && member.identity().equals(update.identity())
+                        && heardWithin(member, nowMillis, window);
+        if (!contradicted) {
+            return update;
+        }
+        return member.state() == MemberState.LEAVING
+                ? member.update()
+                : update.withState(MemberState.SUSPECT);
+    }
+
+    /** Takes what others say of this VM: a verdict is refuted by a higher refutation counter. */
+    private void applyToSelf(MemberUpdate update, List<MembershipAction> actions) {
+        MemberUpdate self = mComposer.self();
+        int order = Long.compare(update.identity().incarnation(), self.identity().incarnation());
+        if (order > 0) {
+            actions.add(new Replaced(update.identity()));
+            return;
+        }
+        if (order == 0 && !update.state().isOwnWord() && update.refutation() >= self.refutation()) {
+            mComposer.setSelf(self.withState(self.state(), update.refutation() + 1));
+            mUrgentNews = true;
+        }
+    }
+
+    private void addMember(MemberUpdate update, long nowMillis, List<MembershipAction> actions) {
+        Member member = new Member(update, nowMillis);
+        mTable.add(member);
+        mRumors.add(member);
+        if (member.isDead()) {
+            return;
+        }
+        mProber.add(member);
+        mUrgentNews = true;
+        actions.add(new MemberChanged(Optional.empty(), update));
+    }
+
+    private void change(
+            Member member,
+            MemberUpdate update,
+            boolean localVerdict,
+            long nowMillis,
+            List<MembershipAction> actions) {
+        MemberUpdate before = member.update();
+        mTable.take(member, update, localVerdict, nowMillis);
+        if (!localVerdict) {
+            mRumors.add(member);
+        }
+        boolean newLife = !before.identity().equals(update.identity());
+        if (!newLife && before.state() == update.state()) {
+            return;
+        }
+        boolean returns = before.state() == MemberState.DEAD && !member.isDead();
+        if (returns) {
+            mProber.add(member);
+        }
+        mUrgentNews |= newLife || returns || update.state() != MemberState.SUSPECT;
+        actions.add(new MemberChanged(Optional.of(before), update));
+    }
+
+    /**
+     * Guards against a VM that hears nobody, because its own link is cut, and would have the whole
+     * fleet declared dead; it would show as a storm of refutations. Such a VM keeps its verdicts to
+     * itself, and drops them for the word of anyone it hears.
+     */
+    private void judge(
+            Member member, MemberState verdict, long nowMillis, List<MembershipAction> actions) {
+        MemberUpdate update = member.update().withState(verdict);
+        change(member, update, isDeaf(nowMillis), nowMillis, actions);
+    }
+
+    /** Ends a suspicion that wasn't refuted; one that nobody was told of begins anew, told. */
+    private void endSuspicion(Member member, long nowMillis, List<MembershipAction> actions) {
+        if (!member.isLocalVerdict() || isDeaf(nowMillis)) {
+            judge(member, MemberState.DEAD, nowMillis, actions);
+            return;
+        }
+        member.restartSince(nowMillis);
+        change(member, member.update(), false, nowMillis, actions);
+        actions.add(mComposer.tell(member.update(), member.update()));
+    }
+}
