Decide which targets get work from the cell's real work

Cause: a target that answers probes may fail work, and one VM's bad path looks like a sick target from there. Ruled out: probes or the targets' own reports as evidence against real work; ejections sent between VMs, which two VMs could decide in the same moment and so cross the floor together. Change: TargetHealth weighs pooled evidence by Wald's likelihood ratio against the target's peers for the same kind and zone, needs a second zone to confirm, keeps the floor in each VM's own set, brings targets back slowly, and explains each step as a typed record (org.dahliapass.model.explain).

--- /dev/null
+++ b/decisions/src/main/java/org/dahliapass/decisions/health/EvidenceTable.java
@@ -0,0 +1,74 @@
+package org.dahliapass.decisions.health;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.dahliapass.model.Endpoint;
+
+/**
+ * The work that the VMs of a cell saw, by target, by the place that saw it, and by request kind.
+ *
+ * <p>A place is a whole availability zone, or this VM alone. VMs of one zone are summed, so the
+ * state grows with zones and not with the cell.
+ */
+final class EvidenceTable {
+    /** The place that stands for what this VM saw itself. */
+    static final String OWN = "";
+
+    /** The kind under which failed probes are kept. */
+    static final String PROBE_KIND = "#probe";
+
+    private final Map<Endpoint, Map<String, Map<String, WorkHistory>>> mHistories = new HashMap<>();
+
+    void add(String place, TargetEvidence evidence, long nowMillis) {
+        mHistories
+                .computeIfAbsent(evidence.target(), key -> new TreeMap<>())
+                .computeIfAbsent(place, key -> new TreeMap<>())
+                .computeIfAbsent(evidence.kind(), key -> new WorkHistory())
+                .add(
+                        evidence.successes(),
+                        evidence.failures(),
+                        evidence.logLatencySum(),
+                        evidence.logLatencySquareSum(),
+                        nowMillis);
+    }
+
+    /** Forgets all that was seen of a target. */
+    void forget(Endpoint target) {
+        mHistories.remove(target);
+    }
+
+    /** Forgets what this VM alone saw of a target; the zone's sums stay. */
+    void forgetOwn(Endpoint target) {
+        mHistories.getOrDefault(target, new TreeMap<>()).remove(OWN);
+    }
+
+    /** Forgets all targets but the listed ones. */
+    void retain(Set<Endpoint> listed) {
+        mHistories.keySet().retainAll(listed);
+    }
+
+    /** Returns the kinds that were seen at a place. */
+    Set<String> kinds(String place) {
+        Set<String> kinds = new TreeSet<>();
+        for (Map<String, Map<String, WorkHistory>> places : mHistories.values()) {
+            kinds.addAll(places.getOrDefault(place, Map.of()).keySet());
+        }
+        return kinds;
+    }
+
+    /** Returns the windows of a kind at a place, for each target that has any. */
+    Map<Endpoint, Counts[]> windows(String place, String kind, long nowMillis) {
+        Map<Endpoint, Counts[]> windows = new TreeMap<>();
+        mHistories.forEach(
+                (target, places) -> {
+                    WorkHistory history = places.getOrDefault(place, Map.of()).get(kind);
+                    if (history != null) {
+                        windows.put(target, history.windows(nowMillis));
+                    }
+                });
+        return windows;
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/dahliapass/decisions/health/LikelihoodTest.java
@@ -0,0 +1,66 @@
+package org.dahliapass.decisions.health;
+
+/**
+ * Wald's sequential probability ratio test on a target's work against its peers'.
+ *
+ * <p>The score is the logarithm of how much likelier the seen work is if the target is sick than if
+ * it is like its peers. The score is taken over every window that ends now and the highest counts
+ * (Page's cumulative sum), so a target that was well for long is found as fast as a new one. While
+ * a target is well, a bound of {@code b} is crossed less than once in {@code exp(b)} pieces of work
+ * (Lorden). The bound is therefore the logarithm of the work in the time for which the false
+ * ejection tolerance is promised, divided by that tolerance.
+ */
+final class LikelihoodTest {
+    /** Nothing is taken for more reliable than this, however long it went well. */
+    private static final double LOWEST_FAILURE_RATE = 0.005;
+
+    /** What is believed of a kind of which little was seen. */
+    private static final double PRIOR_FAILURE_RATE = 0.01;
+
+    private static final double PRIOR_WEIGHT = 20;
+    private static final double HIGHEST_RATE = 0.98;
+
+    /** Latencies spread at least this much: the standard deviation of their logarithm. */
+    private static final double LOWEST_DEVIATION = 0.4;
+
+    /** The least work for which a bound is set; less would make the first failures decide. */
+    private static final double LEAST_WORK = 100;
+
+    private LikelihoodTest() {}
+
+    /** Returns the bound that a healthy target crosses with at most the tolerance's chance. */
+    static double bound(double tolerance, double piecesOfWork) {
+        return Math.log(Math.max(LEAST_WORK, piecesOfWork) / tolerance);
+    }
+
+    /** Returns the failure rate that peers' work shows. */
+    static double nullRate(Counts peers) {
+        double rate =
+                (peers.mFailures + PRIOR_FAILURE_RATE * PRIOR_WEIGHT)
+                        / (peers.total() + PRIOR_WEIGHT);
+        return Math.min(HIGHEST_RATE, Math.max(LOWEST_FAILURE_RATE, rate));
+    }
+
+    /** Returns the score for failing more than the peers by {@code failureShare} of the work. */
+    static double failureScore(Counts own, double nullRate, double failureShare) {
+        double sickRate = nullRate + (1 - nullRate) * failureShare;
+        return own.mFailures * Math.log(sickRate / nullRate)
+                + own.mSuccesses * Math.log((1 - sickRate) / (1 - nullRate));
+    }
+
+    /** Returns the score for being slower than the peers by {@code slowFactor}. */
+    static double slownessScore(Counts own, Counts peers, double slowFactor) {
+        if (own.mSuccesses == 0 || peers.mSuccesses == 0) {
+            return 0;
+        }
+        double shift = Math.log(slowFactor);
+        double excess = own.mLogSum - own.mSuccesses * (peers.meanLog() + shift / 2);
+        return shift * excess / variance(peers);
+    }
+
+    private static double variance(Counts peers) {
+        double mean = peers.meanLog();
+        double spread = peers.mLogSquareSum / peers.mSuccesses - mean * mean;
+        return Math.max(LOWEST_DEVIATION * LOWEST_DEVIATION, spread);
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/dahliapass/decisions/health/Verdict.java
@@ -0,0 +1,43 @@
+package org.dahliapass.decisions.health;
+
+import java.util.Locale;
+
+/**
+ * What the evidence says of one target.
+ *
+ * @param failing it fails on the evidence of the cell
+ * @param slow it is a straggler on the evidence of the cell
+ * @param failsHere it fails for this VM
+ * @param score the highest failure score of the cell's evidence
+ * @param ownScore the highest failure score of this VM's evidence
+ * @param bound the score from which a target counts as sick
+ * @param latencyRatio its latency over its peers', 1 if too little is known
+ * @param work the work of the longest window, all of the cell's
+ */
+record Verdict(
+        boolean failing,
+        boolean slow,
+        boolean failsHere,
+        double score,
+        double ownScore,
+        double bound,
+        double latencyRatio,
+        Counts work) {
+
+    /** Returns whether the evidence, though it decides nothing, speaks against the target. */
+    boolean isSuspect() {
+        return score > bound / 2 || ownScore > bound / 2 || failing || slow || failsHere;
+    }
+
+    String evidence() {
+        return String.format(
+                Locale.ROOT,
+                "score %.1f, own %.1f, bound %.1f; %d of %d failed; latency %.1f x peers",
+                score,
+                ownScore,
+                bound,
+                work.mFailures,
+                work.total(),
+                latencyRatio);
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/dahliapass/decisions/health/WorkHistory.java
@@ -0,0 +1,58 @@
+package org.dahliapass.decisions.health;
+
+/**
+ * The recent work of one kind on one target as seen from one place, over windows of growing length.
+ *
+ * <p>A change may have begun at any of the windows' starts. Short windows use fine buckets, long
+ * ones coarse buckets, so that the state stays small whatever the rate of work.
+ */
+final class WorkHistory {
+    /** The number of windows. */
+    static final int WINDOWS = 9;
+
+    /** The window whose length is about eight seconds. */
+    static final int EIGHT_SECONDS = 5;
+
+    /** The longest window. */
+    static final int LONGEST = WINDOWS - 1;
+
+    private static final long FINE_MILLIS = 250;
+    private static final int[] FINE_WINDOWS = {1, 2, 4, 8, 16, 32};
+    private static final long COARSE_MILLIS = 4_000;
+    private static final int[] COARSE_WINDOWS = {4, 8, 16};
+
+    private final CountRing mFine = new CountRing(FINE_MILLIS, 32);
+    private final CountRing mCoarse = new CountRing(COARSE_MILLIS, 16);
+
+    /** Returns the length of a window in milliseconds. */
+    static long windowMillis(int window) {
+        return window < FINE_WINDOWS.length
+                ? FINE_WINDOWS[window] * FINE_MILLIS
+                : COARSE_WINDOWS[window - FINE_WINDOWS.length] * COARSE_MILLIS;
+    }
+
+    void add(int successes, int failures, double logSum, double logSquareSum, long nowMillis) {
+        mFine.bucket(nowMillis).add(successes, failures, logSum, logSquareSum);
+        mCoarse.bucket(nowMillis).add(successes, failures, logSum, logSquareSum);
+    }
+
+    /** Returns the sums over each window that ends now, the shortest first. */
+    Counts[] windows(long nowMillis) {
+        Counts[] sums = new Counts[WINDOWS];
+        fill(mFine, FINE_WINDOWS, sums, 0, nowMillis);
+        fill(mCoarse, COARSE_WINDOWS, sums, FINE_WINDOWS.length, nowMillis);
+        return sums;
+    }
+
+    private static void fill(
+            CountRing ring, int[] lengths, Counts[] sums, int offset, long nowMillis) {
+        Counts running = new Counts();
+        int age = 0;
+        for (int index = 0; index < lengths.length; index++) {
+            ring.addTo(running, age, lengths[index], nowMillis);
+            age = lengths[index];
+            sums[offset + index] = new Counts();
+            sums[offset + index].add(running);
+        }
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/dahliapass/decisions/health/CellFixture.java
@@ -0,0 +1,124 @@
+package org.dahliapass.decisions.health;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BiFunction;
+import org.dahliapass.model.DetectionPolicy;
+import org.dahliapass.model.Endpoint;
+import org.dahliapass.model.ServiceTemplate;
+import org.dahliapass.model.Target;
+import org.dahliapass.model.VmIdentity;
+import org.dahliapass.model.explain.Action;
+import org.dahliapass.model.explain.Explanation;
+
+/** The VMs of a cell with one service; reports reach the other VMs within the same tick. */
+final class CellFixture {
+    static final String KIND = "lookup";
+    private static final int LONGEST_ROUNDS = 1_000;
+    static final long TICK_MILLIS = 250;
+    static final DetectionPolicy POLICY =
+            new DetectionPolicy(0.001, 0.3, 3, Duration.ofSeconds(10), Duration.ofSeconds(5));
+
+    final List<TargetHealth> mVms = new ArrayList<>();
+    final List<Explanation> mExplanations = new ArrayList<>();
+    long mNowMillis = 1_000_000;
+
+    CellFixture(int vms, int targets) {
+        this(vms, targets, FloorRule.KEPT);
+    }
+
+    CellFixture(int vms, int targets, FloorRule floorRule) {
+        for (int vm = 0; vm < vms; vm++) {
+            mVms.add(
+                    new TargetHealth(
+                            new VmIdentity("vm" + vm, 1),
+                            "zone" + vm % 3,
+                            template(targets),
+                            floorRule,
+                            mNowMillis));
+        }
+    }
+
+    static ServiceTemplate template(int targets) {
+        List<Target> list = new ArrayList<>();
+        for (int index = 0; index < targets; index++) {
+            list.add(new Target(endpoint(index), "zone" + index % 3));
+        }
+        return new ServiceTemplate(
+                "desk", "himal", list, 3, 350, 0.6, 6, "/health", "/load", POLICY, List.of());
+    }
+
+    static Endpoint endpoint(int index) {
+        return new Endpoint("10.0.0." + (index + 1), 80);
+    }
+
+    TargetHealth vm(int index) {
+        return mVms.get(index);
+    }
+
+    TargetState state(int vm, int target) {
+        return vm(vm).view().targets().get(endpoint(target)).state();
+    }
+
+    double weight(int vm, int target) {
+        return vm(vm).view().weight(endpoint(target));
+    }
+
+    boolean explained(Action action) {
+        return mExplanations.stream().anyMatch(explanation -> explanation.action() == action);
+    }
+
+    /** Gives one piece of work to each target that has weight, from each VM, and ticks. */
+    void round(BiFunction<Integer, Integer, Outcome> outcomes) {
+        round(outcomes, (vm, target) -> 50L);
+    }
+
+    void round(
+            BiFunction<Integer, Integer, Outcome> outcomes,
+            BiFunction<Integer, Integer, Long> latencies) {
+        for (int vm = 0; vm < mVms.size(); vm++) {
+            int targets = vm(vm).view().targets().size();
+            for (int target = 0; target < targets; target++) {
+                if (weight(vm, target) > 0) {
+                    vm(vm).onOutcome(
+                                    endpoint(target),
+                                    KIND,
+                                    outcomes.apply(vm, target),
+                                    latencies.apply(vm, target),
+                                    mNowMillis);
+                }
+            }
+        }
+        tick();
+    }
+
+    void rounds(int count, BiFunction<Integer, Integer, Outcome> outcomes) {
+        for (int round = 0; round < count; round++) {
+            round(outcomes);
+        }
+    }
+
+    /** Works until the first VM has the first target in this state; returns the rounds it took. */
+    int roundsUntil(TargetState state, BiFunction<Integer, Integer, Outcome> outcomes) {
+        for (int rounds = 0; rounds < LONGEST_ROUNDS; rounds++) {
+            if (state(0, 0) == state) {
+                return rounds;
+            }
+            round(outcomes);
+        }
+        throw new AssertionError("The target never became " + state + " in " + LONGEST_ROUNDS);
+    }
+
+    void tick() {
+        mNowMillis += TICK_MILLIS;
+        for (TargetHealth sender : mVms) {
+            EvidenceReport report = sender.takeReport(mNowMillis);
+            mVms.forEach(receiver -> receiver.onPeerEvidence(report, mNowMillis));
+        }
+        for (TargetHealth vm : mVms) {
+            vm.onTick(mNowMillis);
+            mExplanations.addAll(vm.takeExplanations());
+        }
+    }
+}
