--- a/entry/src/main/java/org/dahliapass/entry/EntryVm.java
+++ b/entry/src/main/java/org/dahliapass/entry/EntryVm.java
@@ -13,10 +13,12 @@
 import org.dahliapass.model.burn.BurnLedger;
 import org.dahliapass.platform.HttpStoreClient;
 import org.dahliapass.platform.HttpVmListClient;
+import org.dahliapass.wire.LinkFilter;
 
 /** One entry VM, put together from its services; a process holds one, tests hold several. */
 public final class EntryVm {
     private static final PartLog LOG = PartLog.of("vm");
+    private static final int BURN_SERIES = 1000;
     private static final Duration PLATFORM_TIMEOUT = Duration.ofSeconds(2);
     private static final int INCARNATION_RANDOM_BITS = 20;
 
@@ -41,14 +43,20 @@
      * @param stopRequested run when an operator asks for a drain, or another life replaced this one
      */
     public EntryVm(VmSettings settings, Clock clock, Runnable stopRequested) {
+        this(settings, clock, LinkFilter.OPEN, stopRequested);
+    }
+
+    /** Puts a VM together whose links to other VMs can be cut; for failure tests. */
+    public EntryVm(
+            VmSettings settings, Clock clock, LinkFilter filter, Runnable stopRequested) {
         RandomGenerator random = new SplittableRandom();
         mSettings = settings;
         mIdentity = new VmIdentity(settings.name(), newIncarnation(clock, random));
         mLoop = new ControlLoop(clock);
         EntryMetrics metrics = new EntryMetrics();
         RefusalLog refusals = new RefusalLog();
-        BurnLedger burn = new BurnLedger(clock.millis());
-        mPeers = new PeerLink(mIdentity, settings);
+        BurnLedger burn = new BurnLedger(BURN_SERIES);
+        mPeers = new PeerLink(mIdentity, settings, filter);
         mCallers =
                 new CallerServer(
                         settings,
--- a/entry/src/main/java/org/dahliapass/entry/FleetService.java
+++ b/entry/src/main/java/org/dahliapass/entry/FleetService.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
 import org.dahliapass.decisions.assignment.CellPlanner;
@@ -50,6 +51,7 @@
     private final List<Runnable> mListeners = new ArrayList<>();
     private volatile FleetView mView;
     private volatile List<MemberUpdate> mMembers;
+    private volatile Set<VmIdentity> mIdentities = Set.of();
     private volatile boolean mLeaving;
     private volatile boolean mStopped;
 
@@ -107,9 +109,9 @@
         return mMembership.heardFromShare(vms, mLoop.nowMillis(), window.toMillis());
     }
 
-    /** Returns whether this life of a VM is a member; control thread only. */
-    boolean isMember(VmIdentity identity) {
-        return mMembership.isMember(identity);
+    /** Returns the lives that are members; safe on any thread, empty before the start. */
+    Set<VmIdentity> memberIdentities() {
+        return mIdentities;
     }
 
     /** Sets the number of the newest configuration change; control thread only. */
@@ -222,6 +224,7 @@
             all.add(new FleetMember(member.vm(), member.operators(), state));
         }
         mMembers = List.copyOf(members);
+        mIdentities = PeerLink.identities(members);
         mView = new FleetView(mMembership.self().vm(), usable, all);
         for (MemberState state : MemberState.values()) {
             String name = state.name().toLowerCase(Locale.ROOT);
--- a/entry/src/main/java/org/dahliapass/entry/OperatorAnswers.java
+++ b/entry/src/main/java/org/dahliapass/entry/OperatorAnswers.java
@@ -11,8 +11,8 @@
 import org.dahliapass.kernel.ControlLoop;
 import org.dahliapass.model.ServiceTemplate;
 import org.dahliapass.model.Vm;
-import org.dahliapass.model.burn.BurnBucket;
 import org.dahliapass.model.burn.BurnLedger;
+import org.dahliapass.model.burn.BurnSnapshot;
 import org.dahliapass.model.explain.Explanation;
 
 /** Puts what operators ask a VM for into JSON. */
@@ -170,15 +170,15 @@
 
     /** Returns this VM's share of the burn report. */
     String burn() {
-        ObjectNode root = MAPPER.createObjectNode();
-        root.put("vm", mFleet.view().self().identity().toString());
-        root.put("sinceMillis", mStartedMillis);
-        root.put("nowMillis", mClock.millis());
-        ArrayNode buckets = root.putArray("buckets");
-        for (BurnBucket bucket : mBurn.buckets(mClock.millis())) {
-            buckets.add(MAPPER.valueToTree(bucket));
-        }
-        return root.toString();
+        long now = mClock.millis();
+        BurnSnapshot snapshot =
+                new BurnSnapshot(
+                        mFleet.view().self().identity().toString(),
+                        mStartedMillis,
+                        now,
+                        mBurn.uncounted(),
+                        mBurn.buckets(now));
+        return MAPPER.valueToTree(snapshot).toString();
     }
 
     private static String written(String constant) {
--- /dev/null
+++ b/entry/src/main/java/org/dahliapass/entry/PeerLink.java
@@ -0,0 +1,148 @@
+package org.dahliapass.entry;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
+import org.dahliapass.decisions.health.EvidenceReport;
+import org.dahliapass.decisions.membership.GossipMessage;
+import org.dahliapass.decisions.membership.JoinRequest;
+import org.dahliapass.decisions.membership.MemberUpdate;
+import org.dahliapass.decisions.once.IntentReply;
+import org.dahliapass.decisions.once.Operation;
+import org.dahliapass.decisions.once.OutcomeNotice;
+import org.dahliapass.decisions.traffic.TargetInFlight;
+import org.dahliapass.kernel.ControlLoop;
+import org.dahliapass.kernel.Kernel;
+import org.dahliapass.kernel.KernelService;
+import org.dahliapass.kernel.StepException;
+import org.dahliapass.model.Endpoint;
+import org.dahliapass.model.Vm;
+import org.dahliapass.model.VmIdentity;
+import org.dahliapass.wire.LinkFilter;
+import org.dahliapass.wire.PeerTransport;
+import org.dahliapass.wire.PeerTransportSettings;
+import org.dahliapass.wire.TrafficCounters;
+import org.dahliapass.wire.message.PeerReply;
+import org.dahliapass.wire.message.PeerRequest;
+
+/** This VM's word to the other VMs: gossip, guarded operations, evidence, configuration. */
+final class PeerLink implements KernelService, GossipLink, PeerClient, EvidenceLink {
+    /** The name under which the kernel holds the link. */
+    static final String NAME = "peer-link";
+
+    private static final Duration JOIN_TIMEOUT = Duration.ofSeconds(2);
+    private static final Duration OPERATION_TIMEOUT = Duration.ofMillis(750);
+    private static final Duration EVIDENCE_TIMEOUT = Duration.ofSeconds(1);
+
+    private final PeerTransport mTransport;
+    private FleetService mFleet;
+
+    PeerLink(VmIdentity self, VmSettings settings, LinkFilter filter) {
+        mTransport =
+                new PeerTransport(
+                        new PeerTransportSettings(
+                                settings.fleet(), self, settings.address(), settings.peersPort()),
+                        filter);
+    }
+
+    /** Returns where other VMs reach this one; valid once started. */
+    Endpoint endpoint() {
+        return mTransport.endpoint();
+    }
+
+    /** Returns what was sent, received and refused. */
+    TrafficCounters counters() {
+        return mTransport.counters();
+    }
+
+    @Override
+    public void send(Endpoint peer, GossipMessage message) {
+        mTransport.sendDatagram(peer, GossipCodec.encode(message).build());
+    }
+
+    @Override
+    public CompletableFuture<List<MemberUpdate>> exchange(
+            Endpoint peer, long recipientIncarnation, JoinRequest request) {
+        PeerRequest message =
+                PeerRequest.newBuilder()
+                        .setRecipientIncarnation(recipientIncarnation)
+                        .setJoin(GossipCodec.encode(request))
+                        .build();
+        return mTransport
+                .request(peer, message, JOIN_TIMEOUT)
+                .thenApply(reply -> GossipCodec.decode(reply.getJoin()));
+    }
+
+    @Override
+    public CompletableFuture<IntentReply> recordIntent(VmIdentity witness, Operation operation) {
+        PeerRequest.Builder request =
+                PeerRequest.newBuilder().setRecordIntent(OnceCodec.intent(operation));
+        return ask(witness, "record intent", request, OPERATION_TIMEOUT)
+                .thenApply(reply -> OnceCodec.decode(reply.getRecordIntent().getStatus()));
+    }
+
+    @Override
+    public CompletableFuture<Void> recordOutcome(VmIdentity witness, OutcomeNotice notice) {
+        PeerRequest.Builder request =
+                PeerRequest.newBuilder().setRecordOutcome(OnceCodec.outcome(notice));
+        return ask(witness, "record outcome", request, OPERATION_TIMEOUT).thenApply(reply -> null);
+    }
+
+    @Override
+    public CompletableFuture<Word> resolve(VmIdentity peer, Operation operation) {
+        PeerRequest.Builder request =
+                PeerRequest.newBuilder().setResolveKey(OnceCodec.resolve(operation));
+        return ask(peer, "resolve key", request, OPERATION_TIMEOUT)
+                .thenApply(reply -> new Word(peer, OnceCodec.decode(reply.getResolveKey())));
+    }
+
+    @Override
+    public CompletableFuture<Void> report(
+            Vm peer, EvidenceReport report, List<TargetInFlight> inFlight) {
+        PeerRequest.Builder request =
+                PeerRequest.newBuilder().setEvidenceReport(EvidenceCodec.encode(report, inFlight));
+        return send(peer, request, EVIDENCE_TIMEOUT).thenApply(reply -> null);
+    }
+
+    /** Asks a VM that is known by its identity only. */
+    CompletableFuture<PeerReply> ask(
+            VmIdentity identity, String step, PeerRequest.Builder request, Duration timeout) {
+        Optional<Vm> peer = mFleet.view().find(identity);
+        if (peer.isEmpty()) {
+            return CompletableFuture.failedFuture(
+                    new StepException(step, identity.toString(), "This VM is not a member."));
+        }
+        return send(peer.get(), request, timeout);
+    }
+
+    /** Sends a request that only this very life of the peer answers. */
+    CompletableFuture<PeerReply> send(Vm peer, PeerRequest.Builder request, Duration timeout) {
+        PeerRequest message =
+                request.setRecipientIncarnation(peer.identity().incarnation()).build();
+        return mTransport.request(peer.peers(), message, timeout);
+    }
+
+    @Override
+    public CompletableFuture<Void> start(Kernel kernel) {
+        mFleet = kernel.find(FleetService.NAME, FleetService.class);
+        ControlLoop loop = kernel.find(ControlLoop.NAME, ControlLoop.class);
+        mTransport.setGossipHandler(
+                (from, gossip) -> loop.execute(() -> mFleet.onGossip(GossipCodec.decode(gossip))));
+        mTransport.setMembers(identity -> mFleet.memberIdentities().contains(identity));
+        mTransport.setRequestHandler(new PeerRequestHandler(kernel, loop));
+        return mTransport.start(kernel);
+    }
+
+    @Override
+    public CompletableFuture<Void> stop() {
+        return mTransport.stop();
+    }
+
+    /** Returns the identities of these members. */
+    static Set<VmIdentity> identities(List<MemberUpdate> members) {
+        return members.stream().map(MemberUpdate::identity).collect(Collectors.toSet());
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/dahliapass/entry/PeerRequestHandler.java
@@ -0,0 +1,131 @@
+package org.dahliapass.entry;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.dahliapass.decisions.membership.JoinRequest;
+import org.dahliapass.decisions.once.Operation;
+import org.dahliapass.decisions.once.OperationAnswer;
+import org.dahliapass.decisions.once.UnknownReason;
+import org.dahliapass.kernel.ControlLoop;
+import org.dahliapass.kernel.Kernel;
+import org.dahliapass.model.VmIdentity;
+import org.dahliapass.wire.RequestHandler;
+import org.dahliapass.wire.message.EvidenceReport;
+import org.dahliapass.wire.message.EvidenceReportReply;
+import org.dahliapass.wire.message.IntentStatus;
+import org.dahliapass.wire.message.PeerReply;
+import org.dahliapass.wire.message.PeerRequest;
+import org.dahliapass.wire.message.RecordIntentReply;
+import org.dahliapass.wire.message.RecordOutcome;
+import org.dahliapass.wire.message.RecordOutcomeReply;
+
+/** Answers the other VMs' requests. */
+final class PeerRequestHandler implements RequestHandler {
+    private final ControlLoop mLoop;
+    private final Supplier<FleetService> mFleet;
+    private final Supplier<OnceService> mOnce;
+    private final Supplier<ServiceTable> mServices;
+    private final Supplier<ConfigurationService> mConfiguration;
+
+    PeerRequestHandler(Kernel kernel, ControlLoop loop) {
+        mLoop = loop;
+        mFleet = () -> kernel.find(FleetService.NAME, FleetService.class);
+        mOnce = () -> kernel.find(OnceService.NAME, OnceService.class);
+        mServices = () -> kernel.find(ServiceTable.NAME, ServiceTable.class);
+        mConfiguration = () -> kernel.find(ConfigurationService.NAME, ConfigurationService.class);
+    }
+
+    @Override
+    public CompletableFuture<PeerReply> onRequest(PeerRequest request) {
+        VmIdentity sender = GossipCodec.decode(request.getSender());
+        mLoop.execute(() -> mFleet.get().onHeard(sender));
+        return switch (request.getBodyCase()) {
+            case JOIN -> onJoin(request);
+            case RECORD_INTENT -> onIntent(sender, request);
+            case RECORD_OUTCOME -> onOutcome(sender, request.getRecordOutcome());
+            case RESOLVE_KEY -> onResolve(request);
+            case EVIDENCE_REPORT -> onEvidence(request.getEvidenceReport());
+            case FETCH_CHANGES -> mConfiguration.get().onFetchChanges(request.getFetchChanges());
+            case FETCH_TEXT -> mConfiguration.get().onFetchText(request.getFetchText());
+            default ->
+                    CompletableFuture.failedFuture(
+                            new IllegalArgumentException("This release has no such request."));
+        };
+    }
+
+    private CompletableFuture<PeerReply> onJoin(PeerRequest request) {
+        Optional<JoinRequest> join = GossipCodec.decode(request.getJoin());
+        if (join.isEmpty()) {
+            return CompletableFuture.failedFuture(
+                    new IllegalArgumentException("A join without the sender's own news."));
+        }
+        return mLoop.ask(() -> mFleet.get().onJoin(join.get()))
+                .thenApply(
+                        members ->
+                                PeerReply.newBuilder()
+                                        .setJoin(GossipCodec.encode(members))
+                                        .build());
+    }
+
+    private CompletableFuture<PeerReply> onIntent(VmIdentity sender, PeerRequest request) {
+        Optional<Operation> operation =
+                OnceCodec.operation(
+                        request.getRecordIntent().getCustomer(),
+                        request.getRecordIntent().getKey());
+        if (operation.isEmpty()) {
+            return done(intentReply(IntentStatus.INTENT_REFUSED));
+        }
+        return mOnce.get()
+                .onIntent(sender, operation.get())
+                .thenApply(reply -> intentReply(OnceCodec.encode(reply)));
+    }
+
+    private static PeerReply intentReply(IntentStatus status) {
+        return PeerReply.newBuilder()
+                .setRecordIntent(RecordIntentReply.newBuilder().setStatus(status))
+                .build();
+    }
+
+    private CompletableFuture<PeerReply> onOutcome(VmIdentity sender, RecordOutcome message) {
+        OnceCodec.decode(message).ifPresent(notice -> mOnce.get().onOutcome(sender, notice));
+        return done(
+                PeerReply.newBuilder()
+                        .setRecordOutcome(RecordOutcomeReply.getDefaultInstance())
+                        .build());
+    }
+
+    private CompletableFuture<PeerReply> onResolve(PeerRequest request) {
+        Optional<Operation> operation =
+                OnceCodec.operation(
+                        request.getResolveKey().getCustomer(), request.getResolveKey().getKey());
+        CompletableFuture<OperationAnswer> answer =
+                operation
+                        .map(found -> mOnce.get().onResolve(found))
+                        .orElseGet(
+                                () ->
+                                        CompletableFuture.completedFuture(
+                                                new OperationAnswer.Unknown(
+                                                        UnknownReason.NO_WORD)));
+        return answer.thenApply(
+                found -> PeerReply.newBuilder().setResolveKey(OnceCodec.encode(found)).build());
+    }
+
+    private CompletableFuture<PeerReply> onEvidence(EvidenceReport report) {
+        mLoop.execute(
+                () ->
+                        mServices
+                                .get()
+                                .onPeerReport(
+                                        EvidenceCodec.decode(report),
+                                        EvidenceCodec.inFlight(report)));
+        return done(
+                PeerReply.newBuilder()
+                        .setEvidenceReport(EvidenceReportReply.getDefaultInstance())
+                        .build());
+    }
+
+    private static CompletableFuture<PeerReply> done(PeerReply reply) {
+        return CompletableFuture.completedFuture(reply);
+    }
+}
