--- /dev/null
+++ b/decisions/src/main/java/org/dahliapass/decisions/configuration/StoreKey.java
@@ -0,0 +1,30 @@
+package org.dahliapass.decisions.configuration;
+
+import org.dahliapass.model.ServiceId;
+
+/**
+ * A key of the configuration store.
+ *
+ * @param kind what kind of value it holds
+ * @param path the key as the store is given it
+ */
+public record StoreKey(StoreKind kind, String path) {
+    /** The key of the {@link Head}. */
+    public static final StoreKey HEAD = new StoreKey(StoreKind.HEAD, "head");
+
+    /** Returns the key of a text. */
+    public static StoreKey text(String customer, String digest) {
+        return new StoreKey(StoreKind.TEXT, "text/" + customer + "/" + digest);
+    }
+
+    /** Returns the key of a customer's pointer. */
+    public static StoreKey pointer(String customer) {
+        return new StoreKey(StoreKind.POINTER, "template/" + customer);
+    }
+
+    /** Returns the key of the index of a service's customers. */
+    public static StoreKey customers(ServiceId service) {
+        return new StoreKey(
+                StoreKind.CUSTOMERS, "customers/" + service.provider() + "/" + service.name());
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/dahliapass/decisions/configuration/TemplateText.java
@@ -0,0 +1,34 @@
+package org.dahliapass.decisions.configuration;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.Optional;
+
+/**
+ * The INI text of a template; stored under its digest and never changed.
+ *
+ * @param text the text
+ */
+public record TemplateText(String text) implements MergeableItem {
+    /** 128 bits: no two texts of honest operators meet. */
+    private static final int DIGEST_CHARACTERS = 32;
+
+    /** Returns the first 128 bits of the text's SHA-256 in hexadecimal digits. */
+    public String digest() {
+        try {
+            byte[] hash =
+                    MessageDigest.getInstance("SHA-256")
+                            .digest(text.getBytes(StandardCharsets.UTF_8));
+            return HexFormat.of().formatHex(hash).substring(0, DIGEST_CHARACTERS);
+        } catch (NoSuchAlgorithmException failure) {
+            throw new IllegalStateException("Every Java runtime has SHA-256.", failure);
+        }
+    }
+
+    @Override
+    public TemplateText mergedInto(Optional<StoreItem> standing) {
+        return this;
+    }
+}
