--- a/entry/src/main/java/org/dahliapass/entry/EntryVm.java
+++ b/entry/src/main/java/org/dahliapass/entry/EntryVm.java
@@ -90,7 +90,6 @@
                         ConfigurationService.NAME,
                         new ConfigurationService(
                                 new HttpStoreClient(settings.store(), PLATFORM_TIMEOUT),
-                                random,
                                 mReadiness))
                 .register(ServiceTable.NAME, new ServiceTable(clock, random, settings))
                 .register(EvidenceExchange.NAME, new EvidenceExchange(settings.controlPeriod()))
