Keep how requests ended for six hours in bounded memory

Cause: the burn report needs windows up to six hours from VMs that keep nothing on disk.

Ruled out: windows kept ready by each VM: the page's plots need the course, and windows of several VMs can't be aligned afterwards. One width of span: 10 s over six hours is 2160 spans a kind.

Conclusion: each request is counted once at any age up to six hours.

--- /dev/null
+++ b/model/src/test/java/org/dahliapass/model/burn/BurnLedgerTest.java
@@ -0,0 +1,105 @@
+package org.dahliapass.model.burn;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import org.testng.annotations.Test;
+
+/** Tests {@link BurnLedger}. */
+public final class BurnLedgerTest {
+    private static final long START = 1_800_000_000_000L;
+    private static final long SECOND = 1_000;
+    private static final long MINUTE = 60 * SECOND;
+    private static final long HOUR = 60 * MINUTE;
+
+    private final BurnLedger mLedger = new BurnLedger(3);
+
+    @Test
+    public void recordCountsEachOutcomeApart() {
+        BurnLedger ledger = new BurnLedger(1);
+        int times = 0;
+        for (Outcome outcome : Outcome.values()) {
+            times++;
+            for (int time = 0; time < times; time++) {
+                ledger.record("himal", "desk", "lock", 0.99, outcome, START);
+            }
+        }
+
+        BurnBucket bucket = ledger.buckets(START).get(0);
+
+        assertEquals(
+                Arrays.stream(Outcome.values()).map(bucket::count).toList(),
+                List.of(1L, 2L, 3L, 4L, 5L, 6L));
+        assertEquals(bucket.bad(), 20);
+        assertEquals(bucket.widthMillis(), 10 * SECOND);
+    }
+
+    @Test
+    public void recordTakesTheTemplatesWordOnWhatIsBad() {
+        BurnLedger ledger = new BurnLedger(1);
+        ledger.record("himal", "desk", "lock", 0.99, Outcome.REFUSED, false, START);
+        ledger.record("himal", "desk", "lock", 0.99, Outcome.REFUSED, true, START);
+
+        BurnBucket bucket = ledger.buckets(START).get(0);
+
+        assertEquals(bucket.refused(), 2);
+        assertEquals(bucket.bad(), 1);
+    }
+
+    @Test
+    public void bucketsCountEachRequestOnceWhateverTheTime() {
+        RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(5);
+        for (int trial = 0; trial < 50; trial++) {
+            BurnLedger ledger = new BurnLedger(1);
+            long now = START + random.nextLong(HOUR);
+            for (int request = 0; request < 300; request++) {
+                now += random.nextLong(MINUTE);
+                ledger.record("himal", "desk", "lock", 0.99, Outcome.GOOD, now);
+            }
+            long end = now;
+            List<BurnBucket> buckets = ledger.buckets(end);
+
+            assertEquals(buckets.stream().mapToLong(BurnBucket::good).sum(), 300);
+            assertTrue(
+                    buckets.stream()
+                            .filter(bucket -> bucket.startMillis() >= end - 5 * MINUTE)
+                            .allMatch(bucket -> bucket.widthMillis() == 10 * SECOND));
+        }
+    }
+
+    @Test
+    public void bucketsForgetWhatIsOlderThanSixHours() {
+        BurnLedger ledger = new BurnLedger(1);
+        ledger.record("himal", "desk", "lock", 0.99, Outcome.CUT, START);
+
+        assertEquals(ledger.buckets(START + 6 * HOUR).size(), 1);
+        assertEquals(ledger.buckets(START + 6 * HOUR + 5 * MINUTE).size(), 0);
+    }
+
+    @Test
+    public void recordLeavesOutNewKindsWhileFullAndSaysSo() {
+        for (String customer : List.of("a", "b", "c", "d")) {
+            mLedger.record(customer, "desk", "lock", 0.99, Outcome.GOOD, START);
+        }
+        assertEquals(mLedger.uncounted(), 1);
+        assertEquals(mLedger.buckets(START).size(), 3);
+
+        mLedger.record("d", "desk", "lock", 0.99, Outcome.GOOD, START + 7 * HOUR);
+
+        assertEquals(mLedger.uncounted(), 1);
+        assertEquals(mLedger.buckets(START + 7 * HOUR, "d"::equals).size(), 1);
+    }
+
+    @Test
+    public void recordThatComesOutOfOrderIsCountedOrLeftOutButHarmsNothing() {
+        BurnLedger ledger = new BurnLedger(1);
+        ledger.record("himal", "desk", "lock", 0.99, Outcome.GOOD, START);
+        ledger.record("himal", "desk", "lock", 0.99, Outcome.GOOD, START - 10 * MINUTE);
+
+        assertEquals(ledger.buckets(START).stream().mapToLong(BurnBucket::good).sum(), 2);
+    }
+}
