--- a/entry/src/main/java/org/dahliapass/entry/AnswerObserver.java
+++ b/entry/src/main/java/org/dahliapass/entry/AnswerObserver.java
@@ -6,6 +6,7 @@
 import com.linecorp.armeria.common.ResponseHeadersBuilder;
 import java.time.Clock;
 import java.util.Locale;
+import org.dahliapass.kernel.Futures;
 import org.dahliapass.model.RequestKind;
 import org.dahliapass.model.burn.BurnLedger;
 import org.dahliapass.model.burn.Outcome;
@@ -30,10 +31,9 @@
     HttpResponse passOn(CallerRequest request, TryResult.Answered answered) {
         boolean late = isLate(request);
         boolean error = answered.headers().status().code() >= SERVER_ERROR;
-        answered.body()
-                .whenComplete()
-                .whenComplete(
-                        (ignored, failure) -> account(request, outcome(failure, error, late)));
+        Futures.whenDone(
+                answered.body().whenComplete(),
+                (ignored, failure) -> account(request, outcome(failure, error, late)));
         return HttpResponse.of(headers(request, answered.headers()), answered.body());
     }
 
--- a/entry/src/main/java/org/dahliapass/entry/AskHandler.java
+++ b/entry/src/main/java/org/dahliapass/entry/AskHandler.java
@@ -44,9 +44,7 @@
         mConfiguration = configuration;
         mTokens = tokens;
         mReadiness = readiness;
-        mPolicy =
-                new AskPolicy(
-                        MOST_ADDRESSES, settings.askTimeToLive(), new SplittableRandom());
+        mPolicy = new AskPolicy(MOST_ADDRESSES, settings.askTimeToLive(), new SplittableRandom());
     }
 
     @Override
@@ -68,8 +66,7 @@
             return Refusal.of(RefusalCode.NO_SUCH_SERVICE, "No such customer or service.", 0)
                     .toResponse(mIds.next());
         }
-        List<MemberUpdate> cell =
-                mFleet.membersOf(template.get().id(), template.get().cellSize());
+        List<MemberUpdate> cell = mFleet.membersOf(template.get().id(), template.get().cellSize());
         AskAnswer answer;
         synchronized (mPolicy) {
             answer = mPolicy.answer(cell, Optional.ofNullable(context.queryParam("zone")));
@@ -79,8 +76,7 @@
                     .toResponse(mIds.next());
         }
         return HttpResponse.of(
-                HttpStatus.OK, MediaType.JSON, written(customer, service, answer, cell) + "
-");
+                HttpStatus.OK, MediaType.JSON, written(customer, service, answer, cell) + "\n");
     }
 
     private String written(
--- a/entry/src/main/java/org/dahliapass/entry/CallerServer.java
+++ b/entry/src/main/java/org/dahliapass/entry/CallerServer.java
@@ -49,8 +49,7 @@
         Tokens tokens = new Tokens(mClock, fleet);
         ConfigurationService configuration =
                 kernel.find(ConfigurationService.NAME, ConfigurationService.class);
-        AskHandler asks =
-                new AskHandler(mSettings, ids, fleet, configuration, tokens, mReadiness);
+        AskHandler asks = new AskHandler(mSettings, ids, fleet, configuration, tokens, mReadiness);
         return Server.builder()
                 .port(
                         new InetSocketAddress(mSettings.address(), mSettings.callersPort()),
@@ -65,9 +64,7 @@
                                 .quietPeriod(QUIET_PERIOD)
                                 .timeout(DRAIN_LIMIT)
                                 .build())
-                .decorator(
-                        (delegate, context, request) ->
-                                signed(delegate.serve(context, request)))
+                .decorator((delegate, context, request) -> signed(delegate.serve(context, request)))
                 .build();
     }
 
--- a/entry/src/main/java/org/dahliapass/entry/ConfigurationService.java
+++ b/entry/src/main/java/org/dahliapass/entry/ConfigurationService.java
@@ -11,6 +11,7 @@
 import org.dahliapass.decisions.configuration.Head;
 import org.dahliapass.decisions.configuration.StoreKey;
 import org.dahliapass.kernel.ControlLoop;
+import org.dahliapass.kernel.Futures;
 import org.dahliapass.kernel.Kernel;
 import org.dahliapass.kernel.KernelService;
 import org.dahliapass.kernel.PartLog;
@@ -79,17 +80,17 @@
         if (mStopped) {
             return;
         }
-        mStore.watch(StoreKey.HEAD.path(), index, WAIT)
-                .whenComplete(
-                        (watched, failure) -> {
-                            if (failure != null) {
-                                LOG.info("The store gave no word: " + failure.getMessage());
-                                mLoop.after(RETRY, () -> watch(0));
-                                return;
-                            }
-                            onHead(watched);
-                            watch(watched.index());
-                        });
+        Futures.whenDone(
+                mStore.watch(StoreKey.HEAD.path(), index, WAIT),
+                (watched, failure) -> {
+                    if (failure != null) {
+                        LOG.info("The store gave no word: " + failure.getMessage());
+                        mLoop.after(RETRY, () -> watch(0));
+                        return;
+                    }
+                    onHead(watched);
+                    watch(watched.index());
+                });
     }
 
     private void onHead(WatchedValue watched) {
@@ -118,8 +119,7 @@
                         value ->
                                 value.ifPresent(
                                         found ->
-                                                mLoop.execute(
-                                                        () -> apply(record, found.value()))));
+                                                mLoop.execute(() -> apply(record, found.value()))));
     }
 
     private void apply(ChangeRecord record, String text) {
--- a/entry/src/main/java/org/dahliapass/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/dahliapass/entry/EntryMetrics.java
@@ -79,7 +79,7 @@
 
     /** Sets the number of the newest configuration change. */
     public void onConfiguration(long number) {
-        mRevision.set(number);
+        mRevision.set((double) number);
     }
 
     /** Sets the number of VMs in a state. */
@@ -91,7 +91,7 @@
     public byte[] scrape() {
         ByteArrayOutputStream output = new ByteArrayOutputStream();
         try {
-            new PrometheusTextFormatWriter(true).write(output, mRegistry.scrape());
+            PrometheusTextFormatWriter.create().write(output, mRegistry.scrape());
         } catch (IOException failure) {
             throw new UncheckedIOException(failure);
         }
--- a/entry/src/main/java/org/dahliapass/entry/EntryVm.java
+++ b/entry/src/main/java/org/dahliapass/entry/EntryVm.java
@@ -47,8 +47,7 @@
     }
 
     /** Puts a VM together whose links to other VMs can be cut; for failure tests. */
-    public EntryVm(
-            VmSettings settings, Clock clock, LinkFilter filter, Runnable stopRequested) {
+    public EntryVm(VmSettings settings, Clock clock, LinkFilter filter, Runnable stopRequested) {
         RandomGenerator random = new SplittableRandom();
         mSettings = settings;
         mIdentity = new VmIdentity(settings.name(), newIncarnation(clock, random));
--- a/entry/src/main/java/org/dahliapass/entry/EvidenceExchange.java
+++ b/entry/src/main/java/org/dahliapass/entry/EvidenceExchange.java
@@ -54,7 +54,7 @@
         mToldIdle.put(template.id(), idle);
         for (Vm vm : mFleet.cellOf(template)) {
             if (!vm.identity().equals(mFleet.view().self().identity())) {
-                mLink.report(vm, report, inFlight);
+                CompletableFuture<Void> unused = mLink.report(vm, report, inFlight);
             }
         }
     }
--- a/entry/src/main/java/org/dahliapass/entry/ExchangeFactory.java
+++ b/entry/src/main/java/org/dahliapass/entry/ExchangeFactory.java
@@ -51,8 +51,7 @@
             return serveGuarded(request);
         }
         ServiceRuntime runtime = runtime(request);
-        return new IdempotentExchange(request, runtime, mClients, mLoop, mClock, mObserver)
-                .start();
+        return new IdempotentExchange(request, runtime, mClients, mLoop, mClock, mObserver).start();
     }
 
     private ServiceRuntime runtime(CallerRequest request) {
@@ -80,8 +79,8 @@
                             .thenCompose(
                                     forwarded ->
                                             forwarded.isPresent()
-                                                    ? CompletableFuture
-                                                            .completedFuture(forwarded.get())
+                                                    ? CompletableFuture.completedFuture(
+                                                            forwarded.get())
                                                     : askWitness(request, operation)));
         }
         return new GuardedExchange(
@@ -96,15 +95,11 @@
                 .start(beginning);
     }
 
-    private CompletableFuture<HttpResponse> askWitness(
-            CallerRequest request, Operation operation) {
+    private CompletableFuture<HttpResponse> askWitness(CallerRequest request, Operation operation) {
         return mOnce.resolveAfterHome(operation)
                 .thenApply(
                         answer ->
-                                answer
-                                                instanceof
-                                                OperationAnswer.Result
-                                                        result
+                                answer instanceof OperationAnswer.Result result
                                         ? replay(request, result)
                                         : mObserver.refuse(
                                                 request,
@@ -112,9 +107,7 @@
                                                         answer, mTokens.forSelf())));
     }
 
-    private HttpResponse replay(
-            CallerRequest request,
-            OperationAnswer.Result result) {
+    private HttpResponse replay(CallerRequest request, OperationAnswer.Result result) {
         mObserver.onReplayed(request);
         return GuardedExchange.replayed(request.id(), result.result());
     }
--- a/entry/src/main/java/org/dahliapass/entry/FleetService.java
+++ b/entry/src/main/java/org/dahliapass/entry/FleetService.java
@@ -18,6 +18,7 @@
 import org.dahliapass.decisions.membership.Membership;
 import org.dahliapass.decisions.membership.MembershipAction;
 import org.dahliapass.kernel.ControlLoop;
+import org.dahliapass.kernel.Futures;
 import org.dahliapass.kernel.Kernel;
 import org.dahliapass.kernel.KernelService;
 import org.dahliapass.kernel.PartLog;
@@ -85,7 +86,9 @@
 
     /** Returns the cell of a service in order of rank. */
     List<Vm> cellOf(ServiceTemplate template) {
-        return membersOf(template.id(), template.cellSize()).stream().map(MemberUpdate::vm).toList();
+        return membersOf(template.id(), template.cellSize()).stream()
+                .map(MemberUpdate::vm)
+                .toList();
     }
 
     /** Returns the cell of a service with the members' states. */
@@ -185,13 +188,14 @@
     }
 
     private void exchange(MembershipAction.ExchangeMembers exchange) {
-        mLink.exchange(exchange.peer(), exchange.recipientIncarnation(), exchange.request())
-                .whenComplete(
-                        (members, failure) -> {
-                            if (failure == null) {
-                                mLoop.execute(() -> onExchanged(members));
-                            }
-                        });
+        Futures.whenDone(
+                mLink.exchange(
+                        exchange.peer(), exchange.recipientIncarnation(), exchange.request()),
+                (members, failure) -> {
+                    if (failure == null) {
+                        mLoop.execute(() -> onExchanged(members));
+                    }
+                });
     }
 
     private void onExchanged(List<MemberUpdate> members) {
@@ -199,8 +203,7 @@
     }
 
     private static void log(MembershipAction.MemberChanged change) {
-        String before =
-                change.before().map(update -> update.state().name()).orElse("unknown");
+        String before = change.before().map(update -> update.state().name()).orElse("unknown");
         LOG.info(
                 change.after().identity()
                         + " is "
@@ -237,16 +240,16 @@
         if (mStopped) {
             return;
         }
-        mVmList.watch(index, LIST_WAIT)
-                .whenComplete(
-                        (list, failure) -> {
-                            if (failure != null) {
-                                mLoop.after(LIST_RETRY, () -> followVmList(0));
-                                return;
-                            }
-                            mLoop.execute(() -> onVmList(list.vms()));
-                            followVmList(list.index());
-                        });
+        Futures.whenDone(
+                mVmList.watch(index, LIST_WAIT),
+                (list, failure) -> {
+                    if (failure != null) {
+                        mLoop.after(LIST_RETRY, () -> followVmList(0));
+                        return;
+                    }
+                    mLoop.execute(() -> onVmList(list.vms()));
+                    followVmList(list.index());
+                });
     }
 
     private void onVmList(List<ListedVm> listed) {
--- a/entry/src/main/java/org/dahliapass/entry/FleetSettings.java
+++ b/entry/src/main/java/org/dahliapass/entry/FleetSettings.java
@@ -28,8 +28,7 @@
                         standard.datagramBytes()));
     }
 
-    private static Duration scaled(
-            Duration value, Duration period, MembershipSettings standard) {
+    private static Duration scaled(Duration value, Duration period, MembershipSettings standard) {
         double factor = (double) period.toMillis() / standard.period().toMillis();
         return Duration.ofMillis(Math.max(1, Math.round(value.toMillis() * factor)));
     }
--- a/entry/src/main/java/org/dahliapass/entry/GuardedExchange.java
+++ b/entry/src/main/java/org/dahliapass/entry/GuardedExchange.java
@@ -14,6 +14,7 @@
 import org.dahliapass.decisions.once.Operation;
 import org.dahliapass.decisions.once.OperationAnswer;
 import org.dahliapass.decisions.once.RecordedResult;
+import org.dahliapass.kernel.Futures;
 import org.dahliapass.model.Endpoint;
 
 /**
@@ -62,7 +63,7 @@
             return answer(answered.answer());
         }
         Beginning.AskWitness ask = (Beginning.AskWitness) beginning;
-        mOnce.askWitness(ask.witness(), mOperation).whenComplete(this::onAction);
+        Futures.whenDone(mOnce.askWitness(ask.witness(), mOperation), this::onAction);
         return HttpResponse.of(mAnswer);
     }
 
@@ -80,31 +81,31 @@
 
     private void dispatch(int attempt) {
         TargetTry next = new TargetTry(mRequest, mRuntime, mClients, mClock);
-        next.start(mRuntime.acquire(mRequest, mTried))
-                .whenComplete((result, failure) -> onTry(attempt, result, failure));
+        Futures.whenDone(
+                next.start(mRuntime.acquire(mRequest, mTried)),
+                (result, failure) -> onTry(attempt, result));
     }
 
-    private void onTry(int attempt, TryResult result, Throwable failure) {
+    private void onTry(int attempt, TryResult result) {
         if (result instanceof TryResult.Answered answered) {
             mAnswer.complete(passOn(attempt, answered));
         } else if (result instanceof TryResult.Refused) {
-            mOnce.targetRefused(mOperation, attempt, false).whenComplete(this::onAction);
+            Futures.whenDone(mOnce.targetRefused(mOperation, attempt, false), this::onAction);
         } else if (result instanceof TryResult.Failed failed && !failed.kind().mayHaveRun()) {
             mTried.add(failed.target());
-            mOnce.targetRefused(mOperation, attempt, true).whenComplete(this::onAction);
+            Futures.whenDone(mOnce.targetRefused(mOperation, attempt, true), this::onAction);
         } else {
-            mOnce.lostTouch(mOperation, attempt).whenComplete(this::onAction);
+            Futures.whenDone(mOnce.lostTouch(mOperation, attempt), this::onAction);
         }
     }
 
     private HttpResponse passOn(int attempt, TryResult.Answered answered) {
         ResultRecorder recorder = new ResultRecorder(answered.headers());
         StreamMessage<HttpData> body = answered.body().peek(recorder::add);
-        body.whenComplete()
-                .whenComplete(
-                        (ignored, failure) ->
-                                mOnce.finished(
-                                        mOperation, attempt, recorder.result(failure == null)));
+        Futures.whenDone(
+                body.whenComplete(),
+                (ignored, failure) ->
+                        mOnce.finished(mOperation, attempt, recorder.result(failure == null)));
         return mObserver.passOn(
                 mRequest, new TryResult.Answered(answered.target(), answered.headers(), body));
     }
@@ -150,8 +151,7 @@
                     RETRY_AFTER_MILLIS);
         }
         if (answer instanceof OperationAnswer.Mismatch) {
-            return Refusal.of(
-                    RefusalCode.KEY_MISMATCH, "The key belongs to another request.", 0);
+            return Refusal.of(RefusalCode.KEY_MISMATCH, "The key belongs to another request.", 0);
         }
         OperationAnswer.Unknown unknown = (OperationAnswer.Unknown) answer;
         return Refusal.of(
--- a/entry/src/main/java/org/dahliapass/entry/HealthPoller.java
+++ b/entry/src/main/java/org/dahliapass/entry/HealthPoller.java
@@ -57,16 +57,18 @@
     private void read(ServiceTemplate template, Endpoint target) {
         CompletableFuture<Optional<JsonNode>> health = get(target, template.healthPath());
         CompletableFuture<Optional<JsonNode>> load = get(target, template.loadPath());
-        health.thenAcceptBoth(
-                load,
-                (healthNode, loadNode) ->
-                        mLoop.execute(
-                                () ->
-                                        mServices.onReports(
-                                                template.id(),
-                                                target,
-                                                healthNode.map(HealthPoller::report),
-                                                loadNode.map(HealthPoller::load).orElse(0.0))));
+        CompletableFuture<Void> unused =
+                health.thenAcceptBoth(
+                        load,
+                        (healthNode, loadNode) ->
+                                mLoop.execute(
+                                        () ->
+                                                mServices.onReports(
+                                                        template.id(),
+                                                        target,
+                                                        healthNode.map(HealthPoller::report),
+                                                        loadNode.map(HealthPoller::load)
+                                                                .orElse(0.0))));
     }
 
     private CompletableFuture<Optional<JsonNode>> get(Endpoint target, String path) {
--- a/entry/src/main/java/org/dahliapass/entry/IdempotentExchange.java
+++ b/entry/src/main/java/org/dahliapass/entry/IdempotentExchange.java
@@ -11,6 +11,7 @@
 import org.dahliapass.decisions.traffic.FailedTry;
 import org.dahliapass.decisions.traffic.FailureKind;
 import org.dahliapass.kernel.ControlLoop;
+import org.dahliapass.kernel.Futures;
 import org.dahliapass.model.Endpoint;
 
 /**
@@ -57,7 +58,7 @@
             mLoop.after(mRequest.kind().hedgeAfter(), this::hedge);
         }
         HttpResponse response = HttpResponse.of(mAnswer);
-        response.whenComplete().whenComplete((ignored, failure) -> onCallerDone(failure));
+        Futures.whenDone(response.whenComplete(), (ignored, failure) -> onCallerDone(failure));
         return response;
     }
 
@@ -66,7 +67,7 @@
         mTries++;
         mOpen++;
         mRunning.add(next);
-        next.start(slot).whenComplete((result, failure) -> onResult(next, result, failure));
+        Futures.whenDone(next.start(slot), (result, failure) -> onResult(next, result, failure));
     }
 
     private synchronized void hedge() {
--- a/entry/src/main/java/org/dahliapass/entry/OnceCodec.java
+++ b/entry/src/main/java/org/dahliapass/entry/OnceCodec.java
@@ -95,9 +95,7 @@
             return reply.setAnswer(KeyAnswer.KEY_IN_PROGRESS).build();
         }
         if (answer instanceof OperationAnswer.NotRun notRun) {
-            return reply.setAnswer(KeyAnswer.KEY_NOT_RUN)
-                    .setReason(notRun.reason().name())
-                    .build();
+            return reply.setAnswer(KeyAnswer.KEY_NOT_RUN).setReason(notRun.reason().name()).build();
         }
         if (answer instanceof OperationAnswer.Mismatch) {
             return reply.setAnswer(KeyAnswer.KEY_MISMATCH).build();
@@ -129,11 +127,9 @@
     private static RecordedAnswer encode(RecordedResult result) {
         RecordedAnswer.Builder answer = RecordedAnswer.newBuilder().setStatus(result.status());
         for (RecordedHeader header : result.headers()) {
-            answer.addHeaders(
-                    Header.newBuilder().setName(header.name()).setValue(header.value()));
+            answer.addHeaders(Header.newBuilder().setName(header.name()).setValue(header.value()));
         }
-        result.body()
-                .ifPresent(body -> answer.setBody(ByteString.copyFrom(body.toByteArray())));
+        result.body().ifPresent(body -> answer.setBody(ByteString.copyFrom(body.toByteArray())));
         return answer.build();
     }
 
--- a/entry/src/main/java/org/dahliapass/entry/OnceService.java
+++ b/entry/src/main/java/org/dahliapass/entry/OnceService.java
@@ -18,6 +18,7 @@
 import org.dahliapass.decisions.once.TableLimits;
 import org.dahliapass.decisions.once.WitnessRegister;
 import org.dahliapass.kernel.ControlLoop;
+import org.dahliapass.kernel.Futures;
 import org.dahliapass.kernel.Kernel;
 import org.dahliapass.kernel.KernelService;
 import org.dahliapass.kernel.PartLog;
@@ -56,46 +57,48 @@
 
     /** Begins with a guarded request that has arrived. */
     CompletableFuture<Beginning> begin(Operation operation, String digest, long deadlineMillis) {
-        return mLoop.ask(
-                () -> mLedger.begin(operation, digest, deadlineMillis, mClock.millis()));
+        return mLoop.ask(() -> mLedger.begin(operation, digest, deadlineMillis, mClock.millis()));
     }
 
     /** Asks the witness for its acknowledgement and returns what the home does on its reply. */
     CompletableFuture<HomeAction> askWitness(VmIdentity witness, Operation operation) {
         return mPeers.recordIntent(witness, operation)
-                .handle((reply, failure) -> onWitness(operation, reply, failure))
-                .thenCompose(action -> action);
+                .<Optional<IntentReply>>thenApply(Optional::of)
+                .exceptionally(failure -> noWord(operation, failure))
+                .thenCompose(reply -> onWitness(operation, reply));
+    }
+
+    private static Optional<IntentReply> noWord(Operation operation, Throwable failure) {
+        LOG.info("No word from the witness of " + operation.key() + ": " + failure.getMessage());
+        return Optional.empty();
     }
 
     private CompletableFuture<HomeAction> onWitness(
-            Operation operation, IntentReply reply, Throwable failure) {
-        if (failure != null) {
-            LOG.info("No word from the witness of " + operation.key() + ": " + failure.getMessage());
-            return act(operation, () -> mLedger.witnessTimedOut(operation, mClock.millis()));
+            Operation operation, Optional<IntentReply> reply) {
+        if (reply.isEmpty()) {
+            return act(() -> mLedger.witnessTimedOut(operation, mClock.millis()));
         }
-        return act(operation, () -> mLedger.witnessReplied(operation, reply, mClock.millis()));
+        return act(() -> mLedger.witnessReplied(operation, reply.get(), mClock.millis()));
     }
 
     /** Takes the proof that an attempt ran nothing. */
     CompletableFuture<HomeAction> targetRefused(
             Operation operation, int attempt, boolean anotherTarget) {
-        return act(
-                operation,
-                () -> mLedger.targetRefused(operation, attempt, anotherTarget, mClock.millis()));
+        return act(() -> mLedger.targetRefused(operation, attempt, anotherTarget, mClock.millis()));
     }
 
     /** Takes that an attempt may have run and its answer is lost. */
     CompletableFuture<HomeAction> lostTouch(Operation operation, int attempt) {
-        return act(operation, () -> mLedger.lostTouch(operation, attempt, mClock.millis()));
+        return act(() -> mLedger.lostTouch(operation, attempt, mClock.millis()));
     }
 
     /** Takes the end of an attempt that ran. */
     CompletableFuture<HomeAction> finished(
             Operation operation, int attempt, RecordedResult result) {
-        return act(operation, () -> mLedger.finished(operation, attempt, result, mClock.millis()));
+        return act(() -> mLedger.finished(operation, attempt, result, mClock.millis()));
     }
 
-    private CompletableFuture<HomeAction> act(Operation operation, Supplier<HomeAction> decision) {
+    private CompletableFuture<HomeAction> act(Supplier<HomeAction> decision) {
         return mLoop.ask(decision)
                 .thenApply(
                         action -> {
@@ -109,13 +112,13 @@
     /** A notice that is lost leaves the witness with "unknown", which is true but less helpful. */
     private void tell(OutcomeNotice notice, int triesLeft) {
         VmIdentity witness = notice.operation().key().witness();
-        mPeers.recordOutcome(witness, notice)
-                .whenComplete(
-                        (ignored, failure) -> {
-                            if (failure != null && triesLeft > 1) {
-                                tell(notice, triesLeft - 1);
-                            }
-                        });
+        Futures.whenDone(
+                mPeers.recordOutcome(witness, notice),
+                (ignored, failure) -> {
+                    if (failure != null && triesLeft > 1) {
+                        tell(notice, triesLeft - 1);
+                    }
+                });
     }
 
     /** Finds the answer for a key whose home is another life than this one. */
@@ -145,8 +148,9 @@
         }
         if (step instanceof ResolverStep.ForwardToHome forward) {
             return mPeers.resolve(forward.home(), operation)
-                    .handle((word, failure) -> onHome(operation, word, failure))
-                    .thenCompose(next -> next)
+                    .<Optional<PeerClient.Word>>thenApply(Optional::of)
+                    .exceptionally(failure -> Optional.empty())
+                    .thenCompose(word -> onHome(operation, word))
                     .thenCompose(next -> follow(operation, next));
         }
         ResolverStep.AskWitness ask = (ResolverStep.AskWitness) step;
@@ -156,13 +160,17 @@
     }
 
     private CompletableFuture<ResolverStep> onHome(
-            Operation operation, PeerClient.Word word, Throwable failure) {
+            Operation operation, Optional<PeerClient.Word> word) {
         return mLoop.ask(
                 () ->
-                        failure != null
-                                ? mResolver.homeSilent(operation, mClock.millis())
-                                : mResolver.homeAnswered(
-                                        operation, word.from(), word.answer(), mClock.millis()));
+                        word.map(
+                                        found ->
+                                                mResolver.homeAnswered(
+                                                        operation,
+                                                        found.from(),
+                                                        found.answer(),
+                                                        mClock.millis()))
+                                .orElseGet(() -> mResolver.homeSilent(operation, mClock.millis())));
     }
 
     private ResolverStep onWitnessWord(
--- a/entry/src/main/java/org/dahliapass/entry/OperatorServer.java
+++ b/entry/src/main/java/org/dahliapass/entry/OperatorServer.java
@@ -49,11 +49,9 @@
                 .service("/metrics", (context, request) -> metrics())
                 .service("/operations/status", (context, request) -> json(mAnswers.status()))
                 .service(
-                        "/operations/members",
-                        (context, request) -> json(done(mAnswers.members())))
+                        "/operations/members", (context, request) -> json(done(mAnswers.members())))
                 .service(
-                        "/operations/templates/{customer}",
-                        (context, request) -> template(context))
+                        "/operations/templates/{customer}", (context, request) -> template(context))
                 .service("/operations/targets", (context, request) -> json(mAnswers.targets()))
                 .service(
                         "/operations/explanations",
@@ -73,7 +71,9 @@
         HttpStatus status =
                 mReadiness.state().serves() ? HttpStatus.OK : HttpStatus.SERVICE_UNAVAILABLE;
         return HttpResponse.of(
-                status, MediaType.PLAIN_TEXT_UTF_8, mReadiness.state().name().toLowerCase(Locale.ROOT) + "\n");
+                status,
+                MediaType.PLAIN_TEXT_UTF_8,
+                mReadiness.state().name().toLowerCase(Locale.ROOT) + "\n");
     }
 
     private HttpResponse metrics() {
--- a/entry/src/main/java/org/dahliapass/entry/Readiness.java
+++ b/entry/src/main/java/org/dahliapass/entry/Readiness.java
@@ -55,7 +55,6 @@
         if (state.serves()) {
             return Optional.empty();
         }
-        return Optional.of(
-                Refusal.of(RefusalCode.NOT_SERVING, state.mMessage, RETRY_AFTER_MILLIS));
+        return Optional.of(Refusal.of(RefusalCode.NOT_SERVING, state.mMessage, RETRY_AFTER_MILLIS));
     }
 }
--- a/entry/src/main/java/org/dahliapass/entry/RefusalCode.java
+++ b/entry/src/main/java/org/dahliapass/entry/RefusalCode.java
@@ -56,19 +56,19 @@
         }
     }
 
-    private final HttpStatus mStatus;
+    private final int mStatus;
     private final Outcome mOutcome;
     private final boolean mRetryAfter;
 
     RefusalCode(HttpStatus status, Outcome outcome, boolean retryAfter) {
-        mStatus = status;
+        mStatus = status.code();
         mOutcome = outcome;
         mRetryAfter = retryAfter;
     }
 
     /** Returns the HTTP status. */
     public HttpStatus status() {
-        return mStatus;
+        return HttpStatus.valueOf(mStatus);
     }
 
     /** Returns what the caller may conclude. */
--- a/entry/src/main/java/org/dahliapass/entry/ServiceRuntime.java
+++ b/entry/src/main/java/org/dahliapass/entry/ServiceRuntime.java
@@ -17,7 +17,6 @@
 import org.dahliapass.decisions.traffic.Dispatched;
 import org.dahliapass.decisions.traffic.Expired;
 import org.dahliapass.decisions.traffic.FailedTry;
-import org.dahliapass.decisions.traffic.FailureKind;
 import org.dahliapass.decisions.traffic.HedgePolicy;
 import org.dahliapass.decisions.traffic.QueueEntry;
 import org.dahliapass.decisions.traffic.QueueLimits;
@@ -30,6 +29,7 @@
 import org.dahliapass.decisions.traffic.SlotTable;
 import org.dahliapass.decisions.traffic.TargetInFlight;
 import org.dahliapass.decisions.traffic.WeightedTarget;
+import org.dahliapass.kernel.Futures;
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.model.RequestKind;
 import org.dahliapass.model.ServiceId;
@@ -105,7 +105,8 @@
                         request.deadlineMillis(),
                         excluded);
         offer(entry, request.kind());
-        future.whenComplete(
+        Futures.whenDone(
+                future,
                 (slot, failure) -> {
                     if (future.isCancelled()) {
                         withdraw(entry);
@@ -198,7 +199,11 @@
             step =
                     slot.extra()
                             ? mQueue.onExtraTryEnded(
-                                    slot.entry(), slot.target(), slot.startedMillis(), answered, now)
+                                    slot.entry(),
+                                    slot.target(),
+                                    slot.startedMillis(),
+                                    answered,
+                                    now)
                             : mQueue.onTryEnded(
                                     slot.entry(),
                                     slot.target(),
@@ -207,8 +212,7 @@
                                     now);
         }
         mMetrics.onTry(mId.name(), outcome.name().toLowerCase(Locale.ROOT));
-        mEvidence.onOutcome(
-                mId, slot.target(), slot.entry().kind().name(), outcome, latencyMillis);
+        mEvidence.onOutcome(mId, slot.target(), slot.entry().kind().name(), outcome, latencyMillis);
         carryOut(step, now);
     }
 
@@ -267,10 +271,7 @@
 
     private void carryOut(QueueStep<SlotWaiter> step, long now) {
         for (Expired<SlotWaiter> expired : step.expired()) {
-            expired.entry()
-                    .request()
-                    .slot()
-                    .completeExceptionally(refused(expired.refusal()));
+            expired.entry().request().slot().completeExceptionally(refused(expired.refusal()));
         }
         for (Dispatched<SlotWaiter> dispatched : step.dispatched()) {
             give(dispatched.entry(), dispatched.target(), now);
--- a/entry/src/main/java/org/dahliapass/entry/ServiceTable.java
+++ b/entry/src/main/java/org/dahliapass/entry/ServiceTable.java
@@ -95,8 +95,7 @@
     }
 
     /** Takes a target's health and load report, or that it gave none; control thread only. */
-    void onReports(
-            ServiceId service, Endpoint target, Optional<HealthReport> report, double load) {
+    void onReports(ServiceId service, Endpoint target, Optional<HealthReport> report, double load) {
         long now = mClock.millis();
         withHealth(
                 service,
@@ -112,8 +111,7 @@
 
     /** Takes what a peer of the cell saw; control thread only. */
     void onPeerReport(EvidenceReport report, List<TargetInFlight> inFlight) {
-        withHealth(
-                report.service(), health -> health.onPeerEvidence(report, mClock.millis()));
+        withHealth(report.service(), health -> health.onPeerEvidence(report, mClock.millis()));
         find(report.service())
                 .ifPresent(
                         runtime ->
@@ -147,9 +145,8 @@
         Map<ServiceId, ServiceRuntime> runtimes = new HashMap<>();
         VmIdentity self = mFleet.view().self().identity();
         for (ServiceTemplate template : mConfiguration.table().provided()) {
-            List<VmIdentity> cell =
-                    mFleet.cellOf(template).stream().map(Vm::identity).toList();
-            if (cell.contains(self) || mRuntimes.containsKey(template.id()) && isLeaving()) {
+            List<VmIdentity> cell = mFleet.cellOf(template).stream().map(Vm::identity).toList();
+            if (cell.contains(self) || (mRuntimes.containsKey(template.id()) && isLeaving())) {
                 runtimes.put(template.id(), keep(template, self, cell));
             }
         }
@@ -164,8 +161,7 @@
         return mFleet.isLeaving();
     }
 
-    private ServiceRuntime keep(
-            ServiceTemplate template, VmIdentity self, List<VmIdentity> cell) {
+    private ServiceRuntime keep(ServiceTemplate template, VmIdentity self, List<VmIdentity> cell) {
         ServiceTemplate before = mTemplates.put(template.id(), template);
         ServiceRuntime runtime = mRuntimes.get(template.id());
         if (runtime == null || !runtime.fits(template)) {
@@ -182,8 +178,7 @@
     }
 
     private TargetHealth newHealth(ServiceTemplate template, VmIdentity self) {
-        return new TargetHealth(
-                self, mSettings.availabilityZone(), template, mClock.millis());
+        return new TargetHealth(self, mSettings.availabilityZone(), template, mClock.millis());
     }
 
     /** Decides anew and publishes; called every control period on the control thread. */
@@ -215,8 +210,7 @@
         runtime.onTargets(targets);
     }
 
-    private void withHealth(
-            ServiceId service, Consumer<TargetHealth> event) {
+    private void withHealth(ServiceId service, Consumer<TargetHealth> event) {
         TargetHealth health = mHealth.get(service);
         if (health != null) {
             event.accept(health);
--- a/entry/src/main/java/org/dahliapass/entry/TargetClients.java
+++ b/entry/src/main/java/org/dahliapass/entry/TargetClients.java
@@ -2,8 +2,8 @@
 
 import com.linecorp.armeria.client.ClientFactory;
 import com.linecorp.armeria.client.ClientRequestContext;
-import com.linecorp.armeria.client.Clients;
 import com.linecorp.armeria.client.ClientRequestContextCaptor;
+import com.linecorp.armeria.client.Clients;
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
--- a/entry/src/main/java/org/dahliapass/entry/TargetTry.java
+++ b/entry/src/main/java/org/dahliapass/entry/TargetTry.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.dahliapass.decisions.health.Outcome;
 import org.dahliapass.decisions.traffic.FailureKind;
+import org.dahliapass.kernel.Futures;
 import org.dahliapass.model.Endpoint;
 
 /**
@@ -59,8 +60,7 @@
     private volatile long mSentMillis;
     private volatile long mHeadMillis;
 
-    TargetTry(
-            CallerRequest request, ServiceRuntime runtime, TargetClients clients, Clock clock) {
+    TargetTry(CallerRequest request, ServiceRuntime runtime, TargetClients clients, Clock clock) {
         mRequest = request;
         mRuntime = runtime;
         mClients = clients;
@@ -70,7 +70,7 @@
     /** Starts the try; the future completes when the answer's head is there or the try failed. */
     CompletableFuture<TryResult> start(CompletableFuture<Slot> slot) {
         mSlot = slot;
-        slot.whenComplete(this::onSlot);
+        Futures.whenDone(slot, this::onSlot);
         return mResult;
     }
 
@@ -110,15 +110,15 @@
         HttpRequest message = HttpRequest.of(headersFor(remaining), mRequest.message().content());
         mSent = mClients.send(slot.target(), message, Duration.ofMillis(remaining));
         SplitHttpResponse split = mSent.response().split();
-        split.headers()
-                .whenComplete(
-                        (headers, failure) -> {
-                            if (failure != null) {
-                                fail(slot, classify(failure), failure);
-                                return;
-                            }
-                            onHeaders(slot, headers, split);
-                        });
+        Futures.whenDone(
+                split.headers(),
+                (headers, failure) -> {
+                    if (failure != null) {
+                        fail(slot, classify(failure), failure);
+                        return;
+                    }
+                    onHeaders(slot, headers, split);
+                });
         if (mCancelled) {
             mSent.response().abort();
         }
@@ -128,7 +128,10 @@
         mHeadMillis = mClock.millis();
         mRuntime.onHead(mRequest.kind(), mHeadMillis - mSentMillis);
         if (isRefusedByTarget(headers)) {
-    XX            split.body().abort();
+            if (headers.contains(CallerHeaders.DRAINING)) {
+                mRuntime.onDraining(slot.target());
+            }
+            split.body().abort();
             fail(slot, FailureKind.REFUSED_NOT_PROCESSED, null);
             return;
         }
@@ -136,10 +139,10 @@
         ClientRequestContext context = mSent.context();
         extendTimeout(context);
         StreamMessage<HttpData> body = split.body().peek(piece -> extendTimeout(context));
-        body.whenComplete()
-                .whenComplete(
-                        (ignored, failure) ->
-                                release(slot, error ? FailureKind.SERVER_ERROR : cut(failure)));
+        Futures.whenDone(
+                body.whenComplete(),
+                (ignored, failure) ->
+                        release(slot, error ? FailureKind.SERVER_ERROR : cut(failure)));
         mResult.complete(new TryResult.Answered(slot.target(), headers, body));
     }
 
@@ -225,8 +228,7 @@
     }
 
     private static Refusal tooLate() {
-        return Refusal.of(
-                RefusalCode.OVERLOADED, "No slot came free before the deadline.", 1000);
+        return Refusal.of(RefusalCode.OVERLOADED, "No slot came free before the deadline.", 1000);
     }
 
     private static String describe(Throwable failure) {
--- a/entry/src/main/java/org/dahliapass/entry/Tokens.java
+++ b/entry/src/main/java/org/dahliapass/entry/Tokens.java
@@ -25,15 +25,16 @@
      * Returns a token whose home is the given VM.
      *
      * <p>The witness is another VM of the home's cell, in another availability zone if there is
-     * one, so that one zone's loss doesn't take both. Which VM it is matters for availability
-     * only: the key names it, and nobody else's word counts.
+     * one, so that one zone's loss doesn't take both. Which VM it is matters for availability only:
+     * the key names it, and nobody else's word counts.
      */
     String of(Vm home, List<Vm> cell) {
         return cell.stream()
                 .filter(vm -> !vm.identity().name().equals(home.identity().name()))
                 .min(
                         (left, right) -> {
-                            int byZone = Boolean.compare(sameZone(left, home), sameZone(right, home));
+                            int byZone =
+                                    Boolean.compare(sameZone(left, home), sameZone(right, home));
                             return byZone != 0
                                     ? byZone
                                     : Integer.compare(distance(home, left), distance(home, right));
