Let each VM use its own part of the slots first, and draw two targets by weight

Cause: VMs see each other's work only by reports that are some 100 ms old. VMs that all pick the target least loaded meet there, and a target with a low weight gets nothing, or, when all others are full, everything. A stall is seen by the time since the last start or end, so that it isn't forgotten when the queue empties.

--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/AdmissionQueue.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/AdmissionQueue.java
@@ -34,7 +34,6 @@
     private final CustomerCounts mWaitingByCustomer = new CustomerCounts();
     private final CustomerCounts mBulkyByCustomer = new CustomerCounts();
     private long mSequence;
-    private long mWaitingSinceMillis;
 
     /**
      * Starts empty.
@@ -72,7 +71,7 @@
         }
         Optional<Endpoint> target = targetFor(entry, nowMillis);
         if (target.isPresent() && !isOvertaking(entry, nowMillis)) {
-            take(entry, target.get());
+            take(entry, target.get(), nowMillis);
             return new Admission.Dispatch(target.get());
         }
         return queueOrRefuse(entry, nowMillis);
@@ -129,10 +128,10 @@
     /** Takes out the entries whose patience or deadline is over, to be refused at once. */
     public List<Expired<T>> expire(long nowMillis) {
         List<Expired<T>> expired = new ArrayList<>();
+        long drainMillis = drainMillis(nowMillis);
         while (!mByLatestStart.isEmpty()
                 && mByLatestStart.first().entry().latestStartMillis() <= nowMillis) {
             Waiting<T> waiting = mByLatestStart.first();
-            long drainMillis = waitMillis(waiting.entry(), nowMillis);
             mLanes.get(QueueLane.of(waiting.entry().kind())).remove(waiting);
             forget(waiting);
             expired.add(
@@ -170,14 +169,11 @@
     }
 
     private Admission queueOrRefuse(QueueEntry<T> entry, long nowMillis) {
-        if (mWaiting.isEmpty()) {
-            mWaitingSinceMillis = nowMillis;
-        }
-        long waitMillis = waitMillis(entry, nowMillis);
         if (mWaiting.size() >= mLimits.capacity()
                 || mWaitingByCustomer.of(entry.customer()) >= mLimits.capacityPerCustomer()) {
-            return refuse(RefusalReason.QUEUE_FULL, waitMillis);
+            return refuse(RefusalReason.QUEUE_FULL, drainMillis(nowMillis));
         }
+        long waitMillis = waitMillis(entry, nowMillis);
         long typicalMillis = mTimes.typicalMillis(entry.kind());
         long startByMillis =
                 Math.min(entry.latestStartMillis(), entry.deadlineMillis() - typicalMillis);
@@ -203,7 +199,8 @@
         mWaitingByCustomer.subtract(waiting.entry().customer());
     }
 
-    private void take(QueueEntry<T> entry, Endpoint target) {
+    private void take(QueueEntry<T> entry, Endpoint target, long nowMillis) {
+        mTimes.onTryStarted(nowMillis);
         mSlots.onStarted(target, entry.kind().bulky());
         if (entry.kind().bulky()) {
             mBulkyByCustomer.add(entry.customer());
@@ -214,9 +211,15 @@
         return new Admission.Refused(reason, mRetryAfter.millis(waitMillis));
     }
 
-    /** Returns whether an entry that waits in the same lane could take the free slot as well. */
+    /** Returns whether an entry that waits for its turn could take the free slot as well. */
     private boolean isOvertaking(QueueEntry<T> entry, long nowMillis) {
-        return candidate(QueueLane.of(entry.kind()), nowMillis).isPresent();
+        QueueLane own = QueueLane.of(entry.kind());
+        for (QueueLane lane : QueueLane.values()) {
+            if (lane.compareTo(own) <= 0 && candidate(lane, nowMillis).isPresent()) {
+                return true;
+            }
+        }
+        return false;
     }
 
     private Optional<Endpoint> targetFor(QueueEntry<T> entry, long nowMillis) {
@@ -239,7 +242,7 @@
         Candidate<T> chosen = candidates.get(lane);
         mLanes.get(lane).serve(chosen.waiting());
         forget(chosen.waiting());
-        take(chosen.waiting().entry(), chosen.target());
+        take(chosen.waiting().entry(), chosen.target(), nowMillis);
         return Optional.of(new Dispatched<>(chosen.waiting().entry(), chosen.target()));
     }
 
@@ -282,8 +285,7 @@
         int ahead = mLanes.get(own).ahead(entry.customer(), entry.latestStartMillis());
         double turns = ahead + 1.0;
         if (own == QueueLane.BULKY && mSlots.ownBulkyTotal() > 0) {
-            return millis(
-                    turns / mTimes.bulkySlotsFreedPerMilli(mSlots, mWaitingSinceMillis, nowMillis));
+            return millis(turns / mTimes.bulkySlotsFreedPerMilli(mSlots, nowMillis));
         }
         double all = turns;
         for (QueueLane lane : QueueLane.values()) {
@@ -291,7 +293,12 @@
                 all += Math.min(mLanes.get(lane).size(), turns * lane.weight() / own.weight());
             }
         }
-        return millis(all / mTimes.slotsFreedPerMilli(mSlots, mWaitingSinceMillis, nowMillis));
+        return millis(all / mTimes.slotsFreedPerMilli(mSlots, nowMillis));
+    }
+
+    /** Estimates how long it takes until all that wait now are served, in milliseconds. */
+    private long drainMillis(long nowMillis) {
+        return millis(mWaiting.size() / mTimes.slotsFreedPerMilli(mSlots, nowMillis));
     }
 
     /** Nothing in flight means no rate: the wait is then unknown and patience bounds it. */
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/Balancer.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/Balancer.java
@@ -1,5 +1,6 @@
 package org.dahliapass.decisions.traffic;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -9,16 +10,26 @@
 import org.dahliapass.model.RequestKind;
 
 /**
- * Picks the target with the least load for its weight, among those with a free slot.
+ * Picks a target with a free slot: of two drawn by weight, the one with the lesser load.
+ *
+ * <p>The VM's own share of the slots goes first; others' unused slots are borrowed only while the
+ * cell has many. Reports are always somewhat old, so VMs that all took the one least loaded target,
+ * or borrowed the last free slots, would meet there and be refused. Two draws by weight bound a
+ * target's part of the work by twice its weight's, so one that returns after a fault starts slowly
+ * although it is idle.
  *
  * <p>Not safe for use by several threads: the caller guards it by the same lock as its slot table.
- * A pick costs O(targets).
+ * A pick costs O(targets x VMs of the cell).
  */
 public final class Balancer {
+    /** Others' slots are borrowed while less than this share of all usable slots is in use. */
+    private static final double BORROW_BELOW = 0.7;
+
     private final SlotTable mSlots;
     private final int mBulkySlotsPerTarget;
     private final RandomGenerator mRandom;
     private List<WeightedTarget> mTargets = List.of();
+    private double mGreatestWeight;
 
     /**
      * Starts without targets.
@@ -26,7 +37,7 @@
      * @param slots the slots of the service
      * @param bulkyShare the share of a target's slots that bulky requests may take, above 0 to 1; 1
      *     where the service has bulky kinds only
-     * @param random breaks ties
+     * @param random draws the targets
      */
     public Balancer(SlotTable slots, double bulkyShare, RandomGenerator random) {
         mSlots = slots;
@@ -37,6 +48,7 @@
     /** Takes the newest view of the targets. */
     public void onTargets(List<WeightedTarget> targets) {
         mTargets = List.copyOf(targets);
+        mGreatestWeight = targets.stream().mapToDouble(WeightedTarget::weight).max().orElse(0);
         mSlots.retainTargets(mTargets);
     }
 
@@ -52,24 +64,18 @@
         if (kind.bulky() && mSlots.ownBulkyTotal() >= bulkyLimit()) {
             return Optional.empty();
         }
-        Endpoint best = null;
-        double leastLoad = Double.POSITIVE_INFINITY;
-        int ties = 0;
+        List<WeightedTarget> own = new ArrayList<>();
         for (WeightedTarget target : mTargets) {
-            if (!isUsable(target, kind, excluded) || !hasSlot(target, kind, nowMillis)) {
-                continue;
-            }
-            double load = relativeLoad(target, nowMillis);
-            if (load > leastLoad) {
-                continue;
-            }
-            ties = load < leastLoad ? 1 : ties + 1;
-            leastLoad = load;
-            if (mRandom.nextInt(ties) == 0) {
-                best = target.endpoint();
+            if (isUsable(target, kind, excluded)
+                    && mSlots.ownFree(target.endpoint(), usableSlots(target)) > 0
+                    && hasBulkyRoom(target, kind)) {
+                own.add(target);
             }
         }
-        return Optional.ofNullable(best);
+        if (!own.isEmpty()) {
+            return Optional.of(lesserLoaded(own, nowMillis));
+        }
+        return mayBorrow(nowMillis) ? borrow(kind, excluded, nowMillis) : Optional.empty();
     }
 
     /** Returns whether any target may take this kind, be its slots free or not. */
@@ -77,6 +83,32 @@
         return mTargets.stream().anyMatch(target -> isUsable(target, kind, excluded));
     }
 
+    private Optional<Endpoint> borrow(RequestKind kind, Set<Endpoint> excluded, long nowMillis) {
+        List<WeightedTarget> unused = new ArrayList<>();
+        for (WeightedTarget target : mTargets) {
+            if (isUsable(target, kind, excluded)
+                    && hasBulkyRoom(target, kind)
+                    && mSlots.unused(target.endpoint(), usableSlots(target), nowMillis) > 0) {
+                unused.add(target);
+            }
+        }
+        return unused.isEmpty() ? Optional.empty() : Optional.of(lesserLoaded(unused, nowMillis));
+    }
+
+    /** A VM without any slot of its own may always borrow: it would serve nobody else. */
+    private boolean mayBorrow(long nowMillis) {
+        int usable = 0;
+        int ownShare = 0;
+        double inUse = 0;
+        for (WeightedTarget target : mTargets) {
+            int slots = usableSlots(target);
+            usable += slots;
+            ownShare += mSlots.share(target.endpoint(), slots);
+            inUse += inFlight(target, nowMillis);
+        }
+        return ownShare == 0 || inUse < BORROW_BELOW * usable;
+    }
+
     private boolean isUsable(WeightedTarget target, RequestKind kind, Set<Endpoint> excluded) {
         if (!(target.weight() > 0) || excluded.contains(target.endpoint())) {
             return false;
@@ -84,16 +116,44 @@
         return target.mayCarryGuarded() || kind.idempotency() != Idempotency.GUARDED;
     }
 
-    private boolean hasSlot(WeightedTarget target, RequestKind kind, long nowMillis) {
-        if (kind.bulky() && mSlots.ownBulky(target.endpoint()) >= mBulkySlotsPerTarget) {
-            return false;
+    private boolean hasBulkyRoom(WeightedTarget target, RequestKind kind) {
+        return !kind.bulky() || mSlots.ownBulky(target.endpoint()) < mBulkySlotsPerTarget;
+    }
+
+    /** Returns the slots that a target's weight allows: all at the greatest weight, else fewer. */
+    private int usableSlots(WeightedTarget target) {
+        if (!(target.weight() > 0)) {
+            return 0;
         }
-        return mSlots.free(target.endpoint(), nowMillis) > 0;
+        return (int) Math.ceil(mSlots.slotsPerTarget() * target.weight() / mGreatestWeight);
     }
 
-    private double relativeLoad(WeightedTarget target, long nowMillis) {
+    private double inFlight(WeightedTarget target, long nowMillis) {
         Endpoint endpoint = target.endpoint();
-        return (mSlots.own(endpoint) + mSlots.others(endpoint, nowMillis) + 1) / target.weight();
+        return mSlots.own(endpoint) + mSlots.others(endpoint, nowMillis);
+    }
+
+    private Endpoint lesserLoaded(List<WeightedTarget> targets, long nowMillis) {
+        WeightedTarget first = draw(targets);
+        WeightedTarget second = draw(targets);
+        boolean firstIsLess = load(first, nowMillis) <= load(second, nowMillis);
+        return (firstIsLess ? first : second).endpoint();
+    }
+
+    private double load(WeightedTarget target, long nowMillis) {
+        return inFlight(target, nowMillis) / usableSlots(target);
+    }
+
+    private WeightedTarget draw(List<WeightedTarget> targets) {
+        double sum = targets.stream().mapToDouble(WeightedTarget::weight).sum();
+        double rest = mRandom.nextDouble() * sum;
+        for (WeightedTarget target : targets) {
+            rest -= target.weight();
+            if (rest < 0) {
+                return target;
+            }
+        }
+        return targets.get(targets.size() - 1);
     }
 
     /**
@@ -103,6 +163,9 @@
      * The peers report totals only, so each VM keeps to its part of the bulky slots of all targets.
      */
     private int bulkyLimit() {
+        if (mBulkySlotsPerTarget >= mSlots.slotsPerTarget()) {
+            return Integer.MAX_VALUE;
+        }
         int bulkySlots = mBulkySlotsPerTarget * mTargets.size();
         return Math.max(1, bulkySlots / mSlots.cellSize());
     }
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/HedgePolicy.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/HedgePolicy.java
@@ -9,8 +9,9 @@
 /**
  * Decides whether a request whose first try is slow gets a second one beside it.
  *
- * <p>The caller starts at most one hedge a request and cancels the try that loses. Not safe for use
- * by several threads: the caller guards it by the lock of its slot table. A call costs O(targets).
+ * <p>A request gets at most one hedge, and none after a retry. The caller cancels the try that
+ * loses. Not safe for use by several threads: the caller guards it by the lock of its slot table. A
+ * call costs O(targets).
  */
 public final class HedgePolicy {
     private final RetryBudget mBudget;
@@ -57,7 +58,11 @@
             long deadlineMillis,
             boolean overloaded,
             long nowMillis) {
-        if (delayMillis(kind).isEmpty() || overloaded || !mBudget.hasLeft(nowMillis)) {
+        boolean hadFurtherTry = tried.size() > 1;
+        if (hadFurtherTry || delayMillis(kind).isEmpty()) {
+            return Optional.empty();
+        }
+        if (overloaded || !mBudget.hasLeft(nowMillis)) {
             return Optional.empty();
         }
         if (deadlineMillis - nowMillis < Math.max(1, mTimes.typicalMillis(kind))) {
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/ServiceTimes.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/ServiceTimes.java
@@ -22,7 +22,12 @@
 
     private final Map<String, MovingMean> mAnswerByKind = new HashMap<>();
     private final Map<QueueLane, MovingMean> mHoldByLane = new EnumMap<>(QueueLane.class);
-    private long mLastEndMillis = Long.MIN_VALUE;
+    private long mLastChangeMillis;
+
+    /** Takes the start of a try: from then on the next end is waited for. */
+    public void onTryStarted(long nowMillis) {
+        mLastChangeMillis = nowMillis;
+    }
 
     /**
      * Takes the end of a try.
@@ -33,7 +38,7 @@
      * @param nowMillis the time, in milliseconds
      */
     public void onTryEnded(RequestKind kind, long tookMillis, boolean answered, long nowMillis) {
-        mLastEndMillis = nowMillis;
+        mLastChangeMillis = nowMillis;
         mHoldByLane.computeIfAbsent(holdLane(kind), unused -> new MovingMean()).add(tookMillis);
         if (answered) {
             mAnswerByKind.computeIfAbsent(kind.name(), unused -> new MovingMean()).add(tookMillis);
@@ -52,24 +57,22 @@
      * <p>By Little's law from the slots in use and the mean time each is held, which holds also
      * right after an idle time, when a count of recent ends would tell too little. Guards against
      * targets that hang: no try ends, so the mean stays at its old low value while nothing comes
-     * free; the rate is then held under what the time since the last end allows.
+     * free; the rate is then held under what the time since the last change allows.
      *
      * @param slots the slots in use
-     * @param waitingSinceMillis since when somebody waits for a slot, in milliseconds
      * @param nowMillis the time, in milliseconds
      * @return slots a millisecond; infinite while nothing is known
      */
-    double slotsFreedPerMilli(SlotTable slots, long waitingSinceMillis, long nowMillis) {
+    double slotsFreedPerMilli(SlotTable slots, long nowMillis) {
         int bulky = slots.ownBulkyTotal();
         double rate =
                 rate(bulky, QueueLane.BULKY) + rate(slots.ownTotal() - bulky, QueueLane.SHORT);
-        return Math.min(rate, stallRate(waitingSinceMillis, nowMillis));
+        return Math.min(rate, stallRate(nowMillis));
     }
 
     /** Estimates as {@code slotsFreedPerMilli}, for the slots that bulky requests hold. */
-    double bulkySlotsFreedPerMilli(SlotTable slots, long waitingSinceMillis, long nowMillis) {
-        double rate = rate(slots.ownBulkyTotal(), QueueLane.BULKY);
-        return Math.min(rate, stallRate(waitingSinceMillis, nowMillis));
+    double bulkySlotsFreedPerMilli(SlotTable slots, long nowMillis) {
+        return Math.min(rate(slots.ownBulkyTotal(), QueueLane.BULKY), stallRate(nowMillis));
     }
 
     /** Guarded and short requests share their slots, so they share a mean. */
@@ -77,8 +80,8 @@
         return kind.bulky() ? QueueLane.BULKY : QueueLane.SHORT;
     }
 
-    private double stallRate(long waitingSinceMillis, long nowMillis) {
-        long stalledMillis = nowMillis - Math.max(mLastEndMillis, waitingSinceMillis);
+    private double stallRate(long nowMillis) {
+        long stalledMillis = nowMillis - mLastChangeMillis;
         return stalledMillis <= 0 ? Double.POSITIVE_INFINITY : HOPED_IN_STALL / stalledMillis;
     }
 
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/SlotTable.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/SlotTable.java
@@ -145,26 +145,38 @@
     }
 
     /**
-     * Returns how many more requests this VM may start at a target.
+     * Returns how many slots of its own share this VM has left at a target.
      *
      * <p>Guards against reports that are late or wrong: they say "full" when the slots are long
      * free, and a VM that believed them would refuse work for nothing. Each slot belongs to one VM
      * of the cell, which may take it whatever the others report; the shares of all VMs add up to
-     * the target's slots, so this alone never overloads a target.
+     * the usable slots, so this alone never overloads a target.
+     *
+     * @param target the target
+     * @param usableSlots the slots of the target that the cell may use now
+     */
+    public int ownFree(Endpoint target, int usableSlots) {
+        return Math.max(0, share(target, usableSlots) - own(target));
+    }
+
+    /**
+     * Estimates how many slots of a target nobody uses, whoever's share they are.
+     *
+     * @param target the target
+     * @param usableSlots the slots of the target that the cell may use now
+     * @param nowMillis the time, in milliseconds
      */
-    public int free(Endpoint target, long nowMillis) {
-        int own = own(target);
-        int shared = mSlotsPerTarget - own - (int) Math.round(others(target, nowMillis));
-        int entitled = share(target) - own;
-        return Math.max(0, Math.max(shared, entitled));
+    public int unused(Endpoint target, int usableSlots, long nowMillis) {
+        int others = (int) Math.round(others(target, nowMillis));
+        return Math.max(0, usableSlots - own(target) - others);
     }
 
-    /** Returns how many slots of a target this VM may take whatever the others report. */
-    public int share(Endpoint target) {
-        int whole = mSlotsPerTarget / mCellSize;
-        int rest = mSlotsPerTarget % mCellSize;
+    /** Returns how many of a target's usable slots belong to this VM. */
+    public int share(Endpoint target, int usableSlots) {
+        int whole = usableSlots / mCellSize;
+        int rest = usableSlots % mCellSize;
         // All VMs must agree on it, and a record's own hash code may differ between runtimes.
-        int place = 31 * target.host().hashCode() + target.port();
+        int place = Math.floorMod(31 * target.host().hashCode() + target.port(), mCellSize);
         int distance = Math.floorMod(mRankInCell - place, mCellSize);
         return distance < rest ? whole + 1 : whole;
     }
--- a/decisions/src/test/java/org/dahliapass/decisions/traffic/SlotTableTest.java
+++ b/decisions/src/test/java/org/dahliapass/decisions/traffic/SlotTableTest.java
@@ -20,9 +20,9 @@
         SlotTable slots = new SlotTable(3, 100);
         slots.onStarted(TARGET, false);
         slots.onStarted(TARGET, true);
-        assertEquals(slots.free(TARGET, 0), 1);
+        assertEquals(slots.unused(TARGET, 3, 0), 1);
         slots.onEnded(TARGET, true);
-        assertEquals(slots.free(TARGET, 0), 2);
+        assertEquals(slots.unused(TARGET, 3, 0), 2);
     }
 
     @Test
@@ -57,9 +57,10 @@
         SlotTable slots = tableInCell();
         slots.onPeerInFlight(PEER, TARGET, 3, 0);
         slots.onPeerInFlight(THIRD, TARGET, 3, 0);
-        assertEquals(slots.free(TARGET, 0), 1);
+        assertEquals(slots.unused(TARGET, 3, 0), 0);
+        assertEquals(slots.ownFree(TARGET, 3), 1);
         slots.onStarted(TARGET, false);
-        assertEquals(slots.free(TARGET, 0), 0);
+        assertEquals(slots.ownFree(TARGET, 3), 0);
     }
 
     @Test
@@ -71,7 +72,7 @@
             for (VmIdentity member : cell) {
                 SlotTable slots = new SlotTable(3, 100);
                 slots.onCell(member, cell);
-                sum += slots.share(Kinds.endpoint(number));
+                sum += slots.share(Kinds.endpoint(number), 3);
             }
             assertEquals(sum, 3, "shares of target " + number);
         }
