Test the traffic decisions by random runs with planted faults

Cause: the queue, the balancer, the budget and the limits were untested but for the slot table. Change: stateful random runs of the queue (each entry ends once, in time, at a target that may take it, own requests within the slots); the budget of retries and hedges at each grant and in all; focused tests of the rest. Planted faults (expired entries forgotten, a stale time, the exclusion lost, two budgets in place of one, a probe as part of the flood) are found by the same checks. Ruled out: a budget check at every step; a first try that leaves the window takes its credit along after it was rightly spent, so the promise is of each grant's own window.

--- /dev/null
+++ b/decisions/src/test/java/org/dahliapass/decisions/traffic/AdmissionQueueTest.java
@@ -0,0 +1,207 @@
+package org.dahliapass.decisions.traffic;
+
+import static org.quicktheories.QuickTheory.qt;
+import static org.quicktheories.generators.SourceDSL.longs;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.dahliapass.decisions.traffic.Admission.Dispatch;
+import org.dahliapass.decisions.traffic.Admission.Queued;
+import org.dahliapass.decisions.traffic.Admission.Refused;
+import org.dahliapass.model.RequestKind;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests {@link AdmissionQueue} with one target of three slots. */
+public final class AdmissionQueueTest {
+    private static final int CAPACITY_PER_CUSTOMER = 20;
+
+    private SlotTable mSlots;
+    private ServiceTimes mTimes;
+    private Balancer mBalancer;
+    private AdmissionQueue<String> mQueue;
+
+    @BeforeMethod
+    public void startEmpty() {
+        mSlots = new SlotTable(3, 1_000);
+        mTimes = new ServiceTimes();
+        mBalancer = new Balancer(mSlots, 0.5, new SplittableRandom(1));
+        mBalancer.onTargets(Kinds.targets(1));
+        QueueLimits limits = new QueueLimits(50, CAPACITY_PER_CUSTOMER, 2);
+        mQueue = new AdmissionQueue<>(limits, mSlots, mBalancer, mTimes, new SplittableRandom(2));
+    }
+
+    @Test
+    public void waitsForSlotAndGetsIt() {
+        QueueEntry<String> first = fillSlots();
+        QueueEntry<String> second = entry("b", Kinds.LISTING, 0);
+        assertTrue(mQueue.offer(second, 0) instanceof Queued);
+        QueueStep<String> step = end(first, 0, 50);
+        assertEquals(step.dispatched().get(0).entry(), second);
+        assertEquals(mSlots.ownTotal(), 3);
+    }
+
+    @Test
+    public void refusedAtOnceWithoutTarget() {
+        mBalancer.onTargets(List.of(Kinds.target(0, 0)));
+        assertRefused(mQueue.offer(entry("a", Kinds.LISTING, 0), 0), RefusalReason.NO_TARGET);
+    }
+
+    // Callers wait for their whole patience and are refused then, although it was clear at once:
+    // with 1 s a request, 3 slots and 1 s of patience, the third in the queue is too late.
+    @Test
+    public void refusedAtOnceWhenNoSlotFreesInTime() {
+        mTimes.onTryEnded(Kinds.LOOKUP, 1_000, false, 0);
+        fillSlots();
+        assertTrue(mQueue.offer(entry("a", Kinds.LOOKUP, 0), 0) instanceof Queued);
+        assertTrue(mQueue.offer(entry("a", Kinds.LOOKUP, 0), 0) instanceof Queued);
+        Admission third = mQueue.offer(entry("a", Kinds.LOOKUP, 0), 0);
+        assertRefused(third, RefusalReason.TOO_LATE);
+        assertTrue(mQueue.offer(entry("a", Kinds.LISTING, 0), 0) instanceof Queued);
+    }
+
+    // All targets hang: answers were quick until then, so the measured time is short and callers
+    // are queued in vain. What counts is that nothing has come free for five seconds.
+    @Test
+    public void refusedAtOnceWhileTargetsHang() {
+        mTimes.onTryEnded(Kinds.LOOKUP, 10, true, 0);
+        fillSlots();
+        QueueEntry<String> late = entry("a", Kinds.LOOKUP, 5_000);
+        assertRefused(mQueue.offer(late, 5_000), RefusalReason.TOO_LATE);
+        QueueEntry<String> patient = entry("a", Kinds.LISTING, 5_000);
+        assertTrue(mQueue.offer(patient, 5_000) instanceof Queued);
+    }
+
+    @Test
+    public void customerFillsOnlyItsOwnPart() {
+        fillSlots();
+        for (int count = 0; count < CAPACITY_PER_CUSTOMER; count++) {
+            assertTrue(mQueue.offer(entry("a", Kinds.LISTING, 0), 0) instanceof Queued);
+        }
+        Admission oneTooMany = mQueue.offer(entry("a", Kinds.LISTING, 0), 0);
+        assertRefused(oneTooMany, RefusalReason.QUEUE_FULL);
+        assertTrue(mQueue.offer(entry("b", Kinds.LISTING, 0), 0) instanceof Queued);
+    }
+
+    @Test
+    public void expiresWhenPatienceIsOverAndNotBefore() {
+        fillSlots();
+        QueueEntry<String> waiting = entry("a", Kinds.LOOKUP, 0);
+        mQueue.offer(waiting, 0);
+        assertEquals(mQueue.nextExpiryMillis().orElseThrow(), 1_000);
+        assertTrue(mQueue.expire(999).isEmpty());
+        Expired<String> expired = mQueue.expire(1_000).get(0);
+        assertEquals(expired.entry(), waiting);
+        assertRefused(expired.refusal(), RefusalReason.WAITED_OUT);
+    }
+
+    @Test
+    public void guardedGoesFirstAndBulkyIsNotStarved() {
+        Deque<QueueEntry<String>> running = new ArrayDeque<>(List.of(fillSlots()));
+        for (int count = 0; count < 8; count++) {
+            mQueue.offer(entry("a", Kinds.LISTING, 0), 0);
+            mQueue.offer(entry("a", Kinds.SIGN_OFF, 0), 0);
+        }
+        mQueue.offer(entry("b", Kinds.EXTRACT, 0), 0);
+        StringBuilder order = new StringBuilder();
+        for (int turn = 0; turn < 8; turn++) {
+            Dispatched<String> next = end(running.poll(), 0, 10).dispatched().get(0);
+            order.append(next.entry().kind().name().charAt(0));
+            running.add(next.entry());
+        }
+        assertEquals(order.charAt(0), 's', "first of " + order);
+        assertTrue(order.indexOf("e") >= 0, "the extract has its turn in " + order);
+    }
+
+    @Test
+    public void customerHasFewBulkyRequestsInFlight() {
+        mBalancer.onTargets(Kinds.targets(5));
+        assertTrue(mQueue.offer(entry("a", Kinds.EXTRACT, 0), 0) instanceof Dispatch);
+        assertTrue(mQueue.offer(entry("a", Kinds.EXTRACT, 0), 0) instanceof Dispatch);
+        assertTrue(mQueue.offer(entry("a", Kinds.EXTRACT, 0), 0) instanceof Queued);
+        assertTrue(mQueue.offer(entry("b", Kinds.EXTRACT, 0), 0) instanceof Dispatch);
+    }
+
+    // One customer's callers get late answers while another's program asks without pause: the
+    // second one's requests fill the queue ahead of the first one's.
+    @Test
+    public void floodOfOneCustomerLeavesTheOthersWaitShort() {
+        assertTrue(turnsWaitedBesideFlood("calm") <= 2, "turns waited");
+        startEmpty();
+        assertEquals(turnsWaitedBesideFlood("flood"), 10, "as a part of the flood");
+    }
+
+    @Test
+    public void eachEntryEndsOnceInTimeAndInPlace() {
+        checkRuns(QueueRun.Fault.NONE);
+    }
+
+    @DataProvider
+    public static Object[][] plantedFaults() {
+        return new Object[][] {
+            new Object[] {QueueRun.Fault.EXPIRED_FORGOTTEN, "cancelled a waiting entry"},
+            new Object[] {QueueRun.Fault.STALE_TIME, "dispatched too late"},
+            new Object[] {QueueRun.Fault.EXCLUSION_LOST, "to an excluded target"},
+        };
+    }
+
+    @Test(dataProvider = "plantedFaults")
+    public void plantedFaultIsFound(QueueRun.Fault fault, String finding) {
+        AssertionError error = expectThrows(AssertionError.class, () -> checkRuns(fault));
+        assertTrue(error.getMessage().contains(finding), error.getMessage());
+    }
+
+    private static void checkRuns(QueueRun.Fault fault) {
+        qt().withFixedSeed(1)
+                .withExamples(200)
+                .forAll(longs().all())
+                .checkAssert(seed -> new QueueRun(seed, fault).check());
+    }
+
+    private int turnsWaitedBesideFlood(String customer) {
+        QueueEntry<String> running = fillSlots();
+        for (int count = 0; count < 9; count++) {
+            mQueue.offer(entry("flood", Kinds.LISTING, 0), 0);
+        }
+        QueueEntry<String> probe = entry(customer, Kinds.LISTING, 1);
+        mQueue.offer(probe, 1);
+        int turns = 0;
+        while (running != probe) {
+            turns++;
+            running = end(running, 0, 10).dispatched().get(0).entry();
+            mQueue.offer(entry("flood", Kinds.LISTING, 10), 10);
+        }
+        return turns;
+    }
+
+    private QueueEntry<String> fillSlots() {
+        QueueEntry<String> last = entry("z", Kinds.LOOKUP, 0);
+        assertTrue(mQueue.offer(entry("z", Kinds.LOOKUP, 0), 0) instanceof Dispatch);
+        assertTrue(mQueue.offer(entry("z", Kinds.LOOKUP, 0), 0) instanceof Dispatch);
+        assertTrue(mQueue.offer(last, 0) instanceof Dispatch);
+        return last;
+    }
+
+    private QueueStep<String> end(QueueEntry<String> entry, long started, long now) {
+        return mQueue.onTryEnded(entry, Kinds.endpoint(0), started, true, now);
+    }
+
+    private static QueueEntry<String> entry(String customer, RequestKind kind, long now) {
+        long deadline = now + kind.deadline().toMillis();
+        return new QueueEntry<>("", customer, kind, now, deadline, Set.of());
+    }
+
+    private static void assertRefused(Admission admission, RefusalReason reason) {
+        assertTrue(admission instanceof Refused, "refused, not " + admission);
+        Refused refused = (Refused) admission;
+        assertEquals(refused.reason(), reason);
+        assertTrue(refused.retryAfterMillis() >= 1_000, "floor of Retry-After");
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/dahliapass/decisions/traffic/BalancerTest.java
@@ -0,0 +1,88 @@
+package org.dahliapass.decisions.traffic;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.dahliapass.model.Endpoint;
+import org.dahliapass.model.VmIdentity;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests {@link Balancer}. */
+public final class BalancerTest {
+    private static final int SLOTS = 3;
+    private static final VmIdentity SELF = new VmIdentity("a", 1);
+    private static final VmIdentity PEER = new VmIdentity("b", 1);
+
+    private SlotTable mSlots;
+    private Balancer mBalancer;
+
+    @BeforeMethod
+    public void startEmpty() {
+        mSlots = new SlotTable(SLOTS, 1_000);
+        mBalancer = new Balancer(mSlots, 0.5, new SplittableRandom(7));
+    }
+
+    // A target that returns after a fault is buried in work: it is idle, so the least loaded of
+    // all.
+    @Test
+    public void picksFollowTheWeights() {
+        mBalancer.onTargets(List.of(Kinds.target(0, 1), Kinds.target(1, 0.1)));
+        int light = 0;
+        for (int count = 0; count < 10_000; count++) {
+            Endpoint pick = mBalancer.pick(Kinds.LOOKUP, Set.of(), 0).orElseThrow();
+            light += pick.equals(Kinds.endpoint(1)) ? 1 : 0;
+        }
+        assertTrue(light > 500 && light < 2_000, "picks of the light target: " + light);
+    }
+
+    @Test
+    public void lightTargetIsNotFilledWhenAllOthersAreFull() {
+        mBalancer.onTargets(List.of(Kinds.target(0, 1), Kinds.target(1, 0.1)));
+        Optional<Endpoint> pick = mBalancer.pick(Kinds.LOOKUP, Set.of(), 0);
+        while (pick.isPresent()) {
+            mSlots.onStarted(pick.get(), false);
+            pick = mBalancer.pick(Kinds.LOOKUP, Set.of(), 0);
+        }
+        assertEquals(mSlots.own(Kinds.endpoint(0)), SLOTS);
+        assertEquals(mSlots.own(Kinds.endpoint(1)), 1);
+    }
+
+    @Test
+    public void guardedRequestGoesOnlyWhereItMay() {
+        WeightedTarget forbidden = new WeightedTarget(Kinds.endpoint(1), "a", 1, false);
+        mBalancer.onTargets(List.of(forbidden));
+        assertFalse(mBalancer.hasTargetFor(Kinds.SIGN_OFF, Set.of()));
+        assertTrue(mBalancer.pick(Kinds.SIGN_OFF, Set.of(), 0).isEmpty());
+        assertTrue(mBalancer.pick(Kinds.LOOKUP, Set.of(), 0).isPresent());
+    }
+
+    // Short lookups wait for minutes although each target has several slots: season archives were
+    // asked for first, took every slot, and each of them streams for long.
+    @Test
+    public void bulkyRequestsLeaveSlotsForShortOnes() {
+        mBalancer.onTargets(Kinds.targets(1));
+        mSlots.onStarted(Kinds.endpoint(0), true);
+        assertTrue(mBalancer.pick(Kinds.EXTRACT, Set.of(), 0).isEmpty());
+        assertTrue(mBalancer.pick(Kinds.LOOKUP, Set.of(), 0).isPresent());
+    }
+
+    // Requests are refused by full targets at high load: several VMs saw the same last free slot
+    // in reports some 100 ms old, and all took it. So it is lent only while the cell has plenty.
+    @Test
+    public void othersSlotsAreLentOnlyWhileTheCellHasPlenty() {
+        mSlots.onCell(SELF, List.of(PEER));
+        mBalancer.onTargets(Kinds.targets(10));
+        for (int taken = 0; taken < 15; taken++) {
+            mSlots.onStarted(mBalancer.pick(Kinds.LOOKUP, Set.of(), 0).orElseThrow(), false);
+        }
+        Endpoint lent = mBalancer.pick(Kinds.LOOKUP, Set.of(), 0).orElseThrow();
+        mSlots.onPeerInFlight(PEER, lent, 6, 0);
+        assertTrue(mBalancer.pick(Kinds.LOOKUP, Set.of(), 0).isEmpty());
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/dahliapass/decisions/traffic/ConnectionPlanTest.java
@@ -0,0 +1,44 @@
+package org.dahliapass.decisions.traffic;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import org.dahliapass.decisions.traffic.ConnectionPlan.ConnectionChoice;
+import org.dahliapass.decisions.traffic.ConnectionPlan.ConnectionUse;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests {@link ConnectionPlan}. */
+public final class ConnectionPlanTest {
+    private ConnectionPlan mPlan;
+
+    @BeforeMethod
+    public void startAlone() {
+        mPlan = new ConnectionPlan(350, 3);
+    }
+
+    @Test
+    public void wholeCellStaysUnderTheTargetsConnections() {
+        for (int cellSize = 1; cellSize <= 40; cellSize++) {
+            mPlan.onCellSize(cellSize);
+            assertTrue(mPlan.limit() * cellSize <= 350, "cell of " + cellSize);
+        }
+    }
+
+    @Test
+    public void idleConnectionIsReusedAndElseOneIsOpenedUpToTheLimit() {
+        mPlan.onCellSize(100);
+        assertEquals(mPlan.limit(), 2);
+        assertEquals(mPlan.choose(new ConnectionUse(1, 1, 0, 0)), ConnectionChoice.REUSE);
+        assertEquals(mPlan.choose(new ConnectionUse(0, 1, 0, 0)), ConnectionChoice.OPEN);
+        assertEquals(mPlan.choose(new ConnectionUse(0, 1, 0, 1)), ConnectionChoice.WAIT);
+    }
+
+    @Test
+    public void oneMoreThanThePeakIsHeldOpenButNoMoreThanSlots() {
+        assertEquals(mPlan.openAhead(new ConnectionUse(0, 0, 0, 0), 0), 1);
+        assertEquals(mPlan.openAhead(new ConnectionUse(0, 1, 0, 0), 1), 1);
+        assertEquals(mPlan.openAhead(new ConnectionUse(0, 1, 1, 0), 1), 0);
+        assertEquals(mPlan.openAhead(new ConnectionUse(0, 0, 0, 0), 9), 3);
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/dahliapass/decisions/traffic/QueueRun.java
@@ -0,0 +1,183 @@
+package org.dahliapass.decisions.traffic;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+import org.dahliapass.model.Endpoint;
+import org.dahliapass.model.RequestKind;
+import org.dahliapass.model.VmIdentity;
+
+/** Drives a queue by random events and checks each answer against a simple record of the past. */
+final class QueueRun {
+    /** A fault planted in the driver, to show that the checks find it. */
+    enum Fault {
+        NONE,
+        EXPIRED_FORGOTTEN,
+        STALE_TIME,
+        EXCLUSION_LOST
+    }
+
+    private static final int SLOTS = 3;
+    private static final int TARGETS = 4;
+    private static final int STEPS = 300;
+    private static final List<RequestKind> KINDS =
+            List.of(Kinds.LOOKUP, Kinds.LISTING, Kinds.SIGN_OFF, Kinds.EXTRACT);
+    private static final VmIdentity PEER = new VmIdentity("b", 1);
+
+    private final SplittableRandom mRandom;
+    private final Fault mFault;
+    private final SlotTable mSlots = new SlotTable(SLOTS, 1_000);
+    private final AdmissionQueue<Set<Endpoint>> mQueue;
+    private final Balancer mBalancer;
+    private final Map<QueueEntry<Set<Endpoint>>, String> mEnds = new HashMap<>();
+    private final Set<QueueEntry<Set<Endpoint>>> mOffered = new HashSet<>();
+    private final List<InFlight> mInFlight = new ArrayList<>();
+    private List<WeightedTarget> mTargets = List.of();
+    private long mNow = 10_000;
+
+    QueueRun(long seed, Fault fault) {
+        mRandom = new SplittableRandom(seed);
+        mFault = fault;
+        mBalancer = new Balancer(mSlots, 0.5, mRandom.split());
+        mQueue =
+                new AdmissionQueue<>(
+                        new QueueLimits(20, 12, 2),
+                        mSlots,
+                        mBalancer,
+                        new ServiceTimes(),
+                        mRandom.split());
+        mSlots.onCell(new VmIdentity("a", 1), List.of(PEER));
+        changeTargets();
+    }
+
+    void check() {
+        for (int step = 0; step < STEPS; step++) {
+            mNow += mRandom.nextInt(100);
+            act(mRandom.nextInt(12));
+        }
+        while (!mInFlight.isEmpty()) {
+            endOne();
+        }
+        mNow += 100_000;
+        takeExpired(mQueue.expire(mNow));
+        assertEquals(mQueue.size(), 0, "entries left in the queue");
+        assertEquals(mEnds.keySet(), mOffered, "entries that ended");
+        assertEquals(mSlots.ownTotal(), 0, "slots still taken");
+    }
+
+    private void act(int choice) {
+        switch (choice) {
+            case 0 -> changeTargets();
+            case 1 -> takeExpired(mQueue.expire(mNow));
+            case 2 -> cancelOne();
+            case 3 ->
+                    mSlots.onPeerInFlight(PEER, Kinds.endpoint(mRandom.nextInt(TARGETS)), 2, mNow);
+            case 4, 5, 6 -> endOne();
+            default -> offerOne();
+        }
+    }
+
+    private void changeTargets() {
+        mTargets =
+                IntStream.range(0, TARGETS)
+                        .mapToObj(
+                                number ->
+                                        new WeightedTarget(
+                                                Kinds.endpoint(number),
+                                                "a",
+                                                mRandom.nextInt(3) / 2.0,
+                                                mRandom.nextBoolean()))
+                        .toList();
+        mBalancer.onTargets(mTargets);
+        takeStep(mQueue.onSlotFreed(queueTime()));
+    }
+
+    private void offerOne() {
+        RequestKind kind = KINDS.get(mRandom.nextInt(KINDS.size()));
+        Set<Endpoint> excluded = Set.of(Kinds.endpoint(mRandom.nextInt(TARGETS)));
+        QueueEntry<Set<Endpoint>> entry =
+                new QueueEntry<>(
+                        excluded,
+                        "customer" + mRandom.nextInt(3),
+                        kind,
+                        mNow,
+                        mNow + 1 + mRandom.nextInt((int) kind.deadline().toMillis()),
+                        mFault == Fault.EXCLUSION_LOST ? Set.of() : excluded);
+        mOffered.add(entry);
+        Admission admission = mQueue.offer(entry, mNow);
+        if (admission instanceof Admission.Dispatch dispatch) {
+            dispatched(entry, dispatch.target());
+        } else if (admission instanceof Admission.Refused refused) {
+            end(entry, "refused");
+            assertTrue(refused.retryAfterMillis() >= 1_000, "floor of Retry-After");
+        }
+    }
+
+    private void endOne() {
+        if (mInFlight.isEmpty()) {
+            return;
+        }
+        InFlight ended = mInFlight.remove(mRandom.nextInt(mInFlight.size()));
+        takeStep(
+                mQueue.onTryEnded(
+                        ended.entry(), ended.target(), ended.startedMillis(), true, queueTime()));
+    }
+
+    private void cancelOne() {
+        for (QueueEntry<Set<Endpoint>> entry : mOffered) {
+            boolean waits = !mEnds.containsKey(entry);
+            assertEquals(mQueue.cancel(entry), waits, "cancelled a waiting entry");
+            if (waits) {
+                end(entry, "cancelled");
+                return;
+            }
+        }
+    }
+
+    private void takeStep(QueueStep<Set<Endpoint>> step) {
+        takeExpired(step.expired());
+        for (Dispatched<Set<Endpoint>> next : step.dispatched()) {
+            assertTrue(mNow < next.entry().latestStartMillis(), "dispatched too late");
+            dispatched(next.entry(), next.target());
+        }
+    }
+
+    private void takeExpired(List<Expired<Set<Endpoint>>> expired) {
+        if (mFault != Fault.EXPIRED_FORGOTTEN) {
+            expired.forEach(each -> end(each.entry(), "expired"));
+        }
+    }
+
+    private void dispatched(QueueEntry<Set<Endpoint>> entry, Endpoint target) {
+        end(entry, "dispatched");
+        mInFlight.add(new InFlight(entry, target, mNow));
+        boolean guarded = !entry.kind().idempotency().mayRepeat();
+        assertTrue(
+                mTargets.stream()
+                        .filter(each -> each.endpoint().equals(target))
+                        .anyMatch(
+                                each -> each.weight() > 0 && (each.mayCarryGuarded() || !guarded)),
+                "dispatched to a target that may take it");
+        assertTrue(!entry.request().contains(target), "dispatched to an excluded target");
+        assertTrue(mSlots.own(target) <= SLOTS, "more in flight than slots");
+    }
+
+    private void end(QueueEntry<Set<Endpoint>> entry, String how) {
+        assertNull(mEnds.put(entry, how), how + " after another end");
+    }
+
+    private long queueTime() {
+        return mFault == Fault.STALE_TIME ? mNow - 2_000 : mNow;
+    }
+
+    private record InFlight(QueueEntry<Set<Endpoint>> entry, Endpoint target, long startedMillis) {}
+}
--- /dev/null
+++ b/decisions/src/test/java/org/dahliapass/decisions/traffic/RateLimiterTest.java
@@ -0,0 +1,50 @@
+package org.dahliapass.decisions.traffic;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import org.dahliapass.model.ServiceId;
+import org.testng.annotations.Test;
+
+/** Tests {@link RateLimiter} with kinds of ten requests a second. */
+public final class RateLimiterTest {
+    private static final ServiceId SERVICE = new ServiceId("himal", "desk");
+
+    private final RateLimiter mLimiter = new RateLimiter(2);
+
+    @Test
+    public void rateHoldsForOneCustomerAndNotForAnother() {
+        int passed = 0;
+        for (long now = 0; now < 10_000; now += 10) {
+            passed += passes("a", now) ? 1 : 0;
+        }
+        assertTrue(passed >= 105 && passed <= 110, "passed in ten seconds: " + passed);
+        assertTrue(passes("b", 10_000));
+    }
+
+    @Test
+    public void refusalSaysWhenThereIsTokenAgain() {
+        RateLimiter limiter = new RateLimiter(2);
+        for (int count = 0; count < 10; count++) {
+            assertTrue(limiter.refusal("a", SERVICE, Kinds.LOOKUP, 0).isEmpty());
+        }
+        assertEquals(limiter.refusal("a", SERVICE, Kinds.LOOKUP, 0).orElseThrow(), 100);
+        assertTrue(limiter.refusal("a", SERVICE, Kinds.LOOKUP, 99).isPresent());
+        assertTrue(limiter.refusal("a", SERVICE, Kinds.LOOKUP, 100).isEmpty());
+    }
+
+    // A customer sends as much as it likes: it fills the table with other names, so that its spent
+    // bucket is dropped and comes back full.
+    @Test
+    public void spentBucketIsNotDroppedForRoom() {
+        RateLimiter limiter = new RateLimiter(1);
+        limiter.refusal("a", SERVICE, Kinds.LOOKUP, 0);
+        assertTrue(limiter.refusal("b", SERVICE, Kinds.LOOKUP, 0).isPresent());
+        assertTrue(limiter.refusal("b", SERVICE, Kinds.LOOKUP, 1_000).isEmpty());
+        assertEquals(limiter.size(), 1);
+    }
+
+    private boolean passes(String customer, long now) {
+        return mLimiter.refusal(customer, SERVICE, Kinds.LOOKUP, now).isEmpty();
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/dahliapass/decisions/traffic/RetryPolicyTest.java
@@ -0,0 +1,170 @@
+package org.dahliapass.decisions.traffic;
+
+import static org.quicktheories.QuickTheory.qt;
+import static org.quicktheories.generators.SourceDSL.longs;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.dahliapass.decisions.traffic.RetryDecision.Go;
+import org.dahliapass.decisions.traffic.RetryDecision.Stop;
+import org.dahliapass.decisions.traffic.RetryDecision.StopReason;
+import org.dahliapass.model.Endpoint;
+import org.dahliapass.model.RequestKind;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests {@link RetryPolicy} and {@link HedgePolicy}, which share a {@link RetryBudget}. */
+public final class RetryPolicyTest {
+    private static final Set<Endpoint> TRIED = Set.of(Kinds.endpoint(0));
+    private static final long DEADLINE = 1_000_000;
+
+    private SlotTable mSlots;
+    private ServiceTimes mTimes;
+    private RetryPolicy mRetries;
+    private HedgePolicy mHedges;
+
+    @BeforeMethod
+    public void startFresh() {
+        RetryBudget budget = new RetryBudget();
+        start(budget, budget);
+    }
+
+    @Test
+    public void retryGoesToAnotherTarget() {
+        for (int count = 0; count < 2; count++) {
+            RetryDecision decision = decide(Kinds.LOOKUP, FailureKind.TIMED_OUT);
+            assertNotEquals(((Go) decision).target(), Kinds.endpoint(0));
+        }
+        assertStopped(decide(Kinds.LOOKUP, FailureKind.TIMED_OUT), StopReason.BUDGET_SPENT);
+    }
+
+    // A sign-off stands twice in a file: the first target ran it, its answer was lost, and the
+    // request was sent again. Only a proof that no try has run allows another.
+    @Test
+    public void guardedRequestIsRetriedOnlyAfterProof() {
+        for (FailureKind failure : FailureKind.values()) {
+            startFresh();
+            boolean goes = decide(Kinds.SIGN_OFF, failure) instanceof Go;
+            assertEquals(goes, !failure.mayHaveRun(), "retry after " + failure);
+        }
+        FailedTry earlierMayHaveRun =
+                new FailedTry(Kinds.SIGN_OFF, FailureKind.CONNECT_FAILED, true, TRIED, 2, DEADLINE);
+        assertStopped(mRetries.decide(earlierMayHaveRun, false, 0), StopReason.MAY_HAVE_RUN);
+    }
+
+    @Test
+    public void noRetryWhenNobodyWaits() {
+        RetryDecision decision = decide(Kinds.LOOKUP, FailureKind.CANCELLED_BY_CALLER);
+        assertStopped(decision, StopReason.NOT_WANTED);
+    }
+
+    @Test
+    public void noRetryWhenTheAnswerWouldBeTooLate() {
+        mTimes.onTryEnded(Kinds.LOOKUP, 100, true, 0);
+        FailedTry failed = failed(Kinds.LOOKUP, FailureKind.TIMED_OUT);
+        assertStopped(mRetries.decide(failed, false, DEADLINE - 99), StopReason.TOO_LATE);
+        assertTrue(mRetries.decide(failed, false, DEADLINE - 100) instanceof Go);
+    }
+
+    @Test
+    public void neitherRetryNorHedgeInOverload() {
+        FailedTry failed = failed(Kinds.LOOKUP, FailureKind.SERVER_ERROR);
+        assertStopped(mRetries.decide(failed, true, 0), StopReason.OVERLOADED);
+        assertTrue(mHedges.start(Kinds.LOOKUP, TRIED, DEADLINE, true, 0).isEmpty());
+    }
+
+    @Test
+    public void oneHedgeForIdempotentRequestAndNoneForGuarded() {
+        assertTrue(mHedges.start(Kinds.SIGN_OFF, TRIED, DEADLINE, false, 0).isEmpty());
+        Optional<Endpoint> hedge = mHedges.start(Kinds.LOOKUP, TRIED, DEADLINE, false, 0);
+        Set<Endpoint> tried = Set.of(Kinds.endpoint(0), hedge.orElseThrow());
+        assertEquals(tried.size(), 2);
+        assertTrue(mHedges.start(Kinds.LOOKUP, tried, DEADLINE, false, 0).isEmpty());
+    }
+
+    // Targets fail for load, each failure brings a retry, and the load doubles. So further tries
+    // of both sorts together stay within a share of the first tries of the last seconds.
+    @Test
+    public void furtherTriesStayWithinTheBudget() {
+        qt().withFixedSeed(1)
+                .withExamples(100)
+                .forAll(longs().all())
+                .checkAssert(seed -> checkBudget(seed, true));
+    }
+
+    @Test
+    public void twoBudgetsInsteadOfOneAreFound() {
+        AssertionError error = expectThrows(AssertionError.class, () -> checkBudget(1, false));
+        assertTrue(error.getMessage().contains("further tries"), error.getMessage());
+    }
+
+    private void checkBudget(long seed, boolean shared) {
+        SplittableRandom random = new SplittableRandom(seed);
+        RetryBudget budget = new RetryBudget();
+        RetryBudget other = shared ? budget : new RetryBudget();
+        start(budget, other);
+        int[] firstTries = new int[60];
+        int[] furtherTries = new int[60];
+        for (long now = 0; now < 60_000; now += 1 + random.nextInt(200)) {
+            int second = (int) (now / 1_000);
+            firstTries[second]++;
+            budget.onFirstTry(Kinds.LOOKUP, now);
+            if (!shared) {
+                other.onFirstTry(Kinds.LOOKUP, now);
+            }
+            FailedTry failed = failed(Kinds.LOOKUP, FailureKind.TIMED_OUT);
+            if (random.nextBoolean() && mRetries.decide(failed, false, now) instanceof Go) {
+                furtherTries[second]++;
+                checkWindow(firstTries, furtherTries, second);
+            }
+            if (mHedges.start(Kinds.LOOKUP, TRIED, DEADLINE, false, now).isPresent()) {
+                furtherTries[second]++;
+                checkWindow(firstTries, furtherTries, second);
+            }
+        }
+        double allowedInAll = 6 * 2 + 0.1 * sum(firstTries, 0, 59);
+        assertTrue(sum(furtherTries, 0, 59) <= allowedInAll, "further tries of the minute");
+    }
+
+    /** Each further try is within the budget of the ten seconds that end with it. */
+    private static void checkWindow(int[] firstTries, int[] furtherTries, int second) {
+        int first = Math.max(0, second - 9);
+        double allowed = 2 + 0.1 * sum(firstTries, first, second);
+        int used = sum(furtherTries, first, second);
+        assertTrue(used <= allowed, used + " further tries, allowed " + allowed);
+    }
+
+    private static int sum(int[] values, int from, int to) {
+        int sum = 0;
+        for (int index = from; index <= to; index++) {
+            sum += values[index];
+        }
+        return sum;
+    }
+
+    private void start(RetryBudget retryBudget, RetryBudget hedgeBudget) {
+        mSlots = new SlotTable(10_000, 1_000);
+        mTimes = new ServiceTimes();
+        Balancer balancer = new Balancer(mSlots, 0.5, new SplittableRandom(1));
+        balancer.onTargets(Kinds.targets(3));
+        mRetries = new RetryPolicy(retryBudget, balancer, mSlots, mTimes);
+        mHedges = new HedgePolicy(hedgeBudget, balancer, mSlots, mTimes);
+    }
+
+    private RetryDecision decide(RequestKind kind, FailureKind failure) {
+        return mRetries.decide(failed(kind, failure), false, 0);
+    }
+
+    private static FailedTry failed(RequestKind kind, FailureKind failure) {
+        return new FailedTry(kind, failure, failure.mayHaveRun(), TRIED, 1, DEADLINE);
+    }
+
+    private static void assertStopped(RetryDecision decision, StopReason reason) {
+        assertEquals(decision, new Stop(reason));
+    }
+}
