Fuzz at most once against an oracle

Cause: the promises have to hold in any order of messages, deaths and clocks, and unit tests only show the orders that somebody thought of.

Schedules of up to 80 steps run the production classes of three VMs with restarts, freezes, loss, duplication, reorder, one-way cuts, clock skew, full tables, expiry, late targets and keys repeated anywhere. The oracle is the set of what ran. At the end all faults heal, everything late arrives, and each key is sent and asked for through each VM six times while the keys expire.

A step with changed content under a known key was ruled out of the faultless schedules: the first content then decides, as the answer "mismatch" says.

--- a/decisions/src/main/java/org/dahliapass/decisions/once/HomeLedger.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/once/HomeLedger.java
@@ -205,7 +205,8 @@
         return new HomeAction.Settle(answer, Optional.empty());
     }
 
-    private Optional<HomeRecord> openAttempt(Operation operation, int attempt) {
+    /** Guards against a late report on one attempt that would end, or repeat, the next. */
+    Optional<HomeRecord> openAttempt(Operation operation, int attempt) {
         return mTable.find(operation).filter(record -> record.awaits(attempt));
     }
 
--- /dev/null
+++ b/decisions/src/test/java/org/dahliapass/decisions/once/OnceVm.java
@@ -0,0 +1,200 @@
+package org.dahliapass.decisions.once;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.dahliapass.model.VmIdentity;
+
+/** One life of a VM in a schedule: the production classes, joined as the adapters join them. */
+final class OnceVm {
+
+    private static final int TO_CALLER = -1;
+    private static final long DEADLINE_MILLIS = 20_000;
+
+    private record Waiter(String vm, int exchange) {}
+
+    private record Exchange(Operation operation, String digest, boolean atWitness) {}
+
+    private final VmIdentity mSelf;
+    private final OnceSchedule mWorld;
+    private final HomeLedger mLedger;
+    private final WitnessRegister mRegister;
+    private final Resolver mResolver;
+    private final Map<Operation, List<Waiter>> mWaiters = new HashMap<>();
+    private final Map<Integer, Exchange> mExchanges = new LinkedHashMap<>();
+    private final Map<Operation, Integer> mOpenAttempts = new LinkedHashMap<>();
+    private int mNextExchange;
+
+    OnceVm(VmIdentity self, OnceFault fault, OnceSchedule world) {
+        mSelf = self;
+        mWorld = world;
+        mLedger = fault.ledger(self);
+        mRegister = fault.register(self);
+        mResolver = fault.resolver(self, mRegister);
+    }
+
+    VmIdentity self() {
+        return mSelf;
+    }
+
+    /** A caller sends a request or, with an empty digest, asks for its outcome. */
+    void callerSends(Operation operation, String digest, long now) {
+        request(operation, digest, new Waiter(mSelf.name(), TO_CALLER), now);
+    }
+
+    void finished(Operation operation, int attempt, RecordedResult result, long now) {
+        act(operation, mLedger.finished(operation, attempt, result, now));
+    }
+
+    void refused(Operation operation, int attempt, long now) {
+        act(operation, mLedger.targetRefused(operation, attempt, true, now));
+    }
+
+    /** Counts what this VM waits for with a time-out. */
+    int timers() {
+        return mOpenAttempts.size() + mExchanges.size();
+    }
+
+    /** Lets the chosen time-out pass. */
+    void timeOut(int choice, long now) {
+        if (choice < mOpenAttempts.size()) {
+            Operation operation = nth(mOpenAttempts.keySet(), choice);
+            int attempt = mOpenAttempts.remove(operation);
+            HomeAction action =
+                    attempt == 0
+                            ? mLedger.witnessTimedOut(operation, now)
+                            : mLedger.lostTouch(operation, attempt, now);
+            act(operation, action);
+            return;
+        }
+        int id = nth(mExchanges.keySet(), choice - mOpenAttempts.size());
+        Exchange exchange = mExchanges.get(id);
+        step(
+                id,
+                exchange.atWitness()
+                        ? mResolver.witnessSilent()
+                        : mResolver.homeSilent(exchange.operation(), now));
+    }
+
+    private void request(Operation operation, String digest, Waiter waiter, long now) {
+        if (digest.isEmpty()) {
+            Optional<OperationAnswer> known = mLedger.query(operation, now);
+            known.ifPresentOrElse(
+                    answer -> answer(operation, waiter, answer),
+                    () -> resolve(operation, digest, waiter, now));
+            return;
+        }
+        Beginning beginning = mLedger.begin(operation, digest, now + DEADLINE_MILLIS, now);
+        if (beginning instanceof Beginning.AskWitness ask) {
+            mWaiters.computeIfAbsent(operation, key -> new ArrayList<>()).add(waiter);
+            mOpenAttempts.put(operation, 0);
+            send(ask.witness(), (vm, from, at) -> vm.intent(from, operation, at));
+        } else if (beginning instanceof Beginning.Answered known) {
+            answer(operation, waiter, known.answer());
+        } else {
+            resolve(operation, digest, waiter, now);
+        }
+    }
+
+    private void resolve(Operation operation, String digest, Waiter waiter, long now) {
+        // A request is forwarded only once; whoever forwarded it goes on by itself.
+        if (waiter.exchange() != TO_CALLER) {
+            answer(operation, waiter, new OperationAnswer.Unknown(UnknownReason.NO_WORD));
+            return;
+        }
+        int id = mNextExchange++;
+        mExchanges.put(id, new Exchange(operation, digest, false));
+        step(id, mResolver.start(operation, now));
+    }
+
+    private void step(int id, ResolverStep step) {
+        Exchange exchange = mExchanges.get(id);
+        Operation operation = exchange.operation();
+        String digest = exchange.digest();
+        if (step instanceof ResolverStep.ForwardToHome to) {
+            Waiter waiter = new Waiter(mSelf.name(), id);
+            send(to.home(), (vm, from, at) -> vm.request(operation, digest, waiter, at));
+        } else if (step instanceof ResolverStep.AskWitness to) {
+            mExchanges.put(id, new Exchange(operation, digest, true));
+            send(to.witness(), (vm, from, at) -> vm.asked(from, operation, id, at));
+        } else if (step instanceof ResolverStep.Answer known) {
+            mExchanges.remove(id);
+            mWorld.callerTold(operation, known.answer());
+        }
+    }
+
+    private void intent(VmIdentity home, Operation operation, long now) {
+        IntentReply reply = mRegister.recordIntent(home, operation, now);
+        send(
+                home,
+                (vm, from, at) ->
+                        vm.act(operation, vm.mLedger.witnessReplied(operation, reply, at)));
+    }
+
+    private void asked(VmIdentity asker, Operation operation, int id, long now) {
+        OperationAnswer answer = mRegister.resolve(operation, now);
+        send(asker, (vm, from, at) -> vm.witnessAnswered(from, operation, id, answer));
+    }
+
+    private void witnessAnswered(
+            VmIdentity from, Operation operation, int id, OperationAnswer answer) {
+        if (isOpen(id, operation)) {
+            step(id, mResolver.witnessAnswered(operation, from, answer));
+        }
+    }
+
+    private void homeAnswered(
+            VmIdentity from, Operation operation, int id, OperationAnswer answer, long now) {
+        if (isOpen(id, operation) && !mExchanges.get(id).atWitness()) {
+            step(id, mResolver.homeAnswered(operation, from, answer, now));
+        }
+    }
+
+    private boolean isOpen(int id, Operation operation) {
+        Exchange exchange = mExchanges.get(id);
+        return exchange != null && exchange.operation().equals(operation);
+    }
+
+    private void act(Operation operation, HomeAction action) {
+        if (action instanceof HomeAction.Dispatch dispatch) {
+            mOpenAttempts.put(operation, dispatch.attempt());
+            mWorld.dispatch(mSelf, operation, dispatch.attempt());
+        } else if (action instanceof HomeAction.Settle settle) {
+            mOpenAttempts.remove(operation);
+            List<Waiter> waiters = mWaiters.remove(operation);
+            if (waiters != null) {
+                waiters.forEach(waiter -> answer(operation, waiter, settle.answer()));
+            }
+            settle.notice().ifPresent(this::notifyWitness);
+        }
+    }
+
+    private void notifyWitness(OutcomeNotice notice) {
+        send(
+                notice.operation().key().witness(),
+                (vm, from, at) -> vm.mRegister.recordOutcome(from, notice, at));
+    }
+
+    private void answer(Operation operation, Waiter waiter, OperationAnswer answer) {
+        if (waiter.exchange() == TO_CALLER) {
+            mWorld.callerTold(operation, answer);
+            return;
+        }
+        mWorld.send(
+                mSelf,
+                waiter.vm(),
+                (vm, from, at) -> vm.homeAnswered(from, operation, waiter.exchange(), answer, at));
+    }
+
+    private void send(VmIdentity vm, OnceMessage message) {
+        mWorld.send(mSelf, vm.name(), message);
+    }
+
+    private static <E> E nth(Collection<E> elements, int index) {
+        return new ArrayList<>(elements).get(index);
+    }
+}
