--- a/entry/src/main/java/org/dahliapass/entry/ConfigurationService.java
+++ b/entry/src/main/java/org/dahliapass/entry/ConfigurationService.java
@@ -114,12 +114,13 @@
         if (known != null && known.number() >= record.number()) {
             return;
         }
-        mStore.read(StoreKey.text(record.customer(), record.digest()).path())
-                .thenAccept(
-                        value ->
-                                value.ifPresent(
-                                        found ->
-                                                mLoop.execute(() -> apply(record, found.value()))));
+        Futures.whenDone(
+                mStore.read(StoreKey.text(record.customer(), record.digest()).path()),
+                (value, failure) -> {
+                    if (failure == null && value.isPresent()) {
+                        mLoop.execute(() -> apply(record, value.get().value()));
+                    }
+                });
     }
 
     private void apply(ChangeRecord record, String text) {
--- a/entry/src/main/java/org/dahliapass/entry/GuardedExchange.java
+++ b/entry/src/main/java/org/dahliapass/entry/GuardedExchange.java
@@ -105,11 +105,16 @@
         Futures.whenDone(
                 body.whenComplete(),
                 (ignored, failure) ->
-                        mOnce.finished(mOperation, attempt, recorder.result(failure == null)));
+                        finish(attempt, recorder.result(failure == null)));
         return mObserver.passOn(
                 mRequest, new TryResult.Answered(answered.target(), answered.headers(), body));
     }
 
+    private void finish(int attempt, RecordedResult result) {
+        Futures.whenDone(
+                mOnce.finished(mOperation, attempt, result), (ignoredAction, ignored) -> {});
+    }
+
     private HttpResponse answer(OperationAnswer answer) {
         if (answer instanceof OperationAnswer.Result result) {
             return replay(result.result());
--- a/entry/src/main/java/org/dahliapass/entry/RequestHandler.java
+++ b/entry/src/main/java/org/dahliapass/entry/RequestHandler.java
@@ -73,7 +73,8 @@
                     .toCell(request, path)
                     .orElseGet(() -> refuse(id, RefusalCode.WRONG_VM, "Ask again."));
         }
-        context.setMaxRequestLength(kind.get().maximumBodyBytes());
+        // 0 would mean "no limit" here; the exact limit is checked once the body is there.
+        context.setMaxRequestLength(kind.get().maximumBodyBytes() + 1);
         CompletableFuture<HttpResponse> answer =
                 request.aggregate()
                         .handle(
@@ -94,6 +95,9 @@
             RequestKind kind,
             ServicePath path,
             AggregatedHttpRequest message) {
+        if (message.content().length() > kind.maximumBodyBytes()) {
+            return refuse(id, RefusalCode.BODY_TOO_LARGE, "The template allows a smaller body.");
+        }
         long now = mClock.millis();
         long patience = callersTimeout(message, kind.deadline().toMillis());
         CallerRequest request =
--- /dev/null
+++ b/lab/src/main/java/org/dahliapass/lab/quickstart/Tally.java
@@ -0,0 +1,71 @@
+package org.dahliapass.lab.quickstart;
+
+import java.util.Locale;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+
+/** What became of the requests of one kind. */
+final class Tally {
+    private static final long MOST_MICROS = 600_000_000L;
+    private static final double MICROS_PER_MILLI = 1000.0;
+
+    private final String mName;
+    private final Histogram mMicros = new ConcurrentHistogram(MOST_MICROS, 3);
+    private int mGood;
+    private int mRefused;
+    private int mWrong;
+    private String mFirstWrong = "";
+
+    Tally(String name) {
+        mName = name;
+    }
+
+    synchronized void good(long micros) {
+        mGood++;
+        mMicros.recordValue(Math.min(micros, MOST_MICROS));
+    }
+
+    synchronized void refused() {
+        mRefused++;
+    }
+
+    synchronized void wrong(String what) {
+        mWrong++;
+        if (mFirstWrong.isEmpty()) {
+            mFirstWrong = what;
+        }
+    }
+
+    synchronized int wrongs() {
+        return mWrong;
+    }
+
+    synchronized int goods() {
+        return mGood;
+    }
+
+    synchronized String row() {
+        return String.format(
+                Locale.ROOT,
+                "%-24s %8d %8d %8d %10.2f %10.2f  %s",
+                mName,
+                mGood,
+                mRefused,
+                mWrong,
+                mMicros.getValueAtPercentile(50) / MICROS_PER_MILLI,
+                mMicros.getValueAtPercentile(99) / MICROS_PER_MILLI,
+                mFirstWrong);
+    }
+
+    static String header() {
+        return String.format(
+                Locale.ROOT,
+                "%-24s %8s %8s %8s %10s %10s",
+                "kind",
+                "good",
+                "refused",
+                "wrong",
+                "p50 ms",
+                "p99 ms");
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/org/dahliapass/lab/quickstart/TrafficMain.java
@@ -0,0 +1,185 @@
+package org.dahliapass.lab.quickstart;
+
+import com.linecorp.armeria.client.ClientFactory;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.ResponseHeaders;
+import com.linecorp.armeria.common.SplitHttpResponse;
+import com.linecorp.armeria.common.stream.StreamMessage;
+import java.time.Clock;
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.IntConsumer;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+import org.dahliapass.kernel.ExitCode;
+import org.dahliapass.kernel.MonotonicClock;
+import org.dahliapass.kernel.Program;
+
+/** Sends the quick start's requests, checks every answer and prints a table. */
+public final class TrafficMain extends Program {
+    private static final int OK = 200;
+    private static final int THREADS = 8;
+    private static final long LIMIT_SECONDS = 300;
+
+    private final Clock mClock = new MonotonicClock();
+    private final List<Tally> mTallies = new ArrayList<>();
+    private OptionSpec<String> mVm;
+    private OptionSpec<Integer> mRequests;
+    private OptionSpec<Long> mExtractBytes;
+
+    private TrafficMain() {
+        super("quickstart-traffic", "Sends requests of both deployments and checks the answers.");
+    }
+
+    /** Runs the program. */
+    public static void main(String[] arguments) {
+        System.exit(new TrafficMain().main(arguments, System.out, System.err).code());
+    }
+
+    @Override
+    protected void declare(OptionParser parser) {
+        mVm = parser.accepts("vm", "A VM's callers' address.").withRequiredArg().required();
+        mRequests =
+                parser.accepts("requests", "Requests of each kind.")
+                        .withRequiredArg()
+                        .ofType(Integer.class)
+                        .defaultsTo(200);
+        mExtractBytes =
+                parser.accepts("extract-bytes", "Size of a bulky answer; 0 for none.")
+                        .withRequiredArg()
+                        .ofType(Long.class)
+                        .defaultsTo(64L * 1024 * 1024);
+    }
+
+    @Override
+    protected ExitCode run(OptionSet options) throws InterruptedException {
+        int requests = options.valueOf(mRequests);
+        long bytes = options.valueOf(mExtractBytes);
+        try (ClientFactory factory = ClientFactory.builder().build()) {
+            Caller caller = new Caller(options.valueOf(mVm), factory);
+            listings(caller, "himal", "desk", "/listings/", requests);
+            guarded(caller, "himal", "desk", "/sign-offs/", requests);
+            listings(caller, "vatulele", "rankings", "/rankings/", requests);
+            guarded(caller, "vatulele", "rankings", "/certifications/", requests);
+            if (bytes > 0) {
+                extract(caller, "himal", "vault", "/extracts/ledger", bytes);
+                extract(caller, "vatulele", "archive", "/exports/season", bytes);
+            }
+        }
+        System.out.println(Tally.header());
+        mTallies.forEach(tally -> System.out.println(tally.row()));
+        boolean allRight = mTallies.stream().allMatch(t -> t.wrongs() == 0 && t.goods() > 0);
+        return allRight ? ExitCode.OK : ExitCode.FAILED;
+    }
+
+    private long microsSince(Instant start) {
+        return ChronoUnit.MICROS.between(start, mClock.instant());
+    }
+
+    private Tally tally(String name) {
+        Tally tally = new Tally(name);
+        mTallies.add(tally);
+        return tally;
+    }
+
+    private void listings(
+            Caller caller, String customer, String service, String path, int requests)
+            throws InterruptedException {
+        Tally tally = tally(customer + path);
+        List<Caller.Address> addresses = caller.ask(customer, service);
+        inParallel(
+                requests,
+                number -> {
+                    String address = addresses.get(number % addresses.size()).address();
+                    String own = path + number;
+                    Instant start = mClock.instant();
+                    AggregatedHttpResponse answer =
+                            caller.get(address, "/services/" + customer + "/" + service + own)
+                                    .aggregate()
+                                    .join();
+                    judge(tally, answer, own, start);
+                });
+    }
+
+    private void guarded(
+            Caller caller, String customer, String service, String path, int requests)
+            throws InterruptedException {
+        Tally tally = tally(customer + path);
+        List<Caller.Address> addresses = caller.ask(customer, service);
+        inParallel(
+                requests,
+                number -> {
+                    Caller.Address address = addresses.get(number % addresses.size());
+                    String key = address.token() + ".op-" + number;
+                    String full = "/services/" + customer + "/" + service + path + number;
+                    Instant start = mClock.instant();
+                    AggregatedHttpResponse answer =
+                            caller.post(address.address(), full, key, "{}").aggregate().join();
+                    judge(tally, answer, path + number, start);
+                    String other = addresses.get((number + 1) % addresses.size()).address();
+                    AggregatedHttpResponse repeated =
+                            caller.post(other, full, key, "{}").aggregate().join();
+                    judgeRepeat(tally, answer, repeated);
+                });
+    }
+
+    private void judge(
+            Tally tally, AggregatedHttpResponse answer, String path, Instant start) {
+        boolean refused = answer.headers().contains("retry-after");
+        if (refused) {
+            tally.refused();
+        } else if (answer.status().code() != OK || !answer.contentUtf8().contains(path)) {
+            tally.wrong(answer.status() + " " + answer.contentUtf8());
+        } else {
+            tally.good(microsSince(start));
+        }
+    }
+
+    private static void judgeRepeat(
+            Tally tally, AggregatedHttpResponse first, AggregatedHttpResponse repeated) {
+        if (first.status().code() == OK
+                && !first.contentUtf8().equals(repeated.contentUtf8())) {
+            tally.wrong("repeated key: " + repeated.status() + " " + repeated.contentUtf8());
+        }
+    }
+
+    private void extract(Caller caller, String customer, String service, String path, long bytes) {
+        Tally tally = tally(customer + path);
+        String address = caller.ask(customer, service).get(0).address();
+        Instant start = mClock.instant();
+        SplitHttpResponse split =
+                caller.get(
+                                address,
+                                "/services/" + customer + "/" + service + path + "?bytes=" + bytes)
+                        .split();
+        ResponseHeaders headers = split.headers().join();
+        AtomicLong received = new AtomicLong();
+        StreamMessage<HttpData> body = split.body();
+        body.peek(piece -> received.addAndGet(piece.length())).subscribe().join();
+        if (headers.status().code() != OK || received.get() != bytes) {
+            tally.wrong(headers.status() + ", " + received.get() + " bytes");
+            return;
+        }
+        tally.good(microsSince(start));
+    }
+
+    private static void inParallel(int requests, IntConsumer work) throws InterruptedException {
+        ExecutorService executor = Executors.newFixedThreadPool(THREADS);
+        for (int number = 0; number < requests; number++) {
+            int own = number;
+            executor.execute(() -> work.accept(own));
+        }
+        executor.shutdown();
+        if (!executor.awaitTermination(LIMIT_SECONDS, TimeUnit.SECONDS)) {
+            executor.shutdownNow();
+        }
+    }
+}
