Add the peer transport: datagrams and requests between VMs

Cause: VMs need to talk to each other, and only members may speak. Change: one port for UDP and TCP, one pooled connection a peer, typed refusals, counters by kind, a filter that cuts links one way in tests. Found by its test: a stop shut the event loop down before queued answers were written; the stop now waits for the closes, which are queued behind the answers.

--- a/entry/src/main/java/org/dahliapass/entry/GossipCodec.java
+++ b/entry/src/main/java/org/dahliapass/entry/GossipCodec.java
@@ -47,9 +47,7 @@
                 gossip.getRecipientIncarnation(),
                 decode(gossip.getKind()),
                 gossip.getSequence(),
-                gossip.hasSubject()
-                        ? Optional.of(decode(gossip.getSubject()))
-                        : Optional.empty(),
+                gossip.hasSubject() ? Optional.of(decode(gossip.getSubject())) : Optional.empty(),
                 gossip.getHeadNumber(),
                 decodeMembers(gossip.getMembersList()));
     }
@@ -111,8 +109,7 @@
         return members.stream().map(GossipCodec::decode).flatMap(Optional::stream).toList();
     }
 
-    private static Optional<MemberUpdate> decode(
-            org.dahliapass.wire.message.MemberUpdate member) {
+    private static Optional<MemberUpdate> decode(org.dahliapass.wire.message.MemberUpdate member) {
         return decode(member.getStatus())
                 .map(
                         state ->
--- /dev/null
+++ b/wire/src/main/java/org/dahliapass/wire/Frames.java
@@ -0,0 +1,27 @@
+package org.dahliapass.wire;
+
+import com.google.protobuf.MessageLite;
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.codec.protobuf.ProtobufDecoder;
+import io.netty.handler.codec.protobuf.ProtobufEncoder;
+
+/** Cuts a TCP stream into messages: four bytes of length, then the message. */
+final class Frames {
+    /** A larger message closes the connection; a whole member list or template is smaller. */
+    static final int MOST_BYTES = 4 * 1024 * 1024;
+
+    private static final int LENGTH_BYTES = 4;
+
+    private Frames() {}
+
+    /** Adds the codec for a stream whose incoming messages are of the prototype's type. */
+    static void addTo(ChannelPipeline pipeline, MessageLite prototype) {
+        pipeline.addLast(
+                new LengthFieldBasedFrameDecoder(MOST_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
+        pipeline.addLast(new ProtobufDecoder(prototype));
+        pipeline.addLast(new LengthFieldPrepender(LENGTH_BYTES));
+        pipeline.addLast(new ProtobufEncoder());
+    }
+}
--- /dev/null
+++ b/wire/src/test/java/org/dahliapass/wire/PeerTransportTest.java
@@ -0,0 +1,274 @@
+package org.dahliapass.wire;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.UnknownFieldSet;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.dahliapass.kernel.Kernel;
+import org.dahliapass.kernel.StepException;
+import org.dahliapass.model.Endpoint;
+import org.dahliapass.model.VmIdentity;
+import org.dahliapass.wire.message.FetchChanges;
+import org.dahliapass.wire.message.FetchChangesReply;
+import org.dahliapass.wire.message.Gossip;
+import org.dahliapass.wire.message.PeerReply;
+import org.dahliapass.wire.message.PeerRequest;
+import org.dahliapass.wire.message.ReplyStatus;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.Test;
+
+/** Checks two transports with each other, over loopback. */
+public final class PeerTransportTest {
+    private static final Duration LONG = Duration.ofSeconds(20);
+    private static final Duration SHORT = Duration.ofMillis(50);
+    private static final String HOST = "127.0.0.1";
+    private static final VmIdentity ALICE = new VmIdentity("alice", 1);
+    private static final VmIdentity BOB = new VmIdentity("bob", 2);
+
+    private final List<PeerTransport> mTransports = new ArrayList<>();
+    private final BlockingQueue<Gossip> mArrived = new LinkedBlockingQueue<>();
+
+    @AfterMethod
+    public void stopAll() throws Exception {
+        for (PeerTransport transport : mTransports) {
+            join(transport.stop());
+        }
+        mTransports.clear();
+        mArrived.clear();
+    }
+
+    @Test
+    public void datagramArrives() throws Exception {
+        PeerTransport alice = start(ALICE, 0, LinkFilter.OPEN);
+        PeerTransport bob = start(BOB, 0, LinkFilter.OPEN);
+        alice.sendDatagram(bob.endpoint(), ping(5));
+        assertEquals(mArrived.poll(LONG.toSeconds(), TimeUnit.SECONDS).getSequence(), 5);
+        assertEquals(bob.counters().messages(TrafficKind.PING, Direction.IN), 1);
+        assertEquals(
+                bob.counters().bytes(TrafficKind.PING, Direction.IN),
+                alice.counters().bytes(TrafficKind.PING, Direction.OUT));
+    }
+
+    @Test
+    public void oversizedDatagramIsDroppedAndCounted() throws Exception {
+        PeerTransport alice = start(ALICE, 0, LinkFilter.OPEN);
+        ByteString filling = ByteString.copyFrom(new byte[PeerTransport.MOST_DATAGRAM_BYTES]);
+        alice.sendDatagram(alice.endpoint(), withUnknownField(ping(1), filling));
+        assertEquals(alice.counters().oversized(), 1);
+        assertEquals(alice.counters().messages(TrafficKind.PING, Direction.OUT), 0);
+    }
+
+    @Test
+    public void fieldsOfNewerReleaseAreIgnored() throws Exception {
+        PeerTransport alice = start(ALICE, 0, LinkFilter.OPEN);
+        PeerTransport bob = start(BOB, 0, LinkFilter.OPEN);
+        Gossip newer = withUnknownField(ping(6), ByteString.copyFromUtf8("news"));
+        alice.sendDatagram(bob.endpoint(), newer);
+        assertEquals(mArrived.poll(LONG.toSeconds(), TimeUnit.SECONDS).getSequence(), 6);
+    }
+
+    @Test
+    public void repliesOutOfOrderReachTheirRequests() throws Exception {
+        PeerTransport alice = start(ALICE, 0, LinkFilter.OPEN);
+        List<CompletableFuture<PeerReply>> held = new ArrayList<>();
+        BlockingQueue<Long> asked = new LinkedBlockingQueue<>();
+        PeerTransport bob =
+                start(
+                        BOB,
+                        0,
+                        LinkFilter.OPEN,
+                        request -> {
+                            held.add(new CompletableFuture<>());
+                            asked.add(request.getFetchChanges().getAfterNumber());
+                            return held.get(held.size() - 1);
+                        });
+        CompletableFuture<PeerReply> first = alice.request(bob.endpoint(), fetch(10), LONG);
+        CompletableFuture<PeerReply> second = alice.request(bob.endpoint(), fetch(20), LONG);
+        assertEquals(asked.poll(LONG.toSeconds(), TimeUnit.SECONDS), Long.valueOf(10));
+        assertEquals(asked.poll(LONG.toSeconds(), TimeUnit.SECONDS), Long.valueOf(20));
+        held.get(1).complete(head(20));
+        assertEquals(join(second).getFetchChanges().getHeadNumber(), 20);
+        assertFalse(first.isDone(), "The first reply was mixed up with the second.");
+        held.get(0).complete(head(10));
+        assertEquals(join(first).getFetchChanges().getHeadNumber(), 10);
+    }
+
+    @Test
+    public void refusalTellsItsStatus() throws Exception {
+        PeerTransport alice = start(ALICE, 0, LinkFilter.OPEN);
+        PeerTransport bob = start(BOB, 0, LinkFilter.OPEN);
+        PeerRequest stale = fetch(1).toBuilder().setRecipientIncarnation(1).build();
+        Throwable failure = failure(alice.request(bob.endpoint(), stale, LONG));
+        assertEquals(((RefusedException) failure).status(), ReplyStatus.WRONG_INCARNATION);
+        assertEquals(bob.counters().refused(ReplyStatus.WRONG_INCARNATION), 1);
+    }
+
+    @Test
+    public void requestOfNewerReleaseIsRefusedAsUnknown() throws Exception {
+        PeerTransport alice = start(ALICE, 0, LinkFilter.OPEN);
+        PeerTransport bob = start(BOB, 0, LinkFilter.OPEN);
+        PeerRequest unknown = fetch(1).toBuilder().clearBody().build();
+        Throwable failure = failure(alice.request(bob.endpoint(), unknown, LONG));
+        assertEquals(((RefusedException) failure).status(), ReplyStatus.UNKNOWN_REQUEST);
+    }
+
+    @Test
+    public void failingHandlerIsToldToTheRequester() throws Exception {
+        PeerTransport alice = start(ALICE, 0, LinkFilter.OPEN);
+        PeerTransport bob =
+                start(
+                        BOB,
+                        0,
+                        LinkFilter.OPEN,
+                        request -> {
+                            throw new IllegalStateException("Broken on purpose.");
+                        });
+        Throwable failure = failure(alice.request(bob.endpoint(), fetch(1), LONG));
+        assertEquals(((RefusedException) failure).status(), ReplyStatus.FAILED);
+    }
+
+    @Test
+    public void lostPeerIsNamedAndRestartedOneIsReachedAgain() throws Exception {
+        // A VM asks a peer that is restarted on the same address. What a user would see: answers
+        // that fail long after the peer is back. The old connection breaks; the request that meets
+        // it fails with step and peer, and a later one must open a new connection.
+        PeerTransport alice = start(ALICE, 0, LinkFilter.OPEN);
+        PeerTransport bob = start(BOB, 0, LinkFilter.OPEN);
+        Endpoint where = bob.endpoint();
+        join(alice.request(where, fetch(1), LONG));
+        join(bob.stop());
+        mTransports.remove(bob);
+        StepException failure = (StepException) failure(alice.request(where, fetch(2), LONG));
+        assertEquals(failure.peer(), where.toString());
+        start(BOB, where.port(), LinkFilter.OPEN);
+        assertEquals(
+                join(alice.request(where, fetch(3), LONG)).getFetchChanges().getHeadNumber(), 3);
+    }
+
+    @Test
+    public void cutIsOneWay() throws Exception {
+        // A link loses what goes one way only. What a user would see: a VM that hears its peer and
+        // is not heard. Bob's datagrams arrive at alice; hers are lost, and so are her requests.
+        LinkFilter deafPeer = (peer, direction) -> direction == Direction.IN;
+        PeerTransport alice = start(ALICE, 0, deafPeer);
+        PeerTransport bob = start(BOB, 0, LinkFilter.OPEN);
+        Throwable failure = failure(alice.request(bob.endpoint(), fetch(1), SHORT));
+        assertEquals(((StepException) failure).step(), "request FETCH_CHANGES");
+        alice.sendDatagram(bob.endpoint(), ping(1));
+        Gossip back = ping(9).toBuilder().setRecipientIncarnation(ALICE.incarnation()).build();
+        bob.sendDatagram(alice.endpoint(), back);
+        assertEquals(mArrived.poll(LONG.toSeconds(), TimeUnit.SECONDS).getSequence(), 9);
+        assertEquals(bob.counters().messages(TrafficKind.PING, Direction.IN), 0);
+        assertEquals(bob.counters().messages(TrafficKind.FETCH_CHANGES, Direction.IN), 0);
+    }
+
+    @Test
+    public void stopWaitsForWhatIsInFlight() throws Exception {
+        // A VM stops while it answers a peer. What a user would see: a request cut off by a planned
+        // stop. The stop begins while the handler still works; the answer must be sent first.
+        PeerTransport alice = start(ALICE, 0, LinkFilter.OPEN);
+        CompletableFuture<PeerReply> work = new CompletableFuture<>();
+        CompletableFuture<Void> reached = new CompletableFuture<>();
+        PeerTransport bob =
+                start(
+                        BOB,
+                        0,
+                        LinkFilter.OPEN,
+                        request -> {
+                            reached.complete(null);
+                            return work;
+                        });
+        CompletableFuture<PeerReply> reply = alice.request(bob.endpoint(), fetch(1), LONG);
+        join(reached);
+        CompletableFuture<Void> stopped = bob.stop();
+        assertFalse(stopped.isDone(), "The stop didn't wait for the answer.");
+        work.complete(head(1));
+        assertEquals(join(reply).getFetchChanges().getHeadNumber(), 1);
+        join(stopped);
+        mTransports.remove(bob);
+    }
+
+    @Test
+    public void takenPortIsReported() throws Exception {
+        PeerTransport alice = start(ALICE, 0, LinkFilter.OPEN);
+        PeerTransport second =
+                new PeerTransport(
+                        new PeerTransportSettings("fleet", BOB, HOST, alice.endpoint().port()),
+                        LinkFilter.OPEN);
+        Throwable failure = failure(second.start(new Kernel()));
+        assertTrue(failure.getMessage().contains("bind TCP"), failure.getMessage());
+    }
+
+    private PeerTransport start(VmIdentity self, int port, LinkFilter filter) throws Exception {
+        return start(
+                self,
+                port,
+                filter,
+                request ->
+                        CompletableFuture.completedFuture(
+                                head(request.getFetchChanges().getAfterNumber())));
+    }
+
+    private PeerTransport start(VmIdentity self, int port, LinkFilter filter, RequestHandler answer)
+            throws Exception {
+        PeerTransport transport =
+                new PeerTransport(new PeerTransportSettings("fleet", self, HOST, port), filter);
+        transport.setMembers(identity -> identity.equals(ALICE) || identity.equals(BOB));
+        transport.setGossipHandler((from, gossip) -> mArrived.add(gossip));
+        transport.setRequestHandler(answer);
+        join(transport.start(new Kernel()));
+        mTransports.add(transport);
+        return transport;
+    }
+
+    private static Gossip ping(long sequence) {
+        return Gossip.newBuilder()
+                .setKind(Gossip.Kind.PING)
+                .setSequence(sequence)
+                .setRecipientIncarnation(BOB.incarnation())
+                .build();
+    }
+
+    private static Gossip withUnknownField(Gossip gossip, ByteString value) {
+        UnknownFieldSet.Field field =
+                UnknownFieldSet.Field.newBuilder().addLengthDelimited(value).build();
+        return gossip.toBuilder()
+                .setUnknownFields(UnknownFieldSet.newBuilder().addField(1000, field).build())
+                .build();
+    }
+
+    private static PeerRequest fetch(long after) {
+        return PeerRequest.newBuilder()
+                .setRecipientIncarnation(BOB.incarnation())
+                .setFetchChanges(FetchChanges.newBuilder().setAfterNumber(after))
+                .build();
+    }
+
+    private static PeerReply head(long number) {
+        return PeerReply.newBuilder()
+                .setFetchChanges(FetchChangesReply.newBuilder().setHeadNumber(number))
+                .build();
+    }
+
+    private static Throwable failure(CompletableFuture<?> future) {
+        return expectThrows(
+                        ExecutionException.class,
+                        () -> future.get(LONG.toSeconds(), TimeUnit.SECONDS))
+                .getCause();
+    }
+
+    private static <T> T join(CompletableFuture<T> future) throws Exception {
+        return future.get(LONG.toSeconds(), TimeUnit.SECONDS);
+    }
+}
