--- a/entry/src/main/java/org/dahliapass/entry/GuardedExchange.java
+++ b/entry/src/main/java/org/dahliapass/entry/GuardedExchange.java
@@ -104,8 +104,7 @@
         StreamMessage<HttpData> body = answered.body().peek(recorder::add);
         Futures.whenDone(
                 body.whenComplete(),
-                (ignored, failure) ->
-                        finish(attempt, recorder.result(failure == null)));
+                (ignored, failure) -> finish(attempt, recorder.result(failure == null)));
         return mObserver.passOn(
                 mRequest, new TryResult.Answered(answered.target(), answered.headers(), body));
     }
--- a/wire/src/main/java/org/dahliapass/wire/RequestServer.java
+++ b/wire/src/main/java/org/dahliapass/wire/RequestServer.java
@@ -5,6 +5,9 @@
 import io.netty.channel.ChannelHandler.Sharable;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -40,7 +43,7 @@
         if (mInFlight.get() == 0) {
             mDrained.complete(null);
         }
-        return mDrained.thenRun(this::closeAll);
+        return mDrained.thenCompose(ignored -> closeAll());
     }
 
     @Override
@@ -100,7 +103,7 @@
      */
     private CompletableFuture<PeerReply> handle(PeerRequest request) {
         try {
-            return mHandler.onRequest(request);
+            return mHandler.onRequest(request).thenApply(Objects::requireNonNull);
         } catch (RuntimeException failure) {
             return CompletableFuture.failedFuture(failure);
         }
@@ -116,10 +119,21 @@
         ChannelFuture unused = context.writeAndFlush(stamped, context.voidPromise());
     }
 
-    private void closeAll() {
+    /**
+     * Closes the connections; completes when all are closed.
+     *
+     * <p>Guards against an event loop that is shut down with answers still queued: it closes its
+     * channels before it writes, which shows as a request cut off by a planned stop. A close is
+     * queued behind the answers, so once it has ended they are written.
+     */
+    private CompletableFuture<Void> closeAll() {
+        List<CompletableFuture<Void>> closes = new ArrayList<>();
         for (Channel channel : mChannels) {
-            ChannelFuture unused = channel.close();
+            CompletableFuture<Void> closed = new CompletableFuture<>();
+            ChannelFuture unused = channel.close().addListener(done -> closed.complete(null));
+            closes.add(closed);
         }
+        return CompletableFuture.allOf(closes.toArray(CompletableFuture<?>[]::new));
     }
 
     private static PeerReply finished(PeerReply body, Throwable failure) {
