Trust a peer's report until the next is due, and keep room beside many floods

Cause: a report's weight faded from its first millisecond, so a busy cell looked less busy and slots were borrowed from it; and two customers' floods could fill the queue between them.

--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/AdmissionQueue.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/AdmissionQueue.java
@@ -169,8 +169,7 @@
     }
 
     private Admission queueOrRefuse(QueueEntry<T> entry, long nowMillis) {
-        if (mWaiting.size() >= mLimits.capacity()
-                || mWaitingByCustomer.of(entry.customer()) >= mLimits.capacityPerCustomer()) {
+        if (!hasRoomFor(entry.customer())) {
             return refuse(RefusalReason.QUEUE_FULL, drainMillis(nowMillis));
         }
         long waitMillis = waitMillis(entry, nowMillis);
@@ -185,6 +184,19 @@
         return new Admission.Queued();
     }
 
+    /**
+     * Returns whether one more entry of a customer may wait.
+     *
+     * <p>Guards against floods of several customers that fill the queue together, so that all
+     * others are refused: a customer may have as many entries as there are free places, so however
+     * many flood it, about one flood's part stays free.
+     */
+    private boolean hasRoomFor(String customer) {
+        int freePlaces = mLimits.capacity() - mWaiting.size();
+        int limit = Math.min(mLimits.capacityPerCustomer(), freePlaces);
+        return mWaitingByCustomer.of(customer) < limit;
+    }
+
     private void enqueue(QueueEntry<T> entry) {
         Waiting<T> waiting = new Waiting<>(entry, mSequence++);
         mWaiting.put(entry, waiting);
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/Balancer.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/Balancer.java
@@ -25,6 +25,8 @@
     /** Others' slots are borrowed while less than this share of all usable slots is in use. */
     private static final double BORROW_BELOW = 0.7;
 
+    private static final double BULKY_SHARE_AMONG_SHORT = 0.5;
+
     private final SlotTable mSlots;
     private final int mBulkySlotsPerTarget;
     private final RandomGenerator mRandom;
@@ -45,6 +47,11 @@
         mRandom = random;
     }
 
+    /** Returns the share of a target's slots that bulky requests may take in a service. */
+    public static double bulkyShare(List<RequestKind> kinds) {
+        return kinds.stream().allMatch(RequestKind::bulky) ? 1 : BULKY_SHARE_AMONG_SHORT;
+    }
+
     /** Takes the newest view of the targets. */
     public void onTargets(List<WeightedTarget> targets) {
         mTargets = List.copyOf(targets);
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/QueueLimits.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/QueueLimits.java
@@ -1,5 +1,7 @@
 package org.dahliapass.decisions.traffic;
 
+import org.dahliapass.model.ServiceTemplate;
+
 /**
  * How much may wait.
  *
@@ -8,4 +10,16 @@
  *     part
  * @param bulkyPerCustomer the most bulky requests of one customer in flight on this VM
  */
-public record QueueLimits(int capacity, int capacityPerCustomer, int bulkyPerCustomer) {}
+public record QueueLimits(int capacity, int capacityPerCustomer, int bulkyPerCustomer) {
+    private static final int ENTRIES_PER_SLOT = 16;
+    private static final int LEAST_CAPACITY = 64;
+
+    /** Returns the limits for one VM of a service's cell, from the slots that fall to it. */
+    public static QueueLimits forService(ServiceTemplate service) {
+        int slots = service.targets().size() * service.slotsPerTarget();
+        int slotsPerVm = Math.max(1, slots / Math.max(1, service.cellSize()));
+        int capacity = Math.max(LEAST_CAPACITY, ENTRIES_PER_SLOT * slotsPerVm);
+        int bulkySlots = (int) (slotsPerVm * Balancer.bulkyShare(service.kinds()));
+        return new QueueLimits(capacity, capacity / 2, Math.max(1, bulkySlots / 2));
+    }
+}
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/SlotTable.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/SlotTable.java
@@ -32,7 +32,8 @@
      * Starts with nothing in flight and this VM alone in the cell.
      *
      * @param slotsPerTarget requests that a target works on at once
-     * @param halfLifeMillis the age at which a peer's report counts half, in milliseconds
+     * @param halfLifeMillis the age at which a peer's report counts half, in milliseconds; longer
+     *     than the time between reports
      */
     public SlotTable(int slotsPerTarget, long halfLifeMillis) {
         mSlotsPerTarget = slotsPerTarget;
@@ -188,8 +189,10 @@
         return report;
     }
 
+    /** Halves with each whole half-life, so that a report counts fully until the next is due. */
     private double trust(long ageMillis) {
-        return Math.pow(0.5, (double) Math.max(0, ageMillis) / mHalfLifeMillis);
+        int halfLives = (int) (Math.max(0, ageMillis) / mHalfLifeMillis);
+        return Math.scalb(1.0, -halfLives);
     }
 
     private record PeerReport(int inFlight, long atMillis) {}
--- a/decisions/src/test/java/org/dahliapass/decisions/traffic/AdmissionQueueTest.java
+++ b/decisions/src/test/java/org/dahliapass/decisions/traffic/AdmissionQueueTest.java
@@ -90,6 +90,15 @@
         assertTrue(mQueue.offer(entry("b", Kinds.LISTING, 0), 0) instanceof Queued);
     }
 
+    @Test
+    public void floodsOfManyCustomersLeaveRoomForOneMore() {
+        fillSlots();
+        for (int count = 0; count < 200; count++) {
+            mQueue.offer(entry("flood" + count % 8, Kinds.LISTING, 0), 0);
+        }
+        assertTrue(mQueue.offer(entry("calm", Kinds.LISTING, 0), 0) instanceof Queued);
+    }
+
     @Test
     public void expiresWhenPatienceIsOverAndNotBefore() {
         fillSlots();
