--- a/entry/src/main/java/org/dahliapass/entry/ServiceRuntime.java
+++ b/entry/src/main/java/org/dahliapass/entry/ServiceRuntime.java
@@ -42,10 +42,7 @@
  */
 public final class ServiceRuntime {
     private static final long REPORT_HALF_LIFE_MILLIS = 1000;
-    private static final double BULKY_SHARE = 0.5;
     private static final int RATE_BUCKETS = 10_000;
-    private static final int QUEUED_PER_SLOT = 4;
-    private static final int LEAST_QUEUE = 64;
 
     private final ServiceId mId;
     private final int mSlotsPerTarget;
@@ -73,8 +70,10 @@
         mEvidence = evidence;
         mMetrics = metrics;
         mSlots = new SlotTable(template.slotsPerTarget(), REPORT_HALF_LIFE_MILLIS);
-        mBalancer = new Balancer(mSlots, bulkyShare(template), random);
-        mQueue = new AdmissionQueue<>(limits(template), mSlots, mBalancer, mTimes, random);
+        mBalancer = new Balancer(mSlots, Balancer.bulkyShare(template.kinds()), random);
+        mQueue =
+                new AdmissionQueue<>(
+                        QueueLimits.forService(template), mSlots, mBalancer, mTimes, random);
         mRetries = new RetryPolicy(mBudget, mBalancer, mSlots, mTimes);
         mHedges = new HedgePolicy(mBudget, mBalancer, mSlots, mTimes);
     }
@@ -320,15 +319,4 @@
                 };
         return new RefusedException(Refusal.of(code, message, refused.retryAfterMillis()));
     }
-
-    private static double bulkyShare(ServiceTemplate template) {
-        boolean onlyBulky = template.kinds().stream().allMatch(RequestKind::bulky);
-        return onlyBulky ? 1.0 : BULKY_SHARE;
-    }
-
-    private static QueueLimits limits(ServiceTemplate template) {
-        int slots = template.slotsPerTarget() * template.targets().size();
-        int capacity = Math.max(LEAST_QUEUE, slots * QUEUED_PER_SLOT);
-        return new QueueLimits(capacity, Math.max(1, capacity / 2), Math.max(1, slots / 2));
-    }
 }
