Add the operators' command

Cause: operators change the product only by accepting templates, and want to know what came of it and what the VMs did by themselves. Ruled out: leaving the handle of an accept for the end: a command that dies meanwhile would leave the operator nothing to ask with, so it is printed before the head's swap is sent. Change: check, accept, show, history, resolve, status, explain and drain, with exit codes 3 for a conflict and 4 for an unknown outcome. A draft is parsed before anything is read or written. The head's ring is bounded by the number of services it names as well, so that it stays below the store's limit on values.

--- a/decisions/src/main/java/org/dahliapass/decisions/configuration/Accept.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/configuration/Accept.java
@@ -93,6 +93,7 @@
      */
     List<Preparation> preparations(Head head, int ringCapacity) {
         List<Preparation> all = new ArrayList<>();
+        ChangeRecord next = mRequest.numbered(head.number() + 1);
         TemplateText text = mRequest.text();
         all.add(new Preparation(StoreKey.text(mRequest.customer(), text.digest()), text));
         for (ServiceUse use : mRequest.services()) {
@@ -101,7 +102,7 @@
                             StoreKey.customers(use.service()),
                             CustomerIndex.of(mRequest.customer())));
         }
-        for (ChangeRecord evicted : head.evictedByNext(ringCapacity)) {
+        for (ChangeRecord evicted : head.evictedBy(next, ringCapacity)) {
             all.add(new Preparation(StoreKey.pointer(evicted.customer()), Pointer.of(evicted)));
         }
         return all;
--- a/decisions/src/main/java/org/dahliapass/decisions/configuration/Head.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/configuration/Head.java
@@ -17,6 +17,9 @@
     /** How many changes the ring holds in the field. */
     public static final int RING_CAPACITY = 256;
 
+    /** How many services all changes of the ring may name: the store's values are bounded. */
+    static final int MAXIMUM_USES = 4096;
+
     /** Copies the list. */
     public Head {
         ring = List.copyOf(ring);
@@ -34,17 +37,27 @@
         return ring.stream().filter(record -> record.operationId().equals(operationId)).findFirst();
     }
 
-    /** Returns the changes that leave the ring when one more is added. */
-    public List<ChangeRecord> evictedByNext(int capacity) {
-        return ring.subList(0, Math.max(0, ring.size() + 1 - capacity));
+    /** Returns the changes that leave the ring when this one is added. */
+    public List<ChangeRecord> evictedBy(ChangeRecord record, int capacity) {
+        int first = 0;
+        int uses = record.services().size() + usesOf(ring);
+        while (first < ring.size() && (ring.size() - first >= capacity || uses > MAXIMUM_USES)) {
+            uses -= ring.get(first).services().size();
+            first++;
+        }
+        return ring.subList(0, first);
     }
 
     /** Returns the head with one more change. */
     public Head with(ChangeRecord record, int capacity) {
-        List<ChangeRecord> next = new ArrayList<>(ring);
+        int evicted = evictedBy(record, capacity).size();
+        List<ChangeRecord> next = new ArrayList<>(ring.subList(evicted, ring.size()));
         next.add(record);
-        return new Head(
-                record.number(), next.subList(Math.max(0, next.size() - capacity), next.size()));
+        return new Head(record.number(), next);
+    }
+
+    private static int usesOf(List<ChangeRecord> records) {
+        return records.stream().mapToInt(record -> record.services().size()).sum();
     }
 
     /** Returns the lowest number from which on the ring holds every change. */
--- /dev/null
+++ b/operator/src/main/java/org/dahliapass/operator/ExplainCommand.java
@@ -0,0 +1,75 @@
+package org.dahliapass.operator;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.dahliapass.kernel.ExitCode;
+import org.dahliapass.kernel.StepException;
+
+/** Gathers explanations from all VMs and prints them in the order in which things happened. */
+final class ExplainCommand {
+    private static final Pattern AGE = Pattern.compile("(\\d{1,6})([smh])");
+
+    private final Invocation mInvocation;
+
+    ExplainCommand(Invocation invocation) {
+        mInvocation = invocation;
+    }
+
+    ExitCode run() throws InterruptedException {
+        ExplanationQuery query =
+                new ExplanationQuery(
+                        mInvocation.option("target"),
+                        mInvocation.option("request"),
+                        mInvocation.option("customer"),
+                        mInvocation.option("since").map(this::since));
+        VmOperations vms = mInvocation.environment().vms();
+        List<Member> members = Invocation.await(vms.members(mInvocation.requiredEndpoint("vm")));
+        Map<Member, CompletableFuture<List<Explanation>>> answers = new LinkedHashMap<>();
+        for (Member member : members) {
+            answers.put(member, vms.explanations(member.operators(), query));
+        }
+        return print(answers);
+    }
+
+    private ExitCode print(Map<Member, CompletableFuture<List<Explanation>>> answers)
+            throws InterruptedException {
+        List<Explanation> found = new ArrayList<>();
+        List<String> silent = new ArrayList<>();
+        for (Map.Entry<Member, CompletableFuture<List<Explanation>>> answer : answers.entrySet()) {
+            try {
+                found.addAll(Invocation.await(answer.getValue()));
+            } catch (StepException failure) {
+                silent.add(answer.getKey().name());
+            }
+        }
+        found.sort(Comparator.comparingLong(Explanation::atMillis).thenComparing(Explanation::vm));
+        found.forEach(explanation -> mInvocation.print(explanation.describe()));
+        if (silent.isEmpty()) {
+            return ExitCode.OK;
+        }
+        mInvocation.warn("No answer from: " + String.join(", ", silent) + ".");
+        return ExitCode.FAILED;
+    }
+
+    private long since(String age) {
+        Matcher matcher = AGE.matcher(age);
+        if (!matcher.matches()) {
+            throw new UsageException("--since is '" + age + "'; write such as 30s, 10m or 2h.");
+        }
+        long amount = Long.parseLong(matcher.group(1));
+        Duration ago =
+                switch (matcher.group(2)) {
+                    case "s" -> Duration.ofSeconds(amount);
+                    case "m" -> Duration.ofMinutes(amount);
+                    default -> Duration.ofHours(amount);
+                };
+        return mInvocation.environment().clock().instant().minus(ago).toEpochMilli();
+    }
+}
--- /dev/null
+++ b/operator/src/main/java/org/dahliapass/operator/Subcommand.java
@@ -0,0 +1,142 @@
+package org.dahliapass.operator;
+
+import java.util.Arrays;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import org.dahliapass.decisions.configuration.ChangeRecord;
+import org.dahliapass.decisions.configuration.OperationHandle;
+import org.dahliapass.decisions.configuration.PastOperation;
+import org.dahliapass.decisions.configuration.Resolve;
+import org.dahliapass.kernel.ExitCode;
+import org.dahliapass.kernel.StepException;
+import org.dahliapass.model.Endpoint;
+
+/** What the command can be asked to do. */
+enum Subcommand {
+    /** Checks a template and changes nothing. */
+    CHECK {
+        @Override
+        ExitCode run(Invocation invocation) {
+            Draft draft = Draft.read(invocation.subject("file"));
+            invocation.print(
+                    String.format(
+                            "Good: customer %s, %d services.",
+                            draft.template().customer(), draft.services().size()));
+            return ExitCode.OK;
+        }
+    },
+    /** Accepts a template. */
+    ACCEPT {
+        @Override
+        ExitCode run(Invocation invocation) throws InterruptedException {
+            return new AcceptCommand(invocation).run();
+        }
+    },
+    /** Prints the text that stands for a customer. */
+    SHOW {
+        @Override
+        ExitCode run(Invocation invocation) throws InterruptedException {
+            AcceptedTemplates accepted = accepted(invocation);
+            ChangeRecord newest =
+                    accepted.newest()
+                            .orElseThrow(
+                                    () ->
+                                            new StepException(
+                                                    "show", "store", "No change was accepted."));
+            invocation.warn("Change " + newest.number() + " by " + newest.author() + ".");
+            String text =
+                    accepted.text(newest)
+                            .orElseThrow(
+                                    () -> new StepException("show", "store", "The text is gone."));
+            invocation.environment().output().print(text);
+            return ExitCode.OK;
+        }
+    },
+    /** Prints the changes of a customer that are still known. */
+    HISTORY {
+        @Override
+        ExitCode run(Invocation invocation) throws InterruptedException {
+            AcceptedTemplates accepted = accepted(invocation);
+            for (PastOperation past : accepted.operations()) {
+                invocation.print("change " + past.number() + ", operation " + past.operationId());
+            }
+            for (ChangeRecord record : accepted.records()) {
+                invocation.print(
+                        String.format(
+                                "change %d by %s from %d, operation %s, digest %s",
+                                record.number(),
+                                record.author(),
+                                record.baseNumber(),
+                                record.operationId(),
+                                record.digest()));
+            }
+            return ExitCode.OK;
+        }
+    },
+    /** Tells what became of an accept whose outcome was unknown. */
+    RESOLVE {
+        @Override
+        ExitCode run(Invocation invocation) throws InterruptedException {
+            String text = invocation.subject("operation id");
+            OperationHandle handle =
+                    OperationHandle.parse(text)
+                            .orElseThrow(
+                                    () ->
+                                            new UsageException(
+                                                    "'"
+                                                            + text
+                                                            + "' is no operation id; copy the"
+                                                            + " one that accept printed."));
+            return AcceptCommand.print(
+                    invocation,
+                    Invocation.await(invocation.store().run(new Resolve(handle), action -> {})));
+        }
+    },
+    /** Prints a VM's report. */
+    STATUS {
+        @Override
+        ExitCode run(Invocation invocation) throws InterruptedException {
+            Endpoint vm = invocation.requiredEndpoint("vm");
+            invocation.print(Invocation.await(invocation.environment().vms().status(vm)));
+            return ExitCode.OK;
+        }
+    },
+    /** Prints what the VMs did by themselves, and why. */
+    EXPLAIN {
+        @Override
+        ExitCode run(Invocation invocation) throws InterruptedException {
+            return new ExplainCommand(invocation).run();
+        }
+    },
+    /** Asks a VM to stop gracefully. */
+    DRAIN {
+        @Override
+        ExitCode run(Invocation invocation) throws InterruptedException {
+            Endpoint vm = invocation.requiredEndpoint("vm");
+            Invocation.await(invocation.environment().vms().drain(vm));
+            invocation.print("The VM at " + vm + " is leaving.");
+            return ExitCode.OK;
+        }
+    };
+
+    abstract ExitCode run(Invocation invocation) throws InterruptedException;
+
+    /** Returns the subcommand of this name. */
+    static Optional<Subcommand> named(String name) {
+        return Arrays.stream(values()).filter(one -> one.written().equals(name)).findFirst();
+    }
+
+    /** Returns all names, for messages. */
+    static String names() {
+        return Arrays.stream(values()).map(Subcommand::written).collect(Collectors.joining(", "));
+    }
+
+    private String written() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+
+    private static AcceptedTemplates accepted(Invocation invocation) throws InterruptedException {
+        return AcceptedTemplates.read(invocation.store(), invocation.subject("customer"));
+    }
+}
--- /dev/null
+++ b/operator/src/test/java/org/dahliapass/operator/FakeVms.java
@@ -0,0 +1,48 @@
+package org.dahliapass.operator;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import org.dahliapass.kernel.StepException;
+import org.dahliapass.model.Endpoint;
+
+/** VMs that answer from what a test puts in; a VM without an answer is silent. */
+final class FakeVms implements VmOperations {
+    final List<Member> mMembers = new ArrayList<>();
+    final Map<Endpoint, HeldTemplate> mTemplates = new TreeMap<>();
+    final Map<Endpoint, List<Explanation>> mExplanations = new TreeMap<>();
+
+    @Override
+    public CompletableFuture<String> status(Endpoint vm) {
+        return CompletableFuture.completedFuture("serving");
+    }
+
+    @Override
+    public CompletableFuture<List<Member>> members(Endpoint vm) {
+        return CompletableFuture.completedFuture(mMembers);
+    }
+
+    @Override
+    public CompletableFuture<HeldTemplate> template(Endpoint vm, String customer) {
+        return answer(vm, mTemplates);
+    }
+
+    @Override
+    public CompletableFuture<List<Explanation>> explanations(Endpoint vm, ExplanationQuery query) {
+        return answer(vm, mExplanations);
+    }
+
+    @Override
+    public CompletableFuture<Void> drain(Endpoint vm) {
+        return CompletableFuture.completedFuture(null);
+    }
+
+    private static <T> CompletableFuture<T> answer(Endpoint vm, Map<Endpoint, T> answers) {
+        return answers.containsKey(vm)
+                ? CompletableFuture.completedFuture(answers.get(vm))
+                : CompletableFuture.failedFuture(
+                        new StepException("ask", vm.toString(), "No answer."));
+    }
+}
--- /dev/null
+++ b/operator/src/test/java/org/dahliapass/operator/MemoryStoreClient.java
@@ -0,0 +1,70 @@
+package org.dahliapass.operator;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.dahliapass.kernel.StepException;
+import org.dahliapass.platform.OutcomeUnknownException;
+import org.dahliapass.platform.StoreClient;
+import org.dahliapass.platform.StoredValue;
+import org.dahliapass.platform.SwapResult;
+import org.dahliapass.platform.WatchedValue;
+
+/** A store in memory that can lose the answer to a swap of the head and then stay away. */
+final class MemoryStoreClient implements StoreClient {
+    private static final String HEAD = "head";
+
+    private final Map<String, StoredValue> mValues = new HashMap<>();
+    private long mIndex;
+    private boolean mLoseHeadAnswer;
+    private boolean mAwayAfterLoss;
+    private boolean mAway;
+
+    /** The next swap of the head takes effect, but its answer is lost. */
+    void loseNextHeadAnswer(boolean thenStayAway) {
+        mLoseHeadAnswer = true;
+        mAwayAfterLoss = thenStayAway;
+    }
+
+    void comeBack() {
+        mAway = false;
+    }
+
+    boolean isEmpty() {
+        return mValues.isEmpty();
+    }
+
+    @Override
+    public CompletableFuture<Optional<StoredValue>> read(String key) {
+        return mAway
+                ? CompletableFuture.failedFuture(new StepException("read", "store", "Away."))
+                : CompletableFuture.completedFuture(Optional.ofNullable(mValues.get(key)));
+    }
+
+    @Override
+    public CompletableFuture<WatchedValue> watch(String key, long index, Duration wait) {
+        return read(key).thenApply(value -> new WatchedValue(value, mIndex));
+    }
+
+    @Override
+    public CompletableFuture<SwapResult> compareAndSwap(String key, String value, long index) {
+        if (mAway) {
+            return CompletableFuture.failedFuture(new StepException("swap", "store", "Away."));
+        }
+        long current = mValues.containsKey(key) ? mValues.get(key).index() : ABSENT;
+        if (current != index) {
+            return CompletableFuture.completedFuture(SwapResult.CONFLICT);
+        }
+        mIndex++;
+        mValues.put(key, new StoredValue(key, value, mIndex));
+        if (mLoseHeadAnswer && key.equals(HEAD)) {
+            mLoseHeadAnswer = false;
+            mAway = mAwayAfterLoss;
+            return CompletableFuture.failedFuture(
+                    new OutcomeUnknownException("swap", "store", "Lost.", null));
+        }
+        return CompletableFuture.completedFuture(SwapResult.SWAPPED);
+    }
+}
--- /dev/null
+++ b/operator/src/test/java/org/dahliapass/operator/OperatorMainTest.java
@@ -0,0 +1,252 @@
+package org.dahliapass.operator;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.ZoneId;
+import java.time.ZoneOffset;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.dahliapass.kernel.ExitCode;
+import org.dahliapass.model.Endpoint;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests of the operators' command from its arguments to its exit code and output. */
+public final class OperatorMainTest {
+    private static final Endpoint VM_1 = new Endpoint("10.0.0.1", 82);
+    private static final Endpoint VM_2 = new Endpoint("10.0.0.2", 82);
+    private static final Endpoint VM_3 = new Endpoint("10.0.0.3", 82);
+
+    private MemoryStoreClient mStore;
+    private FakeVms mVms;
+    private ByteArrayOutputStream mOutput;
+    private Path mDraft;
+    private int mOperations;
+
+    /** A clock that goes on by a second each time it is read, so that waits end. */
+    private static final class SteppingClock extends Clock {
+        private Instant mNow = Instant.EPOCH;
+
+        @Override
+        public ZoneId getZone() {
+            return ZoneOffset.UTC;
+        }
+
+        @Override
+        public Clock withZone(ZoneId zone) {
+            return this;
+        }
+
+        @Override
+        public Instant instant() {
+            mNow = mNow.plusSeconds(1);
+            return mNow;
+        }
+    }
+
+    @BeforeMethod
+    public void setUp() throws IOException {
+        mStore = new MemoryStoreClient();
+        mVms = new FakeVms();
+        mOutput = new ByteArrayOutputStream();
+        mDraft = Files.createTempFile("draft", ".ini");
+        mOperations = 0;
+        write("20");
+    }
+
+    @AfterMethod
+    public void tearDown() throws IOException {
+        Files.delete(mDraft);
+    }
+
+    private void write(String rate) throws IOException {
+        Files.writeString(
+                mDraft,
+                """
+                [template]
+                customer = valley-audit
+
+                [service desk]
+                provider = himal
+
+                [kind desk listing]
+                method = GET
+                path = /listings/**
+                idempotent = yes
+                deadline = 60s
+                patience = 30s
+                late-after = 20s
+                maximum-body = 0B
+                rate = %s
+                objective = 99.5%%
+                """
+                        .formatted(rate));
+    }
+
+    private ExitCode run(String... arguments) {
+        PrintStream output = new PrintStream(mOutput, true, StandardCharsets.UTF_8);
+        Environment environment =
+                new Environment(
+                        store -> mStore,
+                        mVms,
+                        () -> "op-" + ++mOperations,
+                        new SteppingClock(),
+                        Duration.ofMillis(1),
+                        output,
+                        output);
+        return new OperatorMain(environment).main(arguments, output, output);
+    }
+
+    private ExitCode accept(String base, String author, String... more) {
+        mOutput.reset();
+        String[] arguments = new String[8 + more.length];
+        String[] first = {
+            "accept", mDraft.toString(), "--store", "10.0.0.9:1", "--base", base, "--author", author
+        };
+        System.arraycopy(first, 0, arguments, 0, first.length);
+        System.arraycopy(more, 0, arguments, first.length, more.length);
+        return run(arguments);
+    }
+
+    private String output() {
+        return mOutput.toString(StandardCharsets.UTF_8);
+    }
+
+    private void assertPrinted(String part) {
+        assertTrue(output().contains(part), output());
+    }
+
+    @Test
+    public void checkOfGoodTemplateSaysSo() {
+        assertEquals(run("check", mDraft.toString()), ExitCode.OK);
+        assertPrinted("Good: customer valley-audit, 1 services.");
+    }
+
+    @Test
+    public void acceptOfBadTemplateWritesNothing() throws IOException {
+        write("fast");
+        assertEquals(accept("0", "Asha"), ExitCode.USAGE);
+        assertPrinted("'fast'");
+        assertTrue(mStore.isEmpty());
+    }
+
+    @Test
+    public void acceptWithoutBaseWritesNothing() {
+        assertEquals(
+                run("accept", mDraft.toString(), "--store", "10.0.0.9:1", "--author", "Asha"),
+                ExitCode.USAGE);
+        assertPrinted("Give --base.");
+        assertTrue(mStore.isEmpty());
+    }
+
+    @Test
+    public void acceptedTemplateIsShownAndListed() {
+        assertEquals(accept("0", "Asha"), ExitCode.OK);
+        assertPrinted("Accepted as change 1.");
+        assertEquals(run("show", "valley-audit", "--store", "10.0.0.9:1"), ExitCode.OK);
+        assertPrinted("rate = 20");
+        assertEquals(run("history", "valley-audit", "--store", "10.0.0.9:1"), ExitCode.OK);
+        assertPrinted("change 1 by Asha from 0, operation op-1");
+    }
+
+    // Two operators start from change 1. Bela accepts a new rate first; Asha's accept must not
+    // overwrite it, must tell her whose change came first and what it changed, and must leave her
+    // draft file as it was.
+    @Test
+    public void conflictTellsAuthorAndDifference() throws IOException {
+        accept("0", "Asha");
+        write("30");
+        accept("1", "Bela");
+        write("40");
+        String draft = Files.readString(mDraft);
+        assertEquals(accept("1", "Asha"), ExitCode.CONFLICT);
+        assertPrinted("change 2 by Bela came first, and you started from 1");
+        assertPrinted("-rate = 20" + System.lineSeparator() + "+rate = 30");
+        assertEquals(Files.readString(mDraft), draft);
+    }
+
+    // The store writes the change, and its answer is lost. The operator must be told "accepted".
+    @Test
+    public void lostAnswerIsResolvedToYes() {
+        mStore.loseNextHeadAnswer(false);
+        assertEquals(accept("0", "Asha"), ExitCode.OK);
+        assertPrinted("Accepted as change 1.");
+    }
+
+    // The store writes the change, its answer is lost, and then the store stays away. The operator
+    // is told "unknown" and how to ask; when the store is back, the answer is yes.
+    @Test
+    public void storeAwayAfterLostAnswerIsUnknownUntilResolved() {
+        mStore.loseNextHeadAnswer(true);
+        assertEquals(accept("0", "Asha"), ExitCode.UNKNOWN);
+        Matcher command = Pattern.compile("with: resolve (\\S+)").matcher(output());
+        assertTrue(command.find(), output());
+        mStore.comeBack();
+        mOutput.reset();
+        assertEquals(run("resolve", command.group(1), "--store", "10.0.0.9:1"), ExitCode.OK);
+        assertPrinted("Accepted as change 1.");
+    }
+
+    @Test
+    public void resolveOfNeverSentAcceptIsNo() {
+        accept("0", "Asha");
+        assertEquals(
+                run("resolve", "op-9/valley-audit/4/2", "--store", "10.0.0.9:1"), ExitCode.FAILED);
+        assertPrinted("Not accepted.");
+    }
+
+    @Test
+    public void confirmationsNameTheVmsThatDoAndDoNotConfirm() {
+        mVms.mMembers.add(new Member("vm-1", VM_1, "alive"));
+        mVms.mMembers.add(new Member("vm-2", VM_2, "alive"));
+        mVms.mMembers.add(new Member("vm-3", VM_3, "suspect"));
+        mVms.mTemplates.put(VM_1, new HeldTemplate(true, 1, 1));
+        mVms.mTemplates.put(VM_2, new HeldTemplate(false, 0, 0));
+        assertEquals(accept("0", "Asha", "--vm", "10.0.0.1:82"), ExitCode.OK);
+        assertPrinted("1 VMs have it in force: vm-1");
+        assertPrinted("1 VMs hold no template of this customer: vm-2");
+        assertPrinted("1 VMs gave no answer: vm-3");
+    }
+
+    @Test
+    public void explanationsAreMergedInTimeOrder() {
+        mVms.mMembers.add(new Member("vm-1", VM_1, "alive"));
+        mVms.mMembers.add(new Member("vm-2", VM_2, "alive"));
+        mVms.mExplanations.put(VM_1, List.of(explanation(3, "vm-1"), explanation(5, "vm-1")));
+        mVms.mExplanations.put(VM_2, List.of(explanation(4, "vm-2")));
+        assertEquals(run("explain", "--vm", "10.0.0.1:82", "--since", "10m"), ExitCode.OK);
+        List<String> vms = output().lines().map(line -> line.split(" ", -1)[1]).toList();
+        assertEquals(vms, List.of("vm-1", "vm-2", "vm-1"));
+    }
+
+    @Test
+    public void explainSaysWhoGaveNoAnswer() {
+        mVms.mMembers.add(new Member("vm-3", VM_3, "alive"));
+        assertEquals(run("explain", "--vm", "10.0.0.1:82"), ExitCode.FAILED);
+        assertPrinted("No answer from: vm-3.");
+    }
+
+    @Test
+    public void unknownSubcommandNamesTheKnownOnes() {
+        assertEquals(run("acept"), ExitCode.USAGE);
+        assertPrinted("there are check, accept, show");
+        assertFalse(output().contains("Exception"), output());
+    }
+
+    private static Explanation explanation(long atMillis, String vm) {
+        return new Explanation(atMillis, vm, "EJECTED", "10.1.1.1:80", "fails", "9/10", "share");
+    }
+}
