--- a/decisions/src/main/java/org/dahliapass/decisions/health/LikelihoodTest.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/health/LikelihoodTest.java
@@ -14,10 +14,15 @@
     /** Nothing is taken for more reliable than this, however long it went well. */
     private static final double LOWEST_FAILURE_RATE = 0.005;
 
-    /** What is believed of a kind of which little was seen. */
-    private static final double PRIOR_FAILURE_RATE = 0.01;
+    /**
+     * Failures and successes that peers are credited with beyond what was seen.
+     *
+     * <p>Guards against the first moments of a fault that all targets share: the few peers seen so
+     * far may by chance all have done well. The credit is soon outweighed.
+     */
+    private static final double PRIOR_FAILURES = 1;
 
-    private static final double PRIOR_WEIGHT = 20;
+    private static final double PRIOR_WORK = 2;
     private static final double HIGHEST_RATE = 0.98;
 
     /** Latencies spread at least this much: the standard deviation of their logarithm. */
@@ -35,9 +40,7 @@
 
     /** Returns the failure rate that peers' work shows. */
     static double nullRate(Counts peers) {
-        double rate =
-                (peers.mFailures + PRIOR_FAILURE_RATE * PRIOR_WEIGHT)
-                        / (peers.total() + PRIOR_WEIGHT);
+        double rate = (peers.mFailures + PRIOR_FAILURES) / (peers.total() + PRIOR_WORK);
         return Math.min(HIGHEST_RATE, Math.max(LOWEST_FAILURE_RATE, rate));
     }
 
--- a/decisions/src/test/java/org/dahliapass/decisions/health/CellFixture.java
+++ b/decisions/src/test/java/org/dahliapass/decisions/health/CellFixture.java
@@ -17,8 +17,7 @@
     static final String KIND = "lookup";
     private static final int LONGEST_ROUNDS = 1_000;
     static final long TICK_MILLIS = 250;
-    static final DetectionPolicy POLICY =
-            new DetectionPolicy(0.001, 0.3, 3, Duration.ofSeconds(10), Duration.ofSeconds(5));
+    private static final double TOLERANCE = 0.001;
 
     final List<TargetHealth> mVms = new ArrayList<>();
     final List<Explanation> mExplanations = new ArrayList<>();
@@ -29,24 +28,39 @@
     }
 
     CellFixture(int vms, int targets, FloorRule floorRule) {
+        this(vms, template(targets), floorRule);
+    }
+
+    CellFixture(int vms, int targets, double tolerance) {
+        this(vms, template(targets, tolerance), FloorRule.KEPT);
+    }
+
+    private CellFixture(int vms, ServiceTemplate template, FloorRule floorRule) {
         for (int vm = 0; vm < vms; vm++) {
             mVms.add(
                     new TargetHealth(
                             new VmIdentity("vm" + vm, 1),
                             "zone" + vm % 3,
-                            template(targets),
+                            template,
                             floorRule,
                             mNowMillis));
         }
     }
 
     static ServiceTemplate template(int targets) {
+        return template(targets, TOLERANCE);
+    }
+
+    private static ServiceTemplate template(int targets, double tolerance) {
+        DetectionPolicy policy =
+                new DetectionPolicy(
+                        tolerance, 0.3, 3, Duration.ofSeconds(10), Duration.ofSeconds(5));
         List<Target> list = new ArrayList<>();
         for (int index = 0; index < targets; index++) {
             list.add(new Target(endpoint(index), "zone" + index % 3));
         }
         return new ServiceTemplate(
-                "desk", "himal", list, 3, 350, 0.6, 6, "/health", "/load", POLICY, List.of());
+                "desk", "himal", list, 3, 350, 0.6, 6, "/health", "/load", policy, List.of());
     }
 
     static Endpoint endpoint(int index) {
@@ -66,7 +80,11 @@
     }
 
     boolean explained(Action action) {
-        return mExplanations.stream().anyMatch(explanation -> explanation.action() == action);
+        return count(action) > 0;
+    }
+
+    long count(Action action) {
+        return mExplanations.stream().filter(each -> each.action() == action).count();
     }
 
     /** Gives one piece of work to each target that has weight, from each VM, and ticks. */
