--- a/lab/src/main/java/org/dahliapass/lab/quickstart/TrafficMain.java
+++ b/lab/src/main/java/org/dahliapass/lab/quickstart/TrafficMain.java
@@ -154,7 +154,7 @@
     private static void judgeRepeat(
             Tally tally, AggregatedHttpResponse first, AggregatedHttpResponse repeated) {
         if (first.status().code() == OK && !first.contentUtf8().equals(repeated.contentUtf8())) {
-            tally.wrong("repeated key: " + repeated.status() + " " + repeated.contentUtf8());
+            tally.wrong("repeated key: " + repeated.headers() + " " + repeated.contentUtf8());
         }
     }
 
