--- a/decisions/src/main/java/org/dahliapass/decisions/once/OperationTable.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/once/OperationTable.java
@@ -13,8 +13,10 @@
  */
 class OperationTable<R> {
 
-    /** Estimated bytes of a record without its result. */
-    static final int BASE_BYTES = 512;
+    /**
+     * Estimated bytes of a record without its result: the longest key, digest and index entries.
+     */
+    static final int BASE_BYTES = 1_024;
 
     private final RetentionWindow mWindow;
     private final TableLimits mLimits;
--- a/decisions/src/main/java/org/dahliapass/decisions/once/UnknownReason.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/once/UnknownReason.java
@@ -10,8 +10,8 @@
     MAY_HAVE_RUN("a target may have run it", true),
     /** There is no room to write down a refusal, so none may be promised. */
     TABLE_FULL("the VM has no room to record the key", true),
-    /** The witness that knew was restarted, and the home gives no word. */
-    WITNESS_RESTARTED("the witness has restarted", false),
+    /** The witness that knew was restarted; only the home, should it come back, can tell. */
+    WITNESS_RESTARTED("the witness has restarted", true),
     /** Neither the home nor the witness gave word. */
     NO_WORD("neither the home nor the witness answers", true);
 
