--- /dev/null
+++ b/report/src/main/java/org/dahliapass/report/AnsweredVm.java
@@ -0,0 +1,9 @@
+package org.dahliapass.report;
+
+/**
+ * A VM that told what it knows.
+ *
+ * @param vm its identity
+ * @param ageMillis how long it has been counting
+ */
+record AnsweredVm(String vm, long ageMillis) {}
--- /dev/null
+++ b/report/src/main/java/org/dahliapass/report/Endings.java
@@ -0,0 +1,29 @@
+package org.dahliapass.report;
+
+import java.util.List;
+import java.util.Locale;
+import org.dahliapass.model.burn.Outcome;
+
+/** How the outcomes other than good are written and coloured. */
+final class Endings {
+    /** The outcomes other than good, in the order in which plots stack them. */
+    static final List<Outcome> BAD =
+            List.of(Outcome.FAILED, Outcome.CUT, Outcome.UNKNOWN, Outcome.REFUSED, Outcome.LATE);
+
+    private Endings() {}
+
+    static String label(Outcome outcome) {
+        return outcome.name().toLowerCase(Locale.ROOT);
+    }
+
+    static String colour(Outcome outcome) {
+        return switch (outcome) {
+            case GOOD -> "#2e7d32";
+            case FAILED -> "#b3261e";
+            case CUT -> "#e57373";
+            case UNKNOWN -> "#5b4b8a";
+            case REFUSED -> "#1f77b4";
+            case LATE -> "#e0a100";
+        };
+    }
+}
--- /dev/null
+++ b/report/src/main/java/org/dahliapass/report/Figures.java
@@ -0,0 +1,59 @@
+package org.dahliapass.report;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
+import java.util.Locale;
+import java.util.OptionalDouble;
+
+/** Writes figures the way that all forms of the report show them. */
+final class Figures {
+    private static final double ONE_DECIMAL_BELOW = 10;
+    private static final double HUNDRED = 100;
+
+    private Figures() {}
+
+    /** Returns a burn rate with one decimal if it is small; a dash without requests. */
+    static String rate(OptionalDouble rate) {
+        if (rate.isEmpty()) {
+            return "-";
+        }
+        double value = rate.getAsDouble();
+        if (value > 0 && value < 0.05) {
+            return "<0.1";
+        }
+        return String.format(Locale.ROOT, value < ONE_DECIMAL_BELOW ? "%.1f" : "%.0f", value);
+    }
+
+    /** Returns a share as a percentage without needless zeros. */
+    static String percentage(double share) {
+        String text = String.format(Locale.ROOT, "%.4f", share * HUNDRED);
+        return text.replaceAll("0+$", "").replaceAll("\\.$", "") + "%";
+    }
+
+    /** Returns a share as a whole percentage that is 100% only if nothing is missing. */
+    static String coverage(double share) {
+        return (int) Math.floor(share * HUNDRED) + "%";
+    }
+
+    /** Returns a count, which may be prorated, as a whole number; a trace of one counts as one. */
+    static String count(double count) {
+        return Long.toString(count > 0 && count < 1 ? 1 : Math.round(count));
+    }
+
+    /** Returns a time in UTC to the second. */
+    static String time(long millis) {
+        return Instant.ofEpochMilli(millis).truncatedTo(ChronoUnit.SECONDS).toString();
+    }
+
+    /** Returns how long something lasts, such as 2h 5m or 40s. */
+    static String age(long millis) {
+        Duration duration = Duration.ofMillis(millis);
+        if (duration.toHours() > 0) {
+            return duration.toHours() + "h " + duration.toMinutesPart() + "m";
+        }
+        return duration.toMinutes() > 0
+                ? duration.toMinutes() + "m " + duration.toSecondsPart() + "s"
+                : duration.toSeconds() + "s";
+    }
+}
--- /dev/null
+++ b/report/src/main/java/org/dahliapass/report/SilentVm.java
@@ -0,0 +1,10 @@
+package org.dahliapass.report;
+
+/**
+ * A VM that told nothing.
+ *
+ * @param name its name, or its address if the name isn't known
+ * @param operators the operators' address that was asked
+ * @param reason why it told nothing
+ */
+record SilentVm(String name, String operators, String reason) {}
--- /dev/null
+++ b/report/src/main/java/org/dahliapass/report/TextReport.java
@@ -0,0 +1,109 @@
+package org.dahliapass.report;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.dahliapass.model.burn.Outcome;
+
+/** Writes the report as a table for a terminal. */
+final class TextReport {
+    private static final String GAP = "  ";
+
+    private TextReport() {}
+
+    static String of(BurnReport report) {
+        List<String> lines = new ArrayList<>();
+        int vms = report.answered().size() + report.silent().size();
+        lines.add(
+                String.format(
+                        "Burn report of %s: %d of %d VMs told what they know.",
+                        Figures.time(report.generatedMillis()), report.answered().size(), vms));
+        lines.add("");
+        addTable(report, lines);
+        lines.add("");
+        lines.add(
+                "Burn rate 1 spends the error budget just in time. Fast burn: 5m and 1h over 14.4."
+                        + " Slow burn: 30m and 6h over 6.");
+        addUnknowns(report, lines);
+        return String.join("\n", lines) + "\n";
+    }
+
+    private static void addTable(BurnReport report, List<String> lines) {
+        if (report.series().isEmpty()) {
+            lines.add("No request was counted in the last 6 hours.");
+            return;
+        }
+        List<List<String>> rows = new ArrayList<>();
+        rows.add(heading());
+        report.series().forEach(burn -> rows.add(row(burn)));
+        int[] widths = widths(rows);
+        rows.forEach(row -> lines.add(line(row, widths)));
+    }
+
+    private static List<String> heading() {
+        List<String> cells = new ArrayList<>(List.of("VERDICT", "CUSTOMER/SERVICE/KIND"));
+        cells.add("OBJECTIVE");
+        Arrays.stream(BurnWindow.values()).map(BurnWindow::label).forEach(cells::add);
+        cells.add("BAD/ALL 6h");
+        cells.add("HOW THE 6h ENDED");
+        return cells;
+    }
+
+    private static List<String> row(SeriesBurn burn) {
+        List<String> cells = new ArrayList<>();
+        cells.add(burn.verdict().label());
+        cells.add(burn.name().replace(" / ", "/"));
+        cells.add(Figures.percentage(burn.objective()));
+        burn.windows().windows().forEach(window -> cells.add(Figures.rate(window.burnRate())));
+        OutcomeTally tally = burn.windows().of(BurnWindow.SIX_HOURS).tally();
+        cells.add(Figures.count(tally.bad()) + "/" + Figures.count(tally.total()));
+        cells.add(endings(tally));
+        return cells;
+    }
+
+    /** Returns the outcomes other than good that were met, such as 3 refused, 1 cut. */
+    private static String endings(OutcomeTally tally) {
+        return Arrays.stream(Outcome.values())
+                .filter(outcome -> outcome != Outcome.GOOD && tally.count(outcome) > 0)
+                .map(outcome -> Figures.count(tally.count(outcome)) + " " + Endings.label(outcome))
+                .collect(
+                        Collectors.collectingAndThen(
+                                Collectors.joining(", "),
+                                text -> text.isEmpty() ? "all good" : text));
+    }
+
+    private static void addUnknowns(BurnReport report, List<String> lines) {
+        List<String> unknowns = Unknowns.of(report);
+        lines.add("");
+        if (unknowns.isEmpty()) {
+            lines.add("Every VM told, and each has counted for the whole 6 hours.");
+            return;
+        }
+        lines.add("What this report doesn't know:");
+        unknowns.forEach(sentence -> lines.add(GAP + sentence));
+    }
+
+    private static int[] widths(List<List<String>> rows) {
+        return IntStream.range(0, rows.get(0).size())
+                .map(
+                        column ->
+                                rows.stream()
+                                        .mapToInt(row -> row.get(column).length())
+                                        .max()
+                                        .orElse(0))
+                .toArray();
+    }
+
+    private static String line(List<String> row, int[] widths) {
+        return IntStream.range(0, row.size())
+                .mapToObj(column -> pad(row.get(column), widths[column]))
+                .collect(Collectors.joining(GAP))
+                .stripTrailing();
+    }
+
+    private static String pad(String cell, int width) {
+        return cell + " ".repeat(width - cell.length());
+    }
+}
--- /dev/null
+++ b/report/src/test/java/org/dahliapass/report/FleetBurnTest.java
@@ -0,0 +1,157 @@
+package org.dahliapass.report;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.dahliapass.model.burn.BurnBucket;
+import org.dahliapass.model.burn.BurnLedger;
+import org.dahliapass.model.burn.BurnSnapshot;
+import org.dahliapass.model.burn.Outcome;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests {@link FleetBurn} and the {@link Verdict} on what it adds up. */
+public final class FleetBurnTest {
+    private static final long NOW = 1_800_000_000_000L;
+    private static final long MINUTE = 60_000;
+    private static final long HOUR = 60 * MINUTE;
+    private static final double DELTA = 1e-6;
+
+    private FleetBurn mFleet;
+
+    @BeforeMethod
+    public void setUp() {
+        mFleet = new FleetBurn(customer -> true);
+    }
+
+    /** Gives bad requests of 100 in each minute, how many minutes ago they ended, the verdict. */
+    @DataProvider
+    public Object[][] courses() {
+        return new Object[][] {
+            {0, 0, 0, Verdict.WITHIN_BUDGET},
+            {2, 360, 0, Verdict.FAST_BURN},
+            {2, 61, 0, Verdict.FAST_BURN},
+            {20, 4, 0, Verdict.OVER_BUDGET},
+            {2, 360, 6, Verdict.SLOW_BURN},
+            {1, 360, 0, Verdict.SLOW_BURN},
+            {1, 360, 31, Verdict.OVER_BUDGET},
+            {10, 360, 31, Verdict.OVER_BUDGET},
+        };
+    }
+
+    @Test(dataProvider = "courses")
+    public void verdictNeedsTheShortAndTheLongWindow(
+            int badInMinute, int fromMinutesAgo, int toMinutesAgo, Verdict verdict) {
+        BurnLedger ledger = new BurnLedger(1);
+        for (int ago = 360; ago > 0; ago--) {
+            boolean burning = ago <= fromMinutesAgo && ago > toMinutesAgo;
+            for (int request = 0; request < 100; request++) {
+                boolean bad = burning && request < badInMinute;
+                ledger.record(
+                        "himal",
+                        "desk",
+                        "lock",
+                        0.999,
+                        bad ? Outcome.FAILED : Outcome.GOOD,
+                        NOW - ago * MINUTE);
+            }
+        }
+        mFleet.add(new BurnSnapshot("a~1", NOW - 7 * HOUR, NOW, 0, ledger.buckets(NOW)));
+
+        assertEquals(mFleet.toReport(NOW).series().get(0).verdict(), verdict);
+    }
+
+    @Test
+    public void countsOfSeveralVmsAddUpByAgeThoughTheirClocksDiffer() {
+        long wrongClock = NOW - 3 * HOUR;
+        mFleet.add(snapshot("a~1", NOW, bucket(NOW - MINUTE / 2, 10_000, 90, 10)));
+        mFleet.add(snapshot("b~1", wrongClock, bucket(wrongClock - MINUTE / 2, 10_000, 100, 0)));
+
+        WindowBurn minute =
+                mFleet.toReport(NOW).series().get(0).windows().of(BurnWindow.ONE_MINUTE);
+
+        assertEquals(minute.tally().total(), 200, DELTA);
+        assertEquals(minute.burnRate().orElseThrow(), 10.0 / 200 / 0.01, DELTA);
+    }
+
+    @Test
+    public void bucketAtTheEdgeOfAWindowCountsByItsPart() {
+        mFleet.add(snapshot("a~1", NOW, bucket(NOW - 31 * MINUTE, 5 * MINUTE, 100, 0)));
+
+        WindowBurns windows = mFleet.toReport(NOW).series().get(0).windows();
+
+        assertEquals(windows.of(BurnWindow.THIRTY_MINUTES).tally().total(), 80, DELTA);
+        assertEquals(windows.of(BurnWindow.ONE_HOUR).tally().total(), 100, DELTA);
+        assertTrue(windows.of(BurnWindow.FIVE_MINUTES).burnRate().isEmpty());
+    }
+
+    @Test
+    public void bucketThatStillRunsCountsWhole() {
+        mFleet.add(snapshot("a~1", NOW, bucket(NOW, 10_000, 7, 0)));
+
+        BurnReport report = mFleet.toReport(NOW);
+
+        assertEquals(
+                report.series().get(0).windows().of(BurnWindow.ONE_MINUTE).tally().total(),
+                7,
+                DELTA);
+        assertEquals(report.series().get(0).course().get(Course.STEPS - 1).total(), 7, DELTA);
+    }
+
+    // All VMs were replaced half an hour ago and keep nothing. The new ones know of no failure
+    // before. The report must say that it knows little of the long windows, not that all was well.
+    @Test
+    public void youngAndSilentVmsLowerTheCoverage() {
+        mFleet.add(new BurnSnapshot("a~1", NOW - 7 * HOUR, NOW, 0, List.of()));
+        mFleet.add(new BurnSnapshot("b~1", NOW - 30 * MINUTE, NOW, 3, List.of()));
+        mFleet.addSilent(new SilentVm("c", "10.0.0.3:9", "no connection"));
+
+        BurnReport report = mFleet.toReport(NOW);
+
+        assertEquals(share(report, BurnWindow.THIRTY_MINUTES), 2.0 / 3, DELTA);
+        assertEquals(share(report, BurnWindow.ONE_HOUR), 1.5 / 3, DELTA);
+        assertEquals(report.courseCoverage().get(0), 1.0 / 3, DELTA);
+        assertEquals(report.uncounted(), 3);
+        assertFalse(report.isComplete());
+        assertTrue(String.join("\n", Unknowns.of(report)).contains("1 VM is younger"));
+    }
+
+    @Test
+    public void wholeFleetThatIsOldEnoughIsComplete() {
+        mFleet.add(new BurnSnapshot("a~1", NOW - 7 * HOUR, NOW, 0, List.of()));
+
+        assertTrue(mFleet.toReport(NOW).isComplete());
+        assertEquals(Unknowns.of(mFleet.toReport(NOW)), List.of());
+    }
+
+    @Test
+    public void objectiveIsThatOfTheNewestBucket() {
+        BurnBucket old =
+                new BurnBucket(
+                        "himal", "desk", "lock", 0.9, NOW - HOUR, 10_000, 1, 0, 0, 0, 0, 0, 0);
+        mFleet.add(snapshot("a~1", NOW, bucket(NOW - MINUTE, 10_000, 1, 0)));
+        mFleet.add(snapshot("b~1", NOW, old));
+
+        assertEquals(mFleet.toReport(NOW).series().get(0).objective(), 0.99);
+    }
+
+    private static double share(BurnReport report, BurnWindow window) {
+        return report.coverage().stream()
+                .filter(coverage -> coverage.window() == window)
+                .findFirst()
+                .orElseThrow()
+                .share();
+    }
+
+    private static BurnSnapshot snapshot(String vm, long now, BurnBucket bucket) {
+        return new BurnSnapshot(vm, now - 7 * HOUR, now, 0, List.of(bucket));
+    }
+
+    private static BurnBucket bucket(long start, long width, long good, long failed) {
+        return new BurnBucket(
+                "himal", "desk", "lock", 0.99, start, width, good, failed, 0, 0, 0, 0, failed);
+    }
+}
