Report service-level burn as text, JSON and a page with plots

Cause: users need to see how fast each request kind spends its error budget, from VMs that keep nothing and may be new.

Ruled out: windows by wall time: clocks of VMs differ, so all is added up by age on each VM's own clock. A verdict without its coverage: a fleet replaced half an hour ago would look well.

Found by a look at the page as rendered, and mended: the table ran over the right edge, axis labels lay on each other, the colours of the bars had no key.

Change: dahliapass-report reads the member list from any VM, asks all for their spans (64 at once), and gives burn rates over 1m, 5m, 30m, 1h and 6h with verdicts, and names what it doesn't know.

Conclusion: an operator sees what burns, how it ended, and how much of the time nobody saw.

--- a/report/src/main/java/org/dahliapass/report/BurnCollector.java
+++ b/report/src/main/java/org/dahliapass/report/BurnCollector.java
@@ -23,7 +23,7 @@
 
 /** Asks all VMs of the fleet for what they know of the burn, a bounded number at once. */
 final class BurnCollector {
-    private static final int LANES = 16;
+    private static final int LANES = 64;
     private static final long MOST_ANSWER_BYTES = 64L << 20;
     private static final ObjectMapper JSON =
             new ObjectMapper().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
--- a/report/src/main/java/org/dahliapass/report/CoursePlot.java
+++ b/report/src/main/java/org/dahliapass/report/CoursePlot.java
@@ -9,13 +9,13 @@
  */
 final class CoursePlot {
     private static final int WIDTH = 560;
-    private static final int HEIGHT = 236;
+    private static final int HEIGHT = 250;
     private static final double LEFT = 44;
     private static final double RIGHT = WIDTH - 52.0;
-    private static final double TOP = 16;
-    private static final double RATE_BOTTOM = 130;
-    private static final double ENDINGS_TOP = 152;
-    private static final double ENDINGS_BOTTOM = 208;
+    private static final double TOP = 26;
+    private static final double RATE_BOTTOM = 140;
+    private static final double ENDINGS_TOP = 170;
+    private static final double ENDINGS_BOTTOM = 222;
     private static final double STEP = (RIGHT - LEFT) / Course.STEPS;
     private static final double BAR_SHARE = 0.82;
     private static final double LEAST_TOP_RATE = 100;
@@ -49,8 +49,8 @@
         mMarkup.raw(
                 "<svg viewBox='0 0 %d %d' role='img' aria-label='%s'>",
                 WIDTH, HEIGHT, Markup.escape("Last six hours of " + mBurn.name()));
-        text(LEFT - 36, TOP - 4, "start", "burn rate");
-        text(LEFT - 36, ENDINGS_TOP - 6, "start", "bad requests in 5 minutes");
+        text(0, TOP - 14, "start", "burn rate");
+        text(0, ENDINGS_TOP - 12, "start", "requests that weren't good, in 5 minutes");
         drawUnknown();
         drawRateAxis();
         drawRates();
@@ -142,7 +142,8 @@
         return tally.total() - tally.good();
     }
 
-    private static String rateColour(double rate) {
+    /** Returns the colour of a bar that shows this burn rate. */
+    static String rateColour(double rate) {
         if (rate > Verdict.FAST_LIMIT) {
             return "#b3261e";
         }
--- a/report/src/main/java/org/dahliapass/report/Figures.java
+++ b/report/src/main/java/org/dahliapass/report/Figures.java
@@ -38,7 +38,16 @@
 
     /** Returns a count, which may be prorated, as a whole number; a trace of one counts as one. */
     static String count(double count) {
-        return Long.toString(count > 0 && count < 1 ? 1 : Math.round(count));
+        return Long.toString(whole(count));
+    }
+
+    /** Returns a count like {@link #count} with its thousands set apart. */
+    static String grouped(double count) {
+        return String.format(Locale.ROOT, "%,d", whole(count));
+    }
+
+    private static long whole(double count) {
+        return count > 0 && count < 1 ? 1 : Math.round(count);
     }
 
     /** Returns a time in UTC to the second. */
--- a/report/src/main/java/org/dahliapass/report/HtmlReport.java
+++ b/report/src/main/java/org/dahliapass/report/HtmlReport.java
@@ -10,7 +10,7 @@
     private static final String STYLE =
             """
             body { font: 15px/1.45 system-ui, sans-serif; color: #202124; background: #fff;
-                   max-width: 1180px; margin: 24px auto; padding: 0 20px; }
+                   max-width: 1240px; margin: 24px auto; padding: 0 20px; }
             h1 { font-size: 24px; margin: 0 0 4px; } h2 { font-size: 18px; margin: 32px 0 8px; }
             .note { color: #5f6368; margin: 4px 0 12px; }
             .tiles { display: flex; gap: 12px; margin: 16px 0; flex-wrap: wrap; }
@@ -19,18 +19,23 @@
             .tile b { font-size: 24px; display: block; }
             .unknown { border-left: 6px solid #9aa0a6; background: #f1f3f4; padding: 10px 16px; }
             .unknown ul { margin: 4px 0; padding-left: 20px; }
-            table { border-collapse: collapse; width: 100%; font-variant-numeric: tabular-nums; }
-            th, td { text-align: right; padding: 5px 8px; border-bottom: 1px solid #e8eaed; }
-            th { color: #5f6368; font-weight: 600; } .left { text-align: left; }
+            .wide { overflow-x: auto; }
+            table { border-collapse: collapse; width: 100%; font-size: 14px;
+                    font-variant-numeric: tabular-nums; }
+            th, td { text-align: right; padding: 5px 7px; border-bottom: 1px solid #e8eaed;
+                     white-space: nowrap; }
+            th { color: #5f6368; font-weight: 600; } .group { text-align: center; }
+            .left { text-align: left; }
             .fast { background: #f9dedc; } .slow { background: #ffe4c4; }
-            .over { background: #fdf3c8; } .verdict { font-weight: 600; white-space: nowrap; }
-            .plots { display: grid; grid-template-columns: repeat(auto-fill, minmax(500px, 1fr));
-                     gap: 20px; }
+            .over { background: #fdf3c8; } .verdict { font-weight: 600; }
+            .plots { margin-top: 14px; display: grid; gap: 20px;
+                     grid-template-columns: repeat(auto-fill, minmax(500px, 1fr)); }
             figure { margin: 0; border: 1px solid #dadce0; border-radius: 4px; padding: 10px; }
             figcaption { font-weight: 600; } figcaption span { font-weight: 400; color: #5f6368; }
             svg { width: 100%; height: auto; display: block; margin-top: 6px; }
             svg text { font: 11px system-ui, sans-serif; fill: #5f6368; }
             .grid { stroke: #dadce0; } .limit { stroke: #b3261e; stroke-dasharray: 5 4; }
+            .legend { margin: 4px 0; }
             .legend span { display: inline-block; margin-right: 16px; }
             .legend i { display: inline-block; width: 12px; height: 12px; margin-right: 5px;
                         vertical-align: -1px; }
@@ -77,11 +82,17 @@
         for (Verdict verdict : Verdict.values()) {
             mPage.raw("<div class='tile' style='border-left-color:" + tileColour(verdict) + "'>");
             mPage.element("b", "", Long.toString(mReport.count(verdict)));
-            mPage.element("span", "", verdict.label()).raw("</div>");
+            mPage.element("span", "", tileLabel(verdict)).raw("</div>");
         }
         mPage.raw("</div>");
     }
 
+    /** What wasn't seen may have been bad: a good verdict says so unless all is known. */
+    private String tileLabel(Verdict verdict) {
+        boolean certain = verdict != Verdict.WITHIN_BUDGET || mReport.isComplete();
+        return certain ? verdict.label() : verdict.label() + ", as far as known";
+    }
+
     private void writeUnknowns() {
         List<String> unknowns = Unknowns.of(mReport);
         mPage.raw("<div class='unknown'>");
@@ -101,24 +112,30 @@
             mPage.element("p", "", "No request was counted in the last 6 hours.");
             return;
         }
-        mPage.raw("<table><thead><tr>");
+        writeTableHead();
+        mReport.series().forEach(this::writeRow);
+        mPage.raw("</tbody></table></div>");
+        mPage.element(
+                "p",
+                "class='note'",
+                "Fast burn: 5m and 1h both over 14.4. Slow burn: 30m and 6h both over 6. Over"
+                        + " budget: 6h over 1, without an alarm.");
+    }
+
+    private void writeTableHead() {
+        mPage.raw("<div class='wide'><table><thead><tr><th colspan='5'></th>");
+        mPage.raw("<th class='group' colspan='" + BurnWindow.values().length + "'>burn rate</th>");
+        mPage.raw("<th class='group' colspan='" + (Endings.BAD.size() + 2) + "'>requests in 6h");
+        mPage.raw("</th></tr><tr>");
         for (String heading : List.of("Verdict", "Customer", "Service", "Kind")) {
             mPage.element("th", "class='left'", heading);
         }
         mPage.element("th", "", "Objective");
         Arrays.stream(BurnWindow.values())
-                .forEach(window -> mPage.element("th", "", "burn " + window.label()));
-        mPage.element("th", "", "requests 6h");
-        mPage.element("th", "", "bad 6h");
+                .forEach(window -> mPage.element("th", "", window.label()));
+        mPage.element("th", "", "all").element("th", "", "bad");
         Endings.BAD.forEach(outcome -> mPage.element("th", "", Endings.label(outcome)));
         mPage.raw("</tr></thead><tbody>");
-        mReport.series().forEach(this::writeRow);
-        mPage.raw("</tbody></table>");
-        mPage.element(
-                "p",
-                "class='note'",
-                "Fast burn: 5m and 1h both over 14.4. Slow burn: 30m and 6h both over 6. Over"
-                        + " budget: 6h over 1, without an alarm.");
     }
 
     private void writeRow(SeriesBurn burn) {
@@ -131,8 +148,8 @@
         mPage.element("td", "class='left'", burn.kind());
         mPage.element("td", "", Figures.percentage(burn.objective()));
         burn.windows().windows().forEach(this::writeRate);
-        mPage.element("td", "", Figures.count(tally.total()));
-        mPage.element("td", "", Figures.count(tally.bad()));
+        mPage.element("td", "", Figures.grouped(tally.total()));
+        mPage.element("td", "", Figures.grouped(tally.bad()));
         Endings.BAD.forEach(outcome -> mPage.element("td", "", countOrDot(tally.count(outcome))));
         mPage.raw("</tr>");
     }
@@ -155,18 +172,26 @@
             String left = Integer.toString(mReport.series().size() - MOST_PLOTS);
             mPage.element("p", "class='note'", "The worst 40; " + left + " more in the table.");
         }
-        writeLegend();
+        writeLegends();
         mPage.raw("<div class='plots'>");
         mReport.series().stream().limit(MOST_PLOTS).forEach(this::writePlot);
         mPage.raw("</div>");
     }
 
-    private void writeLegend() {
-        mPage.raw("<p class='legend'>");
+    private void writeLegends() {
+        mPage.raw("<p class='legend'>Burn rate: ");
+        writeKey(CoursePlot.rateColour(0), "up to 1");
+        writeKey(CoursePlot.rateColour(Verdict.SLOW_LIMIT), "over 1");
+        writeKey(CoursePlot.rateColour(Verdict.FAST_LIMIT), "over 6");
+        writeKey(CoursePlot.rateColour(Double.MAX_VALUE), "over 14.4");
+        mPage.raw("</p><p class='legend'>Requests: ");
         for (Outcome outcome : Endings.BAD) {
             writeKey(Endings.colour(outcome), Endings.label(outcome));
         }
-        writeKey("#c9ccd0", "not known: VMs silent or younger than this; the darker, the less");
+        mPage.raw("</p><p class='legend'>Background: ");
+        writeKey(
+                "#d3d5d8",
+                "not known, as VMs are silent or younger than this; the darker, the less is known");
         mPage.raw("</p>");
     }
 
@@ -182,7 +207,7 @@
     }
 
     private static String countOrDot(double count) {
-        return count > 0 ? Figures.count(count) : "·";
+        return count > 0 ? Figures.grouped(count) : "·";
     }
 
     private static String shade(Verdict verdict) {
--- a/report/src/main/java/org/dahliapass/report/Unknowns.java
+++ b/report/src/main/java/org/dahliapass/report/Unknowns.java
@@ -45,7 +45,8 @@
         if (partly.isEmpty()) {
             return;
         }
-        sentences.add("Known share of the VMs' time in these windows: " + partly + ".");
+        sentences.add(
+                "Known share of all VMs' time: " + partly + ". A service's own VMs may differ.");
         long young =
                 report.answered().stream()
                         .filter(vm -> vm.ageMillis() < BurnWindow.SIX_HOURS.millis())
--- a/report/src/test/java/org/dahliapass/report/ReportMainTest.java
+++ b/report/src/test/java/org/dahliapass/report/ReportMainTest.java
@@ -24,7 +24,8 @@
 import org.dahliapass.model.burn.BurnLedger;
 import org.dahliapass.model.burn.BurnSnapshot;
 import org.dahliapass.model.burn.Outcome;
-import org.testng.annotations.AfterMethod;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -40,11 +41,8 @@
     private Server mServer;
     private String mAddress;
 
-    @BeforeMethod
-    public void setUp() {
-        mOutput.reset();
-        mErrors.reset();
-        mBurnStatus = HttpStatus.OK;
+    @BeforeClass
+    public void startServer() {
         mServer =
                 Server.builder()
                         .http(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
@@ -58,11 +56,18 @@
                         .build();
         mServer.start().join();
         mAddress = "127.0.0.1:" + mServer.activeLocalPort();
+    }
+
+    @BeforeMethod
+    public void setUp() {
+        mOutput.reset();
+        mErrors.reset();
+        mBurnStatus = HttpStatus.OK;
         mMembers = "[" + member("a", 1, mAddress, "alive") + "]";
     }
 
-    @AfterMethod
-    public void tearDown() {
+    @AfterClass
+    public void stopServer() {
         mServer.stop().join();
     }
 
