--- a/entry/src/main/java/org/dahliapass/entry/ServiceRuntime.java
+++ b/entry/src/main/java/org/dahliapass/entry/ServiceRuntime.java
@@ -17,7 +17,6 @@
 import org.dahliapass.decisions.traffic.Dispatched;
 import org.dahliapass.decisions.traffic.Expired;
 import org.dahliapass.decisions.traffic.FailedTry;
-import org.dahliapass.decisions.traffic.FailureKind;
 import org.dahliapass.decisions.traffic.HedgePolicy;
 import org.dahliapass.decisions.traffic.QueueEntry;
 import org.dahliapass.decisions.traffic.QueueLimits;
@@ -30,6 +29,7 @@
 import org.dahliapass.decisions.traffic.SlotTable;
 import org.dahliapass.decisions.traffic.TargetInFlight;
 import org.dahliapass.decisions.traffic.WeightedTarget;
+import org.dahliapass.kernel.Futures;
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.model.RequestKind;
 import org.dahliapass.model.ServiceId;
@@ -42,10 +42,7 @@
  */
 public final class ServiceRuntime {
     private static final long REPORT_HALF_LIFE_MILLIS = 1000;
-    private static final double BULKY_SHARE = 0.5;
     private static final int RATE_BUCKETS = 10_000;
-    private static final int QUEUED_PER_SLOT = 4;
-    private static final int LEAST_QUEUE = 64;
 
     private final ServiceId mId;
     private final int mSlotsPerTarget;
@@ -73,8 +70,10 @@
         mEvidence = evidence;
         mMetrics = metrics;
         mSlots = new SlotTable(template.slotsPerTarget(), REPORT_HALF_LIFE_MILLIS);
-        mBalancer = new Balancer(mSlots, bulkyShare(template), random);
-        mQueue = new AdmissionQueue<>(limits(template), mSlots, mBalancer, mTimes, random);
+        mBalancer = new Balancer(mSlots, Balancer.bulkyShare(template.kinds()), random);
+        mQueue =
+                new AdmissionQueue<>(
+                        QueueLimits.forService(template), mSlots, mBalancer, mTimes, random);
         mRetries = new RetryPolicy(mBudget, mBalancer, mSlots, mTimes);
         mHedges = new HedgePolicy(mBudget, mBalancer, mSlots, mTimes);
     }
@@ -105,7 +104,8 @@
                         request.deadlineMillis(),
                         excluded);
         offer(entry, request.kind());
-        future.whenComplete(
+        Futures.whenDone(
+                future,
                 (slot, failure) -> {
                     if (future.isCancelled()) {
                         withdraw(entry);
@@ -198,7 +198,11 @@
             step =
                     slot.extra()
                             ? mQueue.onExtraTryEnded(
-                                    slot.entry(), slot.target(), slot.startedMillis(), answered, now)
+                                    slot.entry(),
+                                    slot.target(),
+                                    slot.startedMillis(),
+                                    answered,
+                                    now)
                             : mQueue.onTryEnded(
                                     slot.entry(),
                                     slot.target(),
@@ -207,8 +211,7 @@
                                     now);
         }
         mMetrics.onTry(mId.name(), outcome.name().toLowerCase(Locale.ROOT));
-        mEvidence.onOutcome(
-                mId, slot.target(), slot.entry().kind().name(), outcome, latencyMillis);
+        mEvidence.onOutcome(mId, slot.target(), slot.entry().kind().name(), outcome, latencyMillis);
         carryOut(step, now);
     }
 
@@ -267,10 +270,7 @@
 
     private void carryOut(QueueStep<SlotWaiter> step, long now) {
         for (Expired<SlotWaiter> expired : step.expired()) {
-            expired.entry()
-                    .request()
-                    .slot()
-                    .completeExceptionally(refused(expired.refusal()));
+            expired.entry().request().slot().completeExceptionally(refused(expired.refusal()));
         }
         for (Dispatched<SlotWaiter> dispatched : step.dispatched()) {
             give(dispatched.entry(), dispatched.target(), now);
@@ -319,15 +319,4 @@
                 };
         return new RefusedException(Refusal.of(code, message, refused.retryAfterMillis()));
     }
-
-    private static double bulkyShare(ServiceTemplate template) {
-        boolean onlyBulky = template.kinds().stream().allMatch(RequestKind::bulky);
-        return onlyBulky ? 1.0 : BULKY_SHARE;
-    }
-
-    private static QueueLimits limits(ServiceTemplate template) {
-        int slots = template.slotsPerTarget() * template.targets().size();
-        int capacity = Math.max(LEAST_QUEUE, slots * QUEUED_PER_SLOT);
-        return new QueueLimits(capacity, Math.max(1, capacity / 2), Math.max(1, slots / 2));
-    }
 }
