Let the template say which outcomes count against the objective

Cause: refusals, unknown outcomes, late answers and cut bodies shall count as the template says; until now all of them did.

Change: key bad-outcomes, all five by default; RequestKind.isBad. The constructor without the set stays, for kinds of which all count.

--- a/model/src/main/java/org/dahliapass/model/KindReader.java
+++ b/model/src/main/java/org/dahliapass/model/KindReader.java
@@ -1,9 +1,14 @@
 package org.dahliapass.model;
 
 import java.time.Duration;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.dahliapass.kernel.IniSection;
+import org.dahliapass.model.burn.Outcome;
 
 /**
  * Reads one section {@code [kind SERVICE NAME]} of a template.
@@ -23,6 +28,8 @@
  *   <li>{@code hedge-after}: 0s to the deadline, default 0s: never
  *   <li>{@code bulky}: yes or no, default no
  *   <li>{@code objective}: 50% to 99.9999%, default 99.9%
+ *   <li>{@code bad-outcomes}: what counts against the objective, of failed, refused, unknown, late,
+ *       cut; default all of them
  * </ul>
  */
 final class KindReader {
@@ -42,6 +49,8 @@
     private static final double MOST_OBJECTIVE = 0.999_999;
     private static final double DEFAULT_OBJECTIVE = 0.999;
 
+    private static final Set<Outcome> BAD = EnumSet.complementOf(EnumSet.of(Outcome.GOOD));
+
     private final IniSection mSection;
 
     /** Creates a reader of a section. */
@@ -80,7 +89,8 @@
                                 "retry-budget", idempotency.mayRepeat() ? DEFAULT_RETRY_SHARE : 0),
                         upToDeadline("hedge-after", Duration.ZERO, Duration.ZERO, deadline),
                         mSection.yesNo("bulky", false),
-                        mSection.share("objective", DEFAULT_OBJECTIVE));
+                        mSection.share("objective", DEFAULT_OBJECTIVE),
+                        readBadOutcomes());
         if (mSection.isSound()) {
             reportContradictions(kind);
         }
@@ -97,6 +107,30 @@
         return mSection.duration(key, least, MOST_DEADLINE, shorter);
     }
 
+    private Set<Outcome> readBadOutcomes() {
+        boolean given = mSection.has("bad-outcomes");
+        List<String> words = mSection.list("bad-outcomes");
+        Set<Outcome> outcomes = EnumSet.noneOf(Outcome.class);
+        for (String word : words) {
+            Optional<Outcome> outcome =
+                    BAD.stream().filter(bad -> written(bad).equals(word)).findFirst();
+            outcome.ifPresentOrElse(outcomes::add, () -> reportOutcome("'" + word + "'"));
+        }
+        if (given && words.isEmpty() && mSection.isSound()) {
+            reportOutcome("no outcome");
+        }
+        return given ? outcomes : BAD;
+    }
+
+    private void reportOutcome(String met) {
+        String allowed = BAD.stream().map(KindReader::written).collect(Collectors.joining(", "));
+        mSection.reportProblem("bad-outcomes", met, "one or more of " + allowed);
+    }
+
+    private static String written(Outcome outcome) {
+        return outcome.name().toLowerCase(Locale.ROOT);
+    }
+
     private void reportContradictions(RequestKind kind) {
         reportBeyondDeadline("patience", kind.patience(), kind);
         reportBeyondDeadline("late-after", kind.lateAfter(), kind);
--- a/model/src/main/java/org/dahliapass/model/RequestKind.java
+++ b/model/src/main/java/org/dahliapass/model/RequestKind.java
@@ -1,6 +1,9 @@
 package org.dahliapass.model;
 
 import java.time.Duration;
+import java.util.EnumSet;
+import java.util.Set;
+import org.dahliapass.model.burn.Outcome;
 
 /**
  * What a customer's template says of one kind of request to one service.
@@ -19,6 +22,7 @@
  * @param hedgeAfter a second try is started after this time; zero for never
  * @param bulky whether answers are large: they use a separate share of the slots
  * @param objective the share of requests that shall be good, for the burn report
+ * @param badOutcomes the outcomes that count against the objective
  */
 public record RequestKind(
         String name,
@@ -34,7 +38,53 @@
         double retryShare,
         Duration hedgeAfter,
         boolean bulky,
-        double objective) {
+        double objective,
+        Set<Outcome> badOutcomes) {
+    private static final Set<Outcome> ALL_BAD = EnumSet.complementOf(EnumSet.of(Outcome.GOOD));
+
+    /** Copies the set. */
+    public RequestKind {
+        badOutcomes = Set.copyOf(badOutcomes);
+    }
+
+    /** Creates a kind for which every outcome but {@link Outcome#GOOD} is bad. */
+    public RequestKind(
+            String name,
+            String method,
+            String pathPrefix,
+            boolean prefix,
+            Idempotency idempotency,
+            Duration deadline,
+            Duration patience,
+            Duration lateAfter,
+            long maximumBodyBytes,
+            double ratePerSecond,
+            double retryShare,
+            Duration hedgeAfter,
+            boolean bulky,
+            double objective) {
+        this(
+                name,
+                method,
+                pathPrefix,
+                prefix,
+                idempotency,
+                deadline,
+                patience,
+                lateAfter,
+                maximumBodyBytes,
+                ratePerSecond,
+                retryShare,
+                hedgeAfter,
+                bulky,
+                objective,
+                ALL_BAD);
+    }
+
+    /** Returns whether an outcome counts against the objective. */
+    public boolean isBad(Outcome outcome) {
+        return badOutcomes.contains(outcome);
+    }
 
     /** Returns whether a request of this method and path is of this kind. */
     public boolean matches(String requestMethod, String requestPath) {
--- a/model/src/test/java/org/dahliapass/model/TemplateParserTest.java
+++ b/model/src/test/java/org/dahliapass/model/TemplateParserTest.java
@@ -11,6 +11,7 @@
 import java.util.random.RandomGeneratorFactory;
 import org.dahliapass.kernel.Problem;
 import org.dahliapass.kernel.SettingsException;
+import org.dahliapass.model.burn.Outcome;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -97,6 +98,21 @@
         assertEquals(lock.lateAfter(), Duration.ofSeconds(2));
     }
 
+    @Test
+    public void parseBadOutcomesTakesTheTemplatesWord() {
+        String text = SOUND.replace("bulky = yes", "bad-outcomes = failed, cut");
+        Template template = TemplateParser.parse("t.ini", text);
+        RequestKind export =
+                template.service("archive").orElseThrow().kindOf("GET", "/exports/7").orElseThrow();
+        RequestKind lock =
+                template.service("desk").orElseThrow().kindOf("POST", "/locks").orElseThrow();
+
+        assertTrue(export.isBad(Outcome.CUT));
+        assertFalse(export.isBad(Outcome.REFUSED));
+        assertTrue(lock.isBad(Outcome.REFUSED));
+        assertFalse(lock.isBad(Outcome.GOOD));
+    }
+
     /** Gives what to replace in the sound template, by what, and the problem that it makes. */
     @DataProvider
     public Object[][] faults() {
@@ -148,6 +164,8 @@
             {"patience = 10s", "patience = 31s", "kind desk listing", "patience"},
             {"late-after = 5s", "late-after = 31s", "kind desk listing", "late-after"},
             {"retry-budget = 10%", "hedge-after = 31s", "kind desk listing", "hedge-after"},
+            {"bulky = yes", "bad-outcomes = good", "kind archive export", "bad-outcomes"},
+            {"bulky = yes", "bad-outcomes = ,", "kind archive export", "bad-outcomes"},
             {"deadline = 30s", "deadline = soon", "kind desk listing", "deadline"},
             {"POST\npath = /locks", "GET\npath = /listings/**", "kind desk lock", "path"},
             {"POST\npath = /locks", "GET\npath = /listings/new", "kind desk lock", "path"},
