Let a stand-in's stop wait for answers in flight

Cause: a large answer was cut off when the process got SIGTERM. Armeria takes a quiet period of zero as a stop that doesn't wait, whatever the timeout.

Conclusion: a stop ends the work in flight.

--- a/standins/src/main/java/org/dahliapass/standins/LoopbackServer.java
+++ b/standins/src/main/java/org/dahliapass/standins/LoopbackServer.java
@@ -25,6 +25,12 @@
     /** How long a stop waits for the work in flight. */
     private static final Duration GRACE = Duration.ofSeconds(30);
 
+    /**
+     * How long no request may be in flight before the connections are closed. Not zero: Armeria
+     * takes that as a stop which doesn't wait, and answers in flight would be cut off.
+     */
+    private static final Duration QUIET_PERIOD = Duration.ofMillis(1);
+
     /** How long a closing h2c connection still takes requests that crossed its GOAWAY. */
     private static final Duration CONNECTION_DRAIN = Duration.ofMillis(100);
 
@@ -47,7 +53,7 @@
                         .childChannelPipelineCustomizer(this::onConnection)
                         .errorHandler(LoopbackServer::onFailure)
                         .connectionDrainDuration(CONNECTION_DRAIN)
-                        .gracefulShutdownTimeout(Duration.ZERO, GRACE);
+                        .gracefulShutdownTimeout(QUIET_PERIOD, GRACE);
         services.accept(builder);
         mServer = builder.build();
     }
--- a/standins/src/test/java/org/dahliapass/standins/TargetStandInTest.java
+++ b/standins/src/test/java/org/dahliapass/standins/TargetStandInTest.java
@@ -13,6 +13,7 @@
 import com.linecorp.armeria.common.RequestHeaders;
 import java.time.Instant;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.function.BooleanSupplier;
 import org.dahliapass.kernel.ManualClock;
@@ -122,6 +123,21 @@
         assertEquals(mTarget.state().cancelled(), 0);
     }
 
+    @Test(dataProvider = "protocols", timeOut = BOUND_MILLIS)
+    public void closeEndsWorkInFlight(String protocol) {
+        // A target is stopped while a client still waits for its answer. A stop that doesn't wait
+        // for requests in flight shows as a closed connection instead of the answer.
+        TargetSettings slow = new TargetSettings(1, 300, 0, 7);
+        TargetStandIn target = new TargetStandIn(0, slow, new ManualClock(Instant.EPOCH));
+        target.start();
+        WebClient client = WebClient.of(protocol + "://" + target.endpoint());
+        HttpResponse response = client.get("/x?bytes=9000000");
+        waitUntil(() -> target.state().served() == 1);
+        CompletableFuture<Void> closed = CompletableFuture.runAsync(target::close);
+        assertEquals(response.aggregate().join().content().length(), 9_000_000);
+        closed.join();
+    }
+
     @Test(timeOut = BOUND_MILLIS)
     public void refusedConnectionsLeaveControlPort() {
         WebClient control = WebClient.of("http://" + mTarget.control());
