Free a stand-in's port by the end of its close

Cause: close() returned while Armeria still took connections for about 100 ms, so a test that stops a part and looks for refused connections, or starts it again on the same port, could fail now and then.

Ruled out: joining Armeria's stop, which adds the two seconds of its acceptor threads to each close.

Change: close() refuses new connections first, then waits until the port is free and the last connection is closed.

Conclusion: after close() the port can be taken again.

--- a/standins/src/main/java/org/dahliapass/standins/LoopbackServer.java
+++ b/standins/src/main/java/org/dahliapass/standins/LoopbackServer.java
@@ -1,5 +1,6 @@
 package org.dahliapass.standins;
 
+import com.linecorp.armeria.common.CommonPools;
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.MediaType;
@@ -14,7 +15,9 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.dahliapass.model.Endpoint;
 
@@ -34,6 +37,8 @@
     /** How long a closing h2c connection still takes requests that crossed its GOAWAY. */
     private static final Duration CONNECTION_DRAIN = Duration.ofMillis(100);
 
+    private static final long PORT_CHECK_MILLIS = 10;
+
     private final ChannelGroup mConnections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private final Server mServer;
     private volatile boolean mRefusing;
@@ -79,14 +84,37 @@
         Future<?> unused = mConnections.close();
     }
 
-    /** Stops: ends the requests in flight and returns once the last connection is closed. */
+    /**
+     * Stops: refuses new connections, ends the requests in flight, and returns once the port is
+     * free and the last connection is closed.
+     */
     @Override
     public void close() {
+        mRefusing = true;
         // Not joined: its end comes only after the acceptor threads' quiet period of two seconds.
         Future<?> unused = mServer.stop();
+        awaitPortFree();
         mConnections.newCloseFuture().awaitUninterruptibly();
     }
 
+    private void awaitPortFree() {
+        CompletableFuture<Void> free = new CompletableFuture<>();
+        Future<?> check =
+                CommonPools.workerGroup()
+                        .next()
+                        .scheduleAtFixedRate(
+                                () -> {
+                                    if (mServer.activePorts().isEmpty()) {
+                                        free.complete(null);
+                                    }
+                                },
+                                0,
+                                PORT_CHECK_MILLIS,
+                                TimeUnit.MILLISECONDS);
+        free.join();
+        check.cancel(false);
+    }
+
     private void onConnection(ChannelPipeline pipeline) {
         if (mRefusing) {
             Future<?> unused = pipeline.channel().close();
