Keep a stand-in's close from waiting for watches that ask again

Cause: a client that repeats its blocking read during a stop held the stop up until the grace of 30 s had passed.

Change: a closed stand-in answers blocking reads at once.

Conclusion: close() ends with the requests in flight.

--- a/standins/src/main/java/org/dahliapass/standins/LoopbackServer.java
+++ b/standins/src/main/java/org/dahliapass/standins/LoopbackServer.java
@@ -90,7 +90,6 @@
      */
     @Override
     public void close() {
-        mRefusing = true;
         // Not joined: its end comes only after the acceptor threads' quiet period of two seconds.
         Future<?> unused = mServer.stop();
         awaitPortFree();
--- a/standins/src/main/java/org/dahliapass/standins/StoreStandIn.java
+++ b/standins/src/main/java/org/dahliapass/standins/StoreStandIn.java
@@ -66,7 +66,7 @@
     @Override
     public void close() {
         mLapseTimer.cancel(false);
-        mWaiting.wakeAll();
+        mWaiting.close();
         mServer.close();
     }
 
--- a/standins/src/main/java/org/dahliapass/standins/VmListStandIn.java
+++ b/standins/src/main/java/org/dahliapass/standins/VmListStandIn.java
@@ -74,7 +74,7 @@
     @Override
     public void close() {
         mSettleTimer.cancel(false);
-        mWaiting.wakeAll();
+        mWaiting.close();
         mServer.close();
     }
 
--- a/standins/src/main/java/org/dahliapass/standins/WaitingReads.java
+++ b/standins/src/main/java/org/dahliapass/standins/WaitingReads.java
@@ -14,6 +14,7 @@
 
     private final Set<Waiting> mWaiting = ConcurrentHashMap.newKeySet();
     private final ToLongFunction<String> mIndexOf;
+    private volatile boolean mClosed;
 
     WaitingReads(ToLongFunction<String> indexOf) {
         mIndexOf = indexOf;
@@ -33,6 +34,9 @@
                         TimeUnit.MILLISECONDS);
         // A change between the caller's look and the line above would else be missed.
         wakeChanged();
+        if (mClosed) {
+            waiting.ready.complete(null);
+        }
         return waiting.ready.whenComplete(
                 (nothing, failure) -> {
                     timer.cancel(false);
@@ -53,4 +57,15 @@
     void wakeAll() {
         mWaiting.forEach(waiting -> waiting.ready.complete(null));
     }
+
+    /**
+     * Answers all reads, later ones at once.
+     *
+     * <p>Guards against clients that ask again as soon as they are answered: their new reads would
+     * wait, and the server's stop would wait for them until its grace has passed.
+     */
+    void close() {
+        mClosed = true;
+        wakeAll();
+    }
 }
