--- a/entry/src/main/java/org/dahliapass/entry/AnswerObserver.java
+++ b/entry/src/main/java/org/dahliapass/entry/AnswerObserver.java
@@ -68,7 +68,14 @@
         String customer = request.route().customer();
         String service = request.route().own().name();
         mMetrics.onAnswer(customer, service, kind.name(), outcome.name().toLowerCase(Locale.ROOT));
-        mBurn.record(customer, service, kind.name(), kind.objective(), outcome, mClock.millis());
+        mBurn.record(
+                customer,
+                service,
+                kind.name(),
+                kind.objective(),
+                outcome,
+                kind.isBad(outcome),
+                mClock.millis());
     }
 
     private static Outcome outcome(Throwable failure, boolean error, boolean late) {
--- a/entry/src/main/java/org/dahliapass/entry/EntryVm.java
+++ b/entry/src/main/java/org/dahliapass/entry/EntryVm.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
 import org.dahliapass.kernel.ControlLoop;
+import org.dahliapass.kernel.Futures;
 import org.dahliapass.kernel.Kernel;
 import org.dahliapass.kernel.PartLog;
 import org.dahliapass.model.Endpoint;
@@ -20,6 +21,7 @@
     private static final PartLog LOG = PartLog.of("vm");
     private static final int BURN_SERIES = 1000;
     private static final Duration PLATFORM_TIMEOUT = Duration.ofSeconds(2);
+    private static final Duration ANNOUNCE_RETRY = Duration.ofSeconds(2);
     private static final int INCARNATION_RANDOM_BITS = 20;
 
     /** How many gossip periods pass until no VM names one that is leaving. */
@@ -122,12 +124,7 @@
 
     /** Starts all services; requests are served once configuration is there. */
     public CompletableFuture<Void> start() {
-        return mKernel.start()
-                .thenCompose(
-                        ignored ->
-                                mSettings.announce()
-                                        ? mFleet.announce(false)
-                                        : CompletableFuture.completedFuture(null));
+        return mKernel.start().thenRun(this::announce);
     }
 
     /**
@@ -143,6 +140,21 @@
                 .thenCompose(ignored -> mKernel.stop());
     }
 
+    /** The VM list may be slow or away; the VM serves all the same and tries again. */
+    private void announce() {
+        if (!mSettings.announce() || mFleet.isLeaving()) {
+            return;
+        }
+        Futures.whenDone(
+                mFleet.announce(false),
+                (ignored, failure) -> {
+                    if (failure != null) {
+                        LOG.info("The VM list gave no word: " + failure.getMessage());
+                        mLoop.after(ANNOUNCE_RETRY, this::announce);
+                    }
+                });
+    }
+
     private CompletableFuture<Void> announceLeaving() {
         if (!mSettings.announce()) {
             return CompletableFuture.completedFuture(null);
--- a/entry/src/main/java/org/dahliapass/entry/HealthPoller.java
+++ b/entry/src/main/java/org/dahliapass/entry/HealthPoller.java
@@ -94,7 +94,7 @@
             case "cold" -> HealthReport.COLD;
             case "draining" -> HealthReport.DRAINING;
             case "leaving" -> HealthReport.LEAVING;
-            case "sick" -> HealthReport.SICK;
+            case "failing", "sick" -> HealthReport.SICK;
             default -> HealthReport.SERVING;
         };
     }
--- a/entry/src/main/java/org/dahliapass/entry/OperatorAnswers.java
+++ b/entry/src/main/java/org/dahliapass/entry/OperatorAnswers.java
@@ -169,7 +169,7 @@
     }
 
     /** Returns this VM's share of the burn report. */
-    String burn() {
+    String burn(String customer) {
         long now = mClock.millis();
         BurnSnapshot snapshot =
                 new BurnSnapshot(
@@ -177,7 +177,7 @@
                         mStartedMillis,
                         now,
                         mBurn.uncounted(),
-                        mBurn.buckets(now));
+                        mBurn.buckets(now, name -> customer == null || name.equals(customer)));
         return MAPPER.valueToTree(snapshot).toString();
     }
 
--- a/entry/src/main/java/org/dahliapass/entry/OperatorServer.java
+++ b/entry/src/main/java/org/dahliapass/entry/OperatorServer.java
@@ -56,7 +56,10 @@
                 .service(
                         "/operations/explanations",
                         (context, request) -> json(done(explanations(context))))
-                .service("/operations/burn", (context, request) -> json(done(mAnswers.burn())))
+                .service(
+                        "/operations/burn",
+                        (context, request) ->
+                                json(done(mAnswers.burn(context.queryParam("customer")))))
                 .service("/operations/drain", (context, request) -> drain(request.method()))
                 .build();
     }
--- a/entry/src/main/java/org/dahliapass/entry/RequestHandler.java
+++ b/entry/src/main/java/org/dahliapass/entry/RequestHandler.java
@@ -63,7 +63,7 @@
                     .orElseGet(() -> refuse(id, RefusalCode.NO_SUCH_SERVICE, noSuchService(path)));
         }
         Route route = found.get();
-        Optional<RequestKind> kind = route.own().kindOf(request.method().name(), path.path());
+        Optional<RequestKind> kind = route.kindOf(request.method().name(), path.path());
         if (kind.isEmpty()) {
             return refuse(id, RefusalCode.NO_SUCH_KIND, noSuchKind(request, path));
         }
--- a/entry/src/main/java/org/dahliapass/entry/Route.java
+++ b/entry/src/main/java/org/dahliapass/entry/Route.java
@@ -1,5 +1,8 @@
 package org.dahliapass.entry;
 
+import java.util.Optional;
+import org.dahliapass.model.Idempotency;
+import org.dahliapass.model.RequestKind;
 import org.dahliapass.model.ServiceTemplate;
 
 /**
@@ -9,4 +12,19 @@
  * @param own the service in the customer's own template: its request kinds and limits
  * @param provided the service in its provider's template: its targets, floor and detection
  */
-public record Route(String customer, ServiceTemplate own, ServiceTemplate provided) {}
+public record Route(String customer, ServiceTemplate own, ServiceTemplate provided) {
+
+    /**
+     * Returns the customer's kind of a request.
+     *
+     * <p>Guards against a customer's template that calls idempotent what the provider guards, which
+     * would let a request run twice: the provider knows its targets, so its word goes first.
+     */
+    public Optional<RequestKind> kindOf(String method, String path) {
+        boolean guarded =
+                provided.kindOf(method, path)
+                        .filter(kind -> kind.idempotency() == Idempotency.GUARDED)
+                        .isPresent();
+        return own.kindOf(method, path).map(kind -> guarded ? kind.guarded() : kind);
+    }
+}
--- a/model/src/main/java/org/dahliapass/model/RequestKind.java
+++ b/model/src/main/java/org/dahliapass/model/RequestKind.java
@@ -86,6 +86,26 @@
         return badOutcomes.contains(outcome);
     }
 
+    /** Returns the same kind as one that runs at most once, without retries and hedges. */
+    public RequestKind guarded() {
+        return new RequestKind(
+                name,
+                method,
+                pathPrefix,
+                prefix,
+                Idempotency.GUARDED,
+                deadline,
+                patience,
+                lateAfter,
+                maximumBodyBytes,
+                ratePerSecond,
+                0,
+                Duration.ZERO,
+                bulky,
+                objective,
+                badOutcomes);
+    }
+
     /** Returns whether a request of this method and path is of this kind. */
     public boolean matches(String requestMethod, String requestPath) {
         if (!method.equals(requestMethod)) {
