Specify the configuration protocol in Alloy

Cause: the accept protocol and the spread of accepted changes had no specification, so holes in the design would show only in code.

--- /dev/null
+++ b/spec/src/test/resources/configuration.als
@@ -0,0 +1,447 @@
+/*
+ * The accept protocol on the configuration store: operators race, die between any two steps and
+ * lose answers; the store may carry out a request long after its sender gave up on it.
+ *
+ * The store holds `head` (the newest number and a ring of the newest records; here the ring holds
+ * one record, so that each accept pushes one out), a pointer for each customer (the newest record
+ * of the customer that left the ring, with one operation id kept) and the texts. `order` is the
+ * history that an all-seeing observer would write down; the protocol reads of it only what is in
+ * the ring or under a pointer.
+ */
+module configuration
+
+open util/ordering[Number] as numbers
+
+/** Numbers of changes; the first one stands for "no change yet". */
+sig Number {}
+
+sig Customer {}
+
+abstract sig Step {}
+one sig Drafted, HeadRead, Sent, Doubt, Told, Dead extends Step {}
+
+abstract sig Verdict {}
+one sig Accepted, Refused, Unknown extends Verdict {}
+
+/** One run of the accept command; the atom is its operation id. */
+sig Operation {
+  customer: one Customer,
+  var step: one Step,
+  /** The newest change of the customer when the draft was taken. */
+  var base: lone Number,
+  /** The number of `head` that this operation read last: its compare-and-swap expects it. */
+  var expected: lone Number,
+  /** The compare-and-swap that the store hasn't carried out yet. */
+  var inFlight: lone Number,
+  var verdict: lone Verdict
+}
+
+one sig Store {
+  var head: one Number,
+  var pointer: Customer -> lone Number,
+  var texts: set Operation,
+  var order: Number -> lone Operation
+}
+
+/** One reader of one customer's template, which keeps what it saw. */
+one sig Reader {
+  reads: one Customer,
+  var sawHead: lone Number,
+  var sawPointer: lone Number,
+  /** Whether the pointer has been read; it may be absent. */
+  var pointerRead: set Customer,
+  /** The newest change of the customer when the reader began. */
+  var due: lone Number
+}
+
+fun customerOf[number: Number]: lone Customer { Store.order[number].customer }
+
+fun newest[asked: Customer]: lone Number { numbers/max[Store.order.customer.asked] }
+
+/** What an operation or a reader takes for the newest change: the higher of ring and pointer. */
+fun seen[asked: Customer, head: Number, pointer: Number]: lone Number {
+  numbers/max[{ number: head | customerOf[number] = asked } + pointer]
+}
+
+/** The number that the last compare-and-swap of the operation gave it, if it won. */
+fun sought[o: Operation]: lone Number { o.expected.next }
+
+/* Guards. Each one is switched off in a variant, which must yield a counterexample. */
+
+/** The store changes `head` only if it is still what the writer read. */
+pred guardCompareAndSwap[o: Operation] { Store.head = o.inFlight }
+
+/** Only a draft that was taken from the newest change is sent. */
+pred guardDraftIsCurrent[o: Operation] {
+  seen[o.customer, o.expected, Store.pointer[o.customer]] = o.base
+}
+
+/** The record that the accept pushes out of the ring is under its pointer first. */
+pred guardPointerBeforeEviction[o: Operation] {
+  some customerOf[o.expected] implies
+    o.expected in Store.pointer[customerOf[o.expected]].*prev
+}
+
+/** A pointer only grows, so that a writer that wakes late doesn't set it back. */
+pred guardPointerMonotone[asked: Customer, number: Number] {
+  no Store.pointer[asked] or numbers/lt[Store.pointer[asked], number]
+}
+
+/** The text is stored before the change is accepted. */
+pred guardTextBeforeAccept[o: Operation] { o in Store.texts }
+
+/** The reader reads `head` before the pointer. */
+pred guardHeadBeforePointer { some Reader.sawHead }
+
+/**
+ * "No" needs a head that moved: while it stands at the expected number, the request of the lost
+ * answer may still arrive at the store and win.
+ */
+pred guardHeadMoved[o: Operation] { Store.head != o.expected }
+
+/** "No" needs that the operation id isn't in the ring or under the pointer. */
+pred guardOperationNotFound[o: Operation] {
+  Store.head = sought[o] implies Store.order[Store.head] != o
+  Store.pointer[o.customer] = sought[o] implies Store.order[sought[o]] != o
+}
+
+/** "No" needs that the kept operation ids reach back to the number in question. */
+pred guardHistoryReaches[o: Operation] {
+  no Store.pointer[o.customer] or numbers/lte[Store.pointer[o.customer], sought[o]]
+}
+
+/* Events. */
+
+pred storeKept {
+  head' = head
+  pointer' = pointer
+  texts' = texts
+  order' = order
+}
+
+pred readerKept {
+  sawHead' = sawHead
+  sawPointer' = sawPointer
+  pointerRead' = pointerRead
+  due' = due
+}
+
+pred othersKept[o: Operation] {
+  all other: Operation - o {
+    other.step' = other.step
+    other.base' = other.base
+    other.expected' = other.expected
+    other.inFlight' = other.inFlight
+    other.verdict' = other.verdict
+  }
+}
+
+/** The operation moves to a step and keeps all the rest. */
+pred moves[o: Operation, to: Step] {
+  o.step' = to
+  base' = base
+  expected' = expected
+  inFlight' = inFlight
+  verdict' = verdict
+  othersKept[o]
+  readerKept
+}
+
+pred tells[o: Operation, said: Verdict] {
+  o.step' = Told
+  o.verdict' = said
+  base' = base
+  expected' = expected
+  inFlight' = inFlight
+  othersKept[o]
+  readerKept
+}
+
+/** The operator takes the newest template as a draft, perhaps anew. */
+pred takeDraft[o: Operation] {
+  o.step = Drafted
+  o.step' = Drafted
+  o.base' = newest[o.customer]
+  o.expected' = o.expected
+  o.inFlight' = o.inFlight
+  o.verdict' = o.verdict
+  othersKept[o]
+  readerKept
+  storeKept
+}
+
+pred writeText[o: Operation] {
+  o.step = Drafted
+  moves[o, Drafted]
+  texts' = texts + Store -> o
+  head' = head
+  pointer' = pointer
+  order' = order
+}
+
+pred readHead[o: Operation] {
+  o.step = Drafted
+  o.step' = HeadRead
+  o.expected' = Store.head
+  o.base' = o.base
+  o.inFlight' = o.inFlight
+  o.verdict' = o.verdict
+  othersKept[o]
+  readerKept
+  storeKept
+}
+
+pred writePointer[o: Operation] {
+  o.step = HeadRead
+  some customerOf[o.expected]
+  guardPointerMonotone[customerOf[o.expected], o.expected]
+  moves[o, HeadRead]
+  Store.pointer' = Store.pointer ++ customerOf[o.expected] -> o.expected
+  head' = head
+  texts' = texts
+  order' = order
+}
+
+/** The draft is behind: the operator is told what changed. */
+pred sayConflict[o: Operation] {
+  o.step = HeadRead
+  seen[o.customer, o.expected, Store.pointer[o.customer]] != o.base
+  tells[o, Refused]
+  storeKept
+}
+
+pred sendCompareAndSwap[o: Operation] {
+  o.step = HeadRead
+  some o.expected.next
+  guardDraftIsCurrent[o]
+  guardPointerBeforeEviction[o]
+  guardTextBeforeAccept[o]
+  o.step' = Sent
+  o.inFlight' = o.expected
+  o.base' = o.base
+  o.expected' = o.expected
+  o.verdict' = o.verdict
+  othersKept[o]
+  readerKept
+  storeKept
+}
+
+/** The store carries out the request; its answer arrives, or is lost, or nobody waits for it. */
+pred storeCarriesOut[o: Operation] {
+  some o.inFlight
+  no o.inFlight'
+  guardCompareAndSwap[o] implies {
+    head' = Store -> o.inFlight.next
+    Store.order' = Store.order ++ o.inFlight.next -> o
+    o.step = Sent and o.step' = Told implies o.verdict' = Accepted else o.verdict' = o.verdict
+    o.step = Sent implies o.step' in Told + Doubt else o.step' = o.step
+  } else {
+    head' = head
+    order' = order
+    o.verdict' = o.verdict
+    o.step = Sent implies o.step' in Drafted + Doubt else o.step' = o.step
+  }
+  pointer' = pointer
+  texts' = texts
+  o.base' = o.base
+  o.expected' = o.expected
+  othersKept[o]
+  readerKept
+}
+
+/** No answer in time; the request may still be on its way. */
+pred giveUpWaiting[o: Operation] {
+  o.step = Sent
+  moves[o, Doubt]
+  storeKept
+}
+
+pred resolveYes[o: Operation] {
+  o.step = Doubt
+  sought[o] in Store.head + Store.pointer[o.customer]
+  Store.order[sought[o]] = o
+  tells[o, Accepted]
+  storeKept
+}
+
+/** The last attempt is proved lost: the operation says so, or reads again for another attempt. */
+pred resolveNo[o: Operation] {
+  o.step = Doubt
+  guardHeadMoved[o]
+  guardOperationNotFound[o]
+  guardHistoryReaches[o]
+  tells[o, Refused] or moves[o, Drafted]
+  storeKept
+}
+
+/** `head` hasn't moved: the same compare-and-swap goes out again, it can win only once. */
+pred resendSame[o: Operation] {
+  o.step = Doubt
+  Store.head = o.expected
+  o.step' = Sent
+  o.inFlight' = o.expected
+  o.base' = o.base
+  o.expected' = o.expected
+  o.verdict' = o.verdict
+  othersKept[o]
+  readerKept
+  storeKept
+}
+
+pred sayUnknown[o: Operation] {
+  o.step = Doubt
+  tells[o, Unknown]
+  storeKept
+}
+
+/** The command dies; a request on its way is carried out all the same. */
+pred die[o: Operation] {
+  o.step in Drafted + HeadRead + Sent + Doubt
+  moves[o, Dead]
+  storeKept
+}
+
+pred operationsKept {
+  step' = step
+  base' = base
+  expected' = expected
+  inFlight' = inFlight
+  verdict' = verdict
+}
+
+pred remembersDue {
+  no Reader.sawHead and no Reader.pointerRead implies
+    Reader.due' = newest[Reader.reads] else due' = due
+}
+
+pred readerReadsHead {
+  no Reader.sawHead
+  sawHead' = Reader -> Store.head
+  sawPointer' = sawPointer
+  pointerRead' = pointerRead
+  remembersDue
+  operationsKept
+  storeKept
+}
+
+pred readerReadsPointer {
+  no Reader.pointerRead
+  guardHeadBeforePointer
+  sawPointer' = Reader -> Store.pointer[Reader.reads]
+  pointerRead' = Reader -> Reader.reads
+  sawHead' = sawHead
+  remembersDue
+  operationsKept
+  storeKept
+}
+
+pred nothing {
+  operationsKept
+  readerKept
+  storeKept
+}
+
+pred operationStep[o: Operation] {
+  takeDraft[o] or writeText[o] or readHead[o] or writePointer[o] or sayConflict[o] or
+  sendCompareAndSwap[o] or storeCarriesOut[o] or giveUpWaiting[o] or resolveYes[o] or
+  resolveNo[o] or resendSame[o] or sayUnknown[o] or die[o]
+}
+
+/** An operation that won earlier: it was told so, or it lost the answer, or it died. */
+pred wonEarlier[o: Operation] {
+  o.expected = Store.order.o.prev
+  o.base = numbers/max[Store.order.o.prevs & Store.order.customer.(o.customer)]
+  o in Store.texts
+  o.step = Told and o.verdict = Accepted or o.step in Doubt + Dead and no o.verdict
+}
+
+/** An operation under way: it has a draft, of whatever age, and perhaps read `head` long ago. */
+pred underWay[o: Operation] {
+  no o.verdict
+  o.base in Store.order.customer.(o.customer)
+  o.step = Drafted and no o.expected or
+    o.step = HeadRead and o.expected in Store.head.*prev and o.base in o.expected.*prev
+}
+
+/**
+ * Traces start in any state that a shorter history may have led to, not only in the empty one, so
+ * that a bounded trace reaches deep.
+ */
+pred start {
+  Store.order.Operation = Store.head.*prev - numbers/first
+  all number: Number | lone Store.order[number]
+  all o: Operation | lone Store.order.o
+  all o: Number.(Store.order) | wonEarlier[o]
+  all o: Operation - Number.(Store.order) | underWay[o]
+  all asked: Customer |
+    Store.pointer[asked] = numbers/max[Store.head.prevs & Store.order.customer.asked] or
+    Store.pointer[asked] = Store.head and customerOf[Store.head] = asked
+  no inFlight
+  no sawHead and no sawPointer and no pointerRead and no due
+}
+
+fact behaviour {
+  start
+  always (nothing or readerReadsHead or readerReadsPointer or some o: Operation | operationStep[o])
+}
+
+/* Promises. */
+
+/** What was accepted keeps its place, and numbers leave no gap. */
+assert acceptedStays {
+  always (Store.order in Store.order' and
+    Store.order.Operation = Store.head.*prev - numbers/first)
+}
+
+/** An operation stands in the order at most once. */
+assert acceptedOnce { always all o: Operation | lone Store.order.o }
+
+/** Each accepted change was drafted from the change of its customer just before it. */
+assert noLostUpdate {
+  always all number: Number, o: Store.order[number] |
+    o.base = numbers/max[number.prevs & Store.order.customer.(o.customer)]
+}
+
+/** What an operator is told is true, and stays true. */
+assert verdictsTrue {
+  always all o: Operation {
+    o.verdict = Accepted implies o in Number.(Store.order)
+    o.verdict = Refused implies o not in Number.(Store.order)
+  }
+}
+
+/** Whoever reads `head` and pointer in one instant finds the newest change of each customer. */
+assert storeShowsNewest {
+  always all asked: Customer |
+    seen[asked, Store.head, Store.pointer[asked]] = newest[asked]
+}
+
+/** A reader gets no older change than the newest when it began. */
+assert readerNeverBehind {
+  always (some Reader.sawHead and some Reader.pointerRead and some Reader.due implies
+    some seen[Reader.reads, Reader.sawHead, Reader.sawPointer] and
+    numbers/gte[seen[Reader.reads, Reader.sawHead, Reader.sawPointer], Reader.due])
+}
+
+/** An accepted change has its text. */
+assert textThere { always Number.(Store.order) in Store.texts }
+
+/** Shows that the specification isn't vacuous: a lost answer resolved to yes behind a race. */
+pred interesting {
+  Store.head = numbers/first
+  some disj winner, loser: Operation {
+    eventually (winner.step = Doubt and winner in Number.(Store.order))
+    eventually winner.verdict = Accepted
+    eventually loser.verdict = Refused
+  }
+  eventually (some Reader.sawPointer and some Reader.sawHead)
+}
+
+run interesting for exactly 2 Customer, exactly 2 Operation, exactly 3 Number, 11..11 steps
+check acceptedStays for 2 Customer, exactly 3 Operation, exactly 4 Number, 5..5 steps
+check acceptedOnce for 2 Customer, exactly 3 Operation, exactly 4 Number, 6..6 steps
+check noLostUpdate for 2 Customer, exactly 3 Operation, exactly 4 Number, 4..4 steps
+check verdictsTrue for 2 Customer, exactly 3 Operation, exactly 4 Number, 5..5 steps
+check storeShowsNewest for 2 Customer, exactly 4 Operation, exactly 4 Number, 3..3 steps
+check readerNeverBehind for 2 Customer, exactly 3 Operation, exactly 4 Number, 6..6 steps
+check textThere for 2 Customer, exactly 2 Operation, exactly 3 Number, 6..6 steps
