--- a/entry/src/main/java/org/dahliapass/entry/AnswerObserver.java
+++ b/entry/src/main/java/org/dahliapass/entry/AnswerObserver.java
@@ -27,19 +27,31 @@
         mRefusals = refusals;
     }
 
-    /** Passes a target's answer on; the account is closed when its body has ended. */
+    /**
+     * Passes a target's answer on; the account is closed when its body has ended.
+     *
+     * <p>The end is that of the returned message, not of the target's: the latter may come first,
+     * while pieces are still on their way to the caller's thread.
+     */
     HttpResponse passOn(CallerRequest request, TryResult.Answered answered) {
         boolean late = isLate(request);
         boolean error = answered.headers().status().code() >= SERVER_ERROR;
+        HttpResponse response =
+                HttpResponse.of(headers(request, answered.headers()), answered.body());
         Futures.whenDone(
-                answered.body().whenComplete(),
+                response.whenComplete(),
                 (ignored, failure) -> account(request, outcome(failure, error, late)));
-        return HttpResponse.of(headers(request, answered.headers()), answered.body());
+        return response;
     }
 
-    /** Answers with a refusal and keeps it, so that the caller's operator can look it up. */
+    /**
+     * Answers with a refusal and keeps it, so that the caller's operator can look it up. A repeat
+     * of a key that is running is no request of its own: the first one is accounted for.
+     */
     HttpResponse refuse(CallerRequest request, Refusal refusal) {
-        account(request, outcomeOf(refusal));
+        if (refusal.code() != RefusalCode.IN_PROGRESS) {
+            account(request, outcomeOf(refusal));
+        }
         mRefusals.add(mClock.millis(), request.id(), request.route().customer(), refusal);
         return refusal.toResponse(request.id());
     }
--- a/entry/src/main/java/org/dahliapass/entry/GuardedExchange.java
+++ b/entry/src/main/java/org/dahliapass/entry/GuardedExchange.java
@@ -102,11 +102,14 @@
     private HttpResponse passOn(int attempt, TryResult.Answered answered) {
         ResultRecorder recorder = new ResultRecorder(answered.headers());
         StreamMessage<HttpData> body = answered.body().peek(recorder::add);
+        HttpResponse response =
+                mObserver.passOn(
+                        mRequest,
+                        new TryResult.Answered(answered.target(), answered.headers(), body));
         Futures.whenDone(
-                body.whenComplete(),
+                response.whenComplete(),
                 (ignored, failure) -> finish(attempt, recorder.result(failure == null)));
-        return mObserver.passOn(
-                mRequest, new TryResult.Answered(answered.target(), answered.headers(), body));
+        return response;
     }
 
     private void finish(int attempt, RecordedResult result) {
--- a/lab/src/main/java/org/dahliapass/lab/quickstart/TrafficMain.java
+++ b/lab/src/main/java/org/dahliapass/lab/quickstart/TrafficMain.java
@@ -2,10 +2,11 @@
 
 import com.linecorp.armeria.client.ClientFactory;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
-import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.ResponseHeaders;
 import com.linecorp.armeria.common.SplitHttpResponse;
-import com.linecorp.armeria.common.stream.StreamMessage;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
 import java.time.Clock;
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
@@ -14,7 +15,6 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.IntConsumer;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
@@ -26,6 +26,7 @@
 /** Sends the quick start's requests, checks every answer and prints a table. */
 public final class TrafficMain extends Program {
     private static final int OK = 200;
+    private static final int RUNNING = 409;
     private static final int THREADS = 8;
     private static final long LIMIT_SECONDS = 300;
 
@@ -132,12 +133,20 @@
                             caller.post(address.address(), full, key, "{}").aggregate().join();
                     judge(tally, answer, path + number, start);
                     String other = addresses.get((number + 1) % addresses.size()).address();
-                    AggregatedHttpResponse repeated =
-                            caller.post(other, full, key, "{}").aggregate().join();
-                    judgeRepeat(tally, answer, repeated);
+                    judgeRepeat(tally, answer, repeat(caller, other, full, key));
                 });
     }
 
+    /** Sends a key again, as often as it is told that the operation is still running. */
+    private static AggregatedHttpResponse repeat(
+            Caller caller, String address, String path, String key) {
+        AggregatedHttpResponse answer;
+        do {
+            answer = caller.post(address, path, key, "{}").aggregate().join();
+        } while (answer.status().code() == RUNNING);
+        return answer;
+    }
+
     private void judge(Tally tally, AggregatedHttpResponse answer, String path, Instant start) {
         boolean refused = answer.headers().contains("retry-after");
         if (refused) {
@@ -168,16 +177,22 @@
                                 "/services/" + customer + "/" + service + path + "?bytes=" + bytes)
                         .split();
         ResponseHeaders headers = split.headers().join();
-        AtomicLong received = new AtomicLong();
-        StreamMessage<HttpData> body = split.body();
-        body.peek(piece -> received.addAndGet(piece.length())).subscribe().join();
-        if (headers.status().code() != OK || received.get() != bytes) {
-            tally.wrong(headers.status() + ", " + received.get() + " bytes");
+        long received = length(split);
+        if (headers.status().code() != OK || received != bytes) {
+            tally.wrong(headers.status() + ", " + received + " bytes");
             return;
         }
         tally.good(microsSince(start));
     }
 
+    private static long length(SplitHttpResponse response) {
+        try (InputStream body = response.body().toInputStream()) {
+            return body.transferTo(OutputStream.nullOutputStream());
+        } catch (IOException failure) {
+            return -1;
+        }
+    }
+
     private static void inParallel(int requests, IntConsumer work) throws InterruptedException {
         ExecutorService executor = Executors.newFixedThreadPool(THREADS);
         for (int number = 0; number < requests; number++) {
