--- a/decisions/src/main/java/org/dahliapass/decisions/configuration/Accept.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/configuration/Accept.java
@@ -96,11 +96,12 @@
         ChangeRecord next = mRequest.numbered(head.number() + 1);
         TemplateText text = mRequest.text();
         all.add(new Preparation(StoreKey.text(mRequest.customer(), text.digest()), text));
+        CustomerIndex index = CustomerIndex.of(mRequest.customer());
+        if (next.provides()) {
+            all.add(new Preparation(StoreKey.PROVIDERS, index));
+        }
         for (ServiceUse use : mRequest.services()) {
-            all.add(
-                    new Preparation(
-                            StoreKey.customers(use.service()),
-                            CustomerIndex.of(mRequest.customer())));
+            all.add(new Preparation(StoreKey.customers(use.service()), index));
         }
         for (ChangeRecord evicted : head.evictedBy(next, ringCapacity)) {
             all.add(new Preparation(StoreKey.pointer(evicted.customer()), Pointer.of(evicted)));
--- a/decisions/src/main/java/org/dahliapass/decisions/configuration/StoreKey.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/configuration/StoreKey.java
@@ -12,6 +12,9 @@
     /** The key of the {@link Head}. */
     public static final StoreKey HEAD = new StoreKey(StoreKind.HEAD, "head");
 
+    /** The key of the index of all customers that provide services. */
+    public static final StoreKey PROVIDERS = new StoreKey(StoreKind.CUSTOMERS, "providers");
+
     /** Returns the key of a text. */
     public static StoreKey text(String customer, String digest) {
         return new StoreKey(StoreKind.TEXT, "text/" + customer + "/" + digest);
--- a/decisions/src/test/java/org/dahliapass/decisions/configuration/AcceptTest.java
+++ b/decisions/src/test/java/org/dahliapass/decisions/configuration/AcceptTest.java
@@ -102,6 +102,20 @@
         assertEquals(store.finish(accept, next), new Accepted(1));
     }
 
+    // The answer is lost, and so many later changes of the customer follow that nobody keeps the
+    // operation's id any more. The command must say "unknown" then, and never "conflict".
+    @Test
+    public void forgottenOperationIsUnknown() {
+        MemoryStore store = new MemoryStore();
+        Accept accept = accept("himal", "op-1", 0);
+        store.apply(untilHeadSwap(store, accept));
+        for (int number = 1; number <= Pointer.OPERATIONS + CAPACITY + 1; number++) {
+            store.run(accept("himal", "later-" + number, number));
+        }
+        StoreAction next = accept.onSwap(SwapAnswer.UNKNOWN);
+        assertTrue(store.finish(accept, next) instanceof Unknown);
+    }
+
     // The answer is lost because the write is stuck in the network. The command reads the head,
     // does
     // not find its change, and sends it again; then the stuck write arrives too. One change
--- /dev/null
+++ b/decisions/src/test/java/org/dahliapass/decisions/configuration/ConfigurationFollowerTest.java
@@ -0,0 +1,222 @@
+package org.dahliapass.decisions.configuration;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.dahliapass.decisions.configuration.FollowerAction.Apply;
+import org.dahliapass.decisions.configuration.FollowerAction.FetchRecords;
+import org.dahliapass.decisions.configuration.FollowerAction.FetchText;
+import org.dahliapass.decisions.configuration.FollowerAction.PassOn;
+import org.dahliapass.decisions.configuration.FollowerAction.ReadStore;
+import org.dahliapass.decisions.configuration.FollowerAction.Reject;
+import org.dahliapass.decisions.configuration.FollowerAction.Release;
+import org.dahliapass.model.ServiceId;
+import org.dahliapass.model.VmIdentity;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests of one VM's follower. */
+public final class ConfigurationFollowerTest {
+    private static final ServiceId DESK = new ServiceId("himal", "desk");
+    private static final VmIdentity PEER_1 = new VmIdentity("vm-1", 1);
+    private static final VmIdentity PEER_2 = new VmIdentity("vm-2", 1);
+    private static final long PATIENCE = FollowerSettings.FIELD.answerMillis();
+
+    private final Set<ServiceId> mServed = new HashSet<>();
+    private List<VmIdentity> mMembers = List.of();
+    private ConfigurationFollower mFollower;
+
+    private final class Peers implements FollowerPeers {
+        @Override
+        public boolean serves(ServiceId service) {
+            return mServed.contains(service);
+        }
+
+        @Override
+        public List<VmIdentity> members() {
+            return mMembers;
+        }
+
+        @Override
+        public List<VmIdentity> groupSources(CustomerGroup group) {
+            return mMembers;
+        }
+
+        @Override
+        public List<VmIdentity> textSources(ChangeRecord record) {
+            return mMembers;
+        }
+
+        @Override
+        public int storeRank(CustomerGroup group) {
+            return 0;
+        }
+    }
+
+    @BeforeMethod
+    public void setUp() {
+        mServed.clear();
+        mServed.add(DESK);
+        mMembers = List.of(PEER_1, PEER_2);
+        mFollower =
+                new ConfigurationFollower(
+                        FollowerSettings.FIELD,
+                        new Peers(),
+                        text -> text.contains("bad") ? Optional.of("It is bad.") : Optional.empty(),
+                        new SplittableRandom(1));
+    }
+
+    private static ChangeRecord change(long number, String customer, String text) {
+        return new ChangeRecord(
+                number,
+                customer,
+                new TemplateText(text).digest(),
+                List.of(new ServiceUse(DESK, customer.equals("himal") ? 6 : 0)),
+                "op-" + number,
+                "Asha",
+                0);
+    }
+
+    private List<FollowerAction> text(ChangeRecord record, String text, long nowMillis) {
+        return mFollower.onText(record.customer(), record.digest(), Optional.of(text), nowMillis);
+    }
+
+    private static <T> List<T> only(Class<T> type, List<FollowerAction> actions) {
+        return actions.stream().filter(type::isInstance).map(type::cast).toList();
+    }
+
+    @Test
+    public void newsArePassedOnOnceAndFetched() {
+        ChangeRecord change = change(1, "himal", "good");
+        List<FollowerAction> actions = mFollower.onRumor(List.of(change), 0);
+        assertEquals(only(PassOn.class, actions).size(), 1);
+        assertEquals(
+                only(FetchText.class, actions),
+                List.of(new FetchText(PEER_1, "himal", change.digest())));
+        assertTrue(only(PassOn.class, mFollower.onRumor(List.of(change), 1)).isEmpty());
+        assertEquals(
+                only(Apply.class, text(change, "good", 2)), List.of(new Apply("himal", 1, "good")));
+        assertEquals(mFollower.cellSizes().get(DESK), Integer.valueOf(6));
+    }
+
+    // A later release accepts a template that this VM's release can't read. The VM must go on with
+    // the last good one and say what is wrong.
+    @Test
+    public void badTextIsReportedAndTheLastGoodStays() {
+        ChangeRecord good = change(1, "himal", "good");
+        mFollower.onRumor(List.of(good), 0);
+        text(good, "good", 1);
+        ChangeRecord bad = change(2, "himal", "bad");
+        mFollower.onRumor(List.of(bad), 2);
+        assertEquals(
+                only(Reject.class, text(bad, "bad", 3)),
+                List.of(new Reject("himal", 2, "It is bad.")));
+        assertEquals(mFollower.numberInForce("himal"), Optional.of(1L));
+        assertEquals(mFollower.text("himal", good.digest()), Optional.of("good"));
+        assertEquals(mFollower.counters().textsWanted(), 0);
+    }
+
+    @Test
+    public void textThatIsNotTheDigestsIsNotApplied() {
+        ChangeRecord change = change(1, "himal", "good");
+        mFollower.onRumor(List.of(change), 0);
+        List<FollowerAction> actions = text(change, "other", 1);
+        assertTrue(only(Apply.class, actions).isEmpty());
+        assertEquals(only(FetchText.class, actions).get(0).peer(), PEER_2);
+    }
+
+    @Test
+    public void peersAreAskedBeforeTheStore() {
+        ChangeRecord change = change(1, "himal", "good");
+        StoreKey key = StoreKey.text("himal", change.digest());
+        List<String> asked = new ArrayList<>();
+        List<FollowerAction> actions = mFollower.onRumor(List.of(change), 0);
+        for (long now = 0; now <= 3 * PATIENCE; now += PATIENCE / 5) {
+            only(FetchText.class, actions).forEach(fetch -> asked.add(fetch.peer().name()));
+            only(ReadStore.class, actions).stream()
+                    .filter(read -> read.key().equals(key))
+                    .forEach(read -> asked.add("store"));
+            actions = mFollower.onTick(now);
+        }
+        assertEquals(asked.subList(0, 3), List.of("vm-1", "vm-2", "store"));
+    }
+
+    // The whole fleet is replaced and nobody knows anything: the store is read, but not in a burst.
+    @Test
+    public void readsOfTheStoreAreSpaced() {
+        mMembers = List.of();
+        long reads = 0;
+        for (long now = 0; now < 10_000; now++) {
+            List<ReadStore> due = only(ReadStore.class, mFollower.onTick(now));
+            for (ReadStore read : due) {
+                mFollower.onStoreItem(read, customers(read.key()), now);
+            }
+            reads += due.size();
+        }
+        assertTrue(reads > 100, "" + reads);
+        assertTrue(reads <= 10_000 / FollowerSettings.FIELD.storePauseMillis(), "" + reads);
+    }
+
+    // A read of the providers' index is slow, so it is sent again. Meanwhile a first provider was
+    // entered. The answer to the first read arrives first, and must not hide that provider.
+    @Test
+    public void lateAnswerToAnEarlierReadIsNotTaken() {
+        mMembers = List.of();
+        long now = PATIENCE;
+        mFollower.onTick(0);
+        ReadStore head = only(ReadStore.class, mFollower.onTick(now)).get(0);
+        assertTrue(mFollower.onStoreItem(head, Optional.empty(), now).isEmpty());
+        ReadStore early = only(ReadStore.class, mFollower.onTick(now + 100)).get(0);
+        ReadStore again = only(ReadStore.class, mFollower.onTick(now + 100 + PATIENCE)).get(0);
+        assertEquals(again.key(), early.key());
+        mFollower.onStoreItem(early, Optional.empty(), now + 1000);
+        assertFalse(mFollower.isReady());
+        List<FollowerAction> next =
+                mFollower.onStoreItem(again, Optional.of(CustomerIndex.of("himal")), now + 1000);
+        assertEquals(only(ReadStore.class, next).get(0).key(), StoreKey.pointer("himal"));
+    }
+
+    private static Optional<StoreItem> customers(StoreKey key) {
+        CustomerIndex index = CustomerIndex.of("himal");
+        for (int number = 0; number < 300; number++) {
+            index = CustomerIndex.of("customer-" + number).mergedInto(Optional.of(index));
+        }
+        return key.kind() == StoreKind.CUSTOMERS ? Optional.of(index) : Optional.empty();
+    }
+
+    @Test
+    public void pingFromAheadIsFollowedByAFetchFromThatPeer() {
+        List<FetchRecords> fetches = only(FetchRecords.class, mFollower.onPing(PEER_2, 5, 0));
+        assertEquals(fetches.get(0).peer(), PEER_2);
+        assertEquals(fetches.get(0).request().since(), 0);
+        assertTrue(only(FetchRecords.class, mFollower.onPing(PEER_2, 5, 1)).isEmpty());
+    }
+
+    @Test
+    public void templateIsReleasedWhenTheCellMovesAway() {
+        ChangeRecord change = change(1, "himal", "good");
+        mFollower.onRumor(List.of(change), 0);
+        text(change, "good", 1);
+        mServed.clear();
+        assertEquals(
+                only(Release.class, mFollower.onMembersChanged(2)), List.of(new Release("himal")));
+        mServed.add(DESK);
+        assertEquals(only(FetchText.class, mFollower.onMembersChanged(3)).size(), 1);
+    }
+
+    @Test
+    public void customerOfAnotherCellIsNotKept() {
+        mServed.clear();
+        mFollower.onRumor(List.of(change(1, "himal", "good"), change(2, "valley", "good")), 0);
+        assertEquals(mFollower.headNumber(), 2);
+        assertEquals(mFollower.counters().customersKnown(), 1);
+        assertEquals(mFollower.counters().textsWanted(), 0);
+    }
+}
