--- a/entry/src/main/java/org/dahliapass/entry/EntryVm.java
+++ b/entry/src/main/java/org/dahliapass/entry/EntryVm.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
 import org.dahliapass.kernel.ControlLoop;
+import org.dahliapass.kernel.Futures;
 import org.dahliapass.kernel.Kernel;
 import org.dahliapass.kernel.PartLog;
 import org.dahliapass.model.Endpoint;
@@ -13,11 +14,14 @@
 import org.dahliapass.model.burn.BurnLedger;
 import org.dahliapass.platform.HttpStoreClient;
 import org.dahliapass.platform.HttpVmListClient;
+import org.dahliapass.wire.LinkFilter;
 
 /** One entry VM, put together from its services; a process holds one, tests hold several. */
 public final class EntryVm {
     private static final PartLog LOG = PartLog.of("vm");
+    private static final int BURN_SERIES = 1000;
     private static final Duration PLATFORM_TIMEOUT = Duration.ofSeconds(2);
+    private static final Duration ANNOUNCE_RETRY = Duration.ofSeconds(2);
     private static final int INCARNATION_RANDOM_BITS = 20;
 
     /** How many gossip periods pass until no VM names one that is leaving. */
@@ -41,14 +45,19 @@
      * @param stopRequested run when an operator asks for a drain, or another life replaced this one
      */
     public EntryVm(VmSettings settings, Clock clock, Runnable stopRequested) {
+        this(settings, clock, LinkFilter.OPEN, stopRequested);
+    }
+
+    /** Puts a VM together whose links to other VMs can be cut; for failure tests. */
+    public EntryVm(VmSettings settings, Clock clock, LinkFilter filter, Runnable stopRequested) {
         RandomGenerator random = new SplittableRandom();
         mSettings = settings;
         mIdentity = new VmIdentity(settings.name(), newIncarnation(clock, random));
         mLoop = new ControlLoop(clock);
         EntryMetrics metrics = new EntryMetrics();
         RefusalLog refusals = new RefusalLog();
-        BurnLedger burn = new BurnLedger(clock.millis());
-        mPeers = new PeerLink(mIdentity, settings);
+        BurnLedger burn = new BurnLedger(BURN_SERIES);
+        mPeers = new PeerLink(mIdentity, settings, filter);
         mCallers =
                 new CallerServer(
                         settings,
@@ -82,7 +91,6 @@
                         ConfigurationService.NAME,
                         new ConfigurationService(
                                 new HttpStoreClient(settings.store(), PLATFORM_TIMEOUT),
-                                random,
                                 mReadiness))
                 .register(ServiceTable.NAME, new ServiceTable(clock, random, settings))
                 .register(EvidenceExchange.NAME, new EvidenceExchange(settings.controlPeriod()))
@@ -116,12 +124,7 @@
 
     /** Starts all services; requests are served once configuration is there. */
     public CompletableFuture<Void> start() {
-        return mKernel.start()
-                .thenCompose(
-                        ignored ->
-                                mSettings.announce()
-                                        ? mFleet.announce(false)
-                                        : CompletableFuture.completedFuture(null));
+        return mKernel.start().thenRun(this::announce);
     }
 
     /**
@@ -137,6 +140,21 @@
                 .thenCompose(ignored -> mKernel.stop());
     }
 
+    /** The VM list may be slow or away; the VM serves all the same and tries again. */
+    private void announce() {
+        if (!mSettings.announce() || mFleet.isLeaving()) {
+            return;
+        }
+        Futures.whenDone(
+                mFleet.announce(false),
+                (ignored, failure) -> {
+                    if (failure != null) {
+                        LOG.info("The VM list gave no word: " + failure.getMessage());
+                        mLoop.after(ANNOUNCE_RETRY, this::announce);
+                    }
+                });
+    }
+
     private CompletableFuture<Void> announceLeaving() {
         if (!mSettings.announce()) {
             return CompletableFuture.completedFuture(null);
--- a/entry/src/main/java/org/dahliapass/entry/FleetService.java
+++ b/entry/src/main/java/org/dahliapass/entry/FleetService.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
 import org.dahliapass.decisions.assignment.CellPlanner;
@@ -17,6 +18,7 @@
 import org.dahliapass.decisions.membership.Membership;
 import org.dahliapass.decisions.membership.MembershipAction;
 import org.dahliapass.kernel.ControlLoop;
+import org.dahliapass.kernel.Futures;
 import org.dahliapass.kernel.Kernel;
 import org.dahliapass.kernel.KernelService;
 import org.dahliapass.kernel.PartLog;
@@ -50,6 +52,7 @@
     private final List<Runnable> mListeners = new ArrayList<>();
     private volatile FleetView mView;
     private volatile List<MemberUpdate> mMembers;
+    private volatile Set<VmIdentity> mIdentities = Set.of();
     private volatile boolean mLeaving;
     private volatile boolean mStopped;
 
@@ -83,7 +86,9 @@
 
     /** Returns the cell of a service in order of rank. */
     List<Vm> cellOf(ServiceTemplate template) {
-        return membersOf(template.id(), template.cellSize()).stream().map(MemberUpdate::vm).toList();
+        return membersOf(template.id(), template.cellSize()).stream()
+                .map(MemberUpdate::vm)
+                .toList();
     }
 
     /** Returns the cell of a service with the members' states. */
@@ -107,9 +112,9 @@
         return mMembership.heardFromShare(vms, mLoop.nowMillis(), window.toMillis());
     }
 
-    /** Returns whether this life of a VM is a member; control thread only. */
-    boolean isMember(VmIdentity identity) {
-        return mMembership.isMember(identity);
+    /** Returns the lives that are members; safe on any thread, empty before the start. */
+    Set<VmIdentity> memberIdentities() {
+        return mIdentities;
     }
 
     /** Sets the number of the newest configuration change; control thread only. */
@@ -183,13 +188,14 @@
     }
 
     private void exchange(MembershipAction.ExchangeMembers exchange) {
-        mLink.exchange(exchange.peer(), exchange.recipientIncarnation(), exchange.request())
-                .whenComplete(
-                        (members, failure) -> {
-                            if (failure == null) {
-                                mLoop.execute(() -> onExchanged(members));
-                            }
-                        });
+        Futures.whenDone(
+                mLink.exchange(
+                        exchange.peer(), exchange.recipientIncarnation(), exchange.request()),
+                (members, failure) -> {
+                    if (failure == null) {
+                        mLoop.execute(() -> onExchanged(members));
+                    }
+                });
     }
 
     private void onExchanged(List<MemberUpdate> members) {
@@ -197,8 +203,7 @@
     }
 
     private static void log(MembershipAction.MemberChanged change) {
-        String before =
-                change.before().map(update -> update.state().name()).orElse("unknown");
+        String before = change.before().map(update -> update.state().name()).orElse("unknown");
         LOG.info(
                 change.after().identity()
                         + " is "
@@ -222,6 +227,7 @@
             all.add(new FleetMember(member.vm(), member.operators(), state));
         }
         mMembers = List.copyOf(members);
+        mIdentities = PeerLink.identities(members);
         mView = new FleetView(mMembership.self().vm(), usable, all);
         for (MemberState state : MemberState.values()) {
             String name = state.name().toLowerCase(Locale.ROOT);
@@ -234,16 +240,16 @@
         if (mStopped) {
             return;
         }
-        mVmList.watch(index, LIST_WAIT)
-                .whenComplete(
-                        (list, failure) -> {
-                            if (failure != null) {
-                                mLoop.after(LIST_RETRY, () -> followVmList(0));
-                                return;
-                            }
-                            mLoop.execute(() -> onVmList(list.vms()));
-                            followVmList(list.index());
-                        });
+        Futures.whenDone(
+                mVmList.watch(index, LIST_WAIT),
+                (list, failure) -> {
+                    if (failure != null) {
+                        mLoop.after(LIST_RETRY, () -> followVmList(0));
+                        return;
+                    }
+                    mLoop.execute(() -> onVmList(list.vms()));
+                    followVmList(list.index());
+                });
     }
 
     private void onVmList(List<ListedVm> listed) {
