Name the section in which a conflicting change stands

Cause: a run against the store stand-in showed '-rate = 20, +rate = 30' twice, and nothing told which requests the rates were of. Change: the difference names the INI section of each change.

--- a/operator/src/main/java/org/dahliapass/operator/LineDiff.java
+++ b/operator/src/main/java/org/dahliapass/operator/LineDiff.java
@@ -2,22 +2,29 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Stream;
 
-/** Tells by line what changed from one text to another. */
+/** Tells by line, and by section of an INI text, what changed from one text to another. */
 final class LineDiff {
     /** Beyond this many pairs of lines the changed middle is shown whole: removed, then added. */
     private static final long MAXIMUM_PAIRS = 4_000_000;
 
+    private final List<String> mBefore;
     private final List<String> mOld;
     private final List<String> mNew;
     private final List<String> mLines = new ArrayList<>();
+    private String mSection = "";
 
-    private LineDiff(List<String> oldLines, List<String> newLines) {
+    private LineDiff(List<String> before, List<String> oldLines, List<String> newLines) {
+        mBefore = before;
         mOld = oldLines;
         mNew = newLines;
     }
 
-    /** Returns the removed lines with a minus and the added ones with a plus, in their order. */
+    /**
+     * Returns the removed lines with a minus and the added ones with a plus, in their order, after
+     * a line that names the section in which they stand.
+     */
     static List<String> between(String oldText, String newText) {
         List<String> oldLines = oldText.lines().toList();
         List<String> newLines = newText.lines().toList();
@@ -32,6 +39,7 @@
         }
         LineDiff diff =
                 new LineDiff(
+                        oldLines.subList(0, start),
                         oldLines.subList(start, oldLines.size() - end),
                         newLines.subList(start, newLines.size() - end));
         return diff.lines();
@@ -44,8 +52,8 @@
 
     private List<String> lines() {
         if ((long) mOld.size() * mNew.size() > MAXIMUM_PAIRS) {
-            mOld.forEach(this::remove);
-            mNew.forEach(this::add);
+            removeFrom(0);
+            addFrom(0);
             return mLines;
         }
         walk(commonLengths());
@@ -74,22 +82,41 @@
                 i++;
                 j++;
             } else if (lengths[i + 1][j] >= lengths[i][j + 1]) {
-                remove(mOld.get(i));
+                put("-", mOld, i);
                 i++;
             } else {
-                add(mNew.get(j));
+                put("+", mNew, j);
                 j++;
             }
         }
-        mOld.subList(i, mOld.size()).forEach(this::remove);
-        mNew.subList(j, mNew.size()).forEach(this::add);
+        removeFrom(i);
+        addFrom(j);
     }
 
-    private void remove(String line) {
-        mLines.add("-" + line);
+    private void removeFrom(int first) {
+        for (int place = first; place < mOld.size(); place++) {
+            put("-", mOld, place);
+        }
+    }
+
+    private void addFrom(int first) {
+        for (int place = first; place < mNew.size(); place++) {
+            put("+", mNew, place);
+        }
+    }
+
+    private void put(String sign, List<String> lines, int place) {
+        String section = sectionOf(lines.subList(0, place + 1));
+        if (!section.equals(mSection)) {
+            mLines.add("in " + section + ":");
+            mSection = section;
+        }
+        mLines.add(sign + lines.get(place));
     }
 
-    private void add(String line) {
-        mLines.add("+" + line);
+    private String sectionOf(List<String> changed) {
+        return Stream.concat(mBefore.stream(), changed.stream())
+                .filter(line -> line.startsWith("["))
+                .reduce("the beginning", (earlier, later) -> later);
     }
 }
