Fuzz membership: storms and resurrections found and mended

Found: (1) an answer to a rumor by a rumor never ends while two VMs hold each other dead; rumors aren't answered now, acks carry the verdict.

--- a/decisions/src/main/java/org/dahliapass/decisions/membership/Member.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/membership/Member.java
@@ -84,4 +84,9 @@
     boolean isLocalVerdict() {
         return mLocalVerdict;
     }
+
+    /** Notes that another VM holds the same verdict. */
+    void confirmVerdict() {
+        mLocalVerdict = false;
+    }
 }
--- a/decisions/src/main/java/org/dahliapass/decisions/membership/MemberJudge.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/membership/MemberJudge.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.dahliapass.decisions.membership.MembershipAction.MemberChanged;
 import org.dahliapass.decisions.membership.MembershipAction.Replaced;
 
@@ -68,6 +69,23 @@
                         && update.sameRound(member.update());
         if (softened.supersedes(member.update()) || withdrawsLocalVerdict) {
             change(member, softened, false, nowMillis, actions);
+        } else if (update.equals(member.update())) {
+            member.confirmVerdict();
+        }
+    }
+
+    /**
+     * Takes that another VM's list lacks all but the named members.
+     *
+     * <p>Guards against a verdict that this VM reached while it heard nobody, and that it would
+     * drop for outdated news long after it hears the others again; it would show as a dead VM that
+     * comes back here alone. A list that lacks the VM confirms the verdict.
+     */
+    void confirmVerdicts(Set<String> listed) {
+        for (Member member : mTable.all()) {
+            if (member.isDead() && !listed.contains(member.name())) {
+                member.confirmVerdict();
+            }
         }
     }
 
--- a/decisions/src/main/java/org/dahliapass/decisions/membership/Membership.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/membership/Membership.java
@@ -3,7 +3,9 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.Set;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.model.VmIdentity;
 
@@ -155,6 +157,7 @@
         if (!members.isEmpty()) {
             mJudge.heardAny(nowMillis);
         }
+        mJudge.confirmVerdicts(names(members));
         int notices = 0;
         int start = members.isEmpty() ? 0 : mTable.draw(members.size());
         for (int i = 0; i < members.size(); i++) {
@@ -199,6 +202,12 @@
         return (double) heard / vms.size();
     }
 
+    private static Set<String> names(List<MemberUpdate> members) {
+        return members.stream()
+                .map(member -> member.identity().name())
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
     private boolean isForThisIncarnation(long incarnation) {
         return incarnation == GossipMessage.ANY_INCARNATION
                 || incarnation == self().identity().incarnation();
@@ -210,13 +219,9 @@
             case PING -> actions.add(mComposer.write(sender, GossipKind.ACK, message.sequence()));
             case ACK, INDIRECT_ACK -> mProber.onAnswer(sender, message.sequence(), actions);
             case PING_REQUEST -> mProber.onRequest(sender, message, nowMillis, actions);
-            case RUMOR -> tellVerdict(sender, actions);
-        }
-    }
-
-    private void tellVerdict(Member sender, List<MembershipAction> actions) {
-        if (!sender.state().isOwnWord()) {
-            actions.add(mComposer.tell(sender.update(), sender.update()));
+            case RUMOR -> {
+                // Not answered: two VMs that hold each other dead would answer without end.
+            }
         }
     }
 
