Hear of changes by two watchers a zone and rumors; stand down when cut off

Cause: each VM held a watch on the store, whose calls would grow with the fleet; a VM cut off from all went on with old templates; periodic events ran into services that had stopped. Ruled out: planning every service's cell on each change of the members, which costs services times members; a VM now counts its own place per service (CellMembership) and agrees with the planner. Change: ConfigurationService runs ConfigurationFollower; rumors by datagram, fetches by request; StoreWatch on two VMs of each zone; IsolationGuard; asks name cells from the directory; timers end before services stop. Conclusion: the store's calls no longer depend on the number of VMs.

--- a/entry/src/main/java/org/dahliapass/entry/AskHandler.java
+++ b/entry/src/main/java/org/dahliapass/entry/AskHandler.java
@@ -16,12 +16,13 @@
 import org.dahliapass.decisions.assignment.AskPolicy;
 import org.dahliapass.decisions.membership.MemberState;
 import org.dahliapass.decisions.membership.MemberUpdate;
-import org.dahliapass.model.ServiceTemplate;
 import org.dahliapass.model.Vm;
 
 /** Answers callers who ask which addresses to use for a customer's service. */
 final class AskHandler implements HttpService {
     private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final String NO_SUCH_SERVICE =
+            "No such service here. Name its provider by &provider=CUSTOMER if it isn't the asker.";
     private static final int MOST_ADDRESSES = 4;
     private static final long RETRY_AFTER_MILLIS = 1000;
 
@@ -61,12 +62,13 @@
         if (standDown.isPresent()) {
             return standDown.get().toResponse(mIds.next());
         }
-        Optional<ServiceTemplate> template = mConfiguration.directory(customer, service);
-        if (template.isEmpty()) {
-            return Refusal.of(RefusalCode.NO_SUCH_SERVICE, "No such customer or service.", 0)
+        Optional<ConfigurationService.CellOfService> found =
+                mConfiguration.directory(customer, service, context.queryParam("provider"));
+        if (found.isEmpty()) {
+            return Refusal.of(RefusalCode.NO_SUCH_SERVICE, NO_SUCH_SERVICE, 0)
                     .toResponse(mIds.next());
         }
-        List<MemberUpdate> cell = mFleet.membersOf(template.get().id(), template.get().cellSize());
+        List<MemberUpdate> cell = mFleet.membersOf(found.get().service(), found.get().size());
         AskAnswer answer;
         synchronized (mPolicy) {
             answer = mPolicy.answer(cell, Optional.ofNullable(context.queryParam("zone")));
--- a/entry/src/main/java/org/dahliapass/entry/ConfigurationService.java
+++ b/entry/src/main/java/org/dahliapass/entry/ConfigurationService.java
@@ -7,47 +7,71 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.random.RandomGenerator;
 import org.dahliapass.decisions.configuration.ChangeRecord;
+import org.dahliapass.decisions.configuration.ConfigurationFollower;
+import org.dahliapass.decisions.configuration.FollowerAction;
+import org.dahliapass.decisions.configuration.FollowerCounters;
+import org.dahliapass.decisions.configuration.FollowerSettings;
 import org.dahliapass.decisions.configuration.Head;
-import org.dahliapass.decisions.configuration.StoreKey;
+import org.dahliapass.decisions.configuration.RecordsAnswer;
+import org.dahliapass.decisions.configuration.RecordsRequest;
+import org.dahliapass.decisions.configuration.StoreItem;
+import org.dahliapass.decisions.configuration.TemplateText;
 import org.dahliapass.kernel.ControlLoop;
 import org.dahliapass.kernel.Futures;
 import org.dahliapass.kernel.Kernel;
 import org.dahliapass.kernel.KernelService;
 import org.dahliapass.kernel.PartLog;
 import org.dahliapass.kernel.SettingsException;
-import org.dahliapass.model.ServiceTemplate;
-import org.dahliapass.model.Template;
+import org.dahliapass.model.ServiceId;
 import org.dahliapass.model.TemplateParser;
+import org.dahliapass.model.VmIdentity;
+import org.dahliapass.model.explain.Action;
+import org.dahliapass.model.explain.Explanation;
 import org.dahliapass.platform.ConfigurationCodec;
 import org.dahliapass.platform.StoreClient;
-import org.dahliapass.platform.StoredValue;
-import org.dahliapass.platform.WatchedValue;
-import org.dahliapass.wire.message.FetchChanges;
-import org.dahliapass.wire.message.FetchText;
-import org.dahliapass.wire.message.PeerReply;
 
-/** Follows the accepted changes and publishes the templates in force on this VM. */
+/**
+ * Runs the follower of accepted changes on the control thread and publishes the templates in force.
+ *
+ * <p>Only the watchers of each zone hold a blocking read on the store's head; see {@link
+ * StoreWatch}. All others hear of changes from members.
+ */
 public final class ConfigurationService implements KernelService {
     /** The name under which the kernel holds the service. */
     public static final String NAME = "configuration";
 
     private static final PartLog LOG = PartLog.of("configuration");
-    private static final Duration WAIT = Duration.ofSeconds(10);
-    private static final Duration RETRY = Duration.ofSeconds(1);
+    private static final Duration TICK = Duration.ofMillis(100);
 
     private final StoreClient mStore;
+    private final RandomGenerator mRandom;
     private final Readiness mReadiness;
     private final List<Runnable> mListeners = new ArrayList<>();
-    private final Map<String, ChangeRecord> mInForce = new HashMap<>();
+    private final Map<String, InForce> mInForce = new HashMap<>();
     private ControlLoop mLoop;
+    private FleetService mFleet;
+    private PeerLink mPeers;
     private EntryMetrics mMetrics;
+    private ExplanationLog mExplanations;
+    private ConfigurationFollower mFollower;
+    private StoreWatch mWatch;
     private volatile RoutingTable mTable = RoutingTable.EMPTY;
+    private volatile Map<ServiceId, Integer> mDirectory = Map.of();
     private volatile long mNumber;
-    private volatile boolean mStopped;
 
-    ConfigurationService(StoreClient store, Readiness readiness) {
+    /**
+     * The revision of a template that is in force here.
+     *
+     * @param number the change's number
+     * @param digest the text's digest
+     */
+    record InForce(long number, String digest) {}
+
+    ConfigurationService(StoreClient store, RandomGenerator random, Readiness readiness) {
         mStore = store;
+        mRandom = random;
         mReadiness = readiness;
     }
 
@@ -56,18 +80,44 @@
         return mTable;
     }
 
-    /** Returns the number of the newest change that this VM has applied. */
+    /** Returns the number up to which this VM knows all changes. */
     long number() {
         return mNumber;
     }
 
-    /** Returns the provider's template of a customer's service. */
-    Optional<ServiceTemplate> directory(String customer, String service) {
-        return mTable.find(customer, service).map(Route::provided);
+    /**
+     * Finds a service in the fleet's directory.
+     *
+     * @param provider the customer that provides it, or null: then the customer's own service of
+     *     that name, or else the only one of that name
+     */
+    Optional<CellOfService> directory(String customer, String service, String provider) {
+        Map<ServiceId, Integer> directory = mDirectory;
+        Optional<Route> route = mTable.find(customer, service);
+        ServiceId id = new ServiceId(provider == null ? customer : provider, service);
+        if (provider == null && route.isPresent()) {
+            id = route.get().provided().id();
+        }
+        if (directory.containsKey(id)) {
+            return Optional.of(new CellOfService(id, directory.get(id)));
+        }
+        List<ServiceId> named =
+                directory.keySet().stream().filter(key -> key.name().equals(service)).toList();
+        return provider == null && named.size() == 1
+                ? Optional.of(new CellOfService(named.get(0), directory.get(named.get(0))))
+                : Optional.empty();
     }
 
-    /** Returns the change of a customer that is in force on this VM. */
-    synchronized Optional<ChangeRecord> inForce(String customer) {
+    /**
+     * A service with the size of its cell.
+     *
+     * @param service the service
+     * @param size how many VMs serve it
+     */
+    record CellOfService(ServiceId service, int size) {}
+
+    /** Returns the revision of a customer's template that is in force here. */
+    synchronized Optional<InForce> inForce(String customer) {
         return Optional.ofNullable(mInForce.get(customer));
     }
 
@@ -76,93 +126,200 @@
         mListeners.add(listener);
     }
 
-    private void watch(long index) {
-        if (mStopped) {
-            return;
-        }
-        Futures.whenDone(
-                mStore.watch(StoreKey.HEAD.path(), index, WAIT),
-                (watched, failure) -> {
-                    if (failure != null) {
-                        LOG.info("The store gave no word: " + failure.getMessage());
-                        mLoop.after(RETRY, () -> watch(0));
-                        return;
-                    }
-                    onHead(watched);
-                    watch(watched.index());
-                });
+    /** Takes changes that a member passed on; control thread only. */
+    void onRumor(List<ChangeRecord> records) {
+        carryOut(mFollower.onRumor(records, mLoop.nowMillis()));
+    }
+
+    /** Takes the head number that a member's datagram carries; control thread only. */
+    void onPing(VmIdentity peer, long headNumber) {
+        carryOut(mFollower.onPing(peer, headNumber, mLoop.nowMillis()));
     }
 
-    private void onHead(WatchedValue watched) {
-        watched.value().ifPresent(value -> mLoop.execute(() -> apply(decode(value))));
+    /** Takes the head that this VM read; control thread only. */
+    void onHead(Head head) {
+        carryOut(mFollower.onHead(head, mLoop.nowMillis()));
     }
 
-    private static Head decode(StoredValue value) {
-        return (Head) ConfigurationCodec.decode(StoreKey.HEAD, value.value());
+    /** Answers a peer that asks for changes. */
+    CompletableFuture<RecordsAnswer> onFetch(RecordsRequest request) {
+        return mLoop.ask(() -> mFollower.answer(request));
     }
 
-    private void apply(Head head) {
-        for (ChangeRecord record : head.ring()) {
-            if (head.newestOf(record.customer()).orElseThrow().number() == record.number()) {
-                fetch(record);
+    /** Answers a peer that asks for a text. */
+    CompletableFuture<Optional<String>> onFetchText(String customer, String digest) {
+        return mLoop.ask(() -> mFollower.text(customer, digest));
+    }
+
+    /** Returns when the store last answered, in milliseconds; control thread only. */
+    long storeHeardMillis() {
+        return mWatch.heardMillis();
+    }
+
+    /** Reads the head now, whether or not this VM is a watcher. */
+    void probeStore() {
+        mWatch.probe();
+    }
+
+    private void carryOut(List<FollowerAction> actions) {
+        for (FollowerAction action : actions) {
+            if (action instanceof FollowerAction.PassOn passOn) {
+                passOn.members().forEach(member -> mPeers.sendRumor(member, passOn.records()));
+            } else if (action instanceof FollowerAction.FetchRecords fetch) {
+                fetch(fetch);
+            } else if (action instanceof FollowerAction.FetchText fetch) {
+                fetch(fetch);
+            } else if (action instanceof FollowerAction.ReadStore read) {
+                read(read);
+            } else {
+                force(action);
             }
         }
+        publish();
     }
 
-    private void fetch(ChangeRecord record) {
-        ChangeRecord known = mInForce.get(record.customer());
-        if (known != null && known.number() >= record.number()) {
-            return;
+    private void force(FollowerAction action) {
+        if (action instanceof FollowerAction.Apply apply) {
+            apply(apply);
+        } else if (action instanceof FollowerAction.Release release) {
+            release(release.customer());
+        } else if (action instanceof FollowerAction.Reject reject) {
+            reject(reject);
         }
+    }
+
+    private void fetch(FollowerAction.FetchRecords fetch) {
+        Futures.whenDone(
+                mPeers.fetchChanges(fetch.peer(), fetch.request()),
+                (answer, failure) -> {
+                    if (failure == null) {
+                        mLoop.execute(
+                                () -> carryOut(mFollower.onAnswer(answer, mLoop.nowMillis())));
+                    }
+                });
+    }
+
+    private void fetch(FollowerAction.FetchText fetch) {
         Futures.whenDone(
-                mStore.read(StoreKey.text(record.customer(), record.digest()).path()),
+                mPeers.fetchText(fetch.peer(), fetch.customer(), fetch.digest()),
+                (text, failure) ->
+                        mLoop.execute(
+                                () ->
+                                        carryOut(
+                                                mFollower.onText(
+                                                        fetch.customer(),
+                                                        fetch.digest(),
+                                                        failure == null ? text : Optional.empty(),
+                                                        mLoop.nowMillis()))));
+    }
+
+    private void read(FollowerAction.ReadStore read) {
+        Futures.whenDone(
+                mStore.read(read.key().path()),
                 (value, failure) -> {
-                    if (failure == null && value.isPresent()) {
-                        mLoop.execute(() -> apply(record, value.get().value()));
+                    if (failure != null) {
+                        LOG.info("The store gave no word: " + failure.getMessage());
+                        return;
                     }
+                    Optional<StoreItem> item =
+                            value.map(
+                                    found -> ConfigurationCodec.decode(read.key(), found.value()));
+                    mLoop.execute(
+                            () -> carryOut(mFollower.onStoreItem(read, item, mLoop.nowMillis())));
                 });
     }
 
-    private void apply(ChangeRecord record, String text) {
-        ChangeRecord known = mInForce.get(record.customer());
-        if (known != null && known.number() >= record.number()) {
-            return;
+    private void apply(FollowerAction.Apply apply) {
+        mTable = mTable.with(TemplateParser.parse(apply.customer(), apply.text()));
+        String digest = new TemplateText(apply.text()).digest();
+        synchronized (this) {
+            mInForce.put(apply.customer(), new InForce(apply.number(), digest));
         }
-        try {
-            Template template = TemplateParser.parse(record.customer(), text);
-            synchronized (this) {
-                mInForce.put(record.customer(), record);
-            }
-            mTable = mTable.with(template);
-            mNumber = Math.max(mNumber, record.number());
-            mMetrics.onConfiguration(mNumber);
-            LOG.info("Change " + record.number() + " of " + record.customer() + " is in force.");
-            mListeners.forEach(Runnable::run);
-            mReadiness.move(Readiness.State.STARTING, Readiness.State.SERVING);
-        } catch (SettingsException failure) {
-            LOG.warn("Change " + record.number() + " is not applied: " + failure.getMessage());
+        explain(
+                Action.REVISION_APPLIED,
+                apply.customer(),
+                "change " + apply.number() + " was accepted",
+                "digest " + digest);
+        mListeners.forEach(Runnable::run);
+    }
+
+    private void release(String customer) {
+        mTable = mTable.without(customer);
+        synchronized (this) {
+            mInForce.remove(customer);
         }
+        mListeners.forEach(Runnable::run);
     }
 
-    CompletableFuture<PeerReply> onFetchChanges(FetchChanges request) {
-        return CompletableFuture.failedFuture(new IllegalStateException("Not held here."));
+    private void reject(FollowerAction.Reject reject) {
+        explain(
+                Action.REVISION_REJECTED,
+                reject.customer(),
+                "change " + reject.number() + " fails its check; the one in force stays",
+                reject.problem());
     }
 
-    CompletableFuture<PeerReply> onFetchText(FetchText request) {
-        return CompletableFuture.failedFuture(new IllegalStateException("Not held here."));
+    private void explain(Action action, String customer, String cause, String evidence) {
+        mExplanations.add(
+                new Explanation(mLoop.nowMillis(), action, customer, cause, evidence, ""));
+    }
+
+    private void publish() {
+        mNumber = mFollower.headNumber();
+        mDirectory = mFollower.cellSizes();
+        mFleet.setHeadNumber(mNumber);
+        mMetrics.onConfiguration(mNumber);
+        if (mFollower.isReady() && mReadiness.move(Readiness.State.STARTING, serving())) {
+            LOG.info("All templates of this VM's services are in force; serving.");
+        }
+    }
+
+    private static Readiness.State serving() {
+        return Readiness.State.SERVING;
+    }
+
+    /** Returns the follower's figures; control thread only. */
+    FollowerCounters counters() {
+        return mFollower.counters();
+    }
+
+    private static Optional<String> check(String text) {
+        try {
+            TemplateParser.parse("accepted template", text);
+            return Optional.empty();
+        } catch (SettingsException failure) {
+            return Optional.of(failure.getMessage());
+        }
     }
 
     @Override
     public CompletableFuture<Void> start(Kernel kernel) {
         mLoop = kernel.find(ControlLoop.NAME, ControlLoop.class);
+        mFleet = kernel.find(FleetService.NAME, FleetService.class);
+        mPeers = kernel.find(PeerLink.NAME, PeerLink.class);
         mMetrics = kernel.find(EntryMetrics.NAME, EntryMetrics.class);
-        watch(0);
+        mExplanations = kernel.find(ExplanationLog.NAME, ExplanationLog.class);
+        mFollower =
+                new ConfigurationFollower(
+                        FollowerSettings.FIELD,
+                        new ConfigurationPeers(mFleet, () -> mFollower.cellSizes()),
+                        ConfigurationService::check,
+                        mRandom);
+        mWatch = new StoreWatch(mStore, mLoop, mFleet, this::onHead);
+        mFleet.onChange(this::onMembersChanged);
+        mLoop.execute(mWatch::refresh);
+        mLoop.every(TICK, () -> carryOut(mFollower.onTick(mLoop.nowMillis())));
         return CompletableFuture.completedFuture(null);
     }
 
+    private void onMembersChanged() {
+        carryOut(mFollower.onMembersChanged(mLoop.nowMillis()));
+        mWatch.refresh();
+    }
+
     @Override
     public CompletableFuture<Void> stop() {
-        mStopped = true;
+        mWatch.stop();
         return CompletableFuture.completedFuture(null);
     }
 }
--- a/entry/src/main/java/org/dahliapass/entry/EntryVm.java
+++ b/entry/src/main/java/org/dahliapass/entry/EntryVm.java
@@ -91,10 +91,12 @@
                         ConfigurationService.NAME,
                         new ConfigurationService(
                                 new HttpStoreClient(settings.store(), PLATFORM_TIMEOUT),
+                                random,
                                 mReadiness))
                 .register(ServiceTable.NAME, new ServiceTable(clock, random, settings))
                 .register(EvidenceExchange.NAME, new EvidenceExchange(settings.controlPeriod()))
-                .register(HealthPoller.NAME, new HealthPoller());
+                .register(HealthPoller.NAME, new HealthPoller())
+                .register(IsolationGuard.NAME, new IsolationGuard(mReadiness));
     }
 
     private OperatorAnswers answers(
@@ -129,7 +131,8 @@
 
     /**
      * Stops gracefully: asks stop naming this VM at once; it serves until every answer that named
-     * it has run out and what is in flight has ended.
+     * it has run out and what is in flight has ended. What still waits for a slot is served or
+     * refused meanwhile, so the periodic events go on until the callers' server has drained.
      */
     public CompletableFuture<Void> leaveAndStop() {
         mReadiness.move(Readiness.State.SERVING, Readiness.State.LEAVING);
@@ -137,7 +140,8 @@
         return mFleet.leave()
                 .thenCompose(ignored -> announceLeaving())
                 .thenCompose(ignored -> afterAsks())
-                .thenCompose(ignored -> mKernel.stop());
+                .thenCompose(ignored -> mCallers.stop())
+                .thenCompose(ignored -> stopNow());
     }
 
     /** The VM list may be slow or away; the VM serves all the same and tries again. */
@@ -176,7 +180,7 @@
 
     /** Stops at once, as a crash would look to the others; for tests. */
     public CompletableFuture<Void> stopNow() {
-        return mKernel.stop();
+        return mLoop.stopTimers().thenCompose(ignored -> mKernel.stop());
     }
 
     /** Returns this life of this VM. */
--- a/entry/src/main/java/org/dahliapass/entry/EvidenceExchange.java
+++ b/entry/src/main/java/org/dahliapass/entry/EvidenceExchange.java
@@ -24,12 +24,15 @@
     /** The name under which the kernel holds the exchange. */
     static final String NAME = "evidence";
 
+    /** An idle cell's members still tell each other that they are there; see IsolationGuard. */
+    private static final Duration HEARTBEAT = Duration.ofSeconds(1);
+
     private ControlLoop mLoop;
     private final Duration mPeriod;
     private ServiceTable mServices;
     private FleetService mFleet;
     private EvidenceLink mLink;
-    private final Map<ServiceId, Boolean> mToldIdle = new HashMap<>();
+    private final Map<ServiceId, Long> mToldMillis = new HashMap<>();
 
     EvidenceExchange(Duration period) {
         mPeriod = period;
@@ -48,10 +51,12 @@
     private void share(
             ServiceTemplate template, EvidenceReport report, List<TargetInFlight> inFlight) {
         boolean idle = report.evidence().isEmpty() && inFlight.isEmpty();
-        if (idle && mToldIdle.getOrDefault(template.id(), false)) {
+        long now = mLoop.nowMillis();
+        long last = mToldMillis.getOrDefault(template.id(), 0L);
+        if (idle && now - last < HEARTBEAT.toMillis()) {
             return;
         }
-        mToldIdle.put(template.id(), idle);
+        mToldMillis.put(template.id(), now);
         for (Vm vm : mFleet.cellOf(template)) {
             if (!vm.identity().equals(mFleet.view().self().identity())) {
                 CompletableFuture<Void> unused = mLink.report(vm, report, inFlight);
--- a/entry/src/main/java/org/dahliapass/entry/FleetService.java
+++ b/entry/src/main/java/org/dahliapass/entry/FleetService.java
@@ -3,12 +3,15 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.random.RandomGenerator;
+import org.dahliapass.decisions.assignment.CellMembership;
 import org.dahliapass.decisions.assignment.CellPlanner;
 import org.dahliapass.decisions.membership.GossipMessage;
 import org.dahliapass.decisions.membership.JoinAnswer;
@@ -51,11 +54,28 @@
     private final Runnable mReplaced;
     private final List<Runnable> mListeners = new ArrayList<>();
     private volatile FleetView mView;
-    private volatile List<MemberUpdate> mMembers;
+    private CellMembership mCells;
+    private volatile Planned mPlanned = new Planned(List.of(), Map.of());
     private volatile Set<VmIdentity> mIdentities = Set.of();
     private volatile boolean mLeaving;
     private volatile boolean mStopped;
 
+    /**
+     * The members and the cells that were planned from them, so that an ask costs no planning.
+     *
+     * @param members the members
+     * @param cells the cells planned so far
+     */
+    private record Planned(List<MemberUpdate> members, Map<CellKey, List<MemberUpdate>> cells) {}
+
+    /**
+     * A cell of a certain size.
+     *
+     * @param service the service
+     * @param size the number of VMs
+     */
+    private record CellKey(ServiceId service, int size) {}
+
     FleetService(
             VmIdentity identity,
             VmSettings settings,
@@ -86,14 +106,26 @@
 
     /** Returns the cell of a service in order of rank. */
     List<Vm> cellOf(ServiceTemplate template) {
-        return membersOf(template.id(), template.cellSize()).stream()
-                .map(MemberUpdate::vm)
-                .toList();
+        return cellOf(template.id(), template.cellSize());
+    }
+
+    /** Returns the cell of a service in order of rank. */
+    List<Vm> cellOf(ServiceId service, int size) {
+        return membersOf(service, size).stream().map(MemberUpdate::vm).toList();
+    }
+
+    /** Returns the cell of a service with the members' states; planned once for each fleet. */
+    List<MemberUpdate> membersOf(ServiceId service, int size) {
+        Planned planned = mPlanned;
+        return planned.cells()
+                .computeIfAbsent(
+                        new CellKey(service, size),
+                        key -> CellPlanner.plan(service, size, planned.members()));
     }
 
-    /** Returns the cell of a service with the members' states. */
-    List<MemberUpdate> membersOf(ServiceId service, int cellSize) {
-        return CellPlanner.plan(service, cellSize, mMembers);
+    /** Returns whether this VM serves a service, also while it is leaving; control thread only. */
+    boolean isInCell(ServiceId service, int size) {
+        return mCells.isIn(service, size);
     }
 
     /** Returns this VM's rank in a service's cell; -1 if it isn't in it. */
@@ -226,7 +258,8 @@
             String state = member.state().name().toLowerCase(Locale.ROOT);
             all.add(new FleetMember(member.vm(), member.operators(), state));
         }
-        mMembers = List.copyOf(members);
+        mPlanned = new Planned(List.copyOf(members), new ConcurrentHashMap<>());
+        mCells.onMembers(zonesOf(members));
         mIdentities = PeerLink.identities(members);
         mView = new FleetView(mMembership.self().vm(), usable, all);
         for (MemberState state : MemberState.values()) {
@@ -235,6 +268,18 @@
         }
     }
 
+    /** A VM that leaves is in no cell for the others, but keeps what it serves until it stops. */
+    private Map<String, String> zonesOf(List<MemberUpdate> members) {
+        Map<String, String> zones = new HashMap<>();
+        zones.put(mIdentity.name(), mSettings.availabilityZone());
+        for (MemberUpdate member : members) {
+            if (member.state().isInCells()) {
+                zones.put(member.identity().name(), member.vm().availabilityZone());
+            }
+        }
+        return zones;
+    }
+
     /** The platform's list lags both ways: it gives addresses to contact, never a verdict. */
     private void followVmList(long index) {
         if (mStopped) {
@@ -277,6 +322,7 @@
                         update,
                         mRandom,
                         mLoop.nowMillis());
+        mCells = new CellMembership(mIdentity.name(), mSettings.availabilityZone());
         publish();
         mLoop.every(TICK, this::tick);
         followVmList(0);
--- a/entry/src/main/java/org/dahliapass/entry/Forwarder.java
+++ b/entry/src/main/java/org/dahliapass/entry/Forwarder.java
@@ -44,8 +44,8 @@
             return Optional.empty();
         }
         String self = mFleet.view().self().identity().name();
-        return mConfiguration.directory(path.customer(), path.service()).stream()
-                .flatMap(template -> mFleet.cellOf(template).stream())
+        return mConfiguration.directory(path.customer(), path.service(), null).stream()
+                .flatMap(found -> mFleet.cellOf(found.service(), found.size()).stream())
                 .filter(vm -> !vm.identity().name().equals(self))
                 .findFirst()
                 .map(vm -> send(vm, request));
--- a/entry/src/main/java/org/dahliapass/entry/OperatorAnswers.java
+++ b/entry/src/main/java/org/dahliapass/entry/OperatorAnswers.java
@@ -111,6 +111,11 @@
                         });
     }
 
+    /** Returns up to which change this VM knows all, for a customer that it holds nothing of. */
+    String headNumber() {
+        return MAPPER.createObjectNode().put("headNumber", mConfiguration.number()).toString();
+    }
+
     /** Returns the health of all targets of the services that this VM serves. */
     CompletableFuture<String> targets() {
         return mLoop.ask(
--- a/entry/src/main/java/org/dahliapass/entry/OperatorServer.java
+++ b/entry/src/main/java/org/dahliapass/entry/OperatorServer.java
@@ -91,8 +91,8 @@
                         () ->
                                 HttpResponse.of(
                                         HttpStatus.NOT_FOUND,
-                                        MediaType.PLAIN_TEXT_UTF_8,
-                                        "This VM holds no template of this customer.\n"));
+                                        MediaType.JSON,
+                                        mAnswers.headNumber() + "\n"));
     }
 
     private String explanations(ServiceRequestContext context) {
--- a/entry/src/main/java/org/dahliapass/entry/PeerLink.java
+++ b/entry/src/main/java/org/dahliapass/entry/PeerLink.java
@@ -6,6 +6,9 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Collectors;
+import org.dahliapass.decisions.configuration.ChangeRecord;
+import org.dahliapass.decisions.configuration.RecordsAnswer;
+import org.dahliapass.decisions.configuration.RecordsRequest;
 import org.dahliapass.decisions.health.EvidenceReport;
 import org.dahliapass.decisions.membership.GossipMessage;
 import org.dahliapass.decisions.membership.JoinRequest;
@@ -25,6 +28,8 @@
 import org.dahliapass.wire.PeerTransport;
 import org.dahliapass.wire.PeerTransportSettings;
 import org.dahliapass.wire.TrafficCounters;
+import org.dahliapass.wire.message.FetchText;
+import org.dahliapass.wire.message.Gossip;
 import org.dahliapass.wire.message.PeerReply;
 import org.dahliapass.wire.message.PeerRequest;
 
@@ -35,10 +40,16 @@
 
     private static final Duration JOIN_TIMEOUT = Duration.ofSeconds(2);
     private static final Duration OPERATION_TIMEOUT = Duration.ofMillis(750);
+    private static final Duration FETCH_TIMEOUT = Duration.ofMillis(900);
+
+    /** The transport adds the sender and the fleet's name to it. */
+    private static final int MOST_RUMOR_BYTES = 1000;
+
     private static final Duration EVIDENCE_TIMEOUT = Duration.ofSeconds(1);
 
     private final PeerTransport mTransport;
     private FleetService mFleet;
+    private ConfigurationService mConfiguration;
 
     PeerLink(VmIdentity self, VmSettings settings, LinkFilter filter) {
         mTransport =
@@ -107,6 +118,45 @@
         return send(peer, request, EVIDENCE_TIMEOUT).thenApply(reply -> null);
     }
 
+    /** Sends changes to a member; they may get lost, and pings then show the gap. */
+    void sendRumor(VmIdentity member, List<ChangeRecord> records) {
+        Optional<Vm> peer = mFleet.view().find(member);
+        if (peer.isEmpty()) {
+            return;
+        }
+        for (ChangeRecord record : records) {
+            Gossip.Builder gossip =
+                    Gossip.newBuilder()
+                            .setKind(Gossip.Kind.RUMOR)
+                            .setRecipientIncarnation(member.incarnation())
+                            .setHeadNumber(record.number())
+                            .addChanges(ChangeCodec.encode(record));
+            if (gossip.build().getSerializedSize() <= MOST_RUMOR_BYTES) {
+                mTransport.sendDatagram(peer.get().peers(), gossip.build());
+            }
+        }
+    }
+
+    /** Asks a member for changes. */
+    CompletableFuture<RecordsAnswer> fetchChanges(VmIdentity peer, RecordsRequest request) {
+        PeerRequest.Builder message =
+                PeerRequest.newBuilder().setFetchChanges(ChangeCodec.encode(request));
+        return ask(peer, "fetch changes", message, FETCH_TIMEOUT)
+                .thenApply(reply -> ChangeCodec.decode(reply.getFetchChanges()));
+    }
+
+    /** Asks a member for a template's text; empty if it doesn't hold it. */
+    CompletableFuture<Optional<String>> fetchText(VmIdentity peer, String customer, String digest) {
+        FetchText fetch = FetchText.newBuilder().setCustomer(customer).setDigest(digest).build();
+        PeerRequest.Builder message = PeerRequest.newBuilder().setFetchText(fetch);
+        return ask(peer, "fetch text", message, FETCH_TIMEOUT)
+                .thenApply(
+                        reply ->
+                                reply.getFetchText().getFound()
+                                        ? Optional.of(reply.getFetchText().getText().toStringUtf8())
+                                        : Optional.empty());
+    }
+
     /** Asks a VM that is known by its identity only. */
     CompletableFuture<PeerReply> ask(
             VmIdentity identity, String step, PeerRequest.Builder request, Duration timeout) {
@@ -125,12 +175,23 @@
         return mTransport.request(peer.peers(), message, timeout);
     }
 
+    private void onGossip(Gossip gossip) {
+        GossipMessage message = GossipCodec.decode(gossip);
+        if (gossip.getChangesCount() > 0) {
+            mFleet.onHeard(message.sender());
+            mConfiguration.onRumor(ChangeCodec.decode(gossip.getChangesList()));
+            return;
+        }
+        mFleet.onGossip(message);
+        mConfiguration.onPing(message.sender(), message.headNumber());
+    }
+
     @Override
     public CompletableFuture<Void> start(Kernel kernel) {
         mFleet = kernel.find(FleetService.NAME, FleetService.class);
         ControlLoop loop = kernel.find(ControlLoop.NAME, ControlLoop.class);
-        mTransport.setGossipHandler(
-                (from, gossip) -> loop.execute(() -> mFleet.onGossip(GossipCodec.decode(gossip))));
+        mTransport.setGossipHandler((from, gossip) -> loop.execute(() -> onGossip(gossip)));
+        mConfiguration = kernel.find(ConfigurationService.NAME, ConfigurationService.class);
         mTransport.setMembers(identity -> mFleet.memberIdentities().contains(identity));
         mTransport.setRequestHandler(new PeerRequestHandler(kernel, loop));
         return mTransport.start(kernel);
--- a/entry/src/main/java/org/dahliapass/entry/PeerRequestHandler.java
+++ b/entry/src/main/java/org/dahliapass/entry/PeerRequestHandler.java
@@ -1,5 +1,6 @@
 package org.dahliapass.entry;
 
+import com.google.protobuf.ByteString;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
@@ -13,6 +14,9 @@
 import org.dahliapass.wire.RequestHandler;
 import org.dahliapass.wire.message.EvidenceReport;
 import org.dahliapass.wire.message.EvidenceReportReply;
+import org.dahliapass.wire.message.FetchChanges;
+import org.dahliapass.wire.message.FetchText;
+import org.dahliapass.wire.message.FetchTextReply;
 import org.dahliapass.wire.message.IntentStatus;
 import org.dahliapass.wire.message.PeerReply;
 import org.dahliapass.wire.message.PeerRequest;
@@ -46,14 +50,40 @@
             case RECORD_OUTCOME -> onOutcome(sender, request.getRecordOutcome());
             case RESOLVE_KEY -> onResolve(request);
             case EVIDENCE_REPORT -> onEvidence(request.getEvidenceReport());
-            case FETCH_CHANGES -> mConfiguration.get().onFetchChanges(request.getFetchChanges());
-            case FETCH_TEXT -> mConfiguration.get().onFetchText(request.getFetchText());
+            case FETCH_CHANGES -> onFetchChanges(request.getFetchChanges());
+            case FETCH_TEXT -> onFetchText(request.getFetchText());
             default ->
                     CompletableFuture.failedFuture(
                             new IllegalArgumentException("This release has no such request."));
         };
     }
 
+    private CompletableFuture<PeerReply> onFetchChanges(FetchChanges request) {
+        return mConfiguration
+                .get()
+                .onFetch(ChangeCodec.decode(request))
+                .thenApply(
+                        answer ->
+                                PeerReply.newBuilder()
+                                        .setFetchChanges(ChangeCodec.encode(answer))
+                                        .build());
+    }
+
+    private CompletableFuture<PeerReply> onFetchText(FetchText request) {
+        return mConfiguration
+                .get()
+                .onFetchText(request.getCustomer(), request.getDigest())
+                .thenApply(
+                        text -> {
+                            FetchTextReply.Builder reply = FetchTextReply.newBuilder();
+                            text.ifPresent(
+                                    found ->
+                                            reply.setFound(true)
+                                                    .setText(ByteString.copyFromUtf8(found)));
+                            return PeerReply.newBuilder().setFetchText(reply).build();
+                        });
+    }
+
     private CompletableFuture<PeerReply> onJoin(PeerRequest request) {
         Optional<JoinRequest> join = GossipCodec.decode(request.getJoin());
         if (join.isEmpty()) {
--- a/entry/src/main/java/org/dahliapass/entry/RoutingTable.java
+++ b/entry/src/main/java/org/dahliapass/entry/RoutingTable.java
@@ -27,6 +27,13 @@
         return new RoutingTable(templates);
     }
 
+    /** Returns a table without the customer's template. */
+    public RoutingTable without(String customer) {
+        Map<String, Template> templates = new HashMap<>(mTemplates);
+        templates.remove(customer);
+        return new RoutingTable(templates);
+    }
+
     /** Returns the templates. */
     public Collection<Template> templates() {
         return mTemplates.values();
--- a/entry/src/main/java/org/dahliapass/entry/ServiceTable.java
+++ b/entry/src/main/java/org/dahliapass/entry/ServiceTable.java
@@ -145,8 +145,8 @@
         Map<ServiceId, ServiceRuntime> runtimes = new HashMap<>();
         VmIdentity self = mFleet.view().self().identity();
         for (ServiceTemplate template : mConfiguration.table().provided()) {
-            List<VmIdentity> cell = mFleet.cellOf(template).stream().map(Vm::identity).toList();
-            if (cell.contains(self) || (mRuntimes.containsKey(template.id()) && isLeaving())) {
+            if (mFleet.isInCell(template.id(), template.cellSize())) {
+                List<VmIdentity> cell = mFleet.cellOf(template).stream().map(Vm::identity).toList();
                 runtimes.put(template.id(), keep(template, self, cell));
             }
         }
@@ -156,11 +156,6 @@
         runtimes.keySet().forEach(this::publish);
     }
 
-    /** A VM that is leaving is in no cell any more but serves until it stops. */
-    private boolean isLeaving() {
-        return mFleet.isLeaving();
-    }
-
     private ServiceRuntime keep(ServiceTemplate template, VmIdentity self, List<VmIdentity> cell) {
         ServiceTemplate before = mTemplates.put(template.id(), template);
         ServiceRuntime runtime = mRuntimes.get(template.id());
--- /dev/null
+++ b/entry/src/main/java/org/dahliapass/entry/StoreWatch.java
@@ -0,0 +1,112 @@
+package org.dahliapass.entry;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.dahliapass.decisions.configuration.Head;
+import org.dahliapass.decisions.configuration.StoreKey;
+import org.dahliapass.decisions.configuration.Watchers;
+import org.dahliapass.kernel.ControlLoop;
+import org.dahliapass.kernel.Futures;
+import org.dahliapass.kernel.PartLog;
+import org.dahliapass.platform.ConfigurationCodec;
+import org.dahliapass.platform.StoreClient;
+import org.dahliapass.platform.StoredValue;
+
+/**
+ * Holds a blocking read on the store's head while this VM is one of its zone's watchers.
+ *
+ * <p>A waiting read counts as a call, so only two VMs of each zone hold one, whatever the fleet's
+ * size.
+ */
+final class StoreWatch {
+    private static final PartLog LOG = PartLog.of("configuration");
+    private static final Duration WAIT = Duration.ofSeconds(5);
+    private static final Duration RETRY = Duration.ofMillis(500);
+    private static final Duration PROBE_PAUSE = Duration.ofSeconds(1);
+
+    private final StoreClient mStore;
+    private final ControlLoop mLoop;
+    private final FleetService mFleet;
+    private final Consumer<Head> mOnHead;
+    private boolean mWatching;
+    private boolean mStopped;
+    private long mHeardMillis;
+    private long mProbedMillis;
+
+    StoreWatch(StoreClient store, ControlLoop loop, FleetService fleet, Consumer<Head> onHead) {
+        mStore = store;
+        mLoop = loop;
+        mFleet = fleet;
+        mOnHead = onHead;
+        mHeardMillis = loop.nowMillis();
+    }
+
+    /** Returns when the store last answered, in milliseconds; control thread only. */
+    long heardMillis() {
+        return mHeardMillis;
+    }
+
+    /** Begins to watch if this VM has become a watcher; control thread only. */
+    void refresh() {
+        if (!mWatching && isWatcher()) {
+            mWatching = true;
+            watch(0);
+        }
+    }
+
+    private boolean isWatcher() {
+        return !mStopped && Watchers.watches(mFleet.view().self(), mFleet.view().members());
+    }
+
+    private void watch(long index) {
+        if (!isWatcher()) {
+            mWatching = false;
+            return;
+        }
+        Futures.whenDone(
+                mStore.watch(StoreKey.HEAD.path(), index, WAIT),
+                (watched, failure) ->
+                        mLoop.execute(
+                                () -> {
+                                    if (failure != null) {
+                                        LOG.info("The store gave no word: " + message(failure));
+                                        mLoop.after(RETRY, () -> watch(0));
+                                        return;
+                                    }
+                                    take(watched.value());
+                                    watch(watched.index());
+                                }));
+    }
+
+    /** Reads the head once, to learn whether the store can be heard; control thread only. */
+    void probe() {
+        long now = mLoop.nowMillis();
+        if (mStopped || now - mProbedMillis < PROBE_PAUSE.toMillis()) {
+            return;
+        }
+        mProbedMillis = now;
+        Futures.whenDone(
+                mStore.read(StoreKey.HEAD.path()),
+                (value, failure) -> {
+                    if (failure == null) {
+                        mLoop.execute(() -> take(value));
+                    }
+                });
+    }
+
+    private void take(Optional<StoredValue> value) {
+        mHeardMillis = mLoop.nowMillis();
+        value.map(found -> (Head) ConfigurationCodec.decode(StoreKey.HEAD, found.value()))
+                .ifPresent(mOnHead);
+    }
+
+    private static String message(Throwable failure) {
+        return failure.getCause() == null ? failure.getMessage() : failure.getCause().getMessage();
+    }
+
+    /** Stops watching. */
+    void stop() {
+        mLoop.execute(() -> mStopped = true);
+    }
+}
--- a/kernel/src/main/java/org/dahliapass/kernel/ControlLoop.java
+++ b/kernel/src/main/java/org/dahliapass/kernel/ControlLoop.java
@@ -2,7 +2,9 @@
 
 import java.time.Clock;
 import java.time.Duration;
+import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executor;
 import java.util.concurrent.Future;
 import java.util.concurrent.RejectedExecutionException;
@@ -23,6 +25,7 @@
 
     private final Clock mClock;
     private final ScheduledThreadPoolExecutor mExecutor;
+    private final Queue<Future<?>> mTimers = new ConcurrentLinkedQueue<>();
 
     /** Creates the loop; its thread starts with the first event. */
     public ControlLoop(Clock clock) {
@@ -71,17 +74,31 @@
     /** Runs an event on the control thread every period, first after one period. */
     public void every(Duration period, Runnable event) {
         try {
-            Future<?> unused =
+            mTimers.add(
                     mExecutor.scheduleWithFixedDelay(
                             () -> runLogged(event),
                             period.toMillis(),
                             period.toMillis(),
-                            TimeUnit.MILLISECONDS);
+                            TimeUnit.MILLISECONDS));
         } catch (RejectedExecutionException expected) {
             LOG.debug("Periodic event dropped: the loop has stopped.");
         }
     }
 
+    /**
+     * Ends all periodic events, before the services that they use are stopped.
+     *
+     * <p>Guards against a period that comes while its service is stopping, which would show as
+     * errors in the last lines of a log that is otherwise clean.
+     */
+    public CompletableFuture<Void> stopTimers() {
+        return ask(
+                () -> {
+                    mTimers.forEach(timer -> timer.cancel(false));
+                    return null;
+                });
+    }
+
     /** Runs an event on the control thread once, after a delay. */
     public void after(Duration delay, Runnable event) {
         try {
--- a/model/src/main/java/org/dahliapass/model/explain/Action.java
+++ b/model/src/main/java/org/dahliapass/model/explain/Action.java
@@ -25,7 +25,11 @@
     /** A VM gave up a duty. */
     STOOD_DOWN("stood down"),
     /** An accepted template came into force. */
-    REVISION_APPLIED("revision in force");
+    REVISION_APPLIED("revision in force"),
+    /** An accepted template failed its check here; the one in force stayed. */
+    REVISION_REJECTED("revision rejected"),
+    /** A VM that had stood down serves again. */
+    RESUMED("serving again");
 
     private final String mPhrase;
 
--- a/standins/src/main/java/org/dahliapass/standins/StoreStandIn.java
+++ b/standins/src/main/java/org/dahliapass/standins/StoreStandIn.java
@@ -88,6 +88,11 @@
         return Map.copyOf(mCalls);
     }
 
+    /** Returns how many watches wait for a change now. */
+    public int waitingWatches() {
+        return mWaiting.size();
+    }
+
     synchronized void count(StoreCall call) {
         mCalls.merge(call, 1L, Long::sum);
     }
--- a/standins/src/main/java/org/dahliapass/standins/WaitingReads.java
+++ b/standins/src/main/java/org/dahliapass/standins/WaitingReads.java
@@ -20,6 +20,11 @@
         mIndexOf = indexOf;
     }
 
+    /** Returns how many reads wait. */
+    int size() {
+        return mWaiting.size();
+    }
+
     /** Returns a future that completes when the read is to be answered. */
     CompletableFuture<Void> await(String key, ReadWait wait, EventLoop eventLoop) {
         if (!wait.blocks()) {
--- a/wire/src/main/java/org/dahliapass/wire/TrafficKind.java
+++ b/wire/src/main/java/org/dahliapass/wire/TrafficKind.java
@@ -29,8 +29,6 @@
     RESOLVE_KEY,
     /** What a VM saw of its targets. */
     EVIDENCE_REPORT,
-    /** Request for the list of services. */
-    SERVICE_DIRECTORY,
     /** A reply to any request. */
     REPLY,
     /** What a newer release sends and this one doesn't know. */
@@ -58,7 +56,6 @@
             case RECORD_OUTCOME -> RECORD_OUTCOME;
             case RESOLVE_KEY -> RESOLVE_KEY;
             case EVIDENCE_REPORT -> EVIDENCE_REPORT;
-            case SERVICE_DIRECTORY -> SERVICE_DIRECTORY;
             case BODY_NOT_SET -> UNKNOWN;
         };
     }
--- a/wire/src/test/java/org/dahliapass/wire/PeerTransportTest.java
+++ b/wire/src/test/java/org/dahliapass/wire/PeerTransportTest.java
@@ -90,7 +90,7 @@
                         LinkFilter.OPEN,
                         request -> {
                             held.add(new CompletableFuture<>());
-                            asked.add(request.getFetchChanges().getAfterNumber());
+                            asked.add(request.getFetchChanges().getSinceNumber());
                             return held.get(held.size() - 1);
                         });
         CompletableFuture<PeerReply> first = alice.request(bob.endpoint(), fetch(10), LONG);
@@ -98,10 +98,10 @@
         assertEquals(asked.poll(LONG.toSeconds(), TimeUnit.SECONDS), Long.valueOf(10));
         assertEquals(asked.poll(LONG.toSeconds(), TimeUnit.SECONDS), Long.valueOf(20));
         held.get(1).complete(head(20));
-        assertEquals(join(second).getFetchChanges().getHeadNumber(), 20);
+        assertEquals(join(second).getFetchChanges().getThroughNumber(), 20);
         assertFalse(first.isDone(), "The first reply was mixed up with the second.");
         held.get(0).complete(head(10));
-        assertEquals(join(first).getFetchChanges().getHeadNumber(), 10);
+        assertEquals(join(first).getFetchChanges().getThroughNumber(), 10);
     }
 
     @Test
@@ -153,7 +153,7 @@
         assertEquals(failure.peer(), where.toString());
         start(BOB, where.port(), LinkFilter.OPEN);
         assertEquals(
-                join(alice.request(where, fetch(3), LONG)).getFetchChanges().getHeadNumber(), 3);
+                join(alice.request(where, fetch(3), LONG)).getFetchChanges().getThroughNumber(), 3);
     }
 
     @Test
@@ -194,7 +194,7 @@
         CompletableFuture<Void> stopped = bob.stop();
         assertFalse(stopped.isDone(), "The stop didn't wait for the answer.");
         work.complete(head(1));
-        assertEquals(join(reply).getFetchChanges().getHeadNumber(), 1);
+        assertEquals(join(reply).getFetchChanges().getThroughNumber(), 1);
         join(stopped);
         mTransports.remove(bob);
     }
@@ -217,7 +217,7 @@
                 filter,
                 request ->
                         CompletableFuture.completedFuture(
-                                head(request.getFetchChanges().getAfterNumber())));
+                                head(request.getFetchChanges().getSinceNumber())));
     }
 
     private PeerTransport start(VmIdentity self, int port, LinkFilter filter, RequestHandler answer)
@@ -251,13 +251,13 @@
     private static PeerRequest fetch(long after) {
         return PeerRequest.newBuilder()
                 .setRecipientIncarnation(BOB.incarnation())
-                .setFetchChanges(FetchChanges.newBuilder().setAfterNumber(after))
+                .setFetchChanges(FetchChanges.newBuilder().setSinceNumber(after))
                 .build();
     }
 
     private static PeerReply head(long number) {
         return PeerReply.newBuilder()
-                .setFetchChanges(FetchChangesReply.newBuilder().setHeadNumber(number))
+                .setFetchChanges(FetchChangesReply.newBuilder().setThroughNumber(number))
                 .build();
     }
 
