--- a/decisions/src/main/java/org/dahliapass/decisions/membership/ContactBook.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/membership/ContactBook.java
@@ -30,6 +30,7 @@
     private List<Endpoint> mHints = List.of();
     private long mNextExchangeMillis = Long.MIN_VALUE;
     private long mNextHintMillis = Long.MIN_VALUE;
+    private long mNextJoinMillis = Long.MIN_VALUE;
 
     ContactBook(MembershipSettings settings, RandomGenerator random, MemberTable table) {
         mSettings = settings;
@@ -49,8 +50,9 @@
         }
     }
 
-    void onTick(MemberUpdate self, long nowMillis, List<MembershipAction> actions) {
-        if (mTable.live() == 0) {
+    void onTick(
+            MemberUpdate self, boolean outdated, long nowMillis, List<MembershipAction> actions) {
+        if (outdated || mTable.live() == 0) {
             joinIfDue(self, nowMillis, actions);
             return;
         }
@@ -71,10 +73,11 @@
     }
 
     private void joinIfDue(MemberUpdate self, long nowMillis, List<MembershipAction> actions) {
-        if (nowMillis < mNextHintMillis) {
+        if (nowMillis < mNextJoinMillis) {
             return;
         }
-        mNextHintMillis = nowMillis + jittered(mSettings.period().toMillis());
+        mNextJoinMillis = nowMillis + jittered(mSettings.period().toMillis());
+        compareWithMember(self, actions);
         contactStranger(self, actions);
     }
 
--- a/decisions/src/main/java/org/dahliapass/decisions/membership/MemberJudge.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/membership/MemberJudge.java
@@ -74,6 +74,19 @@
         }
     }
 
+    /** Drops the members that another VM's list lacks and that weren't heard since. */
+    void dropUnlisted(
+            Set<String> listed, long sinceMillis, long nowMillis, List<MembershipAction> actions) {
+        for (Member member : mTable.all()) {
+            boolean vouchedFor =
+                    listed.contains(member.name()) || member.heardMillis() >= sinceMillis;
+            if (!member.isDead() && !vouchedFor) {
+                MemberUpdate dead = member.update().withState(MemberState.DEAD);
+                change(member, dead, true, nowMillis, actions);
+            }
+        }
+    }
+
     /**
      * Takes that another VM's list lacks all but the named members.
      *
@@ -89,11 +102,17 @@
         }
     }
 
-    /** Takes news from a list; a VM that is only known there as dead needs no tombstone here. */
-    void applyIfListed(MemberUpdate update, long nowMillis, List<MembershipAction> actions) {
-        boolean self = update.identity().name().equals(mComposer.self().identity().name());
-        if (self || update.state() != MemberState.DEAD) {
-            apply(update, nowMillis, actions);
+    /**
+     * Takes a VM from a list that isn't known here; one that is only known there as dead needs no
+     * tombstone here. It is no news to the others, so it isn't passed on: a whole list would fill
+     * the datagrams for minutes, and hold up what is urgent.
+     */
+    void addListed(MemberUpdate update, long nowMillis, List<MembershipAction> actions) {
+        if (update.state() != MemberState.DEAD) {
+            Member member = new Member(update, nowMillis);
+            mTable.add(member);
+            mProber.add(member);
+            actions.add(new MemberChanged(Optional.empty(), update));
         }
     }
 
--- a/decisions/src/main/java/org/dahliapass/decisions/membership/MemberTable.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/membership/MemberTable.java
@@ -50,11 +50,6 @@
         mMembers.removeIf(member -> member.isDead() && condition.test(member));
     }
 
-    void clear() {
-        mMembers.clear();
-        mLive = 0;
-    }
-
     /** Returns a random number from 0 up to, but without, the bound. */
     int draw(int bound) {
         return mRandom.nextInt(bound);
--- a/decisions/src/main/java/org/dahliapass/decisions/membership/Membership.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/membership/Membership.java
@@ -17,6 +17,7 @@
  */
 public final class Membership {
     private static final int PAUSE_PERIODS = 2;
+    private static final int OUTDATED_PERIODS = 10;
     private static final int MOST_NOTICES = 16;
 
     private final MembershipSettings mSettings;
@@ -27,6 +28,8 @@
     private final ContactBook mContacts;
     private final MemberJudge mJudge;
     private long mLastTickMillis;
+    private boolean mOutdated;
+    private long mOutdatedSinceMillis;
     private long mNextRumorMillis = Long.MIN_VALUE;
 
     /**
@@ -90,10 +93,11 @@
     public List<MembershipAction> onTick(long nowMillis) {
         List<MembershipAction> actions = new ArrayList<>();
         guardAgainstPause(nowMillis);
+        endWaitForList(nowMillis);
         mProber.onTick(nowMillis, actions)
                 .ifPresent(member -> mJudge.onUnanswered(member, nowMillis, actions));
         mJudge.expire(nowMillis, actions);
-        mContacts.onTick(self(), nowMillis, actions);
+        mContacts.onTick(self(), mOutdated, nowMillis, actions);
         spreadIfDue(nowMillis, actions);
         return actions;
     }
@@ -106,7 +110,8 @@
      */
     public List<MembershipAction> onGossip(GossipMessage message, long nowMillis) {
         List<MembershipAction> actions = new ArrayList<>();
-        if (!isForThisIncarnation(message.recipientIncarnation())) {
+        guardAgainstPause(nowMillis);
+        if (isDraining(nowMillis) || !isForThisIncarnation(message.recipientIncarnation())) {
             return actions;
         }
         for (MemberUpdate update : message.updates()) {
@@ -138,6 +143,10 @@
     /** Takes another VM's request for the list. */
     public JoinAnswer onJoinRequest(JoinRequest request, long nowMillis) {
         List<MembershipAction> actions = new ArrayList<>();
+        guardAgainstPause(nowMillis);
+        if (mOutdated) {
+            return new JoinAnswer(List.of(self()), actions);
+        }
         mJudge.apply(request.self(), nowMillis, actions);
         onHeard(request.self().identity(), nowMillis);
         boolean equal = mTable.digest(self()) == request.digest();
@@ -157,14 +166,21 @@
         if (!members.isEmpty()) {
             mJudge.heardAny(nowMillis);
         }
-        mJudge.confirmVerdicts(names(members));
+        Set<String> names = names(members);
+        if (mOutdated && members.size() > 1) {
+            mJudge.dropUnlisted(names, mOutdatedSinceMillis, nowMillis, actions);
+        }
+        mOutdated &= members.size() == 1;
+        mJudge.confirmVerdicts(names);
         int notices = 0;
         int start = members.isEmpty() ? 0 : mTable.draw(members.size());
         for (int i = 0; i < members.size(); i++) {
             MemberUpdate update = members.get((start + i) % members.size());
             Member known = mTable.find(update.identity().name());
-            if (known == null || update.identity().name().equals(self().identity().name())) {
-                mJudge.applyIfListed(update, nowMillis, actions);
+            if (update.identity().name().equals(self().identity().name())) {
+                mJudge.apply(update, nowMillis, actions);
+            } else if (known == null) {
+                mJudge.addListed(update, nowMillis, actions);
             } else if (update.state().isOwnWord()) {
                 mJudge.apply(update, nowMillis, actions);
                 if (known.isDead() && notices++ < MOST_NOTICES) {
@@ -242,9 +258,9 @@
     /**
      * Guards against a process that was paused and wakes: every ping and suspicion seems overdue,
      * which would show as a burst of false verdicts. The round begins anew and suspicions are
-     * prolonged by the pause. After a pause as long as a tombstone, the others may have forgotten
-     * the dead that are still alive here, and would take them back; so this VM forgets its list and
-     * joins again.
+     * prolonged by the pause. After a longer pause its list and the datagrams that waited are
+     * outdated: they would bring back VMs that died meanwhile. So it hands out no list and takes no
+     * datagram until the queue is drained, and gets the list from another VM first.
      */
     private void guardAgainstPause(long nowMillis) {
         long gap = nowMillis - mLastTickMillis;
@@ -254,14 +270,26 @@
         }
         mProber.abandonRound();
         mTable.all().forEach(member -> member.shiftSince(gap));
-        if (gap >= mSettings.tombstone().toMillis()) {
-            mTable.all().forEach(m -> mContacts.rememberFormer(m.update().vm().peers()));
-            mTable.clear();
+        if (gap >= mSettings.suspicionMillis(mTable.live())) {
             mRumors.clear();
-            mProber.clear();
+            mOutdated = true;
+            mOutdatedSinceMillis = nowMillis;
         }
     }
 
+    /**
+     * Ends the wait for another VM's list after a while: if the whole fleet was paused, all lists
+     * are outdated, and nobody would ever hand one out.
+     */
+    private void endWaitForList(long nowMillis) {
+        long longest = OUTDATED_PERIODS * mSettings.period().toMillis();
+        mOutdated &= nowMillis - mOutdatedSinceMillis < longest;
+    }
+
+    private boolean isDraining(long nowMillis) {
+        return mOutdated && nowMillis - mOutdatedSinceMillis < mSettings.period().toMillis();
+    }
+
     private void spreadIfDue(long nowMillis, List<MembershipAction> actions) {
         if (mJudge.hasUrgentNews() && nowMillis >= mNextRumorMillis) {
             spread(nowMillis, actions);
--- a/decisions/src/main/java/org/dahliapass/decisions/membership/MembershipSettings.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/membership/MembershipSettings.java
@@ -41,7 +41,7 @@
                 Duration.ofMillis(300),
                 3,
                 3.0,
-                2.0,
+                1.5,
                 3,
                 Duration.ofMillis(500),
                 Duration.ofSeconds(15),
--- a/decisions/src/main/java/org/dahliapass/decisions/membership/Prober.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/membership/Prober.java
@@ -64,14 +64,6 @@
         mTarget = null;
     }
 
-    /** Forgets the order and the relayed pings. */
-    void clear() {
-        abandonRound();
-        mOrder.clear();
-        mUrgent.clear();
-        mRelays.clear();
-    }
-
     /** Lets a new member be pinged at a random place of the present order. */
     void add(Member member) {
         mOrder.add(mRandom.nextInt(mOrder.size() + 1), member);
--- a/decisions/src/test/java/org/dahliapass/decisions/membership/FleetLoop.java
+++ b/decisions/src/test/java/org/dahliapass/decisions/membership/FleetLoop.java
@@ -21,6 +21,7 @@
 final class FleetLoop {
     static final long TICK_MILLIS = 100;
     private static final long HINT_LAG_MILLIS = 20_000;
+    private static final long JOIN_TIMEOUT_MILLIS = 2_000;
     private static final int MOST_BUFFERED = 64;
 
     /** One place of the fleet, in which incarnations of one VM run one after another. */
@@ -104,6 +105,16 @@
         mNodes.forEach(node -> start(node.mIndex));
     }
 
+    /** Starts all VMs with the whole list, as if they had been running for long. */
+    void startAllSettled() {
+        startAll();
+        List<MemberUpdate> list =
+                mNodes.stream()
+                        .map(node -> update(node.identity(), node.mIndex, MemberState.ALIVE))
+                        .toList();
+        mNodes.forEach(node -> perform(node, node.mMembership.onJoinReply(list, mNowMillis)));
+    }
+
     void kill(int index) {
         mNodes.get(index).mMembership = null;
         mNodes.get(index).mFrozen = false;
@@ -247,13 +258,16 @@
         if (!passes(from, to) || !passes(to, from)) {
             return;
         }
+        long expiry = mNowMillis + JOIN_TIMEOUT_MILLIS;
         post(
                 to,
                 () -> {
                     JoinAnswer answer =
                             to.mMembership.onJoinRequest(exchange.request(), mNowMillis);
                     perform(to, answer.actions());
-                    post(from, () -> reply(from, requester, answer.members()));
+                    if (passes(to, from) && mNowMillis < expiry) {
+                        post(from, () -> reply(from, requester, answer.members()));
+                    }
                 });
     }
 
--- a/decisions/src/test/java/org/dahliapass/decisions/membership/MembershipFuzzTest.java
+++ b/decisions/src/test/java/org/dahliapass/decisions/membership/MembershipFuzzTest.java
@@ -6,7 +6,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -170,12 +169,15 @@
                 standard.datagramBytes());
     }
 
+    /** What one VM holds of another. */
+    private record Held(VmIdentity by, VmIdentity of) {}
+
     /** One schedule against one fleet. */
     private static final class Run {
         private final FleetLoop mLoop;
         private final Map<VmIdentity, Long> mKilled = new HashMap<>();
         private final Map<VmIdentity, Long> mDeadForAll = new HashMap<>();
-        private final Set<Integer> mLeft = new HashSet<>();
+        private final Map<Held, Integer> mHeldDead = new HashMap<>();
         private String mFailure;
         private final long[] mUncutSinceMillis = new long[FLEET];
 
@@ -216,14 +218,10 @@
                 case RESTART -> {
                     kill(vm);
                     mLoop.start(vm);
-                    mLeft.remove(vm);
                 }
                 case FREEZE -> mLoop.freeze(vm);
                 case WAKE -> wakeAll();
-                case LEAVE -> {
-                    mLoop.leave(vm);
-                    mLeft.add(vm);
-                }
+                case LEAVE -> mLoop.leave(vm);
                 case CUT -> mLoop.cut(vm, event.other());
                 case CUT_ALL_FROM -> {
                     for (int to = 0; to < FLEET; to++) {
@@ -285,13 +283,22 @@
 
         private void checkNotResurrected(Node at, MemberChanged change, long nowMillis) {
             Long killed = mKilled.get(change.after().identity());
+            Held held = new Held(at.identity(), change.after().identity());
+            int heldDead = mHeldDead.getOrDefault(held, -1);
+            if (change.after().state() == MemberState.DEAD) {
+                mHeldDead.put(held, change.after().refutation());
+            }
             boolean returned =
                     change.after().state() != MemberState.DEAD
                             && change.before()
                                     .filter(before -> before.state() != MemberState.DEAD)
                                     .isEmpty();
             boolean settled = nowMillis - settledSince(at) > IN_FLIGHT_MILLIS;
-            if (killed != null && returned && settled && nowMillis - killed > IN_FLIGHT_MILLIS) {
+            boolean late =
+                    killed != null
+                            && (nowMillis - killed > IN_FLIGHT_MILLIS
+                                    || heldDead >= change.after().refutation());
+            if (returned && settled && late) {
                 fail(change.after().identity() + " was resurrected at " + at.identity());
             }
         }
