Show that a new VM needs an index of the customers

Cause: a VM that starts with nothing but the store finds in head only the customers of the ring; docs/DESIGN.md names no way to find the others.

Ruled out: a listing of the store's keys, which the platform's service isn't said to offer.

Change: configuration.als has an index of customers that is written before an eviction, guardIndexBeforeEviction and the promise newVmFindsAll; long lines in the specifications are broken.

Conclusion: without the index the check finds an accepted change that no new VM can find.

--- a/spec/src/test/java/org/dahliapass/spec/ConfigurationSpecificationTest.java
+++ b/spec/src/test/java/org/dahliapass/spec/ConfigurationSpecificationTest.java
@@ -8,7 +8,7 @@
  *
  * <p>Scope: 2 customers, 3 operations (4 for {@code storeShowsNewest}, 2 for {@code textThere}), 3
  * accepted changes (2 for {@code textThere}), a ring of one record, traces of 3 to 6 states that
- * start in any state which an earlier history may have left. Solver: SAT4J. Time: 14 to 19 s on a
+ * start in any state which an earlier history may have left. Solver: SAT4J. Time: 12 to 19 s on a
  * busy machine with 12 cores.
  */
 public final class ConfigurationSpecificationTest extends SpecificationTestBase {
@@ -20,6 +20,7 @@
                         new Variant("guardCompareAndSwap", "acceptedStays"),
                         new Variant("guardDraftIsCurrent", "noLostUpdate"),
                         new Variant("guardPointerBeforeEviction", "storeShowsNewest"),
+                        new Variant("guardIndexBeforeEviction", "newVmFindsAll"),
                         new Variant("guardPointerMonotone", "storeShowsNewest"),
                         new Variant("guardTextBeforeAccept", "textThere"),
                         new Variant("guardHeadBeforePointer", "readerNeverBehind"),
--- a/spec/src/test/java/org/dahliapass/spec/StopsSpecificationTest.java
+++ b/spec/src/test/java/org/dahliapass/spec/StopsSpecificationTest.java
@@ -8,7 +8,7 @@
  *
  * <p>Scope: 5 ticks, 2 other VMs and 1 caller ({@code noneMissed}), 1 other VM and 2 callers
  * ({@code noneCut}), 4 ticks and 2 pieces of work (a target that leaves); every bound is one tick;
- * traces of 8 to 16 states. Solver: SAT4J. Time: about 9 s on a busy machine with 12 cores.
+ * traces of 8 to 16 states. Solver: SAT4J. Time: 7 to 10 s on a busy machine with 12 cores.
  */
 public final class StopsSpecificationTest extends SpecificationTestBase {
     private static final String NONE_MISSED = "noneMissed";
--- a/spec/src/test/resources/configuration.als
+++ b/spec/src/test/resources/configuration.als
@@ -40,6 +40,8 @@
   var head: one Number,
   var pointer: Customer -> lone Number,
   var texts: set Operation,
+  /** The customers that have a pointer: without it a new VM can't know whom to look for. */
+  var index: set Customer,
   var order: Number -> lone Operation
 }
 
@@ -82,6 +84,9 @@
     o.expected in Store.pointer[customerOf[o.expected]].*prev
 }
 
+/** The customer of that record is in the index before, too. */
+pred guardIndexBeforeEviction[o: Operation] { customerOf[o.expected] in Store.index }
+
 /** A pointer only grows, so that a writer that wakes late doesn't set it back. */
 pred guardPointerMonotone[asked: Customer, number: Number] {
   no Store.pointer[asked] or numbers/lt[Store.pointer[asked], number]
@@ -116,6 +121,7 @@
   head' = head
   pointer' = pointer
   texts' = texts
+  index' = index
   order' = order
 }
 
@@ -174,6 +180,7 @@
   o.step = Drafted
   moves[o, Drafted]
   texts' = texts + Store -> o
+  index' = index
   head' = head
   pointer' = pointer
   order' = order
@@ -199,6 +206,17 @@
   Store.pointer' = Store.pointer ++ customerOf[o.expected] -> o.expected
   head' = head
   texts' = texts
+  index' = index
+  order' = order
+}
+
+pred writeIndex[o: Operation] {
+  o.step = HeadRead
+  moves[o, HeadRead]
+  index' = index + Store -> customerOf[o.expected]
+  head' = head
+  pointer' = pointer
+  texts' = texts
   order' = order
 }
 
@@ -215,6 +233,7 @@
   some o.expected.next
   guardDraftIsCurrent[o]
   guardPointerBeforeEviction[o]
+  guardIndexBeforeEviction[o]
   guardTextBeforeAccept[o]
   o.step' = Sent
   o.inFlight' = o.expected
@@ -243,6 +262,7 @@
   }
   pointer' = pointer
   texts' = texts
+  index' = index
   o.base' = o.base
   o.expected' = o.expected
   othersKept[o]
@@ -342,9 +362,9 @@
 }
 
 pred operationStep[o: Operation] {
-  takeDraft[o] or writeText[o] or readHead[o] or writePointer[o] or sayConflict[o] or
-  sendCompareAndSwap[o] or storeCarriesOut[o] or giveUpWaiting[o] or resolveYes[o] or
-  resolveNo[o] or resendSame[o] or sayUnknown[o] or die[o]
+  takeDraft[o] or writeText[o] or readHead[o] or writePointer[o] or writeIndex[o] or
+  sayConflict[o] or sendCompareAndSwap[o] or storeCarriesOut[o] or giveUpWaiting[o] or
+  resolveYes[o] or resolveNo[o] or resendSame[o] or sayUnknown[o] or die[o]
 }
 
 /** An operation that won earlier: it was told so, or it lost the answer, or it died. */
@@ -376,6 +396,8 @@
   all asked: Customer |
     Store.pointer[asked] = numbers/max[Store.head.prevs & Store.order.customer.asked] or
     Store.pointer[asked] = Store.head and customerOf[Store.head] = asked
+  Store.order[Store.head.prevs].customer in Store.index
+  Store.index in Store.order[Number].customer
   no inFlight
   no sawHead and no sawPointer and no pointerRead and no due
 }
@@ -416,6 +438,11 @@
     seen[asked, Store.head, Store.pointer[asked]] = newest[asked]
 }
 
+/** A VM that starts with nothing finds each customer that has a change. */
+assert newVmFindsAll {
+  always Store.order[Number].customer in customerOf[Store.head] + Store.index
+}
+
 /** A reader gets no older change than the newest when it began. */
 assert readerNeverBehind {
   always (some Reader.sawHead and some Reader.pointerRead and some Reader.due implies
@@ -443,5 +470,6 @@
 check noLostUpdate for 2 Customer, exactly 3 Operation, exactly 4 Number, 4..4 steps
 check verdictsTrue for 2 Customer, exactly 3 Operation, exactly 4 Number, 5..5 steps
 check storeShowsNewest for 2 Customer, exactly 4 Operation, exactly 4 Number, 3..3 steps
+check newVmFindsAll for 2 Customer, exactly 3 Operation, exactly 4 Number, 3..3 steps
 check readerNeverBehind for 2 Customer, exactly 3 Operation, exactly 4 Number, 6..6 steps
 check textThere for 2 Customer, exactly 2 Operation, exactly 3 Number, 6..6 steps
--- a/spec/src/test/resources/distribution.als
+++ b/spec/src/test/resources/distribution.als
@@ -44,7 +44,9 @@
 /* Guards. */
 
 /** Nobody goes back: a change is applied only over a lower one of the same customer. */
-pred guardApplyHigher[current: lone Number, number: Number] { number not in current.*(numbers/prev) }
+pred guardApplyHigher[current: lone Number, number: Number] {
+  number not in current.*(numbers/prev)
+}
 
 /** The told number grows by a rumor only if there is no gap below it. */
 pred guardNoGap[v: Vm, number: Number] { v.told.(numbers/next) = number }
@@ -209,7 +211,8 @@
 /** No VM goes back while it lives. */
 assert neverBack {
   always all v: Vm, asked: Customer |
-    v.phase' != Absent and v.phase != Absent implies v.applied[asked] in v.applied'[asked].*(numbers/prev)
+    v.phase' != Absent and v.phase != Absent implies
+      v.applied[asked] in v.applied'[asked].*(numbers/prev)
 }
 
 /** What a VM tells in its pings is true. */
@@ -218,7 +221,7 @@
     number in v.applied[number.changes].*(numbers/prev)
 }
 
-/** After the report no VM serves a lower change, not even a replaced one that filled from a peer. */
+/** After the report no VM serves a lower change, not even a new one that filled from a peer. */
 assert reportedStays {
   always all number: Store.reported, v: phase.Serving |
     number in v.applied[number.changes].*(numbers/prev)
--- a/spec/src/test/resources/membership.als
+++ b/spec/src/test/resources/membership.als
@@ -264,7 +264,9 @@
 }
 
 /** Not promised: two processes that are cut one way and have no helper hold each other for dead. */
-assert unpromisedWithoutHelper { oneCutAmongLiving implies always Dead not in Process.list[Process] }
+assert unpromisedWithoutHelper {
+  oneCutAmongLiving implies always Dead not in Process.list[Process]
+}
 
 /** Shows that the specification isn't vacuous: a refutation, a death and a new incarnation. */
 pred interesting {
--- a/spec/src/test/resources/stops.als
+++ b/spec/src/test/resources/stops.als
@@ -91,7 +91,7 @@
 /** The second fetch comes two spread bounds after the first, so that any later news reaches it. */
 pred guardFetchedLate[p: Peer] { Clock.now in later[later[p.joinedAt]] }
 
-/** A caller drops an answer when its time to live has ended, counted from the sending of the ask. */
+/** A caller drops an answer at the end of its time to live, counted from the sending of the ask. */
 pred guardCallerDropsExpired[c: Caller] { Clock.now in c.answer + c.answer.next }
 
 /** The sign is looked at when the work is dispatched, not only when it was queued. */
@@ -359,5 +359,5 @@
 run interesting for exactly 1 Work, exactly 1 Peer, exactly 1 Caller, exactly 5 Tick, 16..16 steps
 check noneMissed for 0 Work, exactly 2 Peer, exactly 1 Caller, exactly 5 Tick, 16..16 steps
 check noneCut for 0 Work, exactly 1 Peer, exactly 2 Caller, exactly 5 Tick, 13..13 steps
-check noLateDispatch for exactly 2 Work, exactly 1 Peer, exactly 1 Caller, exactly 4 Tick, 9..9 steps
-check noDispatchAfterSign for exactly 2 Work, exactly 1 Peer, exactly 1 Caller, exactly 3 Tick, 8..8 steps
+check noLateDispatch for exactly 2 Work, 1 Peer, exactly 1 Caller, exactly 4 Tick, 9..9 steps
+check noDispatchAfterSign for exactly 2 Work, 1 Peer, exactly 1 Caller, exactly 3 Tick, 8..8 steps
