--- a/entry/src/main/java/org/dahliapass/entry/ConfigurationService.java
+++ b/entry/src/main/java/org/dahliapass/entry/ConfigurationService.java
@@ -269,7 +269,9 @@
         mDirectory = mFollower.cellSizes();
         mFleet.setHeadNumber(mNumber);
         mMetrics.onConfiguration(mNumber);
-        if (mFollower.isReady() && mReadiness.move(Readiness.State.STARTING, serving())) {
+        if (mFollower.isReady()
+                && mWatch.hasAsked()
+                && mReadiness.move(Readiness.State.STARTING, serving())) {
             LOG.info("All templates of this VM's services are in force; serving.");
         }
     }
@@ -307,6 +309,7 @@
                         mRandom);
         mWatch = new StoreWatch(mStore, mLoop, mFleet, this::onHead);
         mFleet.onChange(this::onMembersChanged);
+        mLoop.execute(mWatch::probe);
         mLoop.execute(mWatch::refresh);
         mLoop.every(TICK, () -> carryOut(mFollower.onTick(mLoop.nowMillis())));
         return CompletableFuture.completedFuture(null);
--- a/entry/src/main/java/org/dahliapass/entry/StoreWatch.java
+++ b/entry/src/main/java/org/dahliapass/entry/StoreWatch.java
@@ -31,6 +31,7 @@
     private final Consumer<Head> mOnHead;
     private boolean mWatching;
     private boolean mStopped;
+    private boolean mAsked;
     private long mHeardMillis;
     private long mProbedMillis;
 
@@ -88,11 +89,25 @@
         mProbedMillis = now;
         Futures.whenDone(
                 mStore.read(StoreKey.HEAD.path()),
-                (value, failure) -> {
-                    if (failure == null) {
-                        mLoop.execute(() -> take(value));
-                    }
-                });
+                (value, failure) ->
+                        mLoop.execute(
+                                () -> {
+                                    mAsked = true;
+                                    if (failure == null) {
+                                        take(value);
+                                    }
+                                }));
+    }
+
+    /**
+     * Returns whether the store was asked once, with or without an answer; control thread only.
+     *
+     * <p>Guards against a VM that fills itself from a peer that is behind, which would show as a
+     * fresh VM that serves an older revision than the fleet. With the store there, it knows the
+     * newest number before it serves; with the store away, its peers' word is the best there is.
+     */
+    boolean hasAsked() {
+        return mAsked;
     }
 
     private void take(Optional<StoredValue> value) {
