Say 'not run' of an operation only where its key was looked at

Cause: refusals before the key was looked at (no such kind, VM stopping) and a key that belongs to other content said 'not run' of the try, while the operation may have run by another try; the caller's contract would then let it run twice. Kept connections outlived the ask's answer. Ruled out: looking every key up before any other check; a VM that stands down must not answer. Change: such refusals say 'unknown'; guarded refusals keep the queue's time to come back; a leaving VM closes connections after their answers. Conclusion: 'not run' is now only said by home or witness, or where there was no key.

--- a/entry/src/main/java/org/dahliapass/entry/CallerServer.java
+++ b/entry/src/main/java/org/dahliapass/entry/CallerServer.java
@@ -4,6 +4,7 @@
 import com.linecorp.armeria.common.SessionProtocol;
 import com.linecorp.armeria.server.GracefulShutdown;
 import com.linecorp.armeria.server.Server;
+import com.linecorp.armeria.server.ServiceRequestContext;
 import java.net.InetSocketAddress;
 import java.time.Clock;
 import java.time.Duration;
@@ -64,7 +65,9 @@
                                 .quietPeriod(QUIET_PERIOD)
                                 .timeout(DRAIN_LIMIT)
                                 .build())
-                .decorator((delegate, context, request) -> signed(delegate.serve(context, request)))
+                .decorator(
+                        (delegate, context, request) ->
+                                signed(context, delegate.serve(context, request)))
                 .build();
     }
 
@@ -89,8 +92,16 @@
                 mClock, ids, mReadiness, configuration, services, forwarder, exchanges);
     }
 
-    /** Names this life of this VM in an answer, unless it is one that a forward brought. */
-    private HttpResponse signed(HttpResponse response) {
+    /**
+     * Names this life of this VM in an answer, unless it is one that a forward brought.
+     *
+     * <p>Guards against a caller that keeps a connection to a VM that is leaving, longer than the
+     * answer to its ask holds: the connection is closed after the answers in flight.
+     */
+    private HttpResponse signed(ServiceRequestContext context, HttpResponse response) {
+        if (mReadiness.state() == Readiness.State.LEAVING) {
+            context.initiateConnectionShutdown();
+        }
         return response.mapHeaders(
                 headers ->
                         headers.contains(CallerHeaders.ANSWERED_BY)
--- a/entry/src/main/java/org/dahliapass/entry/GuardedExchange.java
+++ b/entry/src/main/java/org/dahliapass/entry/GuardedExchange.java
@@ -37,6 +37,7 @@
     private final String mFreshToken;
     private final CompletableFuture<HttpResponse> mAnswer = new CompletableFuture<>();
     private final Set<Endpoint> mTried = new HashSet<>();
+    private volatile long mRetryAfterMillis = RETRY_AFTER_MILLIS;
 
     GuardedExchange(
             CallerRequest request,
@@ -89,7 +90,8 @@
     private void onTry(int attempt, TryResult result) {
         if (result instanceof TryResult.Answered answered) {
             mAnswer.complete(passOn(attempt, answered));
-        } else if (result instanceof TryResult.Refused) {
+        } else if (result instanceof TryResult.Refused refused) {
+            mRetryAfterMillis = refused.refusal().retryAfterMillis();
             Futures.whenDone(mOnce.targetRefused(mOperation, attempt, false), this::onAction);
         } else if (result instanceof TryResult.Failed failed && !failed.kind().mayHaveRun()) {
             mTried.add(failed.target());
@@ -121,7 +123,8 @@
         if (answer instanceof OperationAnswer.Result result) {
             return replay(result.result());
         }
-        return mObserver.refuse(mRequest, refusal(answer, mFreshToken));
+        Refusal refusal = refusal(answer, mFreshToken).withRetryAfter(mRetryAfterMillis);
+        return mObserver.refuse(mRequest, refusal);
     }
 
     private HttpResponse replay(RecordedResult result) {
--- a/entry/src/main/java/org/dahliapass/entry/Refusal.java
+++ b/entry/src/main/java/org/dahliapass/entry/Refusal.java
@@ -8,6 +8,7 @@
 import com.linecorp.armeria.common.MediaType;
 import com.linecorp.armeria.common.ResponseHeaders;
 import com.linecorp.armeria.common.ResponseHeadersBuilder;
+import java.util.Locale;
 import java.util.Optional;
 
 /**
@@ -28,6 +29,11 @@
         return new Refusal(code, message, retryAfterMillis, Optional.empty());
     }
 
+    /** Returns the same refusal with another time to come back. */
+    public Refusal withRetryAfter(long millis) {
+        return new Refusal(code, message, millis, token);
+    }
+
     /** Returns the same refusal with a fresh token. */
     public Refusal withToken(String freshToken) {
         return new Refusal(code, message, retryAfterMillis, Optional.of(freshToken));
@@ -35,27 +41,36 @@
 
     /** Returns the HTTP answer, which carries the request's id so that it can be looked up. */
     public HttpResponse toResponse(String requestId) {
+        return toResponse(requestId, code.outcome());
+    }
+
+    /** Returns the HTTP answer to a try whose operation may have run by another one. */
+    HttpResponse toResponseOfThisTry(String requestId) {
+        return toResponse(requestId, RefusalCode.Outcome.UNKNOWN);
+    }
+
+    private HttpResponse toResponse(String requestId, RefusalCode.Outcome outcome) {
         ResponseHeadersBuilder headers =
                 ResponseHeaders.builder(code.status())
                         .contentType(MediaType.JSON)
-                        .set(CallerHeaders.OUTCOME, code.outcome().text())
+                        .set(CallerHeaders.OUTCOME, outcome.text())
                         .set(CallerHeaders.REQUEST_ID, requestId);
         if (code.worthRetrying()) {
             headers.set(HttpHeaderNames.RETRY_AFTER, Long.toString(retryAfterSeconds()));
         }
         token.ifPresent(text -> headers.set(CallerHeaders.OPERATION_TOKEN, text));
-        return HttpResponse.of(headers.build(), HttpData.ofUtf8(body(requestId)));
+        return HttpResponse.of(headers.build(), HttpData.ofUtf8(body(requestId, outcome)));
     }
 
     private long retryAfterSeconds() {
         return Math.max(1, (retryAfterMillis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND);
     }
 
-    private String body(String requestId) {
+    private String body(String requestId, RefusalCode.Outcome outcome) {
         ObjectNode node = MAPPER.createObjectNode();
         node.put("requestId", requestId);
-        node.put("reason", code.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-'));
-        node.put("outcome", code.outcome().text());
+        node.put("reason", code.name().toLowerCase(Locale.ROOT).replace('_', '-'));
+        node.put("outcome", outcome.text());
         node.put("message", message);
         if (code.worthRetrying()) {
             node.put("retryAfterSeconds", retryAfterSeconds());
--- a/entry/src/main/java/org/dahliapass/entry/RefusalCode.java
+++ b/entry/src/main/java/org/dahliapass/entry/RefusalCode.java
@@ -21,7 +21,7 @@
     /** A guarded request came without a key that begins with a token. */
     KEY_REQUIRED(HttpStatus.PRECONDITION_REQUIRED, Outcome.NOT_RUN, false),
     /** The key was used for another request. */
-    KEY_MISMATCH(HttpStatus.UNPROCESSABLE_ENTITY, Outcome.NOT_RUN, false),
+    KEY_MISMATCH(HttpStatus.UNPROCESSABLE_ENTITY, Outcome.UNKNOWN, false),
     /** The operation of this key is running. */
     IN_PROGRESS(HttpStatus.CONFLICT, Outcome.RUNNING, true),
     /** The operation of this key was not run and never will be. */
--- a/entry/src/main/java/org/dahliapass/entry/RequestHandler.java
+++ b/entry/src/main/java/org/dahliapass/entry/RequestHandler.java
@@ -45,11 +45,12 @@
         String id = mIds.next();
         Optional<Refusal> standDown = mReadiness.refusal();
         if (standDown.isPresent()) {
-            return standDown.get().toResponse(id);
+            return refuse(request, id, standDown.get());
         }
         Optional<ServicePath> path = ServicePath.parse(request.path());
         if (path.isEmpty()) {
-            return refuse(id, RefusalCode.NO_SUCH_SERVICE, "Use /services/CUSTOMER/SERVICE/...");
+            return refuse(
+                    request, id, RefusalCode.NO_SUCH_SERVICE, "Use /services/CUSTOMER/SERVICE/...");
         }
         return route(context, request, id, path.get());
     }
@@ -60,18 +61,24 @@
         if (found.isEmpty()) {
             return mForwarder
                     .toCell(request, path)
-                    .orElseGet(() -> refuse(id, RefusalCode.NO_SUCH_SERVICE, noSuchService(path)));
+                    .orElseGet(
+                            () ->
+                                    refuse(
+                                            request,
+                                            id,
+                                            RefusalCode.NO_SUCH_SERVICE,
+                                            noSuchService(path)));
         }
         Route route = found.get();
         Optional<RequestKind> kind = route.kindOf(request.method().name(), path.path());
         if (kind.isEmpty()) {
-            return refuse(id, RefusalCode.NO_SUCH_KIND, noSuchKind(request, path));
+            return refuse(request, id, RefusalCode.NO_SUCH_KIND, noSuchKind(request, path));
         }
         Optional<ServiceRuntime> runtime = mServices.find(route.provided().id());
         if (runtime.isEmpty()) {
             return mForwarder
                     .toCell(request, path)
-                    .orElseGet(() -> refuse(id, RefusalCode.WRONG_VM, "Ask again."));
+                    .orElseGet(() -> refuse(request, id, RefusalCode.WRONG_VM, "Ask again."));
         }
         // 0 would mean "no limit" here; the exact limit is checked once the body is there.
         context.setMaxRequestLength(kind.get().maximumBodyBytes() + 1);
@@ -81,29 +88,38 @@
                                 (message, failure) ->
                                         failure != null
                                                 ? refuse(
+                                                        request,
                                                         id,
                                                         RefusalCode.BODY_TOO_LARGE,
                                                         "The body didn't arrive whole: "
                                                                 + failure.getMessage())
-                                                : serve(id, route, kind.get(), path, message));
+                                                : serve(
+                                                        request,
+                                                        id,
+                                                        route,
+                                                        kind.get(),
+                                                        path,
+                                                        message));
         return HttpResponse.of(answer);
     }
 
     private HttpResponse serve(
+            HttpRequest request,
             String id,
             Route route,
             RequestKind kind,
             ServicePath path,
             AggregatedHttpRequest message) {
         if (message.content().length() > kind.maximumBodyBytes()) {
-            return refuse(id, RefusalCode.BODY_TOO_LARGE, "The template allows a smaller body.");
+            return refuse(
+                    request, id, RefusalCode.BODY_TOO_LARGE, "The template allows a smaller body.");
         }
         long now = mClock.millis();
         long patience = callersTimeout(message, kind.deadline().toMillis());
-        CallerRequest request =
+        CallerRequest matched =
                 new CallerRequest(
                         id, route, kind, path.pathAndQuery(), message, now, now + patience);
-        return mExchanges.serve(request);
+        return mExchanges.serve(matched);
     }
 
     private static long callersTimeout(AggregatedHttpRequest message, long most) {
@@ -118,8 +134,21 @@
         }
     }
 
-    private static HttpResponse refuse(String id, RefusalCode code, String message) {
-        return Refusal.of(code, message, RETRY_AFTER_MILLIS).toResponse(id);
+    private static HttpResponse refuse(
+            HttpRequest request, String id, RefusalCode code, String message) {
+        return refuse(request, id, Refusal.of(code, message, RETRY_AFTER_MILLIS));
+    }
+
+    /**
+     * Refuses a request before its key was looked at.
+     *
+     * <p>Guards against "not run" that is true of this try alone: the same key may have run through
+     * another VM, and its caller would send the operation again under a new key. Such a refusal
+     * says "unknown".
+     */
+    private static HttpResponse refuse(HttpRequest request, String id, Refusal refusal) {
+        boolean keyed = request.headers().contains(CallerHeaders.IDEMPOTENCY_KEY);
+        return keyed ? refusal.toResponseOfThisTry(id) : refusal.toResponse(id);
     }
 
     private static String noSuchService(ServicePath path) {
