--- a/decisions/src/main/java/org/dahliapass/decisions/membership/MemberJudge.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/membership/MemberJudge.java
@@ -149,7 +149,7 @@
     }
 
     private boolean isDeaf(long nowMillis) {
-        long window = mSettings.suspicionMillis(mTable.live()) / 2;
+        long window = mSettings.suspicionMillis(mTable.live());
         return nowMillis - mHeardAnyMillis > window;
     }
 
