--- a/entry/src/main/java/org/dahliapass/entry/CallerServer.java
+++ b/entry/src/main/java/org/dahliapass/entry/CallerServer.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import org.dahliapass.kernel.ControlLoop;
+import org.dahliapass.kernel.Futures;
 import org.dahliapass.kernel.Kernel;
 import org.dahliapass.kernel.KernelService;
 import org.dahliapass.model.Endpoint;
@@ -100,7 +101,7 @@
      */
     private HttpResponse signed(ServiceRequestContext context, HttpResponse response) {
         if (mReadiness.state() == Readiness.State.LEAVING) {
-            context.initiateConnectionShutdown();
+            Futures.whenDone(context.initiateConnectionShutdown(), (done, failure) -> {});
         }
         return response.mapHeaders(
                 headers ->
