--- /dev/null
+++ b/entry/src/test/java/org/dahliapass/entry/OnceCodecTest.java
@@ -0,0 +1,84 @@
+package org.dahliapass.entry;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import org.dahliapass.decisions.once.IntentReply;
+import org.dahliapass.decisions.once.NotRunReason;
+import org.dahliapass.decisions.once.Operation;
+import org.dahliapass.decisions.once.OperationAnswer;
+import org.dahliapass.decisions.once.OutcomeNotice;
+import org.dahliapass.decisions.once.RecordedBody;
+import org.dahliapass.decisions.once.RecordedHeader;
+import org.dahliapass.decisions.once.RecordedResult;
+import org.dahliapass.decisions.once.UnknownReason;
+import org.dahliapass.wire.message.IntentStatus;
+import org.dahliapass.wire.message.ResolveKeyReply;
+import org.testng.annotations.Test;
+
+/** Checks that words on guarded operations keep their meaning on the way to another VM. */
+public final class OnceCodecTest {
+    private static final Operation OPERATION =
+            OnceCodec.operation("himal", "vm-1~a.vm-2~b.mn3k5a7q.op-1").orElseThrow();
+    private static final RecordedResult RESULT =
+            new RecordedResult(
+                    201,
+                    List.of(new RecordedHeader("content-type", "text/plain")),
+                    Optional.of(RecordedBody.copyOf("done".getBytes(StandardCharsets.UTF_8))));
+
+    private static OperationAnswer there(OperationAnswer answer) {
+        return OnceCodec.decode(OnceCodec.encode(answer));
+    }
+
+    @Test
+    public void resultsKeepStatusHeadersAndBody() {
+        OperationAnswer answer = new OperationAnswer.Result(RESULT);
+        assertEquals(there(answer), answer);
+    }
+
+    @Test
+    public void bodyThatWasNotKeptIsNotAnEmptyBody() {
+        RecordedResult without = new RecordedResult(200, List.of(), Optional.empty());
+        RecordedResult empty =
+                new RecordedResult(200, List.of(), Optional.of(RecordedBody.copyOf(new byte[0])));
+        OperationAnswer answer = new OperationAnswer.Result(without);
+        assertEquals(there(answer), answer);
+        assertEquals(there(new OperationAnswer.Result(empty)), new OperationAnswer.Result(empty));
+    }
+
+    @Test
+    public void notRunKeepsItsProof() {
+        for (NotRunReason reason : NotRunReason.values()) {
+            OperationAnswer answer = new OperationAnswer.NotRun(reason);
+            assertEquals(there(answer), answer);
+        }
+    }
+
+    @Test
+    public void intentRepliesKeepTheirMeaning() {
+        for (IntentReply reply : IntentReply.values()) {
+            assertEquals(OnceCodec.decode(OnceCodec.encode(reply)), reply);
+        }
+    }
+
+    // A newer release answers with a word that this one doesn't know. It must not read as leave to
+    // dispatch, nor as "not run".
+    @Test
+    public void unknownWordsReadAsTheWeakest() {
+        assertEquals(OnceCodec.decode(IntentStatus.UNRECOGNIZED), IntentReply.REFUSED);
+        ResolveKeyReply newer = ResolveKeyReply.newBuilder().setAnswerValue(99).build();
+        assertEquals(OnceCodec.decode(newer), new OperationAnswer.Unknown(UnknownReason.NO_WORD));
+    }
+
+    @Test
+    public void outcomesComeBackAndMalformedKeysDoNot() {
+        OutcomeNotice ran = new OutcomeNotice(OPERATION, Optional.of(RESULT));
+        OutcomeNotice givenUp = new OutcomeNotice(OPERATION, Optional.empty());
+        assertEquals(OnceCodec.decode(OnceCodec.outcome(ran)), Optional.of(ran));
+        assertEquals(OnceCodec.decode(OnceCodec.outcome(givenUp)), Optional.of(givenUp));
+        assertTrue(OnceCodec.operation("himal", "no key").isEmpty());
+    }
+}
