Name another witness in a fresh token after one gave no word

Cause: the choice of a token's witness was the same each time. With a one-way cut between a VM and the witness that it prefers, each fresh token named that witness again, so every guarded operation through the VM was answered "not run" for as long as the cut lasted. The token was also made before the witness was asked. Ruled out: waiting for membership, which rightly keeps both VMs alive as the third vouches for them.

--- a/entry/src/main/java/org/dahliapass/entry/CallerServer.java
+++ b/entry/src/main/java/org/dahliapass/entry/CallerServer.java
@@ -46,7 +46,7 @@
         FleetService fleet = kernel.find(FleetService.NAME, FleetService.class);
         OnceService once = kernel.find(OnceService.NAME, OnceService.class);
         RequestIds ids = new RequestIds(mIdentity);
-        Tokens tokens = new Tokens(mClock, fleet);
+        Tokens tokens = new Tokens(mClock, fleet, once.reach());
         ConfigurationService configuration =
                 kernel.find(ConfigurationService.NAME, ConfigurationService.class);
         AskHandler asks = new AskHandler(mSettings, ids, fleet, configuration, tokens, mReadiness);
--- a/entry/src/main/java/org/dahliapass/entry/ExchangeFactory.java
+++ b/entry/src/main/java/org/dahliapass/entry/ExchangeFactory.java
@@ -91,7 +91,7 @@
                         mClock,
                         mOnce,
                         mObserver,
-                        mTokens.forSelf())
+                        mTokens::forSelf)
                 .start(beginning);
     }
 
--- a/entry/src/main/java/org/dahliapass/entry/GuardedExchange.java
+++ b/entry/src/main/java/org/dahliapass/entry/GuardedExchange.java
@@ -9,6 +9,7 @@
 import java.util.HashSet;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
 import org.dahliapass.decisions.once.Beginning;
 import org.dahliapass.decisions.once.HomeAction;
 import org.dahliapass.decisions.once.Operation;
@@ -34,7 +35,7 @@
     private final Clock mClock;
     private final OnceService mOnce;
     private final AnswerObserver mObserver;
-    private final String mFreshToken;
+    private final Supplier<String> mFreshToken;
     private final CompletableFuture<HttpResponse> mAnswer = new CompletableFuture<>();
     private final Set<Endpoint> mTried = new HashSet<>();
 
@@ -46,7 +47,7 @@
             Clock clock,
             OnceService once,
             AnswerObserver observer,
-            String freshToken) {
+            Supplier<String> freshToken) {
         mRequest = request;
         mOperation = operation;
         mRuntime = runtime;
@@ -121,7 +122,7 @@
         if (answer instanceof OperationAnswer.Result result) {
             return replay(result.result());
         }
-        return mObserver.refuse(mRequest, refusal(answer, mFreshToken));
+        return mObserver.refuse(mRequest, refusal(answer, mFreshToken.get()));
     }
 
     private HttpResponse replay(RecordedResult result) {
--- a/entry/src/main/java/org/dahliapass/entry/OnceService.java
+++ b/entry/src/main/java/org/dahliapass/entry/OnceService.java
@@ -42,6 +42,7 @@
     private final HomeLedger mLedger;
     private final WitnessRegister mRegister;
     private final Resolver mResolver;
+    private final WitnessReach mReach = new WitnessReach();
 
     /** Creates empty records for this life of this VM. */
     OnceService(VmIdentity self, VmSettings settings, Clock clock) {
@@ -55,6 +56,11 @@
         mResolver = new Resolver(self, mRegister);
     }
 
+    /** Returns which witnesses lately gave no word. */
+    WitnessReach reach() {
+        return mReach;
+    }
+
     /** Begins with a guarded request that has arrived. */
     CompletableFuture<Beginning> begin(Operation operation, String digest, long deadlineMillis) {
         return mLoop.ask(() -> mLedger.begin(operation, digest, deadlineMillis, mClock.millis()));
@@ -68,7 +74,8 @@
                 .thenCompose(reply -> onWitness(operation, reply));
     }
 
-    private static Optional<IntentReply> noWord(Operation operation, Throwable failure) {
+    private Optional<IntentReply> noWord(Operation operation, Throwable failure) {
+        mReach.onSilence(operation.key().witness(), mClock.millis());
         LOG.info("No word from the witness of " + operation.key() + ": " + failure.getMessage());
         return Optional.empty();
     }
@@ -78,6 +85,7 @@
         if (reply.isEmpty()) {
             return act(() -> mLedger.witnessTimedOut(operation, mClock.millis()));
         }
+        mReach.onWord(operation.key().witness());
         return act(() -> mLedger.witnessReplied(operation, reply.get(), mClock.millis()));
     }
 
--- a/entry/src/main/java/org/dahliapass/entry/Tokens.java
+++ b/entry/src/main/java/org/dahliapass/entry/Tokens.java
@@ -1,6 +1,7 @@
 package org.dahliapass.entry;
 
 import java.time.Clock;
+import java.util.Comparator;
 import java.util.List;
 import org.dahliapass.decisions.once.OperationToken;
 import org.dahliapass.model.Vm;
@@ -10,10 +11,12 @@
 final class Tokens {
     private final Clock mClock;
     private final FleetService mFleet;
+    private final WitnessReach mReach;
 
-    Tokens(Clock clock, FleetService fleet) {
+    Tokens(Clock clock, FleetService fleet, WitnessReach reach) {
         mClock = clock;
         mFleet = fleet;
+        mReach = reach;
     }
 
     /** Returns a token whose home is this VM; empty text while there is no second VM. */
@@ -24,21 +27,19 @@
     /**
      * Returns a token whose home is the given VM.
      *
-     * <p>The witness is another VM of the home's cell, in another availability zone if there is
-     * one, so that one zone's loss doesn't take both. Which VM it is matters for availability only:
-     * the key names it, and nobody else's word counts.
+     * <p>The witness is another VM of the home's cell, one that this VM hears, in another
+     * availability zone if there is one, so that one zone's loss doesn't take both. Which VM it is
+     * matters for availability only: the key names it, and nobody else's word counts.
      */
     String of(Vm home, List<Vm> cell) {
+        long now = mClock.millis();
         return cell.stream()
                 .filter(vm -> !vm.identity().name().equals(home.identity().name()))
                 .min(
-                        (left, right) -> {
-                            int byZone =
-                                    Boolean.compare(sameZone(left, home), sameZone(right, home));
-                            return byZone != 0
-                                    ? byZone
-                                    : Integer.compare(distance(home, left), distance(home, right));
-                        })
+                        Comparator.comparingLong(
+                                        (Vm vm) -> mReach.silentAtMillis(vm.identity(), now))
+                                .thenComparing(vm -> sameZone(vm, home))
+                                .thenComparing(vm -> distance(home, vm)))
                 .map(witness -> token(home.identity(), witness.identity()))
                 .orElse("");
     }
