Queue requests again that a target refused unprocessed

Cause: an idempotent request that reached a target as it began to drain came back unprocessed and was refused with "no-target", because no retry is allowed while others wait, although the other target had slots in time. So a planned stop of a target cost callers their requests. Ruled out: letting such a request retry at once, which would overtake those that wait and go round the retry budget. Change: a try that is proved to have run nothing puts its request back into the queue, three tries at most; rate and budget count it once. Seen: TargetLeaveTest#drainingTargetGetsNothingNew failed before and passes after.

--- a/entry/src/main/java/org/dahliapass/entry/IdempotentExchange.java
+++ b/entry/src/main/java/org/dahliapass/entry/IdempotentExchange.java
@@ -21,6 +21,7 @@
 final class IdempotentExchange {
     private static final long RETRY_AFTER_MILLIS = 1000;
     private static final int SERVER_ERROR = 500;
+    private static final int MOST_TRIES = 3;
 
     private final CallerRequest mRequest;
     private final ServiceRuntime mRuntime;
@@ -118,7 +119,7 @@
     }
 
     private void onFailed(TryResult.Failed failed) {
-        if (retry(failed.target(), failed.kind()) || mOpen > 0) {
+        if (retry(failed.target(), failed.kind()) || mOpen > 0 || waitAgain(failed.kind())) {
             return;
         }
         RefusalCode reason =
@@ -140,6 +141,15 @@
         return slot.isPresent();
     }
 
+    /** Puts a request back into the queue whose try ran nothing; false if it tried often enough. */
+    private boolean waitAgain(FailureKind kind) {
+        if (kind.mayHaveRun() || mTries >= MOST_TRIES) {
+            return false;
+        }
+        startTry(mRuntime.acquireAgain(mRequest, mTried));
+        return true;
+    }
+
     private Set<Endpoint> inFlightTargets() {
         Set<Endpoint> targets = new HashSet<>(mTried);
         mRunning.forEach(running -> running.target().ifPresent(targets::add));
--- a/entry/src/main/java/org/dahliapass/entry/ServiceRuntime.java
+++ b/entry/src/main/java/org/dahliapass/entry/ServiceRuntime.java
@@ -94,16 +94,49 @@
      * @return fails with a {@link RefusedException}; cancel it if the caller goes away
      */
     CompletableFuture<Slot> acquire(CallerRequest request, Set<Endpoint> excluded) {
-        CompletableFuture<Slot> future = new CompletableFuture<>();
-        QueueEntry<SlotWaiter> entry =
-                new QueueEntry<>(
-                        new SlotWaiter(future),
-                        request.route().customer(),
-                        request.kind(),
-                        request.arrivalMillis(),
-                        request.deadlineMillis(),
-                        excluded);
-        offer(entry, request.kind());
+        QueueEntry<SlotWaiter> entry = newEntry(request, excluded);
+        OptionalLong wait = rateWait(request);
+        if (wait.isPresent()) {
+            return CompletableFuture.failedFuture(rateLimited(wait.getAsLong()));
+        }
+        offer(entry, true);
+        return withdrawnOnCancel(entry);
+    }
+
+    /**
+     * Gets a slot for a request again, at once or after a wait, after a try that ran nothing.
+     *
+     * <p>Guards against a planned stop of a target that costs callers their requests: those that
+     * were on their way to it when it began to drain come back unprocessed, and while others wait
+     * no retry is allowed. They wait in the queue like any other; since the queue holds to the
+     * slots, no work is added.
+     *
+     * @param tried passed over while there is another target; a target that only shed load is
+     *     better than none
+     * @return fails with a {@link RefusedException}; cancel it if the caller goes away
+     */
+    CompletableFuture<Slot> acquireAgain(CallerRequest request, Set<Endpoint> tried) {
+        boolean hasOther;
+        synchronized (this) {
+            hasOther = mBalancer.hasTargetFor(request.kind(), tried);
+        }
+        QueueEntry<SlotWaiter> entry = newEntry(request, hasOther ? tried : Set.of());
+        offer(entry, false);
+        return withdrawnOnCancel(entry);
+    }
+
+    private static QueueEntry<SlotWaiter> newEntry(CallerRequest request, Set<Endpoint> excluded) {
+        return new QueueEntry<>(
+                new SlotWaiter(new CompletableFuture<>()),
+                request.route().customer(),
+                request.kind(),
+                request.arrivalMillis(),
+                request.deadlineMillis(),
+                excluded);
+    }
+
+    private CompletableFuture<Slot> withdrawnOnCancel(QueueEntry<SlotWaiter> entry) {
+        CompletableFuture<Slot> future = entry.request().slot();
         Futures.whenDone(
                 future,
                 (slot, failure) -> {
@@ -114,20 +147,18 @@
         return future;
     }
 
-    private void offer(QueueEntry<SlotWaiter> entry, RequestKind kind) {
+    private synchronized OptionalLong rateWait(CallerRequest request) {
+        return mRates.refusal(request.route().customer(), mId, request.kind(), mClock.millis());
+    }
+
+    private void offer(QueueEntry<SlotWaiter> entry, boolean firstTry) {
         long now = mClock.millis();
-        OptionalLong wait;
-        synchronized (this) {
-            wait = mRates.refusal(entry.customer(), mId, kind, now);
-        }
-        if (wait.isPresent()) {
-            entry.request().slot().completeExceptionally(rateLimited(wait.getAsLong()));
-            return;
-        }
         Admission admission;
         synchronized (this) {
             admission = mQueue.offer(entry, now);
-            mBudget.onFirstTry(kind, now);
+            if (firstTry) {
+                mBudget.onFirstTry(entry.kind(), now);
+            }
         }
         if (admission instanceof Admission.Dispatch dispatch) {
             give(entry, dispatch.target(), now);
@@ -168,15 +199,7 @@
     }
 
     private static Slot extraSlot(CallerRequest request, Endpoint target, long now) {
-        QueueEntry<SlotWaiter> entry =
-                new QueueEntry<>(
-                        new SlotWaiter(new CompletableFuture<>()),
-                        request.route().customer(),
-                        request.kind(),
-                        request.arrivalMillis(),
-                        request.deadlineMillis(),
-                        Set.of());
-        return new Slot(entry, target, now, true);
+        return new Slot(newEntry(request, Set.of()), target, now, true);
     }
 
     /** Observes the head of an answer. */
