Test failures of the whole path in one process

Cause: the path had tests for at most once only. Change: a leaving VM, a draining target, a gray target, a one-way cut, the store away, answers cut short, late answers, cancels and a flood, each by its story over real HTTP and messages between VMs, waiting for events only. The platform of TestFleet is a class of its own, so that a fleet of processes can use it; stopping a fleet is no longer waited for.

--- /dev/null
+++ b/lab/src/test/java/org/dahliapass/lab/OwnAnswerTest.java
@@ -0,0 +1,136 @@
+package org.dahliapass.lab;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.dahliapass.entry.EntryVm;
+import org.dahliapass.standins.TargetFaults;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Checks that every caller gets the whole answer to its own request, or a visible failure. */
+public final class OwnAnswerTest {
+    private static final String LISTINGS = "/services/himal/desk/listings/";
+    private static final TargetFaults CUT =
+            new TargetFaults(0, false, 1, false, true, false, null, 0, false);
+    private static final TargetFaults STALL =
+            new TargetFaults(0, false, 1, true, false, false, null, 0, false);
+    private static final int ROUNDS = 8;
+    private static final int CALLERS = 12;
+
+    /** Above this the answer can't lie in the buffers on its way. */
+    private static final long BYTES = 64L * 1024 * 1024;
+
+    private TestFleet mFleet;
+
+    @BeforeClass
+    public void startFleet() {
+        mFleet = TestFleet.start(3, 3);
+    }
+
+    @AfterMethod
+    public void mendTargets() {
+        mFleet.platform().setFaults(TargetFaults.NONE);
+    }
+
+    @AfterClass
+    public void stopFleet() {
+        mFleet.close();
+    }
+
+    /** Answers that are written at once, and in many pieces. */
+    @DataProvider
+    public Object[][] cutPaths() {
+        return new Object[][] {{"short"}, {"long?bytes=300000"}};
+    }
+
+    // Each target breaks its answer off after half of the body. The caller sees a broken stream or
+    // a refusal, never a status 200 whose body looks whole: what is passed on breaks off as well.
+    @Test(dataProvider = "cutPaths")
+    public void answerCutShortIsNeverPassedOffAsWhole(String path) {
+        mFleet.platform().setFaults(CUT);
+        for (EntryVm vm : mFleet.vms()) {
+            CompletableFuture<AggregatedHttpResponse> answer =
+                    HttpCalls.getLater(vm.callers(), LISTINGS + path);
+            boolean failed =
+                    answer.handle((whole, failure) -> failure != null || !isGood(whole)).join();
+            assertTrue(failed, "Half a body was passed off as whole.");
+        }
+    }
+
+    private static boolean isGood(AggregatedHttpResponse answer) {
+        return answer.status().isSuccess();
+    }
+
+    // Many callers ask for different listings at once while each target works at another speed, so
+    // that later requests are answered earlier. Some callers go away halfway. Every answer names
+    // the path that its caller asked for: an answer is bound to the exchange that it came by.
+    @Test
+    public void lateAnswersReachTheirOwnCallersOnly() {
+        for (int round = 0; round < ROUNDS; round++) {
+            mixSpeeds(round);
+            Map<String, CompletableFuture<AggregatedHttpResponse>> answers = new LinkedHashMap<>();
+            for (int number = 0; number < CALLERS; number++) {
+                EntryVm vm = mFleet.vms().get(number % mFleet.vms().size());
+                String path = "/listings/" + round + "-" + number + "-";
+                answers.put(path, HttpCalls.getLater(vm.callers(), "/services/himal/desk" + path));
+                SlowReader.start(vm.callers(), LISTINGS + "left?bytes=" + BYTES)
+                        .awaitBegun()
+                        .cancel();
+            }
+            answers.forEach(OwnAnswerTest::assertOwn);
+        }
+    }
+
+    private void mixSpeeds(int round) {
+        for (int index = 0; index < mFleet.targets().size(); index++) {
+            int factor = 1 + 20 * ((index + round) % mFleet.targets().size());
+            mFleet.targets()
+                    .get(index)
+                    .setFaults(
+                            new TargetFaults(
+                                    0, false, factor, false, false, false, null, 0, false));
+        }
+    }
+
+    private static void assertOwn(String path, CompletableFuture<AggregatedHttpResponse> answer) {
+        AggregatedHttpResponse whole = answer.join();
+        assertEquals(whole.status().code(), 200, whole.contentUtf8());
+        assertEquals(HttpCalls.json(whole).path("path").asText(), path);
+    }
+
+    // A caller closes its connection while the target still works on its listing, and another one
+    // in the middle of the body. Both requests end at the target: the VM passes the cancel on.
+    @Test
+    public void cancelReachesTarget() {
+        long before = mFleet.platform().cancelled();
+        SlowReader halfway =
+                SlowReader.start(mFleet.vms().get(0).callers(), LISTINGS + "halfway?bytes=" + BYTES)
+                        .awaitBegun();
+        halfway.cancel();
+        mFleet.await(
+                "the body's end is cancelled", () -> mFleet.platform().cancelled() >= before + 1);
+
+        mFleet.platform().setFaults(STALL);
+        long served = mFleet.platform().served();
+        var stalled =
+                HttpCalls.client("h1c", mFleet.vms().get(1).callers()).get(LISTINGS + "stalled");
+        CompletableFuture<AggregatedHttpResponse> whole = stalled.aggregate();
+        mFleet.await("it has begun", () -> mFleet.platform().served() > served);
+        assertFalse(whole.isDone());
+        stalled.abort();
+        expectThrows(CompletionException.class, whole::join);
+        mFleet.await(
+                "the stalled work is cancelled", () -> mFleet.platform().cancelled() >= before + 2);
+    }
+}
--- a/lab/src/test/java/org/dahliapass/lab/TestFleet.java
+++ b/lab/src/test/java/org/dahliapass/lab/TestFleet.java
@@ -1,40 +1,23 @@
 package org.dahliapass.lab;
 
-import com.linecorp.armeria.client.BlockingWebClient;
-import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
-import com.linecorp.armeria.common.HttpData;
-import com.linecorp.armeria.common.HttpMethod;
-import com.linecorp.armeria.common.HttpRequest;
-import com.linecorp.armeria.common.RequestHeaders;
 import java.time.Clock;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
-import java.util.SplittableRandom;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executor;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import org.dahliapass.decisions.configuration.Accept;
 import org.dahliapass.decisions.configuration.AcceptOutcome;
-import org.dahliapass.decisions.configuration.AcceptRequest;
-import org.dahliapass.decisions.configuration.Head;
-import org.dahliapass.decisions.configuration.ServiceUse;
-import org.dahliapass.decisions.configuration.TemplateText;
+import org.dahliapass.decisions.once.OperationToken;
 import org.dahliapass.entry.EntryVm;
 import org.dahliapass.entry.VmSettings;
 import org.dahliapass.kernel.IniFile;
-import org.dahliapass.kernel.MonotonicClock;
 import org.dahliapass.model.Endpoint;
-import org.dahliapass.model.ServiceId;
-import org.dahliapass.platform.ConfigurationStore;
-import org.dahliapass.platform.HttpStoreClient;
 import org.dahliapass.standins.StoreStandIn;
-import org.dahliapass.standins.TargetSettings;
 import org.dahliapass.standins.TargetStandIn;
-import org.dahliapass.standins.VmListStandIn;
+import org.dahliapass.wire.Direction;
 import org.dahliapass.wire.LinkFilter;
 
 /**
@@ -42,36 +25,28 @@
  * loopback, on ports that the system gives. Waiting is for conditions, never for a time.
  */
 final class TestFleet implements AutoCloseable {
-    private static final Duration LIMIT = Duration.ofSeconds(20);
-    private static final long POLL_MILLIS = 20;
-    private static final Executor LATER =
-            CompletableFuture.delayedExecutor(POLL_MILLIS, TimeUnit.MILLISECONDS);
-
-    private final Clock mClock = new MonotonicClock();
-    private final StoreStandIn mStore;
-    private final VmListStandIn mVmList;
-    private final List<TargetStandIn> mTargets = new ArrayList<>();
+    private static final Duration ASK_TIME_TO_LIVE = Duration.ofSeconds(1);
+
+    private final TestPlatform mPlatform;
     private final List<EntryVm> mVms = new ArrayList<>();
+    private final Map<EntryVm, LinkCuts> mCuts = new HashMap<>();
 
-    private TestFleet() {
-        mStore = new StoreStandIn(0, mClock, new SplittableRandom(1));
-        mVmList = new VmListStandIn(0, mClock);
-        mStore.start();
-        mVmList.start();
+    private TestFleet(TestPlatform platform) {
+        mPlatform = platform;
     }
 
     /** Starts a fleet whose customer {@code himal} has one service {@code desk}. */
     static TestFleet start(int targets, int vms) {
-        TestFleet fleet = new TestFleet();
-        for (int number = 0; number < targets; number++) {
-            TargetStandIn target =
-                    new TargetStandIn(0, new TargetSettings(3, 2, 0, number + 1), fleet.mClock);
-            target.start();
-            fleet.mTargets.add(target);
-        }
+        return start(targets, vms, ASK_TIME_TO_LIVE);
+    }
+
+    /** Starts a fleet whose answers to asks hold for so long. */
+    static TestFleet start(int targets, int vms, Duration askTimeToLive) {
+        TestFleet fleet = new TestFleet(new TestPlatform(targets, askTimeToLive));
         fleet.accept(fleet.template("30s"), 0);
         for (int number = 1; number <= vms; number++) {
-            fleet.startVm(number, LinkFilter.OPEN);
+            LinkCuts cuts = new LinkCuts();
+            fleet.mCuts.put(fleet.startVm(number, cuts), cuts);
         }
         fleet.awaitServing();
         return fleet;
@@ -79,86 +54,53 @@
 
     /** Starts a VM; its zone follows from its number. */
     EntryVm startVm(int number, LinkFilter filter) {
-        EntryVm vm = new EntryVm(settings(number), mClock, filter, () -> {});
+        VmSettings settings =
+                VmSettings.from(IniFile.parse("vm-" + number, mPlatform.settings(number)));
+        EntryVm vm = new EntryVm(settings, clock(), filter, () -> {});
         vm.start().join();
         mVms.add(vm);
         return vm;
     }
 
-    private VmSettings settings(int number) {
-        String text =
-                String.join(
-                        "\n",
-                        "[vm]",
-                        "fleet = test",
-                        "name = vm-" + number,
-                        "availability-zone = zone-" + (number % 3),
-                        "address = 127.0.0.1",
-                        "callers-port = 0",
-                        "peers-port = 0",
-                        "operators-port = 0",
-                        "[platform]",
-                        "store = " + mStore.endpoint(),
-                        "vm-list = " + mVmList.endpoint(),
-                        "announce = yes",
-                        "[control]",
-                        "ask-time-to-live = 1s",
-                        "gossip-period = 200ms",
-                        "control-period = 50ms");
-        return VmSettings.from(IniFile.parse("vm-" + number, text));
+    /** Begins a planned stop; the VM no longer counts as one of the fleet's. */
+    CompletableFuture<Void> leave(EntryVm vm) {
+        mVms.remove(vm);
+        return vm.leaveAndStop();
+    }
+
+    /** Loses all messages from one VM to another; those of the other way pass. */
+    void cutOneWay(EntryVm from, EntryVm to) {
+        mCuts.get(from).cut(Direction.OUT, peers(to));
+        mCuts.get(to).cut(Direction.IN, peers(from));
+    }
+
+    /** Lets all messages of a VM pass again. */
+    void mendLinks() {
+        mCuts.values().forEach(LinkCuts::mend);
+    }
+
+    /** Returns how many messages a VM lost by cuts so far. */
+    int lostMessages(EntryVm vm) {
+        return mCuts.get(vm).lost();
+    }
+
+    private static Endpoint peers(EntryVm vm) {
+        return ReadyLine.parse(vm.readyLine()).peers();
+    }
+
+    /** Returns a token that binds keys to this home and this witness, as an ask hands out. */
+    String token(EntryVm home, EntryVm witness) {
+        return new OperationToken(home.identity(), witness.identity(), clock().millis()).toString();
     }
 
     /** Returns the template's text; the deadline tells revisions apart. */
     String template(String deadline) {
-        List<String> targets = new ArrayList<>();
-        for (TargetStandIn target : mTargets) {
-            targets.add(target.endpoint() + "@zone-" + (targets.size() % 3));
-        }
-        return String.join(
-                "\n",
-                "[template]",
-                "customer = himal",
-                "[service desk]",
-                "targets = " + String.join(", ", targets),
-                "slots = 3",
-                "connections = 350",
-                "health-path = /health",
-                "load-path = /load",
-                "false-ejection-tolerance = 0.001",
-                "slow-factor = 4",
-                "floor = 50%",
-                "cell = 6",
-                "failure-share = 50%",
-                "[kind desk listing]",
-                "method = GET",
-                "path = /listings/**",
-                "idempotent = yes",
-                "deadline = " + deadline,
-                "retry-budget = 20%",
-                "[kind desk sign-off]",
-                "method = POST",
-                "path = /sign-offs/**",
-                "idempotent = no",
-                "deadline = 5s",
-                "patience = 4s",
-                "");
+        return mPlatform.template(deadline);
     }
 
     /** Accepts a template as an operator would. */
     AcceptOutcome accept(String text, long base) {
-        AcceptRequest request =
-                new AcceptRequest(
-                        "himal",
-                        new TemplateText(text),
-                        List.of(new ServiceUse(new ServiceId("himal", "desk"), 6)),
-                        "operation-" + base + "-" + text.hashCode(),
-                        "test",
-                        base);
-        ConfigurationStore store =
-                new ConfigurationStore(
-                        new HttpStoreClient(mStore.endpoint(), Duration.ofSeconds(2)),
-                        Duration.ofMillis(POLL_MILLIS));
-        return store.run(new Accept(request, Head.RING_CAPACITY), action -> {}).join();
+        return mPlatform.accept(text, base);
     }
 
     /** Waits until all VMs serve and know each other. */
@@ -170,8 +112,7 @@
 
     /** Returns how many VMs a VM sees alive. */
     static int memberCount(EntryVm vm) {
-        String members = get(vm.operators(), "/operations/members").contentUtf8();
-        return members.split("\"state\":\"alive\"", -1).length - 1;
+        return HttpCalls.aliveMembers(vm.operators());
     }
 
     /** Returns whether a VM takes requests. */
@@ -181,29 +122,17 @@
 
     /** Waits for a condition; fails by name if it doesn't come. */
     void await(String what, BooleanSupplier condition) {
-        Instant end = mClock.instant().plus(LIMIT);
-        while (!condition.getAsBoolean()) {
-            if (mClock.instant().isAfter(end)) {
-                throw new AssertionError("Did not come true: " + what);
-            }
-            CompletableFuture.runAsync(() -> {}, LATER).join();
-        }
+        mPlatform.await(what, condition);
     }
 
     /** Sends a GET request and returns the whole answer. */
     static AggregatedHttpResponse get(Endpoint endpoint, String path) {
-        return client(endpoint).get(path);
+        return HttpCalls.get(endpoint, path);
     }
 
     /** Sends a guarded request and returns the whole answer. */
     static AggregatedHttpResponse post(Endpoint endpoint, String path, String key) {
-        RequestHeaders headers =
-                RequestHeaders.builder(HttpMethod.POST, path).set("idempotency-key", key).build();
-        return client(endpoint).execute(HttpRequest.of(headers, HttpData.ofUtf8("{}")));
-    }
-
-    private static BlockingWebClient client(Endpoint endpoint) {
-        return WebClient.builder("http://" + endpoint).responseTimeout(LIMIT).build().blocking();
+        return HttpCalls.post(endpoint, path, key).join();
     }
 
     /** Returns the VMs. */
@@ -211,28 +140,37 @@
         return mVms;
     }
 
+    /** Returns the store, the VM list and the targets. */
+    TestPlatform platform() {
+        return mPlatform;
+    }
+
     /** Returns the targets. */
     List<TargetStandIn> targets() {
-        return mTargets;
+        return mPlatform.targets();
     }
 
     /** Returns the store. */
     StoreStandIn store() {
-        return mStore;
+        return mPlatform.store();
     }
 
     /** Returns the clock that all parts follow. */
     Clock clock() {
-        return mClock;
+        return mPlatform.clock();
     }
 
+    /**
+     * Begins to stop everything. Nobody waits for the end: each HTTP server's threads keep a quiet
+     * period of two seconds, and nothing of this fleet is used again.
+     */
     @Override
     public void close() {
-        CompletableFuture.allOf(
-                        mVms.stream().map(EntryVm::stopNow).toArray(CompletableFuture[]::new))
-                .join();
-        mTargets.forEach(TargetStandIn::close);
-        mStore.close();
-        mVmList.close();
+        CompletableFuture<Void> unused =
+                CompletableFuture.allOf(
+                                mVms.stream()
+                                        .map(EntryVm::stopNow)
+                                        .toArray(CompletableFuture[]::new))
+                        .thenRunAsync(mPlatform::close);
     }
 }
