Pace regular evidence to a budget of bytes

Change: ReportPacer spaces the regular reports of a service so that they cost at most the setting evidence-budget; each report is encoded once for all peers; half-life of in-flight counts 2 s. Conclusion: evidence costs what the setting allows, whatever targets, cell and load.

--- a/entry/src/main/java/org/dahliapass/entry/EntryVm.java
+++ b/entry/src/main/java/org/dahliapass/entry/EntryVm.java
@@ -94,7 +94,7 @@
                                 random,
                                 mReadiness))
                 .register(ServiceTable.NAME, new ServiceTable(clock, random, settings))
-                .register(EvidenceExchange.NAME, new EvidenceExchange(settings.controlPeriod()))
+                .register(EvidenceExchange.NAME, new EvidenceExchange(settings))
                 .register(HealthPoller.NAME, new HealthPoller())
                 .register(IsolationGuard.NAME, new IsolationGuard(mReadiness));
     }
--- a/entry/src/main/java/org/dahliapass/entry/EvidenceExchange.java
+++ b/entry/src/main/java/org/dahliapass/entry/EvidenceExchange.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.dahliapass.decisions.health.EvidenceReport;
+import org.dahliapass.decisions.health.ReportPacer;
 import org.dahliapass.decisions.traffic.TargetInFlight;
 import org.dahliapass.kernel.ControlLoop;
 import org.dahliapass.kernel.Kernel;
@@ -14,9 +15,10 @@
 import org.dahliapass.model.ServiceId;
 import org.dahliapass.model.ServiceTemplate;
 import org.dahliapass.model.Vm;
+import org.dahliapass.model.VmIdentity;
 
 /**
- * Tells the other VMs of each cell what this VM saw, every period in which there is news.
+ * Tells the other VMs of each cell what this VM saw, within a budget of bytes a second.
  *
  * <p>Shared evidence is what lets a cell decide sooner than any of its VMs could alone.
  */
@@ -27,41 +29,53 @@
     /** An idle cell's members still tell each other that they are there; see IsolationGuard. */
     private static final Duration HEARTBEAT = Duration.ofSeconds(1);
 
-    private ControlLoop mLoop;
     private final Duration mPeriod;
+    private final long mBytesPerSecond;
+    private final Map<ServiceId, ReportPacer> mPacers = new HashMap<>();
+    private final Map<ServiceId, Long> mToldMillis = new HashMap<>();
+    private ControlLoop mLoop;
     private ServiceTable mServices;
     private FleetService mFleet;
     private EvidenceLink mLink;
-    private final Map<ServiceId, Long> mToldMillis = new HashMap<>();
 
-    EvidenceExchange(Duration period) {
-        mPeriod = period;
+    EvidenceExchange(VmSettings settings) {
+        mPeriod = settings.controlPeriod();
+        mBytesPerSecond = settings.evidenceBytesPerSecond();
     }
 
     private void share() {
-        for (ServiceTemplate template : mServices.served()) {
-            Optional<EvidenceReport> report = mServices.takeReport(template.id());
-            Optional<ServiceRuntime> runtime = mServices.find(template.id());
-            if (report.isPresent() && runtime.isPresent()) {
-                share(template, report.get(), runtime.get().inFlight());
+        List<ServiceTemplate> served = mServices.served();
+        mPacers.keySet().retainAll(served.stream().map(ServiceTemplate::id).toList());
+        for (ServiceTemplate template : served) {
+            long budget = Math.max(1, mBytesPerSecond / served.size());
+            ReportPacer pacer =
+                    mPacers.computeIfAbsent(
+                            template.id(), id -> new ReportPacer(budget, mPeriod.toMillis()));
+            if (pacer.isDue(mLoop.nowMillis())) {
+                share(template, pacer);
             }
         }
     }
 
-    private void share(
-            ServiceTemplate template, EvidenceReport report, List<TargetInFlight> inFlight) {
-        boolean idle = report.evidence().isEmpty() && inFlight.isEmpty();
+    private void share(ServiceTemplate template, ReportPacer pacer) {
+        Optional<EvidenceReport> report = mServices.takeReport(template.id());
+        Optional<ServiceRuntime> runtime = mServices.find(template.id());
+        if (report.isEmpty() || runtime.isEmpty()) {
+            return;
+        }
+        List<TargetInFlight> inFlight = runtime.get().inFlight();
+        boolean idle = report.get().evidence().isEmpty() && inFlight.isEmpty();
         long now = mLoop.nowMillis();
-        long last = mToldMillis.getOrDefault(template.id(), 0L);
-        if (idle && now - last < HEARTBEAT.toMillis()) {
+        if (idle && now - mToldMillis.getOrDefault(template.id(), 0L) < HEARTBEAT.toMillis()) {
             return;
         }
         mToldMillis.put(template.id(), now);
-        for (Vm vm : mFleet.cellOf(template)) {
-            if (!vm.identity().equals(mFleet.view().self().identity())) {
-                CompletableFuture<Void> unused = mLink.report(vm, report, inFlight);
-            }
-        }
+        pacer.onReported(mLink.report(peers(template), report.get(), inFlight), now);
+    }
+
+    private List<Vm> peers(ServiceTemplate template) {
+        VmIdentity self = mFleet.view().self().identity();
+        return mFleet.cellOf(template).stream().filter(vm -> !vm.identity().equals(self)).toList();
     }
 
     @Override
--- a/entry/src/main/java/org/dahliapass/entry/PeerLink.java
+++ b/entry/src/main/java/org/dahliapass/entry/PeerLink.java
@@ -18,6 +18,7 @@
 import org.dahliapass.decisions.once.OutcomeNotice;
 import org.dahliapass.decisions.traffic.TargetInFlight;
 import org.dahliapass.kernel.ControlLoop;
+import org.dahliapass.kernel.Futures;
 import org.dahliapass.kernel.Kernel;
 import org.dahliapass.kernel.KernelService;
 import org.dahliapass.kernel.StepException;
@@ -45,6 +46,9 @@
     /** The transport adds the sender and the fleet's name to it. */
     private static final int MOST_RUMOR_BYTES = 1000;
 
+    /** What a small message costs on the way, its reply included: headers and stamps. */
+    private static final int FRAME_BYTES = 200;
+
     private static final Duration EVIDENCE_TIMEOUT = Duration.ofSeconds(1);
 
     private final PeerTransport mTransport;
@@ -111,11 +115,16 @@
     }
 
     @Override
-    public CompletableFuture<Void> report(
-            Vm peer, EvidenceReport report, List<TargetInFlight> inFlight) {
-        PeerRequest.Builder request =
-                PeerRequest.newBuilder().setEvidenceReport(EvidenceCodec.encode(report, inFlight));
-        return send(peer, request, EVIDENCE_TIMEOUT).thenApply(reply -> null);
+    public long report(List<Vm> peers, EvidenceReport report, List<TargetInFlight> inFlight) {
+        PeerRequest message =
+                PeerRequest.newBuilder()
+                        .setEvidenceReport(EvidenceCodec.encode(report, inFlight))
+                        .build();
+        for (Vm peer : peers) {
+            Futures.whenDone(
+                    send(peer, message.toBuilder(), EVIDENCE_TIMEOUT), (reply, failure) -> {});
+        }
+        return (long) peers.size() * (message.getSerializedSize() + FRAME_BYTES);
     }
 
     /** Sends changes to a member; they may get lost, and pings then show the gap. */
--- a/entry/src/main/java/org/dahliapass/entry/ServiceRuntime.java
+++ b/entry/src/main/java/org/dahliapass/entry/ServiceRuntime.java
@@ -41,7 +41,7 @@
  * control thread share. No callback runs while the lock is held.
  */
 public final class ServiceRuntime {
-    private static final long REPORT_HALF_LIFE_MILLIS = 1000;
+    private static final long REPORT_HALF_LIFE_MILLIS = 2000;
     private static final int RATE_BUCKETS = 10_000;
 
     private final ServiceId mId;
--- a/entry/src/main/java/org/dahliapass/entry/VmSettings.java
+++ b/entry/src/main/java/org/dahliapass/entry/VmSettings.java
@@ -25,6 +25,7 @@
  * @param askTimeToLive how long a caller may use an ask's answer
  * @param gossipPeriod the period of the failure detector
  * @param controlPeriod the period of evidence, queue and snapshot upkeep
+ * @param evidenceBytesPerSecond what regular evidence to the cells may cost, in bytes a second
  * @param operationWindow how long keys of guarded operations are kept
  * @param operationCapacity keys that are kept at most, as home and as witness each
  */
@@ -42,11 +43,15 @@
         Duration askTimeToLive,
         Duration gossipPeriod,
         Duration controlPeriod,
+        long evidenceBytesPerSecond,
         Duration operationWindow,
         int operationCapacity) {
     private static final Pattern NAME = Pattern.compile("[a-z0-9][a-z0-9-]{0,40}");
     private static final Pattern ADDRESS = Pattern.compile("[0-9]{1,3}(\\.[0-9]{1,3}){3}");
     private static final int HIGHEST_PORT = 65_535;
+    private static final long LEAST_EVIDENCE = 512;
+    private static final long MOST_EVIDENCE = 1024 * 1024;
+    private static final long EVIDENCE = 16 * 1024;
     private static final String NAME_RULE = "lower-case letters, digits and hyphens, 41 at most";
 
     /**
@@ -94,6 +99,7 @@
                                 Duration.ofMillis(20),
                                 Duration.ofSeconds(2),
                                 Duration.ofMillis(250)),
+                        control.size("evidence-budget", LEAST_EVIDENCE, MOST_EVIDENCE, EVIDENCE),
                         control.duration(
                                 "operation-window",
                                 Duration.ofMinutes(1),
