Keep cells heard when their reports are paced

Cause: paced reports may be rarer than the isolation window; with the store away, a whole healthy cell would have stood down. Change: an empty report each second in between; kernel services that have nothing to start or stop no longer say so.

--- a/entry/src/main/java/org/dahliapass/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/dahliapass/entry/EntryMetrics.java
@@ -8,8 +8,6 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.util.concurrent.CompletableFuture;
-import org.dahliapass.kernel.Kernel;
 import org.dahliapass.kernel.KernelService;
 
 /** The Prometheus metrics of one entry VM. */
@@ -97,14 +95,4 @@
         }
         return output.toByteArray();
     }
-
-    @Override
-    public CompletableFuture<Void> start(Kernel kernel) {
-        return CompletableFuture.completedFuture(null);
-    }
-
-    @Override
-    public CompletableFuture<Void> stop() {
-        return CompletableFuture.completedFuture(null);
-    }
 }
--- a/entry/src/main/java/org/dahliapass/entry/EvidenceExchange.java
+++ b/entry/src/main/java/org/dahliapass/entry/EvidenceExchange.java
@@ -53,10 +53,31 @@
                             template.id(), id -> new ReportPacer(budget, mPeriod.toMillis()));
             if (pacer.isDue(mLoop.nowMillis())) {
                 share(template, pacer);
+            } else if (isSilent(template.id())) {
+                sayAlive(template);
             }
         }
     }
 
+    private boolean isSilent(ServiceId service) {
+        long told = mToldMillis.getOrDefault(service, 0L);
+        return mLoop.nowMillis() - told >= HEARTBEAT.toMillis();
+    }
+
+    /**
+     * Guards against a cell whose paced reports are rarer than the window in which its members must
+     * hear each other; with the store away it would stand down as a whole. An empty report costs
+     * little; its sequence number 0 makes the receivers take it for nothing but a sign of life.
+     */
+    private void sayAlive(ServiceTemplate template) {
+        Vm self = mFleet.view().self();
+        EvidenceReport empty =
+                new EvidenceReport(
+                        self.identity(), self.availabilityZone(), 0, template.id(), List.of());
+        mLink.report(peers(template), empty, List.of());
+        mToldMillis.put(template.id(), mLoop.nowMillis());
+    }
+
     private void share(ServiceTemplate template, ReportPacer pacer) {
         Optional<EvidenceReport> report = mServices.takeReport(template.id());
         Optional<ServiceRuntime> runtime = mServices.find(template.id());
@@ -65,10 +86,10 @@
         }
         List<TargetInFlight> inFlight = runtime.get().inFlight();
         boolean idle = report.get().evidence().isEmpty() && inFlight.isEmpty();
-        long now = mLoop.nowMillis();
-        if (idle && now - mToldMillis.getOrDefault(template.id(), 0L) < HEARTBEAT.toMillis()) {
+        if (idle && !isSilent(template.id())) {
             return;
         }
+        long now = mLoop.nowMillis();
         mToldMillis.put(template.id(), now);
         pacer.onReported(mLink.report(peers(template), report.get(), inFlight), now);
     }
@@ -87,9 +108,4 @@
         mLoop.every(mPeriod, this::share);
         return CompletableFuture.completedFuture(null);
     }
-
-    @Override
-    public CompletableFuture<Void> stop() {
-        return CompletableFuture.completedFuture(null);
-    }
 }
--- a/entry/src/main/java/org/dahliapass/entry/ExplanationLog.java
+++ b/entry/src/main/java/org/dahliapass/entry/ExplanationLog.java
@@ -4,9 +4,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Locale;
-import java.util.concurrent.CompletableFuture;
 import java.util.function.Predicate;
-import org.dahliapass.kernel.Kernel;
 import org.dahliapass.kernel.KernelService;
 import org.dahliapass.kernel.PartLog;
 import org.dahliapass.model.explain.Explanation;
@@ -45,14 +43,4 @@
             return mEntries.stream().filter(wanted).toList();
         }
     }
-
-    @Override
-    public CompletableFuture<Void> start(Kernel kernel) {
-        return CompletableFuture.completedFuture(null);
-    }
-
-    @Override
-    public CompletableFuture<Void> stop() {
-        return CompletableFuture.completedFuture(null);
-    }
 }
--- a/entry/src/main/java/org/dahliapass/entry/HealthPoller.java
+++ b/entry/src/main/java/org/dahliapass/entry/HealthPoller.java
@@ -113,9 +113,4 @@
         mLoop.every(PERIOD, this::poll);
         return CompletableFuture.completedFuture(null);
     }
-
-    @Override
-    public CompletableFuture<Void> stop() {
-        return CompletableFuture.completedFuture(null);
-    }
 }
--- a/entry/src/main/java/org/dahliapass/entry/IsolationGuard.java
+++ b/entry/src/main/java/org/dahliapass/entry/IsolationGuard.java
@@ -89,9 +89,4 @@
         mLoop.every(PERIOD, this::check);
         return CompletableFuture.completedFuture(null);
     }
-
-    @Override
-    public CompletableFuture<Void> stop() {
-        return CompletableFuture.completedFuture(null);
-    }
 }
--- a/entry/src/main/java/org/dahliapass/entry/OnceService.java
+++ b/entry/src/main/java/org/dahliapass/entry/OnceService.java
@@ -218,9 +218,4 @@
         mPeers = kernel.find(PeerLink.NAME, PeerLink.class);
         return CompletableFuture.completedFuture(null);
     }
-
-    @Override
-    public CompletableFuture<Void> stop() {
-        return CompletableFuture.completedFuture(null);
-    }
 }
--- a/entry/src/main/java/org/dahliapass/entry/ServiceTable.java
+++ b/entry/src/main/java/org/dahliapass/entry/ServiceTable.java
@@ -225,9 +225,4 @@
         mLoop.every(mSettings.controlPeriod(), this::tick);
         return CompletableFuture.completedFuture(null);
     }
-
-    @Override
-    public CompletableFuture<Void> stop() {
-        return CompletableFuture.completedFuture(null);
-    }
 }
--- a/entry/src/main/java/org/dahliapass/entry/TargetClients.java
+++ b/entry/src/main/java/org/dahliapass/entry/TargetClients.java
@@ -11,7 +11,6 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
-import org.dahliapass.kernel.Kernel;
 import org.dahliapass.kernel.KernelService;
 import org.dahliapass.model.Endpoint;
 
@@ -63,11 +62,6 @@
                 .build();
     }
 
-    @Override
-    public CompletableFuture<Void> start(Kernel kernel) {
-        return CompletableFuture.completedFuture(null);
-    }
-
     @Override
     public CompletableFuture<Void> stop() {
         return mFactory.closeAsync().thenApply(ignored -> null);
--- a/kernel/src/main/java/org/dahliapass/kernel/ControlLoop.java
+++ b/kernel/src/main/java/org/dahliapass/kernel/ControlLoop.java
@@ -110,11 +110,6 @@
         }
     }
 
-    @Override
-    public CompletableFuture<Void> start(Kernel kernel) {
-        return CompletableFuture.completedFuture(null);
-    }
-
     @Override
     public CompletableFuture<Void> stop() {
         mExecutor.shutdown();
