--- a/lab/src/test/java/org/dahliapass/lab/HttpCalls.java
+++ b/lab/src/test/java/org/dahliapass/lab/HttpCalls.java
@@ -39,12 +39,12 @@
         return client("http", endpoint).get(path).aggregate();
     }
 
-    /** Sends a guarded request. */
+    /** Sends a guarded request, over a connection of its own. */
     static CompletableFuture<AggregatedHttpResponse> post(
             Endpoint endpoint, String path, String key) {
         RequestHeaders headers =
                 RequestHeaders.builder(HttpMethod.POST, path).set("idempotency-key", key).build();
-        return client("http", endpoint)
+        return client("h1c", endpoint)
                 .execute(HttpRequest.of(headers, HttpData.ofUtf8("{}")))
                 .aggregate();
     }
@@ -74,6 +74,11 @@
         return addresses;
     }
 
+    /** Asks a VM what became of an operation of {@code himal}: ran, running, not-run or unknown. */
+    static String outcome(Endpoint callers, String key) {
+        return get(callers, "/outcomes/himal/" + key).headers().get("x-outcome");
+    }
+
     /** Returns how many VMs a VM sees alive. */
     static int aliveMembers(Endpoint operators) {
         return (int) memberStates(operators).stream().filter("alive"::equals).count();
--- a/lab/src/test/java/org/dahliapass/lab/OneWayCutTest.java
+++ b/lab/src/test/java/org/dahliapass/lab/OneWayCutTest.java
@@ -1,7 +1,6 @@
 package org.dahliapass.lab;
 
 import static org.testng.Assert.assertEquals;
-import static org.testng.Assert.assertFalse;
 
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import java.util.List;
@@ -53,11 +52,11 @@
         mFleet.awaitServing();
     }
 
+    /** The list names no dead VM, so it is short by one if somebody was taken for dead. */
     private void assertNobodyDead() {
         for (EntryVm vm : mFleet.vms()) {
             List<String> states = HttpCalls.memberStates(vm.operators());
             assertEquals(states.size(), mFleet.vms().size(), states.toString());
-            assertFalse(states.contains("dead"), states.toString());
         }
     }
 
