--- a/entry/src/main/java/org/dahliapass/entry/EntryVm.java
+++ b/entry/src/main/java/org/dahliapass/entry/EntryVm.java
@@ -81,7 +81,7 @@
         mKernel.register(ControlLoop.NAME, mLoop)
                 .register(EntryMetrics.NAME, metrics)
                 .register(ExplanationLog.NAME, new ExplanationLog(metrics))
-                .register(TargetClients.NAME, new TargetClients())
+                .register(TargetClients.NAME, new TargetClients(clock))
                 .register(PeerLink.NAME, mPeers)
                 .register(OnceService.NAME, new OnceService(mIdentity, settings, clock))
                 .register(CallerServer.NAME, mCallers)
--- a/entry/src/main/java/org/dahliapass/entry/TargetClients.java
+++ b/entry/src/main/java/org/dahliapass/entry/TargetClients.java
@@ -7,10 +7,13 @@
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
+import java.time.Clock;
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import org.dahliapass.kernel.ControlLoop;
+import org.dahliapass.kernel.Kernel;
 import org.dahliapass.kernel.KernelService;
 import org.dahliapass.model.Endpoint;
 
@@ -22,6 +25,9 @@
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
     private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
 
+    private static final Duration SWEEP = Duration.ofSeconds(1);
+
+    private final StallGuard mStalls;
     private final Map<Endpoint, WebClient> mClients = new ConcurrentHashMap<>();
     private final ClientFactory mFactory =
             ClientFactory.builder()
@@ -30,6 +36,15 @@
                     .useHttp1Pipelining(false)
                     .build();
 
+    TargetClients(Clock clock) {
+        mStalls = new StallGuard(clock);
+    }
+
+    /** Returns what breaks off answers that stall. */
+    StallGuard stalls() {
+        return mStalls;
+    }
+
     /**
      * One request that was sent.
      *
@@ -62,6 +77,12 @@
                 .build();
     }
 
+    @Override
+    public CompletableFuture<Void> start(Kernel kernel) {
+        kernel.find(ControlLoop.NAME, ControlLoop.class).every(SWEEP, mStalls::sweep);
+        return CompletableFuture.completedFuture(null);
+    }
+
     @Override
     public CompletableFuture<Void> stop() {
         return mFactory.closeAsync().thenApply(ignored -> null);
--- a/entry/src/main/java/org/dahliapass/entry/TargetTry.java
+++ b/entry/src/main/java/org/dahliapass/entry/TargetTry.java
@@ -1,6 +1,5 @@
 package org.dahliapass.entry;
 
-import com.linecorp.armeria.client.ClientRequestContext;
 import com.linecorp.armeria.client.ResponseTimeoutException;
 import com.linecorp.armeria.client.UnprocessedRequestException;
 import com.linecorp.armeria.common.HttpData;
@@ -12,7 +11,6 @@
 import com.linecorp.armeria.common.SplitHttpResponse;
 import com.linecorp.armeria.common.stream.StreamMessage;
 import com.linecorp.armeria.common.util.Exceptions;
-import com.linecorp.armeria.common.util.TimeoutMode;
 import java.time.Clock;
 import java.time.Duration;
 import java.util.List;
@@ -136,22 +134,22 @@
             return;
         }
         boolean error = headers.status().code() >= SERVER_ERROR;
-        ClientRequestContext context = mSent.context();
-        extendTimeout(context);
-        StreamMessage<HttpData> body = split.body().peek(piece -> extendTimeout(context));
+        mSent.context().clearResponseTimeout();
+        StallGuard.Watched watched = mClients.stalls().watch(mSent.response(), stallTimeout());
+        StreamMessage<HttpData> body = split.body().peek(piece -> watched.progress());
         Futures.whenDone(
                 body.whenComplete(),
-                (ignored, failure) ->
-                        release(slot, error ? FailureKind.SERVER_ERROR : cut(failure)));
+                (ignored, failure) -> {
+                    mClients.stalls().done(watched);
+                    release(slot, error ? FailureKind.SERVER_ERROR : cut(failure));
+                });
         mResult.complete(new TryResult.Answered(slot.target(), headers, body));
     }
 
     /** An answer that has begun may take as long as it makes progress; one that stalls ends. */
-    private void extendTimeout(ClientRequestContext context) {
+    private Duration stallTimeout() {
         Duration deadline = mRequest.kind().deadline();
-        Duration stall =
-                deadline.compareTo(LEAST_STALL_TIMEOUT) > 0 ? deadline : LEAST_STALL_TIMEOUT;
-        context.setResponseTimeout(TimeoutMode.SET_FROM_NOW, stall);
+        return deadline.compareTo(LEAST_STALL_TIMEOUT) > 0 ? deadline : LEAST_STALL_TIMEOUT;
     }
 
     private FailureKind cut(Throwable failure) {
