--- /dev/null
+++ b/lab/src/main/java/org/dahliapass/lab/policy/Comparison.java
@@ -0,0 +1,59 @@
+package org.dahliapass.lab.policy;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+
+/** Sets the production decisions against the best of the others, row by row. */
+final class Comparison {
+    private Comparison() {}
+
+    /** Returns one line for each fault, and the rows in which the floor was crossed. */
+    static List<String> lines(List<Row> rows) {
+        List<String> lines = new ArrayList<>();
+        lines.add("");
+        lines.add("Detection (median) and wrong target-seconds against the fastest of the others:");
+        for (Row row : rows) {
+            if (row.contender().equals(Contender.CELL.title())) {
+                lines.add(line(row, fastestOther(row, rows)));
+            }
+        }
+        return lines;
+    }
+
+    private static Optional<Row> fastestOther(Row row, List<Row> rows) {
+        return rows.stream()
+                .filter(other -> other.deployment().equals(row.deployment()))
+                .filter(other -> other.loadPercent() == row.loadPercent())
+                .filter(other -> other.fault().equals(row.fault()))
+                .filter(other -> !other.contender().equals(row.contender()))
+                .filter(other -> other.detectionMedianMillis() >= 0)
+                .min(Comparator.comparingDouble(Row::detectionMedianMillis));
+    }
+
+    private static String line(Row row, Optional<Row> other) {
+        String start =
+                String.format(
+                        Locale.ROOT,
+                        "%-9s %3d%% %-42s wrong %.1f",
+                        row.deployment(),
+                        row.loadPercent(),
+                        row.fault(),
+                        row.healthyEjectedSeconds());
+        String floor = row.crossed() ? " FLOOR CROSSED" : "";
+        if (other.isEmpty()) {
+            return start + floor;
+        }
+        return start
+                + String.format(
+                        Locale.ROOT,
+                        ", found in %.0f ms; %s: wrong %.1f, found in %.0f ms",
+                        row.detectionMedianMillis(),
+                        other.get().contender(),
+                        other.get().healthyEjectedSeconds(),
+                        other.get().detectionMedianMillis())
+                + floor;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/org/dahliapass/lab/policy/Condition.java
@@ -0,0 +1,39 @@
+package org.dahliapass.lab.policy;
+
+import org.dahliapass.decisions.health.HealthReport;
+
+/**
+ * How a target does for one VM at one moment.
+ *
+ * @param reach whether connections to it work
+ * @param failureRate the share of its work that fails, beside the healthy rate
+ * @param slowdown how many times longer than normal its work takes
+ * @param report what its health report says
+ */
+record Condition(Reach reach, double failureRate, double slowdown, HealthReport report) {
+    static final Condition WELL = new Condition(Reach.OPEN, 0, 1, HealthReport.SERVING);
+    static final Condition STOPPED = new Condition(Reach.REFUSED, 0, 1, HealthReport.SERVING);
+    static final Condition CUT_OFF = new Condition(Reach.SILENT, 0, 1, HealthReport.SERVING);
+
+    static Condition failing(double rate) {
+        return new Condition(Reach.OPEN, rate, 1, HealthReport.SERVING);
+    }
+
+    static Condition slowed(double factor) {
+        return new Condition(Reach.OPEN, 0, factor, HealthReport.SERVING);
+    }
+
+    static Condition saying(HealthReport report, double slowdown) {
+        return new Condition(Reach.OPEN, 0, slowdown, report);
+    }
+
+    /** What becomes of an attempt to connect. */
+    enum Reach {
+        /** It succeeds. */
+        OPEN,
+        /** It is refused at once. */
+        REFUSED,
+        /** Nothing comes back. */
+        SILENT
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/org/dahliapass/lab/policy/Experiment.java
@@ -0,0 +1,203 @@
+package org.dahliapass.lab.policy;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.random.RandomGenerator;
+import org.dahliapass.decisions.health.EvidenceReport;
+import org.dahliapass.decisions.health.Outcome;
+
+/**
+ * One run: a cell of VMs sends work to fake targets, a fault begins, and what follows is counted.
+ *
+ * <p>Arrivals and slot times are drawn from the seed alone, so that all contenders get the same.
+ */
+final class Experiment {
+    static final long WARM_UP_MILLIS = 15_000;
+    static final long FAULT_MILLIS = 30_000;
+    static final long TICK_MILLIS = 250;
+
+    private static final long HOP_MICROS = 1_000;
+    private static final long CONNECT_TIMEOUT_MICROS = 500_000;
+    private static final long PROBE_MICROS = 25_000;
+    private static final int MICROS = 1_000;
+
+    private final Deployment mDeployment;
+    private final Fault mFault;
+    private final EventQueue mEvents = new EventQueue();
+    private final RandomGenerator mArrivals;
+    private final RandomGenerator mChoices;
+    private final long mFaultMillis;
+    private final double mMeanGapMicros;
+    private final List<FakeVm> mVms = new ArrayList<>();
+    private final List<FakeTarget> mTargets = new ArrayList<>();
+    private final Measurement mMeasurement;
+
+    /**
+     * Prepares a run.
+     *
+     * @param load the requests that arrive, as a share of what all slots can do
+     */
+    Experiment(Deployment deployment, Fault fault, Contender contender, double load, long seed) {
+        mDeployment = deployment;
+        mFault = fault;
+        mArrivals = new Random(seed);
+        mChoices = new Random(seed + 1);
+        mFaultMillis = WARM_UP_MILLIS + mArrivals.nextInt((int) TICK_MILLIS);
+        mMeanGapMicros = 1e6 / (load * deployment.capacityPerSecond());
+        for (int vm = 0; vm < deployment.vms(); vm++) {
+            mVms.add(new FakeVm(contender.create(deployment, vm), deployment.targets()));
+        }
+        for (int target = 0; target < deployment.targets(); target++) {
+            mTargets.add(new FakeTarget(mEvents, deployment.slots()));
+        }
+        mMeasurement = new Measurement(deployment, fault, mVms, mFaultMillis);
+    }
+
+    Measurement run() {
+        scheduleArrival();
+        for (int vm = 0; vm < mVms.size(); vm++) {
+            int number = vm;
+            // The VMs' ticks are spread over the interval, as they are not in step.
+            mEvents.after((number + 1) * TICK_MILLIS * MICROS / mVms.size(), () -> tick(number));
+            for (int target = 0; target < mTargets.size(); target++) {
+                int probed = target;
+                mEvents.after(mChoices.nextInt((int) probeMicros(vm)), () -> probe(number, probed));
+            }
+        }
+        mEvents.runUntil((mFaultMillis + FAULT_MILLIS) * MICROS);
+        return mMeasurement;
+    }
+
+    private long probeMicros(int vm) {
+        return mVms.get(vm).mSelector.probeIntervalMillis() * MICROS;
+    }
+
+    private boolean isFaulty() {
+        return mEvents.nowMillis() >= mFaultMillis;
+    }
+
+    private boolean isLost(int vm) {
+        return isFaulty() && mFault.isVmLost(vm);
+    }
+
+    private Condition condition(int vm, int target) {
+        return isFaulty()
+                ? mFault.condition(mDeployment, vm, target, mEvents.nowMillis() - mFaultMillis)
+                : Condition.WELL;
+    }
+
+    private void scheduleArrival() {
+        long gap = (long) (-mMeanGapMicros * Math.log(1 - mArrivals.nextDouble()));
+        mEvents.after(gap, this::arrive);
+    }
+
+    private void arrive() {
+        scheduleArrival();
+        double slotMillis =
+                mDeployment.medianMillis()
+                        * Math.exp(Deployment.DEVIATION * mArrivals.nextGaussian());
+        boolean guarded = mArrivals.nextDouble() < mDeployment.guardedShare();
+        double luck = mArrivals.nextDouble();
+        int vm = mArrivals.nextInt(mVms.size());
+        while (isLost(vm)) {
+            // Callers hold several addresses, and go to the next one.
+            vm = (vm + 1) % mVms.size();
+        }
+        Request request = new Request(vm, mEvents.nowMicros(), (long) (slotMillis * MICROS), luck);
+        int target = mVms.get(vm).pick(guarded, mChoices);
+        if (target < 0) {
+            mMeasurement.onEnd(request.startMicros(), mEvents.nowMicros(), Outcome.REFUSED_SHED);
+            return;
+        }
+        send(request, target);
+    }
+
+    private void send(Request request, int target) {
+        mVms.get(request.vm()).mInFlight[target]++;
+        switch (condition(request.vm(), target).reach()) {
+            case REFUSED ->
+                    mEvents.after(HOP_MICROS, () -> end(request, target, Outcome.CONNECT_FAILED));
+            case SILENT ->
+                    mEvents.after(
+                            CONNECT_TIMEOUT_MICROS,
+                            () -> end(request, target, Outcome.CONNECT_FAILED));
+            default -> mEvents.after(HOP_MICROS, () -> reach(request, target));
+        }
+    }
+
+    private void reach(Request request, int target) {
+        Condition condition = condition(request.vm(), target);
+        double failureRate = Deployment.BASE_FAILURE_RATE + condition.failureRate();
+        Outcome outcome = request.luck() < failureRate ? Outcome.FAILURE : Outcome.SUCCESS;
+        FakeTarget.Work work =
+                new FakeTarget.Work(
+                        (long) (request.slotMicros() * condition.slowdown()),
+                        request.startMicros() + mDeployment.deadlineMillis() * MICROS,
+                        inTime ->
+                                mEvents.after(
+                                        HOP_MICROS,
+                                        () ->
+                                                end(
+                                                        request,
+                                                        target,
+                                                        inTime ? outcome : Outcome.TIMEOUT)));
+        if (!mTargets.get(target).offer(work)) {
+            mEvents.after(HOP_MICROS, () -> end(request, target, Outcome.REFUSED_SHED));
+        }
+    }
+
+    private void end(Request request, int target, Outcome outcome) {
+        FakeVm vm = mVms.get(request.vm());
+        vm.mInFlight[target]--;
+        if (isLost(request.vm())) {
+            mMeasurement.onEnd(request.startMicros(), mEvents.nowMicros(), Outcome.CUT_SHORT);
+            return;
+        }
+        long latencyMillis = (mEvents.nowMicros() - request.startMicros()) / MICROS;
+        vm.mSelector.onOutcome(target, outcome, latencyMillis, mEvents.nowMillis());
+        mMeasurement.onEnd(request.startMicros(), mEvents.nowMicros(), outcome);
+        mMeasurement.noteWeight(request.vm(), target, mEvents.nowMillis());
+    }
+
+    private void probe(int vm, int target) {
+        if (isLost(vm)) {
+            return;
+        }
+        Condition condition = condition(vm, target);
+        boolean answered = condition.reach() == Condition.Reach.OPEN;
+        mMeasurement.onProbe(mEvents.nowMillis());
+        mEvents.after(
+                answered ? PROBE_MICROS : CONNECT_TIMEOUT_MICROS,
+                () -> {
+                    mVms.get(vm)
+                            .mSelector
+                            .onProbe(target, answered, condition.report(), mEvents.nowMillis());
+                    mMeasurement.noteWeight(vm, target, mEvents.nowMillis());
+                });
+        mEvents.after(probeMicros(vm), () -> probe(vm, target));
+    }
+
+    private void tick(int vm) {
+        if (isLost(vm)) {
+            return;
+        }
+        long nowMillis = mEvents.nowMillis();
+        Selector selector = mVms.get(vm).mSelector;
+        EvidenceReport report = selector.takeReport(nowMillis);
+        mEvents.after(HOP_MICROS, () -> deliver(vm, report));
+        selector.onTick(nowMillis);
+        mMeasurement.onTick(vm, nowMillis);
+        mEvents.after(TICK_MILLIS * MICROS, () -> tick(vm));
+    }
+
+    private void deliver(int sender, EvidenceReport report) {
+        for (int vm = 0; vm < mVms.size(); vm++) {
+            if (vm != sender && !isLost(vm)) {
+                mVms.get(vm).mSelector.onPeerEvidence(report, mEvents.nowMillis());
+            }
+        }
+    }
+
+    private record Request(int vm, long startMicros, long slotMicros, double luck) {}
+}
--- /dev/null
+++ b/lab/src/main/java/org/dahliapass/lab/policy/PolicyMain.java
@@ -0,0 +1,119 @@
+package org.dahliapass.lab.policy;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import java.io.File;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import org.dahliapass.kernel.ExitCode;
+import org.dahliapass.kernel.Program;
+import org.dahliapass.kernel.StepException;
+
+/** Prints how the decisions do against plainer ones, over a table of faults. */
+public final class PolicyMain extends Program {
+    private final PrintStream mOutput;
+
+    private PolicyMain(PrintStream output) {
+        super("measure policy", "Measures detection and false ejections on a virtual clock.");
+        mOutput = output;
+    }
+
+    /** Runs the program. */
+    public static void main(String[] arguments) {
+        ExitCode code = new PolicyMain(System.out).main(arguments, System.out, System.err);
+        System.exit(code.code());
+    }
+
+    @Override
+    protected void declare(OptionParser parser) {
+        parser.accepts("seed", "The seed of all runs.")
+                .withRequiredArg()
+                .ofType(Long.class)
+                .defaultsTo(1L);
+        parser.accepts("runs", "Runs for each row, with different seeds.")
+                .withRequiredArg()
+                .ofType(Integer.class)
+                .defaultsTo(5);
+        parser.accepts("json", "Also write the figures to this file.").withRequiredArg();
+        parser.accepts("fault", "Only faults whose title holds this text.").withRequiredArg();
+        parser.accepts("load", "Only this load, in percent.")
+                .withRequiredArg()
+                .ofType(Integer.class);
+        parser.accepts("curve-only", "Only the curve over the tolerance.");
+        parser.accepts("no-curve", "Without the curve over the tolerance.");
+    }
+
+    @Override
+    protected ExitCode run(OptionSet options) {
+        PolicyTable table =
+                new PolicyTable((Long) options.valueOf("seed"), (Integer) options.valueOf("runs"));
+        List<Row> rows = options.has("curve-only") ? List.of() : printTable(table, options);
+        List<CurvePoint> curve = options.has("no-curve") ? List.of() : printCurve(table);
+        if (options.has("json")) {
+            write(new Figures(rows, curve), (String) options.valueOf("json"));
+        }
+        return ExitCode.OK;
+    }
+
+    private List<Row> printTable(PolicyTable table, OptionSet options) {
+        List<Row> rows = new ArrayList<>();
+        mOutput.println(Row.HEADER);
+        for (Deployment deployment : List.of(Deployment.HIMAL_DESK, Deployment.VATULELE_RANKINGS)) {
+            for (double load : PolicyTable.LOADS) {
+                for (Fault fault : Fault.values()) {
+                    if (isChosen(options, load, fault)) {
+                        List<Row> added = table.rows(deployment, load, fault);
+                        added.forEach(mOutput::println);
+                        rows.addAll(added);
+                    }
+                }
+            }
+        }
+        Comparison.lines(rows).forEach(mOutput::println);
+        return rows;
+    }
+
+    private static boolean isChosen(OptionSet options, double load, Fault fault) {
+        if (options.has("load")
+                && (Integer) options.valueOf("load") != (int) Math.round(load * 100)) {
+            return false;
+        }
+        return !options.has("fault") || fault.title().contains((String) options.valueOf("fault"));
+    }
+
+    private List<CurvePoint> printCurve(PolicyTable table) {
+        List<CurvePoint> curve = new ArrayList<>();
+        mOutput.println(CurvePoint.HEADER);
+        for (Deployment deployment : List.of(Deployment.HIMAL_DESK, Deployment.VATULELE_RANKINGS)) {
+            for (double tolerance : PolicyTable.TOLERANCES) {
+                CurvePoint point = CurvePoint.measure(table, deployment, tolerance);
+                mOutput.println(point);
+                curve.add(point);
+            }
+        }
+        return curve;
+    }
+
+    private static void write(Figures figures, String file) {
+        ObjectMapper mapper = new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT);
+        try {
+            mapper.writeValue(new File(file), figures);
+        } catch (IOException failure) {
+            throw new StepException(
+                    "write the figures", file, String.format(Locale.ROOT, "%s", failure));
+        }
+    }
+
+    /**
+     * The machine-readable copy.
+     *
+     * @param rows the table
+     * @param curve the curve over the tolerance
+     */
+    record Figures(List<Row> rows, List<CurvePoint> curve) {}
+}
--- /dev/null
+++ b/lab/src/main/java/org/dahliapass/lab/policy/Row.java
@@ -0,0 +1,136 @@
+package org.dahliapass.lab.policy;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * One row of the table: several runs that differ only in their seed, summed.
+ *
+ * @param deployment the deployment's name
+ * @param loadPercent the load, in percent of the capacity
+ * @param fault the fault's title
+ * @param contender who decided
+ * @param detectionMedianMillis the median detection time; -1 if fewer than half were found
+ * @param detectionHighMillis the 99th percentile of it; -1 if fewer than 99% were found
+ * @param missedPercent how many pairs of VM and sick target were never found
+ * @param healthyEjectedSeconds healthy target-seconds out, mean of the VMs, sum of the runs
+ * @param lowestHealthy the fewest healthy targets that a VM used
+ * @param floor the floor's number of targets
+ * @param crossed whether fewer than the floor's healthy targets were used though there were enough
+ * @param failedPercent requests that failed
+ * @param latePercent requests that were answered late
+ * @param refusedPercent requests that were refused
+ * @param probesPercent probes for each hundred requests
+ */
+record Row(
+        String deployment,
+        int loadPercent,
+        String fault,
+        String contender,
+        double detectionMedianMillis,
+        double detectionHighMillis,
+        double missedPercent,
+        double healthyEjectedSeconds,
+        int lowestHealthy,
+        int floor,
+        boolean crossed,
+        double failedPercent,
+        double latePercent,
+        double refusedPercent,
+        double probesPercent) {
+    static final String HEADER =
+            String.format(
+                    Locale.ROOT,
+                    "%-9s %4s %-42s %-6s %8s %8s %7s %9s %7s %7s %7s %7s %7s",
+                    "user",
+                    "load",
+                    "fault",
+                    "who",
+                    "p50 ms",
+                    "p99 ms",
+                    "missed",
+                    "wrong s",
+                    "lowest",
+                    "failed",
+                    "late",
+                    "refused",
+                    "probes");
+
+    /** Sums up the runs of one cell of the table. */
+    static Row of(
+            Deployment deployment,
+            Fault fault,
+            Contender contender,
+            double load,
+            List<Measurement> runs) {
+        List<Long> found = new ArrayList<>();
+        runs.forEach(run -> found.addAll(run.detectionMillis()));
+        Collections.sort(found);
+        int pairs = runs.stream().mapToInt(Measurement::sickPairs).sum();
+        double requests = runs.stream().mapToInt(Measurement::requests).sum();
+        int lowest = runs.stream().mapToInt(Measurement::lowestHealthy).min().orElse(0);
+        int floor = deployment.floorTargets();
+        return new Row(
+                deployment.name(),
+                (int) Math.round(load * 100),
+                fault.title(),
+                contender.title(),
+                percentile(found, pairs, 0.5),
+                percentile(found, pairs, 0.99),
+                pairs == 0 ? 0 : 100.0 * (pairs - found.size()) / pairs,
+                runs.stream().mapToDouble(Measurement::healthyEjectedSeconds).sum(),
+                lowest,
+                floor,
+                lowest < Math.min(floor, fewestHealthy(deployment, fault)),
+                100 * runs.stream().mapToInt(Measurement::failed).sum() / requests,
+                100 * runs.stream().mapToInt(Measurement::late).sum() / requests,
+                100 * runs.stream().mapToInt(Measurement::refused).sum() / requests,
+                100 * runs.stream().mapToInt(Measurement::probes).sum() / requests);
+    }
+
+    private static int fewestHealthy(Deployment deployment, Fault fault) {
+        int fewest = deployment.targets();
+        for (int vm = 0; vm < deployment.vms(); vm++) {
+            int healthy = 0;
+            for (int target = 0; target < deployment.targets(); target++) {
+                healthy += fault.isSick(deployment, vm, target) ? 0 : 1;
+            }
+            fewest = fault.isVmLost(vm) ? fewest : Math.min(fewest, healthy);
+        }
+        return fewest;
+    }
+
+    private static double percentile(List<Long> sorted, int pairs, double share) {
+        int index = (int) Math.ceil(share * pairs) - 1;
+        return index < 0 || index >= sorted.size() ? -1 : sorted.get(index);
+    }
+
+    @Override
+    public String toString() {
+        return String.format(
+                Locale.ROOT,
+                "%-9s %3d%% %-42s %-6s %8s %8s %6.1f%% %9.1f %3d/%-2d%s %6.2f%% %6.2f%% %6.2f%%"
+                        + " %6.1f%%",
+                deployment,
+                loadPercent,
+                fault,
+                contender,
+                millis(detectionMedianMillis),
+                millis(detectionHighMillis),
+                missedPercent,
+                healthyEjectedSeconds,
+                lowestHealthy,
+                floor,
+                crossed ? "!" : " ",
+                failedPercent,
+                latePercent,
+                refusedPercent,
+                probesPercent);
+    }
+
+    private static String millis(double value) {
+        return value < 0 ? "-" : String.format(Locale.ROOT, "%.0f", value);
+    }
+}
