--- a/decisions/src/main/java/org/dahliapass/decisions/health/CountRing.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/health/CountRing.java
@@ -15,7 +15,7 @@
         Arrays.fill(mNumbers, Long.MIN_VALUE);
     }
 
-    /** Returns the bucket of the present moment, to be added to. */
+    /** Returns the bucket of a moment, the present or shortly before, to be added to. */
     Counts bucket(long nowMillis) {
         long number = Math.floorDiv(nowMillis, mSpanMillis);
         int slot = (int) Math.floorMod(number, (long) mBuckets.length);
@@ -32,12 +32,12 @@
     /** Adds to {@code sum} the buckets that are {@code fromAge} up to {@code toAge} spans old. */
     void addTo(Counts sum, int fromAge, int toAge, long nowMillis) {
         long newest = Math.floorDiv(nowMillis, mSpanMillis);
+        int slot = (int) Math.floorMod(newest - fromAge, (long) mBuckets.length);
         for (int age = fromAge; age < toAge; age++) {
-            long number = newest - age;
-            int slot = (int) Math.floorMod(number, (long) mBuckets.length);
-            if (mNumbers[slot] == number) {
+            if (mNumbers[slot] == newest - age) {
                 sum.add(mBuckets[slot]);
             }
+            slot = slot == 0 ? mBuckets.length - 1 : slot - 1;
         }
     }
 }
--- a/decisions/src/main/java/org/dahliapass/decisions/health/Detector.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/health/Detector.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.dahliapass.model.DetectionPolicy;
@@ -23,13 +24,13 @@
     private static final double HOUR_MILLIS = 3_600_000;
     private static final double MINUTE_MILLIS = 60_000;
 
-    /** Slowness in shorter windows may be one burst. */
-    private static final int SHORTEST_SLOW_WINDOW = 2;
-
     /** A straggler must measure at least this part of the slow factor. */
     private static final double SLOW_FACTOR_SHARE = 0.8;
 
-    private static final int LEAST_WORK_FOR_RATIO = 10;
+    /** The least good work, and standard deviations from the peers, for a latency ratio. */
+    private static final int LEAST_WORK_FOR_RATIO = 3;
+
+    private static final double DEVIATIONS_FOR_RATIO = 4;
 
     private final DetectionPolicy mPolicy;
     private final Map<String, PlaceScores> mZones = new HashMap<>();
@@ -48,47 +49,65 @@
             EvidenceTable table,
             Collection<String> zones,
             boolean othersReport,
+            List<Endpoint> targets,
             Set<Endpoint> baselineTargets,
             long nowMillis) {
         mPolicy = policy;
         mOthersReport = othersReport;
-        mOwn = PlaceScores.of(table, EvidenceTable.OWN, baselineTargets, policy, nowMillis);
+        mOwn = PlaceScores.ofThisVm(table, targets, baselineTargets, policy, nowMillis);
         for (String zone : zones) {
-            mZones.put(zone, PlaceScores.of(table, zone, baselineTargets, policy, nowMillis));
+            mZones.put(
+                    zone,
+                    PlaceScores.ofZone(table, zone, targets, baselineTargets, policy, nowMillis));
         }
     }
 
     /** Returns what the evidence says of a target. */
     Verdict verdict(Endpoint target) {
         Counts work = work(target, WorkHistory.LONGEST);
-        TargetScore own = mOwn.score(target);
         double bound = bound(work.total(), HOUR_MILLIS);
-        double ownScore = own.highestFailure();
-        // While nobody else reports, own evidence is the cell's: it ejects, at the stricter bound.
-        boolean failsHere =
-                mOthersReport
-                        && ownScore >= bound(own.work(WorkHistory.LONGEST).total(), MINUTE_MILLIS);
-        double highest = 0;
-        boolean failing = false;
-        for (int window = 0; window < WorkHistory.WINDOWS; window++) {
-            Sum failure = failure(target, window);
-            highest = Math.max(highest, failure.mTotal);
-            failing |= decides(failure, bound);
-        }
+        Sum worst = worstFailure(target, bound);
+        double ownScore = mOwn.score(target).highestFailure();
         return new Verdict(
-                failing,
+                decides(worst, bound),
                 isSlow(target, bound),
-                failsHere,
-                highest,
+                failsHere(target, ownScore),
+                worst.mTotal,
                 ownScore,
                 bound,
-                latencyRatio(target, WorkHistory.EIGHT_SECONDS),
+                work(target, WorkHistory.EIGHT_SECONDS).failureShare(),
+                presentLatencyRatio(target),
                 work);
     }
 
+    private boolean failsHere(Endpoint target, double ownScore) {
+        // While nobody else reports, own evidence is the cell's: it ejects, at the stricter bound.
+        int ownWork = mOwn.score(target).window(WorkHistory.LONGEST).work().total();
+        return mOthersReport && ownScore >= bound(ownWork, MINUTE_MILLIS);
+    }
+
     private double bound(int piecesOfWork, double spanMillis) {
-        double spans = spanMillis / WorkHistory.windowMillis(WorkHistory.LONGEST);
-        return LikelihoodTest.bound(mPolicy.falseEjectionTolerance(), piecesOfWork * spans);
+        double spans = spanMillis / WorkHistory.longestMillis();
+        double single =
+                LikelihoodTest.bound(mPolicy.falseEjectionTolerance(), piecesOfWork * spans);
+        // Each sickness is a test of its own, and each may err.
+        return single + Math.log(Sickness.values().length);
+    }
+
+    /** Returns the highest sum that decides; if none does, the highest. */
+    private Sum worstFailure(Endpoint target, double bound) {
+        Sum worst = new Sum();
+        for (int window = 0; window < WorkHistory.WINDOWS; window++) {
+            for (Sickness sickness : Sickness.values()) {
+                Sum sum = failure(target, window, sickness);
+                boolean decides = decides(sum, bound);
+                boolean worstDecides = decides(worst, bound);
+                if (decides == worstDecides ? sum.mTotal > worst.mTotal : decides) {
+                    worst = sum;
+                }
+            }
+        }
+        return worst;
     }
 
     private boolean decides(Sum sum, double bound) {
@@ -101,7 +120,7 @@
     }
 
     private boolean isSlow(Endpoint target, double bound) {
-        for (int window = SHORTEST_SLOW_WINDOW; window < WorkHistory.WINDOWS; window++) {
+        for (int window = WorkHistory.TWO_SECONDS; window < WorkHistory.WINDOWS; window++) {
             if (latencyRatio(target, window) >= SLOW_FACTOR_SHARE * mPolicy.slowFactor()
                     && decides(slowness(target, window), bound)) {
                 return true;
@@ -110,34 +129,48 @@
         return false;
     }
 
+    /** Returns the ratio in the shortest window that has enough work to tell. */
+    private double presentLatencyRatio(Endpoint target) {
+        for (int window = WorkHistory.ONE_SECOND; window < WorkHistory.EIGHT_SECONDS; window++) {
+            if (work(target, window).mSuccesses >= LEAST_WORK_FOR_RATIO) {
+                return latencyRatio(target, window);
+            }
+        }
+        return latencyRatio(target, WorkHistory.EIGHT_SECONDS);
+    }
+
     private double latencyRatio(Endpoint target, int window) {
         double excessLog = 0;
+        double variance = 0;
         int successes = 0;
         for (PlaceScores zone : mZones.values()) {
-            TargetScore score = zone.score(target);
-            excessLog += score.excessLog(window);
-            successes += score.work(window).mSuccesses;
+            TargetScore.WindowScore score = zone.score(target).window(window);
+            excessLog += score.excessLog();
+            variance += score.excessVariance();
+            successes += score.work().mSuccesses;
         }
-        return successes < LEAST_WORK_FOR_RATIO ? 1 : Math.exp(excessLog / successes);
+        boolean clear =
+                successes >= LEAST_WORK_FOR_RATIO
+                        && excessLog >= DEVIATIONS_FOR_RATIO * Math.sqrt(variance);
+        return clear ? Math.exp(excessLog / successes) : 1;
     }
 
     private Counts work(Endpoint target, int window) {
         Counts work = new Counts();
-        for (PlaceScores zone : mZones.values()) {
-            work.add(zone.score(target).work(window));
-        }
+        mZones.values().forEach(zone -> work.add(zone.score(target).window(window).work()));
         return work;
     }
 
-    private Sum failure(Endpoint target, int window) {
+    private Sum failure(Endpoint target, int window, Sickness sickness) {
         Sum sum = new Sum();
-        mZones.values().forEach(zone -> sum.add(zone.score(target).failure(window)));
+        mZones.values()
+                .forEach(zone -> sum.add(zone.score(target).window(window).failure(sickness)));
         return sum;
     }
 
     private Sum slowness(Endpoint target, int window) {
         Sum sum = new Sum();
-        mZones.values().forEach(zone -> sum.add(zone.score(target).slowness(window)));
+        mZones.values().forEach(zone -> sum.add(zone.score(target).window(window).slowness()));
         return sum;
     }
 
--- a/decisions/src/main/java/org/dahliapass/decisions/health/EvidenceTable.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/health/EvidenceTable.java
@@ -1,6 +1,8 @@
 package org.dahliapass.decisions.health;
 
+import java.util.Arrays;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -59,16 +61,47 @@
         return kinds;
     }
 
-    /** Returns the windows of a kind at a place, for each target that has any. */
-    Map<Endpoint, Counts[]> windows(String place, String kind, long nowMillis) {
-        Map<Endpoint, Counts[]> windows = new TreeMap<>();
-        mHistories.forEach(
-                (target, places) -> {
-                    WorkHistory history = places.getOrDefault(place, Map.of()).get(kind);
-                    if (history != null) {
-                        windows.put(target, history.windows(nowMillis));
-                    }
-                });
+    /** Returns the windows of a kind at a place for each target, null where nothing was seen. */
+    Counts[][] windows(String place, String kind, List<Endpoint> targets, long nowMillis) {
+        Counts[][] windows = new Counts[targets.size()][];
+        for (int index = 0; index < windows.length; index++) {
+            WorkHistory history =
+                    mHistories
+                            .getOrDefault(targets.get(index), Map.of())
+                            .getOrDefault(place, Map.of())
+                            .get(kind);
+            windows[index] = history == null ? null : history.windows(nowMillis);
+        }
+        return windows;
+    }
+
+    /** Returns the windows of a kind over all VMs but this one, for each target. */
+    Counts[][] windowsOfOthers(String kind, List<Endpoint> targets, long nowMillis) {
+        Counts[][] windows = new Counts[targets.size()][WorkHistory.WINDOWS];
+        for (int index = 0; index < windows.length; index++) {
+            Counts[] sums = windows[index];
+            Arrays.setAll(sums, window -> new Counts());
+            mHistories
+                    .getOrDefault(targets.get(index), Map.of())
+                    .forEach(
+                            (place, kinds) -> {
+                                WorkHistory history = kinds.get(kind);
+                                if (history != null) {
+                                    addAll(sums, history.windows(nowMillis), place.equals(OWN));
+                                }
+                            });
+        }
         return windows;
     }
+
+    /** Adds a zone's windows; this VM's own are part of its zone's, and are taken off. */
+    private static void addAll(Counts[] sums, Counts[] windows, boolean own) {
+        for (int window = 0; window < sums.length; window++) {
+            if (own) {
+                sums[window].subtract(windows[window]);
+            } else {
+                sums[window].add(windows[window]);
+            }
+        }
+    }
 }
--- a/decisions/src/main/java/org/dahliapass/decisions/health/Lifecycle.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/health/Lifecycle.java
@@ -65,7 +65,7 @@
     }
 
     Set<Endpoint> targets() {
-        return Set.copyOf(mRecords.keySet());
+        return mRecords.keySet();
     }
 
     /** Returns the target's record, or null if the template doesn't list it. */
@@ -160,10 +160,10 @@
     private void takeOut(Map<Endpoint, Verdict> verdicts, long nowMillis) {
         List<TargetRecord> suspects = new ArrayList<>();
         for (TargetRecord record : mRecords.values()) {
-            if (isAgainst(record, verdicts.get(record.target().endpoint()))) {
+            if (isAgainst(record, verdicts.get(record.target().endpoint()), nowMillis)) {
                 suspects.add(record);
             } else {
-                record.setHeld(false);
+                record.endHold();
             }
         }
         // The worst go first, so that a floor that stops the rest keeps the least bad ones.
@@ -177,9 +177,10 @@
         }
     }
 
-    private static boolean isAgainst(TargetRecord record, Verdict verdict) {
+    private static boolean isAgainst(TargetRecord record, Verdict verdict, long nowMillis) {
+        boolean straggler = record.isStraggler(verdict.slow(), nowMillis);
         return switch (record.state()) {
-            case ACTIVE -> verdict.failing() || verdict.slow() || verdict.failsHere();
+            case ACTIVE -> verdict.failing() || straggler || verdict.failsHere();
             // A target that is new or was out may be slow at first: that is no failure.
             case RETURNING -> verdict.failing() || verdict.failsHere();
             case AVOIDED_HERE -> verdict.failing();
@@ -197,7 +198,7 @@
             return;
         }
         DetectionPolicy policy = mTemplate.detection();
-        if (verdict.failing() || verdict.slow()) {
+        if (verdict.failing() || !verdict.failsHere()) {
             record.remove(TargetState.EJECTED, policy.returnAfter().toMillis(), nowMillis);
             explain(
                     nowMillis,
@@ -231,7 +232,7 @@
                     verdict.evidence(),
                     "floorTargets=" + mTemplate.floorTargets());
         }
-        record.setHeld(true);
+        record.hold(verdict.failureShare());
     }
 
     private int knownHealthyWithout(
--- a/decisions/src/main/java/org/dahliapass/decisions/health/TargetHealth.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/health/TargetHealth.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import org.dahliapass.model.Endpoint;
@@ -23,6 +24,12 @@
     /** A VM that was silent for longer doesn't count as reporting. */
     private static final long REPORTING_MILLIS = 10_000;
 
+    /** Between ticks, evidence is neither weighed nor told more often than this. */
+    private static final long SHORTEST_PAUSE_MILLIS = 10;
+
+    /** The mean age of good work when a regular report tells of it. */
+    private static final long REPORT_AGE_MILLIS = 150;
+
     private final VmIdentity mObserver;
     private final String mZone;
     private final OwnWork mOwnWork = new OwnWork();
@@ -31,7 +38,11 @@
     private final Map<VmIdentity, Long> mSequences = new HashMap<>();
     private final Map<String, Long> mZoneHeardMillis = new TreeMap<>();
     private ServiceTemplate mTemplate;
+    private final FailureScreen mScreen = new FailureScreen();
     private long mSequence;
+    private boolean mUrgent;
+    private long mWeighedMillis = Long.MIN_VALUE / 2;
+    private long mUrgentReportMillis = Long.MIN_VALUE / 2;
     private volatile ServiceView mView;
 
     /**
@@ -95,6 +106,7 @@
             return;
         }
         addOwn(record, OwnWork.evidence(target, kind, outcome, latencyMillis), nowMillis);
+        weighIfUrgent(nowMillis);
     }
 
     /** Takes in what another VM of the cell saw. */
@@ -109,7 +121,8 @@
         for (TargetEvidence evidence : report.evidence()) {
             TargetRecord record = mLifecycle.record(evidence.target());
             if (record != null) {
-                add(record, report.availabilityZone(), evidence, nowMillis);
+                addOfPeer(record, report.availabilityZone(), evidence, nowMillis);
+                weighIfUrgent(nowMillis);
             }
         }
     }
@@ -167,12 +180,50 @@
 
     /** Returns what this VM saw since the last call, for the other VMs of the cell. */
     public EvidenceReport takeReport(long nowMillis) {
+        return report(mOwnWork.take());
+    }
+
+    /**
+     * Returns what this VM saw of the targets that failed something, if it should be told at once.
+     *
+     * <p>Called after each failure. It is the cell's speed: without it, failures wait for the next
+     * regular report. At most one in 10 milliseconds is made.
+     */
+    public Optional<EvidenceReport> takeUrgentReport(long nowMillis) {
+        if (nowMillis - mUrgentReportMillis < SHORTEST_PAUSE_MILLIS) {
+            return Optional.empty();
+        }
+        List<TargetEvidence> failing = mOwnWork.takeFailing();
+        if (failing.isEmpty()) {
+            return Optional.empty();
+        }
+        mUrgentReportMillis = nowMillis;
+        return Optional.of(report(failing));
+    }
+
+    private EvidenceReport report(List<TargetEvidence> evidence) {
         mSequence++;
-        return new EvidenceReport(mObserver, mZone, mSequence, mTemplate.id(), mOwnWork.take());
+        return new EvidenceReport(mObserver, mZone, mSequence, mTemplate.id(), evidence);
     }
 
-    /** Weighs the evidence and decides; called every 100 to 250 milliseconds. */
+    /**
+     * Weighs the evidence and decides; called every 250 milliseconds.
+     *
+     * <p>Between ticks the evidence is weighed when a target seems to begin to fail.
+     */
     public void onTick(long nowMillis) {
+        weigh(nowMillis);
+    }
+
+    private void weighIfUrgent(long nowMillis) {
+        if (mUrgent && nowMillis - mWeighedMillis >= SHORTEST_PAUSE_MILLIS) {
+            weigh(nowMillis);
+        }
+    }
+
+    private void weigh(long nowMillis) {
+        mUrgent = false;
+        mWeighedMillis = nowMillis;
         // First, as it drops old evidence: weighed once more, that would eject what just returned.
         mLifecycle.bringBack(nowMillis);
         Detector detector =
@@ -181,30 +232,47 @@
                         mTable,
                         new TreeSet<>(mZoneHeardMillis.keySet()),
                         othersReport(nowMillis),
+                        List.copyOf(mLifecycle.targets()),
                         mLifecycle.activeTargets(),
                         nowMillis);
         Map<Endpoint, Verdict> verdicts = new TreeMap<>();
         mLifecycle.targets().forEach(target -> verdicts.put(target, detector.verdict(target)));
         mLifecycle.decide(verdicts, nowMillis);
+        mScreen.setNormal(recentWork(verdicts));
         publish(nowMillis);
     }
 
+    private static Counts recentWork(Map<Endpoint, Verdict> verdicts) {
+        Counts recent = new Counts();
+        verdicts.values().forEach(verdict -> recent.add(verdict.work()));
+        return recent;
+    }
+
     private void addOwn(TargetRecord record, TargetEvidence evidence, long nowMillis) {
         if (record.state() == TargetState.COLD) {
             return;
         }
         mOwnWork.add(evidence);
         mTable.add(EvidenceTable.OWN, evidence, nowMillis);
-        add(record, mZone, evidence, nowMillis);
+        mTable.add(mZone, evidence, nowMillis);
+        note(record, evidence, true, nowMillis);
     }
 
-    private void add(TargetRecord record, String zone, TargetEvidence evidence, long nowMillis) {
+    private void addOfPeer(
+            TargetRecord record, String zone, TargetEvidence evidence, long nowMillis) {
         if (record.state() == TargetState.COLD) {
             return;
         }
-        mTable.add(zone, evidence, nowMillis);
+        // Failures are told at once, good work later: taken for as new, it would outweigh them.
+        long seenMillis = evidence.failures() > 0 ? nowMillis : nowMillis - REPORT_AGE_MILLIS;
+        mTable.add(zone, evidence, seenMillis);
+        note(record, evidence, false, nowMillis);
+    }
+
+    private void note(TargetRecord record, TargetEvidence evidence, boolean own, long nowMillis) {
         if (!evidence.kind().equals(EvidenceTable.PROBE_KIND)) {
             record.noteSuccesses(evidence.successes(), nowMillis);
+            mUrgent |= mScreen.add(evidence, own) && record.state().getsWork();
         }
     }
 
--- a/decisions/src/main/java/org/dahliapass/decisions/health/TargetRecord.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/health/TargetRecord.java
@@ -9,8 +9,11 @@
     /** The weight with which a target begins again. */
     private static final double FIRST_WEIGHT = 0.1;
 
-    /** The share that a failing target keeps while the floor holds it in service. */
-    private static final double HELD_WEIGHT = 0.25;
+    /** The least share that a failing target keeps while the floor holds it in service. */
+    private static final double LEAST_HELD_WEIGHT = 0.05;
+
+    /** A target must be slow for so long before it counts as a straggler; pauses are shorter. */
+    private static final long SLOW_MILLIS = 4_000;
 
     /** Good work that a returned target must have done before it carries guarded work. */
     private static final int PROVING_SUCCESSES = 10;
@@ -37,6 +40,8 @@
     private long mLastFailedProbeMillis = NEVER;
     private int mSuccessesSinceReturn;
     private boolean mHeld;
+    private double mHeldWeight = 1;
+    private long mSlowSinceMillis = NEVER;
     private double mSpeedWeight = 1;
     private double mReportedLoad;
 
@@ -58,8 +63,27 @@
         return mHeld;
     }
 
-    void setHeld(boolean held) {
-        mHeld = held;
+    /** Keeps it in service though it fails a share of its work: it gets less of it. */
+    void hold(double failureShare) {
+        mHeld = true;
+        mHeldWeight = Math.max(LEAST_HELD_WEIGHT, 1 - failureShare);
+    }
+
+    void endHold() {
+        mHeld = false;
+        mHeldWeight = 1;
+    }
+
+    /** Notes whether it is slow now; returns whether it has been for long enough to count. */
+    boolean isStraggler(boolean slow, long nowMillis) {
+        if (!slow) {
+            mSlowSinceMillis = NEVER;
+            return false;
+        }
+        if (mSlowSinceMillis == NEVER) {
+            mSlowSinceMillis = nowMillis;
+        }
+        return nowMillis - mSlowSinceMillis >= SLOW_MILLIS;
     }
 
     double speedWeight() {
@@ -179,7 +203,7 @@
         if (mState == TargetState.COLD) {
             return FIRST_WEIGHT;
         }
-        double weight = mSpeedWeight * (mHeld ? HELD_WEIGHT : 1);
+        double weight = mSpeedWeight * mHeldWeight;
         return mState == TargetState.ACTIVE ? weight : weight * ramp(policy, nowMillis);
     }
 
@@ -191,7 +215,8 @@
     private void enter(TargetState state, long nowMillis) {
         mState = state;
         mSinceMillis = nowMillis;
-        mHeld = false;
+        endHold();
+        mSlowSinceMillis = NEVER;
         mSpeedWeight = 1;
     }
 }
--- a/decisions/src/main/java/org/dahliapass/decisions/health/TargetScore.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/health/TargetScore.java
@@ -1,5 +1,7 @@
 package org.dahliapass.decisions.health;
 
+import java.util.EnumMap;
+import java.util.Map;
 import org.dahliapass.model.DetectionPolicy;
 
 /** The scores of one target at one place over each window, summed over the request kinds. */
@@ -7,65 +9,89 @@
     /** The scores of a target of which a place saw nothing. */
     static final TargetScore NOTHING_SEEN = new TargetScore();
 
-    private final double[] mFailure = new double[WorkHistory.WINDOWS];
-    private final double[] mProbe = new double[WorkHistory.WINDOWS];
-    private final double[] mSlowness = new double[WorkHistory.WINDOWS];
-    private final double[] mExcessLog = new double[WorkHistory.WINDOWS];
-    private final Counts[] mWork = new Counts[WorkHistory.WINDOWS];
+    private final WindowScore[] mWindows = new WindowScore[WorkHistory.WINDOWS];
 
     TargetScore() {
         for (int window = 0; window < WorkHistory.WINDOWS; window++) {
-            mWork[window] = new Counts();
+            mWindows[window] = new WindowScore();
         }
     }
 
-    void add(
-            int window,
-            Counts own,
-            Counts failurePeers,
-            Counts latencyPeers,
-            DetectionPolicy policy,
-            boolean probes) {
-        double nullRate = LikelihoodTest.nullRate(failurePeers);
-        double failure = LikelihoodTest.failureScore(own, nullRate, policy.failureShare());
-        if (probes) {
-            // A gray target answers probes and fails work: a good probe never clears anybody.
-            mProbe[window] = Math.max(0, failure);
-            return;
-        }
-        mFailure[window] += failure;
-        mWork[window].add(own);
-        if (latencyPeers.mSuccesses > 0) {
-            mSlowness[window] +=
-                    LikelihoodTest.slownessScore(own, latencyPeers, policy.slowFactor());
-            mExcessLog[window] += own.mLogSum - own.mSuccesses * latencyPeers.meanLog();
-        }
+    /** Returns the scores over one window. */
+    WindowScore window(int window) {
+        return mWindows[window];
     }
 
-    /** Returns the score for failing; failed probes count only where no real work went well. */
-    double failure(int window) {
-        return mWork[window].mSuccesses > 0 ? mFailure[window] : mFailure[window] + mProbe[window];
+    double highestFailure() {
+        double highest = 0;
+        for (WindowScore window : mWindows) {
+            for (Sickness sickness : Sickness.values()) {
+                highest = Math.max(highest, window.failure(sickness));
+            }
+        }
+        return highest;
     }
 
-    double slowness(int window) {
-        return mSlowness[window];
-    }
+    /** The scores over one window. */
+    static final class WindowScore {
+        private final Map<Sickness, Double> mFailure = new EnumMap<>(Sickness.class);
+        private final Map<Sickness, Double> mProbe = new EnumMap<>(Sickness.class);
+        private final Counts mWork = new Counts();
+        private double mSlowness;
+        private double mExcessLog;
+        private double mExcessVariance;
 
-    /** Returns the sum over the good work of the logarithm of latency over the peers' mean. */
-    double excessLog(int window) {
-        return mExcessLog[window];
-    }
+        void addProbes(Counts own, Counts peers, DetectionPolicy policy) {
+            double nullRate = LikelihoodTest.nullRate(peers);
+            for (Sickness sickness : Sickness.values()) {
+                double share = sickness.failureShare(policy);
+                // A gray target answers probes and fails work: a good probe never clears anybody.
+                double score = LikelihoodTest.failureScore(own, nullRate, share);
+                mProbe.put(sickness, Math.max(0, score));
+            }
+        }
 
-    /** Returns the real work in the window. */
-    Counts work(int window) {
-        return mWork[window];
-    }
+        void addFailures(Counts own, double nullRate, DetectionPolicy policy) {
+            mWork.add(own);
+            for (Sickness sickness : Sickness.values()) {
+                double share = sickness.failureShare(policy);
+                double score = LikelihoodTest.failureScore(own, nullRate, share);
+                mFailure.merge(sickness, score, Double::sum);
+            }
+        }
 
-    double highestFailure() {
-        double highest = 0;
-        for (int window = 0; window < WorkHistory.WINDOWS; window++) {
-            highest = Math.max(highest, failure(window));
+        void addLatency(Counts own, Counts peers, DetectionPolicy policy) {
+            if (peers.mSuccesses == 0) {
+                return;
+            }
+            mSlowness += LikelihoodTest.slownessScore(own, peers, policy.slowFactor());
+            mExcessLog += own.mLogSum - own.mSuccesses * peers.meanLog();
+            mExcessVariance += own.mSuccesses * LikelihoodTest.variance(peers);
+        }
+
+        /** Returns the score for failing; failed probes count only where no work went well. */
+        double failure(Sickness sickness) {
+            double failure = mFailure.getOrDefault(sickness, 0.0);
+            return mWork.mSuccesses > 0 ? failure : failure + mProbe.getOrDefault(sickness, 0.0);
+        }
+
+        double slowness() {
+            return mSlowness;
+        }
+
+        /** Returns the sum over good work of the logarithm of latency over the peers' mean. */
+        double excessLog() {
+            return mExcessLog;
+        }
+
+        /** Returns the variance that this sum has if the target is like its peers. */
+        double excessVariance() {
+            return mExcessVariance;
+        }
+
+        /** Returns the real work. */
+        Counts work() {
+            return mWork;
         }
-        return highest;
     }
 }
--- a/decisions/src/main/java/org/dahliapass/decisions/health/Verdict.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/health/Verdict.java
@@ -11,7 +11,8 @@
  * @param score the highest failure score of the cell's evidence
  * @param ownScore the highest failure score of this VM's evidence
  * @param bound the score from which a target counts as sick
- * @param latencyRatio its latency over its peers', 1 if too little is known
+ * @param failureShare the share of its work that failed of late
+ * @param latencyRatio its present latency over its peers', 1 if no difference is clear
  * @param work the work of the longest window, all of the cell's
  */
 record Verdict(
@@ -21,6 +22,7 @@
         double score,
         double ownScore,
         double bound,
+        double failureShare,
         double latencyRatio,
         Counts work) {
 
--- a/decisions/src/test/java/org/dahliapass/decisions/health/CellFixture.java
+++ b/decisions/src/test/java/org/dahliapass/decisions/health/CellFixture.java
@@ -111,6 +111,15 @@
         tick();
     }
 
+    /** Works well, but the first target takes this long. */
+    void slowRounds(int count, long latencyMillis) {
+        for (int round = 0; round < count; round++) {
+            round(
+                    (vm, target) -> Outcome.SUCCESS,
+                    (vm, target) -> target == 0 ? latencyMillis : 50L);
+        }
+    }
+
     void rounds(int count, BiFunction<Integer, Integer, Outcome> outcomes) {
         for (int round = 0; round < count; round++) {
             round(outcomes);
--- a/lab/src/main/java/org/dahliapass/lab/policy/Experiment.java
+++ b/lab/src/main/java/org/dahliapass/lab/policy/Experiment.java
@@ -62,7 +62,7 @@
             mEvents.after((number + 1) * TICK_MILLIS * MICROS / mVms.size(), () -> tick(number));
             for (int target = 0; target < mTargets.size(); target++) {
                 int probed = target;
-                mEvents.after(mChoices.nextInt((int) probeMicros(vm)), () -> probe(number, probed));
+                mEvents.after(mChoices.nextLong(probeMicros(vm)), () -> probe(number, probed));
             }
         }
         mEvents.runUntil((mFaultMillis + FAULT_MILLIS) * MICROS);
@@ -156,6 +156,13 @@
         }
         long latencyMillis = (mEvents.nowMicros() - request.startMicros()) / MICROS;
         vm.mSelector.onOutcome(target, outcome, latencyMillis, mEvents.nowMillis());
+        if (outcome.isFailure()) {
+            vm.mSelector
+                    .takeUrgentReport(mEvents.nowMillis())
+                    .ifPresent(
+                            report ->
+                                    mEvents.after(HOP_MICROS, () -> deliver(request.vm(), report)));
+        }
         mMeasurement.onEnd(request.startMicros(), mEvents.nowMicros(), outcome);
         mMeasurement.noteWeight(request.vm(), target, mEvents.nowMillis());
     }
@@ -195,6 +202,15 @@
         for (int vm = 0; vm < mVms.size(); vm++) {
             if (vm != sender && !isLost(vm)) {
                 mVms.get(vm).mSelector.onPeerEvidence(report, mEvents.nowMillis());
+                noteAll(vm, report);
+            }
+        }
+    }
+
+    private void noteAll(int vm, EvidenceReport report) {
+        if (!report.evidence().isEmpty()) {
+            for (int target = 0; target < mTargets.size(); target++) {
+                mMeasurement.noteWeight(vm, target, mEvents.nowMillis());
             }
         }
     }
--- a/lab/src/main/java/org/dahliapass/lab/policy/HealthSelector.java
+++ b/lab/src/main/java/org/dahliapass/lab/policy/HealthSelector.java
@@ -1,5 +1,6 @@
 package org.dahliapass.lab.policy;
 
+import java.util.Optional;
 import org.dahliapass.decisions.health.EvidenceReport;
 import org.dahliapass.decisions.health.HealthReport;
 import org.dahliapass.decisions.health.Outcome;
@@ -59,6 +60,11 @@
         return mHealth.takeReport(nowMillis);
     }
 
+    @Override
+    public Optional<EvidenceReport> takeUrgentReport(long nowMillis) {
+        return mHealth.takeUrgentReport(nowMillis);
+    }
+
     @Override
     public void onPeerEvidence(EvidenceReport report, long nowMillis) {
         if (mSharesEvidence) {
--- a/lab/src/main/java/org/dahliapass/lab/policy/Selector.java
+++ b/lab/src/main/java/org/dahliapass/lab/policy/Selector.java
@@ -1,5 +1,6 @@
 package org.dahliapass.lab.policy;
 
+import java.util.Optional;
 import org.dahliapass.decisions.health.EvidenceReport;
 import org.dahliapass.decisions.health.HealthReport;
 import org.dahliapass.decisions.health.Outcome;
@@ -32,5 +33,10 @@
     /** Returns what the other VMs of the cell are told. */
     EvidenceReport takeReport(long nowMillis);
 
+    /** Returns what the other VMs are told at once after a failure, if anything. */
+    default Optional<EvidenceReport> takeUrgentReport(long nowMillis) {
+        return Optional.empty();
+    }
+
     void onPeerEvidence(EvidenceReport report, long nowMillis);
 }
