--- a/decisions/src/main/java/org/dahliapass/decisions/health/Counts.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/health/Counts.java
@@ -4,11 +4,30 @@
 final class Counts {
     int mSuccesses;
     int mFailures;
+
+    /** Successes that are taken for granted; they count in {@link #goodWork} only. */
+    int mUntimed;
+
     double mLogSum;
     double mLogSquareSum;
 
+    /** Returns the sums of two rows, either of which may be null for nothing. */
+    static Counts[] sum(Counts[] one, Counts[] other) {
+        if (one == null || other == null) {
+            return one == null ? other : one;
+        }
+        Counts[] sums = new Counts[one.length];
+        for (int index = 0; index < sums.length; index++) {
+            sums[index] = new Counts();
+            sums[index].add(one[index]);
+            sums[index].add(other[index]);
+        }
+        return sums;
+    }
+
     void add(Counts other) {
         add(other.mSuccesses, other.mFailures, other.mLogSum, other.mLogSquareSum);
+        mUntimed += other.mUntimed;
     }
 
     void add(int successes, int failures, double logSum, double logSquareSum) {
@@ -20,17 +39,28 @@
 
     void subtract(Counts other) {
         add(-other.mSuccesses, -other.mFailures, -other.mLogSum, -other.mLogSquareSum);
+        mUntimed -= other.mUntimed;
+    }
+
+    /** Adds successes of which no latency is known, until there are so many pieces of work. */
+    void fillUp(int pieces) {
+        mUntimed += Math.max(0, pieces - total());
     }
 
     void clear() {
         mSuccesses = 0;
         mFailures = 0;
+        mUntimed = 0;
         mLogSum = 0;
         mLogSquareSum = 0;
     }
 
+    int goodWork() {
+        return mSuccesses + mUntimed;
+    }
+
     int total() {
-        return mSuccesses + mFailures;
+        return goodWork() + mFailures;
     }
 
     double failureShare() {
--- a/decisions/src/main/java/org/dahliapass/decisions/health/Detector.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/health/Detector.java
@@ -22,11 +22,13 @@
     private static final double CORROBORATION_SHARE = 0.4;
 
     private static final double HOUR_MILLIS = 3_600_000;
-    private static final double MINUTE_MILLIS = 60_000;
 
     /** A straggler must measure at least this part of the slow factor. */
     private static final double SLOW_FACTOR_SHARE = 0.8;
 
+    /** About half a second: a latency is told with the next regular report. */
+    private static final int FIRST_WINDOW_FOR_RATIO = 3;
+
     /** The least good work, and standard deviations from the peers, for a latency ratio. */
     private static final int LEAST_WORK_FOR_RATIO = 3;
 
@@ -54,18 +56,36 @@
             long nowMillis) {
         mPolicy = policy;
         mOthersReport = othersReport;
-        mOwn = PlaceScores.ofThisVm(table, targets, baselineTargets, policy, nowMillis);
+        Map<String, Counts[][]> everywhere = new HashMap<>();
         for (String zone : zones) {
-            mZones.put(
-                    zone,
-                    PlaceScores.ofZone(table, zone, targets, baselineTargets, policy, nowMillis));
+            Map<String, Counts[][]> seen = table.windows(zone, targets, nowMillis);
+            addTo(everywhere, seen);
+            mZones.put(zone, PlaceScores.ofZone(seen, targets, baselineTargets, policy));
         }
+        mOwn =
+                PlaceScores.ofThisVm(
+                        table.windows(EvidenceTable.OWN, targets, nowMillis),
+                        everywhere,
+                        targets,
+                        baselineTargets,
+                        policy);
+    }
+
+    private static void addTo(Map<String, Counts[][]> everywhere, Map<String, Counts[][]> seen) {
+        seen.forEach(
+                (kind, windows) -> {
+                    Counts[][] sums =
+                            everywhere.computeIfAbsent(kind, key -> new Counts[windows.length][]);
+                    for (int index = 0; index < windows.length; index++) {
+                        sums[index] = Counts.sum(sums[index], windows[index]);
+                    }
+                });
     }
 
     /** Returns what the evidence says of a target. */
     Verdict verdict(Endpoint target) {
         Counts work = work(target, WorkHistory.LONGEST);
-        double bound = bound(work.total(), HOUR_MILLIS);
+        double bound = bound(work.total());
         Sum worst = worstFailure(target, bound);
         double ownScore = mOwn.score(target).highestFailure();
         return new Verdict(
@@ -81,13 +101,13 @@
     }
 
     private boolean failsHere(Endpoint target, double ownScore) {
-        // While nobody else reports, own evidence is the cell's: it ejects, at the stricter bound.
+        // While nobody else reports, own evidence is the cell's: it ejects.
         int ownWork = mOwn.score(target).window(WorkHistory.LONGEST).work().total();
-        return mOthersReport && ownScore >= bound(ownWork, MINUTE_MILLIS);
+        return mOthersReport && ownScore >= bound(ownWork);
     }
 
-    private double bound(int piecesOfWork, double spanMillis) {
-        double spans = spanMillis / WorkHistory.longestMillis();
+    private double bound(int piecesOfWork) {
+        double spans = HOUR_MILLIS / WorkHistory.longestMillis();
         double single =
                 LikelihoodTest.bound(mPolicy.falseEjectionTolerance(), piecesOfWork * spans);
         // Each sickness is a test of its own, and each may err.
@@ -131,7 +151,7 @@
 
     /** Returns the ratio in the shortest window that has enough work to tell. */
     private double presentLatencyRatio(Endpoint target) {
-        for (int window = WorkHistory.ONE_SECOND; window < WorkHistory.EIGHT_SECONDS; window++) {
+        for (int window = FIRST_WINDOW_FOR_RATIO; window < WorkHistory.EIGHT_SECONDS; window++) {
             if (work(target, window).mSuccesses >= LEAST_WORK_FOR_RATIO) {
                 return latencyRatio(target, window);
             }
--- a/decisions/src/main/java/org/dahliapass/decisions/health/EvidenceTable.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/health/EvidenceTable.java
@@ -1,6 +1,5 @@
 package org.dahliapass.decisions.health;
 
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -53,7 +52,7 @@
     }
 
     /** Returns the kinds that were seen at a place. */
-    Set<String> kinds(String place) {
+    private Set<String> kinds(String place) {
         Set<String> kinds = new TreeSet<>();
         for (Map<String, Map<String, WorkHistory>> places : mHistories.values()) {
             kinds.addAll(places.getOrDefault(place, Map.of()).keySet());
@@ -61,8 +60,17 @@
         return kinds;
     }
 
-    /** Returns the windows of a kind at a place for each target, null where nothing was seen. */
-    Counts[][] windows(String place, String kind, List<Endpoint> targets, long nowMillis) {
+    /** Returns the windows at a place by kind. */
+    Map<String, Counts[][]> windows(String place, List<Endpoint> targets, long nowMillis) {
+        Map<String, Counts[][]> windows = new TreeMap<>();
+        for (String kind : kinds(place)) {
+            windows.put(kind, windows(place, kind, targets, nowMillis));
+        }
+        return windows;
+    }
+
+    /** Returns the windows of a kind for each target, null where nothing was seen. */
+    private Counts[][] windows(String place, String kind, List<Endpoint> targets, long nowMillis) {
         Counts[][] windows = new Counts[targets.size()][];
         for (int index = 0; index < windows.length; index++) {
             WorkHistory history =
@@ -74,34 +82,4 @@
         }
         return windows;
     }
-
-    /** Returns the windows of a kind over all VMs but this one, for each target. */
-    Counts[][] windowsOfOthers(String kind, List<Endpoint> targets, long nowMillis) {
-        Counts[][] windows = new Counts[targets.size()][WorkHistory.WINDOWS];
-        for (int index = 0; index < windows.length; index++) {
-            Counts[] sums = windows[index];
-            Arrays.setAll(sums, window -> new Counts());
-            mHistories
-                    .getOrDefault(targets.get(index), Map.of())
-                    .forEach(
-                            (place, kinds) -> {
-                                WorkHistory history = kinds.get(kind);
-                                if (history != null) {
-                                    addAll(sums, history.windows(nowMillis), place.equals(OWN));
-                                }
-                            });
-        }
-        return windows;
-    }
-
-    /** Adds a zone's windows; this VM's own are part of its zone's, and are taken off. */
-    private static void addAll(Counts[] sums, Counts[] windows, boolean own) {
-        for (int window = 0; window < sums.length; window++) {
-            if (own) {
-                sums[window].subtract(windows[window]);
-            } else {
-                sums[window].add(windows[window]);
-            }
-        }
-    }
 }
--- a/decisions/src/main/java/org/dahliapass/decisions/health/LikelihoodTest.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/health/LikelihoodTest.java
@@ -44,18 +44,7 @@
 
     /** Returns the failure rate that peers' work shows. */
     static double nullRate(Counts peers) {
-        return nullRate(peers, 0);
-    }
-
-    /**
-     * Returns the failure rate that peers' work shows.
-     *
-     * @param expectedWork the work that they should have done; good work is told late, so that the
-     *     work known so far may be too little
-     */
-    static double nullRate(Counts peers, double expectedWork) {
-        double work = Math.max(peers.total(), expectedWork);
-        double rate = (peers.mFailures + PRIOR_FAILURES) / (work + PRIOR_WORK);
+        double rate = (peers.mFailures + PRIOR_FAILURES) / (peers.total() + PRIOR_WORK);
         return Math.min(HIGHEST_RATE, Math.max(LOWEST_FAILURE_RATE, rate));
     }
 
@@ -74,7 +63,7 @@
     static double failureScore(Counts own, double nullRate, double failureShare) {
         double sickRate = nullRate + (1 - nullRate) * failureShare;
         return own.mFailures * Math.log(sickRate / nullRate)
-                + own.mSuccesses * Math.log((1 - sickRate) / (1 - nullRate));
+                + own.goodWork() * Math.log((1 - sickRate) / (1 - nullRate));
     }
 
     /** Returns the score for being slower than the peers by {@code slowFactor}. */
--- a/decisions/src/main/java/org/dahliapass/decisions/health/PlaceScores.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/health/PlaceScores.java
@@ -25,19 +25,16 @@
     /**
      * Scores all targets on the work that an availability zone saw.
      *
+     * @param windows the work by request kind
      * @param baselineTargets the targets that tell what is normal
      */
     static PlaceScores ofZone(
-            EvidenceTable table,
-            String zone,
+            Map<String, Counts[][]> windows,
             List<Endpoint> targets,
             Set<Endpoint> baselineTargets,
-            DetectionPolicy policy,
-            long nowMillis) {
+            DetectionPolicy policy) {
         PlaceScores scores = new PlaceScores(targets, baselineTargets, policy);
-        for (String kind : table.kinds(zone)) {
-            scores.addKind(kind, table.windows(zone, kind, targets, nowMillis), null);
-        }
+        windows.forEach((kind, seen) -> scores.addKind(kind, fillUp(seen), null));
         return scores;
     }
 
@@ -46,62 +43,77 @@
      *
      * <p>It is also held against what the other VMs see of the same target: if they do well with
      * it, this VM's path is at fault, however many of its targets are behind that path.
+     *
+     * @param windows the work by request kind
+     * @param everywhere the work that all VMs saw, this one among them
      */
     static PlaceScores ofThisVm(
-            EvidenceTable table,
+            Map<String, Counts[][]> windows,
+            Map<String, Counts[][]> everywhere,
             List<Endpoint> targets,
             Set<Endpoint> baselineTargets,
-            DetectionPolicy policy,
-            long nowMillis) {
+            DetectionPolicy policy) {
         PlaceScores scores = new PlaceScores(targets, baselineTargets, policy);
-        for (String kind : table.kinds(EvidenceTable.OWN)) {
-            scores.addKind(
-                    kind,
-                    table.windows(EvidenceTable.OWN, kind, targets, nowMillis),
-                    table.windowsOfOthers(kind, targets, nowMillis));
-        }
+        windows.forEach((kind, seen) -> scores.addKind(kind, seen, everywhere.get(kind)));
         return scores;
     }
 
+    /**
+     * Adds the good work that short windows should hold but that is not told yet.
+     *
+     * <p>Guards against a fault that all share: failures are told at once and good work late, so a
+     * short window of failures alone would make any target look sick.
+     */
+    private static Counts[][] fillUp(Counts[][] seen) {
+        for (Counts[] windows : seen) {
+            for (int window = 0; windows != null && window < WorkHistory.ONE_SECOND; window++) {
+                double expected =
+                        windows[WorkHistory.ONE_SECOND].total() * WorkHistory.shareOfSecond(window);
+                windows[window].fillUp((int) Math.round(expected));
+            }
+        }
+        return seen;
+    }
+
     /** Returns the target's scores; all zero if the place saw no work of it. */
     TargetScore score(Endpoint target) {
         return mScores.getOrDefault(target, TargetScore.NOTHING_SEEN);
     }
 
-    private void addKind(String kind, Counts[][] seen, Counts[][] elsewhere) {
-        int workInSecond = sum(peers(seen, WorkHistory.ONE_SECOND)).total();
+    private void addKind(String kind, Counts[][] seen, Counts[][] everywhere) {
+        boolean probes = kind.equals(EvidenceTable.PROBE_KIND);
         for (int window = 0; window < WorkHistory.WINDOWS; window++) {
-            double expectedWork = workInSecond * WorkHistory.shareOfSecond(window);
             Counts[] peers = peers(seen, window);
             PeerBaseline failures = PeerBaseline.ofFailures(peers);
-            PeerBaseline latency = PeerBaseline.ofLatency(peers);
+            PeerBaseline latency = probes ? failures : PeerBaseline.ofLatency(peers);
             for (int index = 0; index < seen.length; index++) {
                 if (seen[index] == null || seen[index][window].total() == 0) {
                     continue;
                 }
                 Counts own = seen[index][window];
+                double nullRate = LikelihoodTest.nullRate(failures.against(own));
                 TargetScore.WindowScore score = window(mTargets.get(index), window);
-                if (kind.equals(EvidenceTable.PROBE_KIND)) {
-                    score.addProbes(own, failures.against(own), mPolicy);
+                if (probes) {
+                    score.addProbes(own, nullRate, mPolicy);
                     continue;
                 }
-                double nullRate = LikelihoodTest.nullRate(failures.against(own), expectedWork);
-                if (elsewhere != null) {
-                    Counts others = elsewhere[index][window];
-                    nullRate = Math.min(nullRate, LikelihoodTest.highestNullRate(others));
-                }
-                score.addFailures(own, nullRate, mPolicy);
                 score.addLatency(own, latency.against(own), mPolicy);
+                score.addFailures(
+                        own,
+                        Math.min(nullRate, rateElsewhere(own, everywhere, index, window)),
+                        mPolicy);
             }
         }
     }
 
-    private static Counts sum(Counts[] parts) {
-        Counts sum = new Counts();
-        for (Counts part : parts) {
-            sum.add(part);
+    private static double rateElsewhere(Counts own, Counts[][] everywhere, int index, int window) {
+        if (everywhere == null || everywhere[index] == null) {
+            return 1;
         }
-        return sum;
+        Counts others = new Counts();
+        others.add(everywhere[index][window]);
+        others.subtract(own);
+        return LikelihoodTest.highestNullRate(others);
     }
 
     private Counts[] peers(Counts[][] seen, int window) {
--- a/decisions/src/main/java/org/dahliapass/decisions/health/TargetScore.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/health/TargetScore.java
@@ -1,7 +1,5 @@
 package org.dahliapass.decisions.health;
 
-import java.util.EnumMap;
-import java.util.Map;
 import org.dahliapass.model.DetectionPolicy;
 
 /** The scores of one target at one place over each window, summed over the request kinds. */
@@ -34,30 +32,30 @@
 
     /** The scores over one window. */
     static final class WindowScore {
-        private final Map<Sickness, Double> mFailure = new EnumMap<>(Sickness.class);
-        private final Map<Sickness, Double> mProbe = new EnumMap<>(Sickness.class);
         private final Counts mWork = new Counts();
+        private double mPartial;
+        private double mSevere;
+        private double mPartialProbes;
+        private double mSevereProbes;
         private double mSlowness;
         private double mExcessLog;
         private double mExcessVariance;
 
-        void addProbes(Counts own, Counts peers, DetectionPolicy policy) {
-            double nullRate = LikelihoodTest.nullRate(peers);
-            for (Sickness sickness : Sickness.values()) {
-                double share = sickness.failureShare(policy);
-                // A gray target answers probes and fails work: a good probe never clears anybody.
-                double score = LikelihoodTest.failureScore(own, nullRate, share);
-                mProbe.put(sickness, Math.max(0, score));
-            }
+        void addProbes(Counts own, double nullRate, DetectionPolicy policy) {
+            // A gray target answers probes and fails work: a good probe never clears anybody.
+            mPartialProbes = Math.max(0, score(Sickness.PARTIAL, own, nullRate, policy));
+            mSevereProbes = Math.max(0, score(Sickness.SEVERE, own, nullRate, policy));
         }
 
         void addFailures(Counts own, double nullRate, DetectionPolicy policy) {
             mWork.add(own);
-            for (Sickness sickness : Sickness.values()) {
-                double share = sickness.failureShare(policy);
-                double score = LikelihoodTest.failureScore(own, nullRate, share);
-                mFailure.merge(sickness, score, Double::sum);
-            }
+            mPartial += score(Sickness.PARTIAL, own, nullRate, policy);
+            mSevere += score(Sickness.SEVERE, own, nullRate, policy);
+        }
+
+        private static double score(
+                Sickness sickness, Counts own, double nullRate, DetectionPolicy policy) {
+            return LikelihoodTest.failureScore(own, nullRate, sickness.failureShare(policy));
         }
 
         void addLatency(Counts own, Counts peers, DetectionPolicy policy) {
@@ -71,8 +69,9 @@
 
         /** Returns the score for failing; failed probes count only where no work went well. */
         double failure(Sickness sickness) {
-            double failure = mFailure.getOrDefault(sickness, 0.0);
-            return mWork.mSuccesses > 0 ? failure : failure + mProbe.getOrDefault(sickness, 0.0);
+            double work = sickness == Sickness.PARTIAL ? mPartial : mSevere;
+            double probes = sickness == Sickness.PARTIAL ? mPartialProbes : mSevereProbes;
+            return mWork.mSuccesses > 0 ? work : work + probes;
         }
 
         double slowness() {
--- a/lab/src/main/java/org/dahliapass/lab/policy/Experiment.java
+++ b/lab/src/main/java/org/dahliapass/lab/policy/Experiment.java
@@ -132,7 +132,8 @@
         Outcome outcome = request.luck() < failureRate ? Outcome.FAILURE : Outcome.SUCCESS;
         FakeTarget.Work work =
                 new FakeTarget.Work(
-                        (long) (request.slotMicros() * condition.slowdown()),
+                        condition.stallMillis() * MICROS
+                                + (long) (request.slotMicros() * condition.slowdown()),
                         request.startMicros() + mDeployment.deadlineMillis() * MICROS,
                         inTime ->
                                 mEvents.after(
--- a/lab/src/main/java/org/dahliapass/lab/policy/Fault.java
+++ b/lab/src/main/java/org/dahliapass/lab/policy/Fault.java
@@ -11,7 +11,7 @@
         @Override
         Condition condition(Deployment deployment, int vm, int target, long sinceMillis) {
             long phase = (sinceMillis + target * 733L) % 15_000;
-            return phase < 500 ? Condition.slowed(8) : Condition.WELL;
+            return phase < 500 ? Condition.stalled(500 - phase) : Condition.WELL;
         }
     },
     /** One target's process is gone. */
--- a/lab/src/main/java/org/dahliapass/lab/policy/PolicyTable.java
+++ b/lab/src/main/java/org/dahliapass/lab/policy/PolicyTable.java
@@ -29,28 +29,35 @@
 
     /** Returns the rows of one deployment, load and fault, one for each contender. */
     List<Row> rows(Deployment deployment, double load, Fault fault) {
-        List<Row> rows = new ArrayList<>();
-        for (Contender contender : Contender.values()) {
-            rows.add(row(deployment, fault, contender, load));
-        }
-        return rows;
+        return rows(deployment, load, fault, List.of(Contender.values()));
     }
 
+    /** Returns the row of one contender. */
     Row row(Deployment deployment, Fault fault, Contender contender, double load) {
+        return rows(deployment, load, fault, List.of(contender)).get(0);
+    }
+
+    private List<Row> rows(
+            Deployment deployment, double load, Fault fault, List<Contender> contenders) {
         // Runs share nothing and keep their order, so the sums don't depend on the threads.
         List<Measurement> runs =
-                IntStream.range(0, mRuns)
+                IntStream.range(0, contenders.size() * mRuns)
                         .parallel()
                         .mapToObj(
-                                run ->
+                                number ->
                                         new Experiment(
                                                         deployment,
                                                         fault,
-                                                        contender,
+                                                        contenders.get(number / mRuns),
                                                         load,
-                                                        mSeed + run * SEED_STEP)
+                                                        mSeed + number % mRuns * SEED_STEP)
                                                 .run())
                         .toList();
-        return Row.of(deployment, fault, contender, load, runs);
+        List<Row> rows = new ArrayList<>();
+        for (int index = 0; index < contenders.size(); index++) {
+            List<Measurement> own = runs.subList(index * mRuns, (index + 1) * mRuns);
+            rows.add(Row.of(deployment, fault, contenders.get(index), load, own));
+        }
+        return rows;
     }
 }
