--- a/decisions/src/main/java/org/dahliapass/decisions/health/Detector.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/health/Detector.java
@@ -26,9 +26,6 @@
     /** A straggler must measure at least this part of the slow factor. */
     private static final double SLOW_FACTOR_SHARE = 0.8;
 
-    /** About half a second: a latency is told with the next regular report. */
-    private static final int FIRST_WINDOW_FOR_RATIO = 3;
-
     /** The least good work, and standard deviations from the peers, for a latency ratio. */
     private static final int LEAST_WORK_FOR_RATIO = 3;
 
@@ -151,7 +148,7 @@
 
     /** Returns the ratio in the shortest window that has enough work to tell. */
     private double presentLatencyRatio(Endpoint target) {
-        for (int window = FIRST_WINDOW_FOR_RATIO; window < WorkHistory.EIGHT_SECONDS; window++) {
+        for (int window = WorkHistory.ONE_SECOND; window < WorkHistory.EIGHT_SECONDS; window++) {
             if (work(target, window).mSuccesses >= LEAST_WORK_FOR_RATIO) {
                 return latencyRatio(target, window);
             }
--- a/decisions/src/main/java/org/dahliapass/decisions/health/Lifecycle.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/health/Lifecycle.java
@@ -33,7 +33,7 @@
     /** A straggler gets less work from this latency over its peers'. */
     private static final double SLOWED_FROM = 1.5;
 
-    private static final double LEAST_SPEED_WEIGHT = 0.1;
+    private static final double LEAST_SPEED_WEIGHT = 0.3;
 
     private final FloorRule mFloorRule;
     private final EvidenceTable mTable;
--- a/decisions/src/main/java/org/dahliapass/decisions/health/OwnWork.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/health/OwnWork.java
@@ -20,10 +20,10 @@
         return new TargetEvidence(target, kind, 1, 0, log, log * log);
     }
 
-    void add(TargetEvidence evidence) {
+    void add(TargetEvidence evidence, long nowMillis) {
         mCounts.computeIfAbsent(evidence.target(), key -> new TreeMap<>())
                 .computeIfAbsent(evidence.kind(), key -> new Untold())
-                .add(evidence);
+                .add(evidence, nowMillis);
     }
 
     /** Returns all that the cell doesn't know yet. */
@@ -46,15 +46,15 @@
     }
 
     private static boolean hasFailures(Map<String, Untold> kinds) {
-        return kinds.values().stream().anyMatch(untold -> untold.mSinceFailure.mFailures > 0);
+        return kinds.values().stream().anyMatch(untold -> untold.hasFailures());
     }
 
     private static void addTo(
             List<TargetEvidence> taken, Endpoint target, Map<String, Untold> kinds) {
         kinds.forEach(
                 (kind, untold) -> {
-                    addTo(taken, target, kind, untold.mBeforeFailure);
-                    addTo(taken, target, kind, untold.mSinceFailure);
+                    addTo(taken, target, kind, untold.before());
+                    addTo(taken, target, kind, untold.sinceFailure());
                 });
     }
 
@@ -78,21 +78,62 @@
     /**
      * Work of one kind on one target that the cell doesn't know yet.
      *
-     * <p>What went well before the first failure is told apart: it says how the target was before
-     * it may have fallen sick.
+     * <p>What went well longer ago than a moment before the first failure is told apart: it says
+     * how the target was before it may have fallen sick. The moment before belongs to the failure:
+     * after a pause a burst of answers comes at once, and its few failures alone would mislead.
      */
     private static final class Untold {
-        private final Counts mBeforeFailure = new Counts();
-        private final Counts mSinceFailure = new Counts();
+        private static final long MOMENT_MILLIS = 50;
 
-        private void add(TargetEvidence evidence) {
-            boolean failed = evidence.failures() > 0 || mSinceFailure.mFailures > 0;
-            Counts counts = failed ? mSinceFailure : mBeforeFailure;
-            counts.add(
+        private final Counts mBefore = new Counts();
+        private final Counts mLastMoment = new Counts();
+        private final Counts mSince = new Counts();
+        private long mMoment;
+
+        private void add(TargetEvidence evidence, long nowMillis) {
+            long moment = nowMillis / MOMENT_MILLIS;
+            if (mSince.mFailures == 0 && moment != mMoment) {
+                startMoment(moment);
+            }
+            mSince.add(
                     evidence.successes(),
                     evidence.failures(),
                     evidence.logLatencySum(),
                     evidence.logLatencySquareSum());
         }
+
+        private void startMoment(long moment) {
+            mBefore.add(mLastMoment);
+            mLastMoment.clear();
+            Counts successor = moment == mMoment + 1 ? mLastMoment : mBefore;
+            successor.add(mSince);
+            mSince.clear();
+            mMoment = moment;
+        }
+
+        private boolean hasFailures() {
+            return mSince.mFailures > 0;
+        }
+
+        /** Returns the work before the failure's moment, or all if nothing failed. */
+        private Counts before() {
+            Counts before = new Counts();
+            before.add(mBefore);
+            if (!hasFailures()) {
+                before.add(mLastMoment);
+                before.add(mSince);
+            }
+            return before;
+        }
+
+        /** Returns the work from the moment before the first failure on. */
+        private Counts sinceFailure() {
+            Counts since = new Counts();
+            if (hasFailures()) {
+                since.add(mLastMoment);
+                since.add(mSince);
+            }
+            return since;
+        }
     }
 }
--- a/decisions/src/main/java/org/dahliapass/decisions/health/TargetHealth.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/health/TargetHealth.java
@@ -252,7 +252,7 @@
         if (record.state() == TargetState.COLD) {
             return;
         }
-        mOwnWork.add(evidence);
+        mOwnWork.add(evidence, nowMillis);
         mTable.add(EvidenceTable.OWN, evidence, nowMillis);
         mTable.add(mZone, evidence, nowMillis);
         note(record, evidence, true, nowMillis);
