--- a/decisions/src/main/java/org/dahliapass/decisions/health/TargetScore.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/health/TargetScore.java
@@ -7,65 +7,90 @@
     /** The scores of a target of which a place saw nothing. */
     static final TargetScore NOTHING_SEEN = new TargetScore();
 
-    private final double[] mFailure = new double[WorkHistory.WINDOWS];
-    private final double[] mProbe = new double[WorkHistory.WINDOWS];
-    private final double[] mSlowness = new double[WorkHistory.WINDOWS];
-    private final double[] mExcessLog = new double[WorkHistory.WINDOWS];
-    private final Counts[] mWork = new Counts[WorkHistory.WINDOWS];
+    private final WindowScore[] mWindows = new WindowScore[WorkHistory.WINDOWS];
 
     TargetScore() {
         for (int window = 0; window < WorkHistory.WINDOWS; window++) {
-            mWork[window] = new Counts();
+            mWindows[window] = new WindowScore();
         }
     }
 
-    void add(
-            int window,
-            Counts own,
-            Counts failurePeers,
-            Counts latencyPeers,
-            DetectionPolicy policy,
-            boolean probes) {
-        double nullRate = LikelihoodTest.nullRate(failurePeers);
-        double failure = LikelihoodTest.failureScore(own, nullRate, policy.failureShare());
-        if (probes) {
+    /** Returns the scores over one window. */
+    WindowScore window(int window) {
+        return mWindows[window];
+    }
+
+    double highestFailure() {
+        double highest = 0;
+        for (WindowScore window : mWindows) {
+            for (Sickness sickness : Sickness.values()) {
+                highest = Math.max(highest, window.failure(sickness));
+            }
+        }
+        return highest;
+    }
+
+    /** The scores over one window. */
+    static final class WindowScore {
+        private final Counts mWork = new Counts();
+        private double mPartial;
+        private double mSevere;
+        private double mPartialProbes;
+        private double mSevereProbes;
+        private double mSlowness;
+        private double mExcessLog;
+        private double mExcessVariance;
+
+        void addProbes(Counts own, double nullRate, DetectionPolicy policy) {
             // A gray target answers probes and fails work: a good probe never clears anybody.
-            mProbe[window] = Math.max(0, failure);
-            return;
+            mPartialProbes = Math.max(0, score(Sickness.PARTIAL, own, nullRate, policy));
+            mSevereProbes = Math.max(0, score(Sickness.SEVERE, own, nullRate, policy));
         }
-        mFailure[window] += failure;
-        mWork[window].add(own);
-        if (latencyPeers.mSuccesses > 0) {
-            mSlowness[window] +=
-                    LikelihoodTest.slownessScore(own, latencyPeers, policy.slowFactor());
-            mExcessLog[window] += own.mLogSum - own.mSuccesses * latencyPeers.meanLog();
+
+        void addFailures(Counts own, double nullRate, DetectionPolicy policy) {
+            mWork.add(own);
+            mPartial += score(Sickness.PARTIAL, own, nullRate, policy);
+            mSevere += score(Sickness.SEVERE, own, nullRate, policy);
         }
-    }
 
-    /** Returns the score for failing; failed probes count only where no real work went well. */
-    double failure(int window) {
-        return mWork[window].mSuccesses > 0 ? mFailure[window] : mFailure[window] + mProbe[window];
-    }
+        private static double score(
+                Sickness sickness, Counts own, double nullRate, DetectionPolicy policy) {
+            return LikelihoodTest.failureScore(own, nullRate, sickness.failureShare(policy));
+        }
 
-    double slowness(int window) {
-        return mSlowness[window];
-    }
+        void addLatency(Counts own, Counts peers, DetectionPolicy policy) {
+            if (peers.mSuccesses == 0) {
+                return;
+            }
+            mSlowness += LikelihoodTest.slownessScore(own, peers, policy.slowFactor());
+            mExcessLog += own.mLogSum - own.mSuccesses * peers.meanLog();
+            mExcessVariance += own.mSuccesses * LikelihoodTest.variance(peers);
+        }
 
-    /** Returns the sum over the good work of the logarithm of latency over the peers' mean. */
-    double excessLog(int window) {
-        return mExcessLog[window];
-    }
+        /** Returns the score for failing; failed probes count only where no work went well. */
+        double failure(Sickness sickness) {
+            double work = sickness == Sickness.PARTIAL ? mPartial : mSevere;
+            double probes = sickness == Sickness.PARTIAL ? mPartialProbes : mSevereProbes;
+            return mWork.mSuccesses > 0 ? work : work + probes;
+        }
 
-    /** Returns the real work in the window. */
-    Counts work(int window) {
-        return mWork[window];
-    }
+        double slowness() {
+            return mSlowness;
+        }
 
-    double highestFailure() {
-        double highest = 0;
-        for (int window = 0; window < WorkHistory.WINDOWS; window++) {
-            highest = Math.max(highest, failure(window));
+        /** Returns the sum over good work of the logarithm of latency over the peers' mean. */
+        double excessLog() {
+            return mExcessLog;
+        }
+
+        /** Returns the variance that this sum has if the target is like its peers. */
+        double excessVariance() {
+            return mExcessVariance;
+        }
+
+        /** Returns the real work. */
+        Counts work() {
+            return mWork;
         }
-        return highest;
     }
 }
