Tell failures to the cell at once and publish decisions between ticks

Cause: the policy measurement's detection times depend on urgent reports, which the entry VM didn't send; a decision between two ticks reached traffic only at the next tick. Ruled out: shorter ticks, which cost processor time without news. Change: after each failed outcome the urgent report goes to the cell; a changed view is published.

--- a/entry/src/main/java/org/dahliapass/entry/EvidenceExchange.java
+++ b/entry/src/main/java/org/dahliapass/entry/EvidenceExchange.java
@@ -105,6 +105,8 @@
         mServices = kernel.find(ServiceTable.NAME, ServiceTable.class);
         mFleet = kernel.find(FleetService.NAME, FleetService.class);
         mLink = kernel.find(PeerLink.NAME, PeerLink.class);
+        mServices.onUrgentReport(
+                (template, report) -> mLink.report(peers(template), report, List.of()));
         mLoop.every(mPeriod, this::share);
         return CompletableFuture.completedFuture(null);
     }
--- a/entry/src/main/java/org/dahliapass/entry/ServiceTable.java
+++ b/entry/src/main/java/org/dahliapass/entry/ServiceTable.java
@@ -8,11 +8,13 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.dahliapass.decisions.health.EvidenceReport;
 import org.dahliapass.decisions.health.HealthReport;
 import org.dahliapass.decisions.health.Outcome;
+import org.dahliapass.decisions.health.ServiceView;
 import org.dahliapass.decisions.health.TargetHealth;
 import org.dahliapass.decisions.health.TargetStatus;
 import org.dahliapass.decisions.traffic.TargetInFlight;
@@ -45,6 +47,8 @@
     private final VmSettings mSettings;
     private final Map<ServiceId, TargetHealth> mHealth = new HashMap<>();
     private final Map<ServiceId, ServiceTemplate> mTemplates = new HashMap<>();
+    private final Map<ServiceId, ServiceView> mPublished = new HashMap<>();
+    private BiConsumer<ServiceTemplate, EvidenceReport> mUrgent = (template, report) -> {};
     private volatile Map<ServiceId, ServiceRuntime> mRuntimes = Map.of();
 
     ServiceTable(Clock clock, RandomGenerator random, VmSettings settings) {
@@ -66,17 +70,32 @@
     @Override
     public void onOutcome(
             ServiceId service, Endpoint target, String kind, Outcome outcome, long latencyMillis) {
-        mLoop.execute(
-                () ->
-                        withHealth(
-                                service,
-                                health ->
-                                        health.onOutcome(
-                                                target,
-                                                kind,
-                                                outcome,
-                                                latencyMillis,
-                                                mClock.millis())));
+        mLoop.execute(() -> takeOutcome(service, target, kind, outcome, latencyMillis));
+    }
+
+    private void takeOutcome(
+            ServiceId service, Endpoint target, String kind, Outcome outcome, long latencyMillis) {
+        long now = mClock.millis();
+        withHealth(service, health -> health.onOutcome(target, kind, outcome, latencyMillis, now));
+        if (outcome.isFailure()) {
+            publishIfChanged(service);
+            tellUrgently(service);
+        }
+    }
+
+    /** A failure is told to the cell at once; successes wait for the next regular report. */
+    private void tellUrgently(ServiceId service) {
+        TargetHealth health = mHealth.get(service);
+        if (health == null) {
+            return;
+        }
+        health.takeUrgentReport(mClock.millis())
+                .ifPresent(report -> mUrgent.accept(mTemplates.get(service), report));
+    }
+
+    /** Sets who sends urgent reports to the cell; before the start. */
+    void onUrgentReport(BiConsumer<ServiceTemplate, EvidenceReport> sender) {
+        mUrgent = sender;
     }
 
     @Override
@@ -112,6 +131,7 @@
     /** Takes what a peer of the cell saw; control thread only. */
     void onPeerReport(EvidenceReport report, List<TargetInFlight> inFlight) {
         withHealth(report.service(), health -> health.onPeerEvidence(report, mClock.millis()));
+        publishIfChanged(report.service());
         find(report.service())
                 .ifPresent(
                         runtime ->
@@ -151,6 +171,7 @@
             }
         }
         mHealth.keySet().retainAll(runtimes.keySet());
+        mPublished.keySet().retainAll(runtimes.keySet());
         mTemplates.keySet().retainAll(runtimes.keySet());
         mRuntimes = Map.copyOf(runtimes);
         runtimes.keySet().forEach(this::publish);
@@ -185,12 +206,21 @@
         }
     }
 
+    /** Evidence may have led to a decision between two ticks, which traffic must see at once. */
+    private void publishIfChanged(ServiceId id) {
+        TargetHealth health = mHealth.get(id);
+        if (health != null && !health.view().equals(mPublished.get(id))) {
+            publish(id);
+        }
+    }
+
     private void publish(ServiceId id) {
         ServiceRuntime runtime = mRuntimes.get(id);
         TargetHealth health = mHealth.get(id);
         if (runtime == null || health == null) {
             return;
         }
+        mPublished.put(id, health.view());
         health.takeExplanations().forEach(mExplanations::add);
         List<WeightedTarget> targets = new ArrayList<>();
         for (TargetStatus status : health.view().targets().values()) {
