Measure what a VM adds to a request's latency

The goal of under 1 ms added at p99 had no measurement. An open-loop generator now sends the same request to the target and through the VM, taking turns by the second, and counts each latency from the intended sending, so that a stall is charged to every request that it held up. A second mode streams a body to a fast and a slow reader while it samples the VM's resident set.

bin/measure-latency starts the fleet; the functions for that moved from bin/quickstart to bin/lib.sh, which both source.

--- /dev/null
+++ b/lab/src/main/java/org/dahliapass/lab/latency/OpenLoop.java
@@ -0,0 +1,41 @@
+package org.dahliapass.lab.latency;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+import org.dahliapass.kernel.Futures;
+
+/** Sends requests at a fixed rate, whether or not the earlier ones have been answered. */
+final class OpenLoop {
+    private static final long NANOS_PER_SECOND = 1_000_000_000L;
+
+    private final Pacer mPacer;
+
+    OpenLoop(Pacer pacer) {
+        mPacer = pacer;
+    }
+
+    /** Sends a block of requests and returns when all have been answered or have failed. */
+    void run(Sender sender, int rate, int requests, LoadTally tally) {
+        long start = mPacer.nowNanos();
+        AtomicLong end = new AtomicLong(start);
+        CompletableFuture<?>[] answers = new CompletableFuture<?>[requests];
+        for (int number = 0; number < requests; number++) {
+            long intended = start + number * NANOS_PER_SECOND / rate;
+            mPacer.awaitNanos(intended);
+            CompletableFuture<Boolean> answer = sender.send();
+            CompletableFuture<Void> recorded = new CompletableFuture<>();
+            Futures.whenDone(
+                    answer,
+                    (right, failure) -> {
+                        long now = mPacer.nowNanos();
+                        tally.onAnswer(now - intended, failure == null && right);
+                        end.accumulateAndGet(now, Math::max);
+                        recorded.complete(null);
+                    });
+            answers[number] = recorded;
+        }
+        CompletableFuture.allOf(answers).join();
+        long planned = requests * NANOS_PER_SECOND / rate;
+        tally.onBlock(planned, Math.max(planned, end.get() - start));
+    }
+}
