--- a/lab/src/test/java/org/dahliapass/lab/OwnAnswerTest.java
+++ b/lab/src/test/java/org/dahliapass/lab/OwnAnswerTest.java
@@ -7,6 +7,7 @@
 
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -28,6 +29,9 @@
     private static final int ROUNDS = 8;
     private static final int CALLERS = 12;
 
+    /** More than the slots of all targets, and less than the queues hold. */
+    private static final int CROWD = 45;
+
     /** Above this the answer can't lie in the buffers on its way. */
     private static final long BYTES = 64L * 1024 * 1024;
 
@@ -92,6 +96,48 @@
         }
     }
 
+    // More callers than slots ask at once, so that most wait in queues or come back from a target
+    // that has no slot for them, while others leave in the middle of their answers. Each gets the
+    // answer to its own path, or the refusal that it was not run.
+    @Test
+    public void crowdedCallersGetTheirOwnAnswerOrRefusal() {
+        int served = 0;
+        for (int round = 0; round < ROUNDS; round++) {
+            mixSpeeds(round);
+            List<SlowReader> leavers = startLeavers();
+            Map<String, CompletableFuture<AggregatedHttpResponse>> answers = new LinkedHashMap<>();
+            for (int number = 0; number < CROWD; number++) {
+                EntryVm vm = mFleet.vms().get(number % mFleet.vms().size());
+                String path = "/listings/crowd-" + round + "-" + number + "-";
+                answers.put(path, HttpCalls.getLater(vm.callers(), "/services/himal/desk" + path));
+            }
+            leavers.forEach(leaver -> leaver.awaitBegun().cancel());
+            served += countOwn(answers);
+        }
+        assertTrue(served >= ROUNDS * CROWD / 2, served + " were served.");
+    }
+
+    private List<SlowReader> startLeavers() {
+        return mFleet.vms().stream()
+                .map(vm -> SlowReader.start(vm.callers(), LISTINGS + "left?bytes=" + BYTES))
+                .toList();
+    }
+
+    private static int countOwn(Map<String, CompletableFuture<AggregatedHttpResponse>> answers) {
+        int served = 0;
+        for (Map.Entry<String, CompletableFuture<AggregatedHttpResponse>> entry :
+                answers.entrySet()) {
+            AggregatedHttpResponse answer = entry.getValue().join();
+            if (answer.status().code() == 503) {
+                assertEquals(answer.headers().get("x-outcome"), "not-run", answer.contentUtf8());
+            } else {
+                assertOwn(entry.getKey(), entry.getValue());
+                served++;
+            }
+        }
+        return served;
+    }
+
     private void mixSpeeds(int round) {
         for (int index = 0; index < mFleet.targets().size(); index++) {
             int factor = 1 + 20 * ((index + round) % mFleet.targets().size());
