--- /dev/null
+++ b/lab/src/main/java/org/dahliapass/lab/capacity/ConfigurationMeasures.java
@@ -0,0 +1,159 @@
+package org.dahliapass.lab.capacity;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.dahliapass.decisions.configuration.Accept;
+import org.dahliapass.decisions.configuration.AcceptRequest;
+import org.dahliapass.decisions.configuration.ChangeRecord;
+import org.dahliapass.decisions.configuration.Head;
+import org.dahliapass.decisions.configuration.ServiceUse;
+import org.dahliapass.decisions.configuration.StoreKey;
+import org.dahliapass.decisions.configuration.TemplateText;
+import org.dahliapass.entry.RoutingTable;
+import org.dahliapass.model.ServiceId;
+import org.dahliapass.model.ServiceTemplate;
+import org.dahliapass.model.Template;
+import org.dahliapass.model.TemplateParser;
+import org.dahliapass.platform.ConfigurationCodec;
+
+/** Measures templates, the head value and accepts. */
+final class ConfigurationMeasures implements Measures {
+    private static final int[] TEMPLATES = {100, 300, 1_000};
+    private static final int[] PARSED = {5, 20, 60};
+    private static final int[] CUSTOMERS = {500, 1_500, 4_000};
+    private static final int[] RECORDS = {16, 64, 256};
+    private static final int[] SERVICES = {1, 2, 4};
+    private static final int CELL = 6;
+    private static final int SAMPLE_SERVICES = 1_600;
+
+    @Override
+    public List<Slope> take(Probe probe) {
+        List<Slope> slopes = new ArrayList<>();
+        slopes.add(probe.heap(Quantity.TEMPLATE_HEAP, TEMPLATES, ConfigurationMeasures::table));
+        slopes.add(probe.heap(Quantity.TEXT_HEAP, TEMPLATES, ConfigurationMeasures::texts));
+        slopes.add(probe.time(Quantity.TEMPLATE_PARSE, PARSED, 1, ConfigurationMeasures::parse));
+        slopes.add(
+                probe.time(Quantity.ROUTING_CHANGE, CUSTOMERS, 1, ConfigurationMeasures::change));
+        slopes.add(Probe.exact(Quantity.HEAD_BYTES, RECORDS, ConfigurationMeasures::headBytes));
+        slopes.add(probe.time(Quantity.HEAD_DECODE, RECORDS, 1, ConfigurationMeasures::decodeHead));
+        slopes.add(Probe.exact(Quantity.ACCEPT_CALLS, SERVICES, ConfigurationMeasures::calls));
+        slopes.add(Probe.exact(Quantity.ACCEPT_BYTES, RECORDS, ConfigurationMeasures::bytes));
+        slopes.add(probe.time(Quantity.ACCEPT_TIME, RECORDS, 1, ConfigurationMeasures::accepts));
+        return slopes;
+    }
+
+    private static Template template(int customer) {
+        int service = customer % SAMPLE_SERVICES;
+        return TemplateParser.parse(
+                "customer-" + customer, SampleServices.customerText(customer, service));
+    }
+
+    private static RoutingTable table(int customers) {
+        RoutingTable table = RoutingTable.EMPTY;
+        for (int customer = 0; customer < customers; customer++) {
+            table = table.with(template(customer));
+        }
+        return table;
+    }
+
+    private static List<String> texts(int customers) {
+        List<String> texts = new ArrayList<>();
+        for (int customer = 0; customer < customers; customer++) {
+            texts.add(SampleServices.customerText(customer, customer % SAMPLE_SERVICES));
+        }
+        return texts;
+    }
+
+    private static Runnable parse(int templates) {
+        List<String> texts = texts(templates);
+        return () -> texts.forEach(text -> TemplateParser.parse("customer", text));
+    }
+
+    private static Runnable change(int customers) {
+        List<ServiceTemplate> services = template(0).services();
+        RoutingTable[] table = {RoutingTable.EMPTY};
+        for (Template held : held(customers, services)) {
+            table[0] = table[0].with(held);
+        }
+        Template changed = template(0);
+        return () -> table[0] = table[0].with(changed);
+    }
+
+    /** Names without the templates' own weight: only the table's copying is measured. */
+    private static List<Template> held(int customers, List<ServiceTemplate> services) {
+        List<Template> held = new ArrayList<>();
+        for (int customer = 0; customer < customers; customer++) {
+            held.add(new Template("customer-" + customer, services));
+        }
+        return held;
+    }
+
+    private static List<ServiceUse> uses(int services) {
+        List<ServiceUse> uses = new ArrayList<>();
+        for (int service = 0; service < services; service++) {
+            ServiceId id = new ServiceId("provider-" + service, "service-" + service);
+            uses.add(new ServiceUse(id, CELL));
+        }
+        return uses;
+    }
+
+    private static ChangeRecord record(long number) {
+        String text = SampleServices.customerText((int) number, 1);
+        return new ChangeRecord(
+                number,
+                "customer-" + number,
+                new TemplateText(text).digest(),
+                uses(1),
+                "0f8fad5b-d9cb-469f-a165-" + (100_000_000_000L + number),
+                "operator-7",
+                number - 1);
+    }
+
+    private static Head head(int records) {
+        List<ChangeRecord> ring = new ArrayList<>();
+        for (int number = 1; number <= records; number++) {
+            ring.add(record(1_000_000 + number));
+        }
+        return new Head(1_000_000 + records, ring);
+    }
+
+    private static double headBytes(double records) {
+        return ConfigurationCodec.encode(head((int) records)).length();
+    }
+
+    private static Runnable decodeHead(int records) {
+        String text = ConfigurationCodec.encode(head(records));
+        return () -> ConfigurationCodec.decode(StoreKey.HEAD, text);
+    }
+
+    private static AcceptRequest request(int services, long number) {
+        return new AcceptRequest(
+                "new-customer-" + number,
+                new TemplateText(SampleServices.customerText((int) number, 1)),
+                uses(services),
+                "7c9e6679-7425-40de-944b-" + (100_000_000_000L + number),
+                "operator-7",
+                0);
+    }
+
+    private static double calls(double services) {
+        SampleStore store = new SampleStore(head(Head.RING_CAPACITY));
+        store.run(new Accept(request((int) services, 1), Head.RING_CAPACITY));
+        return store.calls();
+    }
+
+    private static double bytes(double records) {
+        SampleStore store = new SampleStore(head((int) records));
+        store.run(new Accept(request(1, 1), (int) records));
+        return store.bytes();
+    }
+
+    private static Runnable accepts(int records) {
+        SampleStore store = new SampleStore(head(records));
+        long[] number = {0};
+        return () -> {
+            number[0]++;
+            store.run(new Accept(request(1, number[0]), records));
+        };
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/org/dahliapass/lab/capacity/GossipSecond.java
@@ -0,0 +1,95 @@
+package org.dahliapass.lab.capacity;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.List;
+import java.util.Optional;
+import org.dahliapass.decisions.membership.GossipKind;
+import org.dahliapass.decisions.membership.GossipMessage;
+import org.dahliapass.decisions.membership.MemberUpdate;
+import org.dahliapass.decisions.membership.Membership;
+import org.dahliapass.decisions.membership.MembershipAction;
+import org.dahliapass.decisions.membership.MembershipAction.SendGossip;
+import org.dahliapass.entry.GossipCodec;
+import org.dahliapass.kernel.StepException;
+import org.dahliapass.wire.message.Gossip;
+
+/**
+ * One second of a VM's gossip in a fleet without news: ten ticks, a ping that is answered, and
+ * another VM's ping; with the codec both ways.
+ */
+final class GossipSecond implements Runnable {
+    private static final int TICKS = 10;
+    private static final long TICK_MILLIS = 100;
+    private static final long SEED = 11;
+
+    private final Membership mMembership;
+    private final MemberUpdate mOther = SampleFleet.member(1);
+    private long mNowMillis;
+    private long mWrittenBytes;
+
+    GossipSecond(int members) {
+        mMembership = MembershipMeasures.membership(SampleFleet.members(1, members), SEED);
+    }
+
+    @Override
+    public void run() {
+        for (int tick = 0; tick < TICKS; tick++) {
+            mNowMillis += TICK_MILLIS;
+            for (MembershipAction action : mMembership.onTick(mNowMillis)) {
+                if (action instanceof SendGossip sent) {
+                    answerPing(sent);
+                }
+            }
+        }
+        GossipMessage ping = message(mOther, GossipKind.PING, 1);
+        for (MembershipAction action : mMembership.onGossip(overTheWire(ping), mNowMillis)) {
+            if (action instanceof SendGossip sent) {
+                write(sent);
+            }
+        }
+    }
+
+    private void write(SendGossip sent) {
+        mWrittenBytes += Envelope.datagram(sent).toByteArray().length;
+    }
+
+    /** Returns the bytes of all datagrams that the VM has sent. */
+    long writtenBytes() {
+        return mWrittenBytes;
+    }
+
+    private void answerPing(SendGossip sent) {
+        write(sent);
+        if (sent.message().kind() == GossipKind.PING) {
+            MemberUpdate target = memberAt(sent);
+            GossipMessage answer = message(target, GossipKind.ACK, sent.message().sequence());
+            mMembership.onGossip(overTheWire(answer), mNowMillis);
+        }
+    }
+
+    /** The sample fleet's incarnations count up with the VM's number. */
+    private static MemberUpdate memberAt(SendGossip sent) {
+        long first = SampleFleet.identity(0).incarnation();
+        return SampleFleet.member((int) (sent.message().recipientIncarnation() - first));
+    }
+
+    private GossipMessage message(MemberUpdate sender, GossipKind kind, long sequence) {
+        return new GossipMessage(
+                sender.identity(),
+                mMembership.self().identity().incarnation(),
+                kind,
+                sequence,
+                Optional.empty(),
+                0,
+                List.of(sender));
+    }
+
+    private GossipMessage overTheWire(GossipMessage message) {
+        try {
+            SendGossip sent = new SendGossip(mMembership.self().vm().peers(), message);
+            return GossipCodec.decode(Gossip.parseFrom(Envelope.datagram(sent).toByteArray()));
+        } catch (InvalidProtocolBufferException failure) {
+            throw new StepException("decode datagram", "lab", "It can't be decoded.", failure);
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/org/dahliapass/lab/capacity/HealthMeasures.java
@@ -0,0 +1,138 @@
+package org.dahliapass.lab.capacity;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.ArrayList;
+import java.util.List;
+import org.dahliapass.decisions.health.EvidenceReport;
+import org.dahliapass.decisions.health.Outcome;
+import org.dahliapass.decisions.health.TargetEvidence;
+import org.dahliapass.decisions.health.TargetHealth;
+import org.dahliapass.kernel.StepException;
+import org.dahliapass.model.Endpoint;
+import org.dahliapass.model.ServiceTemplate;
+import org.dahliapass.wire.message.PeerRequest;
+
+/** Measures what the health of a service's targets costs. */
+final class HealthMeasures implements Measures {
+    private static final int[] TARGETS = {8, 23, 64};
+    private static final int[] SERVICES = {2, 6, 18};
+    private static final int[] ENTRIES = {1, 6, 24};
+    private static final int[] ANSWERS = {100, 1_000, 4_000};
+    private static final int TARGETS_PER_SERVICE = 23;
+    private static final int CELL = 6;
+    private static final long PERIOD_MILLIS = 250;
+    private static final long LATENCY_MILLIS = 40;
+    private static final int IN_FLIGHT = 2;
+
+    @Override
+    public List<Slope> take(Probe probe) {
+        List<Slope> slopes = new ArrayList<>();
+        slopes.add(probe.heap(Quantity.SERVICE_HEAP, SERVICES, HealthMeasures::services));
+        slopes.add(probe.heap(Quantity.TARGET_HEAP, TARGETS, size -> health(0, size)));
+        slopes.add(probe.time(Quantity.CONTROL_TICK, TARGETS, 1, HealthMeasures::tick));
+        slopes.add(probe.time(Quantity.OUTCOME, ANSWERS, 1, HealthMeasures::answers));
+        slopes.add(Probe.exact(Quantity.EVIDENCE_BYTES, ENTRIES, HealthMeasures::reportBytes));
+        slopes.add(probe.time(Quantity.EVIDENCE_TIME, ENTRIES, 1, HealthMeasures::exchange));
+        return slopes;
+    }
+
+    private static List<TargetHealth> services(int count) {
+        List<TargetHealth> services = new ArrayList<>();
+        for (int service = 0; service < count; service++) {
+            services.add(health(service, TARGETS_PER_SERVICE));
+        }
+        return services;
+    }
+
+    /** Returns the health of a service of which each VM of the cell has seen all targets. */
+    private static TargetHealth health(int service, int targets) {
+        ServiceTemplate template = SampleServices.service(service, targets, CELL);
+        TargetHealth health =
+                new TargetHealth(SampleFleet.identity(0), SampleFleet.zone(0), template, 0);
+        spreadEvidence(health, service, targets, PERIOD_MILLIS);
+        return health;
+    }
+
+    private static void spreadEvidence(
+            TargetHealth health, int service, int targets, long nowMillis) {
+        for (int target = 0; target < targets; target++) {
+            Endpoint endpoint = SampleServices.endpoint(service, target);
+            for (String kind : SampleServices.KINDS) {
+                health.onOutcome(endpoint, kind, Outcome.SUCCESS, LATENCY_MILLIS, nowMillis);
+            }
+            health.onProbe(endpoint, true, nowMillis);
+        }
+        int entries = targets * SampleServices.KINDS.size();
+        for (int peer = 1; peer < CELL; peer++) {
+            health.onPeerEvidence(report(peer, service, nowMillis, entries), nowMillis);
+        }
+    }
+
+    /** Returns a peer's report with evidence of so many pairs of target and kind. */
+    private static EvidenceReport report(int peer, int service, long sequence, int entries) {
+        List<TargetEvidence> evidence = new ArrayList<>();
+        int kinds = SampleServices.KINDS.size();
+        double log = Math.log(LATENCY_MILLIS);
+        for (int entry = 0; entry < entries; entry++) {
+            Endpoint endpoint = SampleServices.endpoint(service, entry / kinds);
+            String kind = SampleServices.KINDS.get(entry % kinds);
+            evidence.add(new TargetEvidence(endpoint, kind, 1, 0, log, log * log));
+        }
+        return new EvidenceReport(
+                SampleFleet.identity(peer),
+                SampleFleet.zone(peer),
+                sequence,
+                SampleServices.service(service, 1, CELL).id(),
+                evidence);
+    }
+
+    private static Runnable tick(int targets) {
+        TargetHealth health = health(0, targets);
+        long[] now = {PERIOD_MILLIS};
+        return () -> {
+            now[0] += PERIOD_MILLIS;
+            health.onTick(now[0]);
+            health.takeExplanations();
+        };
+    }
+
+    private static Runnable answers(int answers) {
+        TargetHealth health = health(0, TARGETS_PER_SERVICE);
+        long[] now = {PERIOD_MILLIS};
+        return () -> {
+            now[0]++;
+            for (int answer = 0; answer < answers; answer++) {
+                Endpoint target = SampleServices.endpoint(0, answer % TARGETS_PER_SERVICE);
+                String kind = SampleServices.KINDS.get(answer % SampleServices.KINDS.size());
+                health.onOutcome(target, kind, Outcome.SUCCESS, LATENCY_MILLIS, now[0]);
+            }
+        };
+    }
+
+    private static double reportBytes(double entries) {
+        EvidenceReport report = report(1, 0, 1_000_000, (int) entries);
+        PeerRequest.Builder request =
+                PeerRequest.newBuilder()
+                        .setEvidenceReport(EvidenceMessages.encode(report, IN_FLIGHT));
+        return Envelope.bytes(SampleFleet.identity(1), request);
+    }
+
+    /** One report is written as the sender does, and taken as the recipient does. */
+    private static Runnable exchange(int entries) {
+        TargetHealth taker = health(0, TARGETS_PER_SERVICE);
+        long[] sequence = {PERIOD_MILLIS};
+        return () -> {
+            sequence[0]++;
+            EvidenceReport report = report(1, 0, sequence[0], entries);
+            byte[] sent = EvidenceMessages.encode(report, IN_FLIGHT).toByteArray();
+            try {
+                taker.onPeerEvidence(
+                        EvidenceMessages.decode(
+                                org.dahliapass.wire.message.EvidenceReport.parseFrom(sent)),
+                        sequence[0]);
+            } catch (InvalidProtocolBufferException failure) {
+                throw new StepException("decode evidence", "lab", "It's broken.", failure);
+            }
+        };
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/org/dahliapass/lab/capacity/SampleStore.java
@@ -0,0 +1,88 @@
+package org.dahliapass.lab.capacity;
+
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.dahliapass.decisions.configuration.AcceptOutcome;
+import org.dahliapass.decisions.configuration.Head;
+import org.dahliapass.decisions.configuration.StoreAction;
+import org.dahliapass.decisions.configuration.StoreItem;
+import org.dahliapass.decisions.configuration.StoreKey;
+import org.dahliapass.decisions.configuration.StoreMachine;
+import org.dahliapass.decisions.configuration.SwapAnswer;
+import org.dahliapass.platform.ConfigurationCodec;
+
+/** A key-value table that counts calls and the bytes of the values in them. */
+final class SampleStore {
+    private record Entry(String text, long index) {}
+
+    private final Map<StoreKey, Entry> mEntries = new HashMap<>();
+    private long mIndex;
+    private long mCalls;
+    private long mBytes;
+
+    SampleStore(Head head) {
+        put(StoreKey.HEAD, head);
+    }
+
+    /** Returns the calls so far. */
+    long calls() {
+        return mCalls;
+    }
+
+    /** Returns the bytes of all values read and written so far. */
+    long bytes() {
+        return mBytes;
+    }
+
+    /**
+     * Carries out a machine's actions until it ends.
+     *
+     * @throws IllegalStateException unless it was accepted
+     */
+    void run(StoreMachine machine) {
+        StoreAction action = machine.start();
+        while (!(action instanceof StoreAction.Finish)) {
+            mCalls++;
+            action =
+                    action instanceof StoreAction.Read read
+                            ? read(machine, read.key())
+                            : machine.onSwap(swap((StoreAction.Swap) action));
+        }
+        AcceptOutcome outcome = ((StoreAction.Finish) action).outcome();
+        if (!(outcome instanceof AcceptOutcome.Accepted)) {
+            throw new IllegalStateException("The sample change was not accepted: " + outcome);
+        }
+    }
+
+    private StoreAction read(StoreMachine machine, StoreKey key) {
+        Entry entry = mEntries.get(key);
+        if (entry == null) {
+            return machine.onRead(Optional.empty(), 0);
+        }
+        mBytes += bytes(entry.text());
+        StoreItem item = ConfigurationCodec.decode(key, entry.text());
+        return machine.onRead(Optional.of(item), entry.index());
+    }
+
+    private SwapAnswer swap(StoreAction.Swap swap) {
+        Entry standing = mEntries.get(swap.key());
+        long index = standing == null ? 0 : standing.index();
+        if (index != swap.index()) {
+            return SwapAnswer.CONFLICT;
+        }
+        put(swap.key(), swap.item());
+        mBytes += bytes(mEntries.get(swap.key()).text());
+        return SwapAnswer.SWAPPED;
+    }
+
+    private void put(StoreKey key, StoreItem item) {
+        mIndex++;
+        mEntries.put(key, new Entry(ConfigurationCodec.encode(item), mIndex));
+    }
+
+    private static long bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8).length;
+    }
+}
