--- a/standins/src/main/java/org/dahliapass/standins/LoopbackServer.java
+++ b/standins/src/main/java/org/dahliapass/standins/LoopbackServer.java
@@ -1,5 +1,6 @@
 package org.dahliapass.standins;
 
+import com.linecorp.armeria.common.CommonPools;
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.MediaType;
@@ -14,7 +15,9 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.dahliapass.model.Endpoint;
 
@@ -25,9 +28,17 @@
     /** How long a stop waits for the work in flight. */
     private static final Duration GRACE = Duration.ofSeconds(30);
 
+    /**
+     * How long no request may be in flight before the connections are closed. Not zero: Armeria
+     * takes that as a stop which doesn't wait, and answers in flight would be cut off.
+     */
+    private static final Duration QUIET_PERIOD = Duration.ofMillis(1);
+
     /** How long a closing h2c connection still takes requests that crossed its GOAWAY. */
     private static final Duration CONNECTION_DRAIN = Duration.ofMillis(100);
 
+    private static final long PORT_CHECK_MILLIS = 10;
+
     private final ChannelGroup mConnections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private final Server mServer;
     private volatile boolean mRefusing;
@@ -47,7 +58,7 @@
                         .childChannelPipelineCustomizer(this::onConnection)
                         .errorHandler(LoopbackServer::onFailure)
                         .connectionDrainDuration(CONNECTION_DRAIN)
-                        .gracefulShutdownTimeout(Duration.ZERO, GRACE);
+                        .gracefulShutdownTimeout(QUIET_PERIOD, GRACE);
         services.accept(builder);
         mServer = builder.build();
     }
@@ -73,14 +84,36 @@
         Future<?> unused = mConnections.close();
     }
 
-    /** Stops: ends the requests in flight and returns once the last connection is closed. */
+    /**
+     * Stops: refuses new connections, ends the requests in flight, and returns once the port is
+     * free and the last connection is closed.
+     */
     @Override
     public void close() {
         // Not joined: its end comes only after the acceptor threads' quiet period of two seconds.
         Future<?> unused = mServer.stop();
+        awaitPortFree();
         mConnections.newCloseFuture().awaitUninterruptibly();
     }
 
+    private void awaitPortFree() {
+        CompletableFuture<Void> free = new CompletableFuture<>();
+        Future<?> check =
+                CommonPools.workerGroup()
+                        .next()
+                        .scheduleAtFixedRate(
+                                () -> {
+                                    if (mServer.activePorts().isEmpty()) {
+                                        free.complete(null);
+                                    }
+                                },
+                                0,
+                                PORT_CHECK_MILLIS,
+                                TimeUnit.MILLISECONDS);
+        free.join();
+        check.cancel(false);
+    }
+
     private void onConnection(ChannelPipeline pipeline) {
         if (mRefusing) {
             Future<?> unused = pipeline.channel().close();
