--- a/lab/src/main/java/org/dahliapass/lab/capacity/CapacityMain.java
+++ b/lab/src/main/java/org/dahliapass/lab/capacity/CapacityMain.java
@@ -1,37 +1,60 @@
 package org.dahliapass.lab.capacity;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+import org.dahliapass.kernel.ExitCode;
+import org.dahliapass.kernel.Program;
 
-/** Trial. */
-public final class CapacityMain {
-    private CapacityMain() {}
+/** Measures what control costs, and prints what it would cost at the letter's size. */
+public final class CapacityMain extends Program {
+    private static final List<Measures> PARTS =
+            List.of(
+                    new MembershipMeasures(),
+                    new HealthMeasures(),
+                    new ConfigurationMeasures(),
+                    new OnceMeasures(),
+                    new BurnMeasures());
 
-    /** Runs. */
+    private OptionSpec<String> mJson;
+
+    private CapacityMain() {
+        super("measure capacity", "Measures the cost of control and projects it to a large fleet.");
+    }
+
+    /** Runs the program. */
     public static void main(String[] arguments) {
+        System.exit(new CapacityMain().main(arguments, System.out, System.err).code());
+    }
+
+    @Override
+    protected void declare(OptionParser parser) {
+        mJson = parser.accepts("json", "Write all figures to this file.").withRequiredArg();
+    }
+
+    @Override
+    protected ExitCode run(OptionSet options) {
         Probe probe = new Probe();
-        for (Measures part :
-                List.of(
-                        new MembershipMeasures(),
-                        new HealthMeasures(),
-                        new ConfigurationMeasures(),
-                        new OnceMeasures(),
-                        new BurnMeasures())) {
-            for (Slope s : part.take(probe)) {
-                System.out.println(
-                        s.quantity()
-                                + " base "
-                                + s.line().base()
-                                + " slope "
-                                + s.line().slope()
-                                + " width "
-                                + s.width()
-                                + " miss "
-                                + s.miss()
-                                + " "
-                                + s.points().stream()
-                                        .map(p -> p.size() + ":" + p.spread().median())
-                                        .toList());
-            }
+        Slopes slopes = new Slopes();
+        PARTS.forEach(part -> slopes.add(part.take(probe)));
+        CapacityReport report = new CapacityReport(slopes);
+        report.lines().forEach(System.out::println);
+        if (options.has(mJson)) {
+            write(Path.of(options.valueOf(mJson)), report.json());
+        }
+        return ExitCode.OK;
+    }
+
+    private static void write(Path file, String text) {
+        try {
+            Files.writeString(file, text);
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
         }
     }
 }
--- a/lab/src/main/java/org/dahliapass/lab/capacity/ConfigurationMeasures.java
+++ b/lab/src/main/java/org/dahliapass/lab/capacity/ConfigurationMeasures.java
@@ -9,11 +9,14 @@
 import org.dahliapass.decisions.configuration.ServiceUse;
 import org.dahliapass.decisions.configuration.StoreKey;
 import org.dahliapass.decisions.configuration.TemplateText;
+import org.dahliapass.decisions.configuration.Watchers;
+import org.dahliapass.decisions.membership.MemberUpdate;
 import org.dahliapass.entry.RoutingTable;
 import org.dahliapass.model.ServiceId;
 import org.dahliapass.model.ServiceTemplate;
 import org.dahliapass.model.Template;
 import org.dahliapass.model.TemplateParser;
+import org.dahliapass.model.Vm;
 import org.dahliapass.platform.ConfigurationCodec;
 
 /** Measures templates, the head value and accepts. */
@@ -22,6 +25,7 @@
     private static final int[] PARSED = {5, 20, 60};
     private static final int[] CUSTOMERS = {500, 1_500, 4_000};
     private static final int[] RECORDS = {16, 64, 256};
+    private static final int[] MEMBERS = {500, 1_500, 3_700};
     private static final int[] SERVICES = {1, 2, 4};
     private static final int CELL = 6;
     private static final int SAMPLE_SERVICES = 1_600;
@@ -32,6 +36,8 @@
         slopes.add(probe.heap(Quantity.TEMPLATE_HEAP, TEMPLATES, ConfigurationMeasures::table));
         slopes.add(probe.heap(Quantity.TEXT_HEAP, TEMPLATES, ConfigurationMeasures::texts));
         slopes.add(probe.time(Quantity.TEMPLATE_PARSE, PARSED, 1, ConfigurationMeasures::parse));
+        slopes.add(probe.heap(Quantity.RECORD_HEAP, TEMPLATES, ConfigurationMeasures::records));
+        slopes.add(probe.time(Quantity.WATCHER_CHOICE, MEMBERS, 1, ConfigurationMeasures::choose));
         slopes.add(
                 probe.time(Quantity.ROUTING_CHANGE, CUSTOMERS, 1, ConfigurationMeasures::change));
         slopes.add(Probe.exact(Quantity.HEAD_BYTES, RECORDS, ConfigurationMeasures::headBytes));
@@ -64,6 +70,16 @@
         return texts;
     }
 
+    /** Records as they come off the wire or out of the store, with strings of their own. */
+    private static Object records(int count) {
+        return ConfigurationCodec.decode(StoreKey.HEAD, ConfigurationCodec.encode(head(count)));
+    }
+
+    private static Runnable choose(int members) {
+        List<Vm> vms = SampleFleet.members(0, members).stream().map(MemberUpdate::vm).toList();
+        return () -> Watchers.watches(vms.get(0), vms);
+    }
+
     private static Runnable parse(int templates) {
         List<String> texts = texts(templates);
         return () -> texts.forEach(text -> TemplateParser.parse("customer", text));
--- a/lab/src/main/java/org/dahliapass/lab/capacity/HealthMeasures.java
+++ b/lab/src/main/java/org/dahliapass/lab/capacity/HealthMeasures.java
@@ -10,6 +10,8 @@
 import org.dahliapass.kernel.StepException;
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.model.ServiceTemplate;
+import org.dahliapass.wire.message.EvidenceReportReply;
+import org.dahliapass.wire.message.PeerReply;
 import org.dahliapass.wire.message.PeerRequest;
 
 /** Measures what the health of a service's targets costs. */
@@ -32,6 +34,7 @@
         slopes.add(probe.time(Quantity.CONTROL_TICK, TARGETS, 1, HealthMeasures::tick));
         slopes.add(probe.time(Quantity.OUTCOME, ANSWERS, 1, HealthMeasures::answers));
         slopes.add(Probe.exact(Quantity.EVIDENCE_BYTES, ENTRIES, HealthMeasures::reportBytes));
+        slopes.add(Probe.exact(Quantity.REPLY_BYTES, ENTRIES, entries -> replyBytes()));
         slopes.add(probe.time(Quantity.EVIDENCE_TIME, ENTRIES, 1, HealthMeasures::exchange));
         return slopes;
     }
@@ -117,6 +120,11 @@
         return Envelope.bytes(SampleFleet.identity(1), request);
     }
 
+    private static double replyBytes() {
+        return Envelope.bytes(
+                PeerReply.newBuilder().setEvidenceReport(EvidenceReportReply.getDefaultInstance()));
+    }
+
     /** One report is written as the sender does, and taken as the recipient does. */
     private static Runnable exchange(int entries) {
         TargetHealth taker = health(0, TARGETS_PER_SERVICE);
--- a/lab/src/main/java/org/dahliapass/lab/capacity/Quantity.java
+++ b/lab/src/main/java/org/dahliapass/lab/capacity/Quantity.java
@@ -30,10 +30,16 @@
     EVIDENCE_BYTES("evidence report", Unit.WIRE_BYTES, "target and kind"),
     /** Processor time of an evidence report, written and taken. */
     EVIDENCE_TIME("evidence report, written and taken", Unit.MICROSECONDS, "target and kind"),
+    /** Bytes of the reply to a report. */
+    REPLY_BYTES("reply without content", Unit.WIRE_BYTES, "reply"),
     /** Retained heap of a parsed customer template in the routing table. */
     TEMPLATE_HEAP("customer template, parsed", Unit.HEAP_BYTES, "template"),
     /** Retained heap of a template as text. */
     TEXT_HEAP("customer template, as text", Unit.HEAP_BYTES, "template"),
+    /** Retained heap of a change record. */
+    RECORD_HEAP("change record kept", Unit.HEAP_BYTES, "record"),
+    /** Processor time to choose the watchers of a zone. */
+    WATCHER_CHOICE("watchers chosen", Unit.MICROSECONDS, "member"),
     /** Processor time to parse templates. */
     TEMPLATE_PARSE("customer templates parsed", Unit.MICROSECONDS, "template"),
     /** Processor time to put one template into the routing table. */
