--- a/decisions/src/main/java/org/dahliapass/decisions/membership/MemberJudge.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/membership/MemberJudge.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.dahliapass.decisions.membership.MembershipAction.MemberChanged;
 import org.dahliapass.decisions.membership.MembershipAction.Replaced;
 
@@ -68,14 +69,50 @@
                         && update.sameRound(member.update());
         if (softened.supersedes(member.update()) || withdrawsLocalVerdict) {
             change(member, softened, false, nowMillis, actions);
+        } else if (update.equals(member.update())) {
+            member.confirmVerdict();
         }
     }
 
-    /** Takes news from a list; a VM that is only known there as dead needs no tombstone here. */
-    void applyIfListed(MemberUpdate update, long nowMillis, List<MembershipAction> actions) {
-        boolean self = update.identity().name().equals(mComposer.self().identity().name());
-        if (self || update.state() != MemberState.DEAD) {
-            apply(update, nowMillis, actions);
+    /** Drops the members that another VM's list lacks and that weren't heard since. */
+    void dropUnlisted(
+            Set<String> listed, long sinceMillis, long nowMillis, List<MembershipAction> actions) {
+        for (Member member : mTable.all()) {
+            boolean vouchedFor =
+                    listed.contains(member.name()) || member.heardMillis() >= sinceMillis;
+            if (!member.isDead() && !vouchedFor) {
+                MemberUpdate dead = member.update().withState(MemberState.DEAD);
+                change(member, dead, true, nowMillis, actions);
+            }
+        }
+    }
+
+    /**
+     * Takes that another VM's list lacks all but the named members.
+     *
+     * <p>Guards against a verdict that this VM reached while it heard nobody, and that it would
+     * drop for outdated news long after it hears the others again; it would show as a dead VM that
+     * comes back here alone. A list that lacks the VM confirms the verdict.
+     */
+    void confirmVerdicts(Set<String> listed) {
+        for (Member member : mTable.all()) {
+            if (member.isDead() && !listed.contains(member.name())) {
+                member.confirmVerdict();
+            }
+        }
+    }
+
+    /**
+     * Takes a VM from a list that isn't known here; one that is only known there as dead needs no
+     * tombstone here. It is no news to the others, so it isn't passed on: a whole list would fill
+     * the datagrams for minutes, and hold up what is urgent.
+     */
+    void addListed(MemberUpdate update, long nowMillis, List<MembershipAction> actions) {
+        if (update.state() != MemberState.DEAD) {
+            Member member = new Member(update, nowMillis);
+            mTable.add(member);
+            mProber.add(member);
+            actions.add(new MemberChanged(Optional.empty(), update));
         }
     }
 
