--- a/lab/src/main/java/org/dahliapass/lab/capacity/CapacityMain.java
+++ b/lab/src/main/java/org/dahliapass/lab/capacity/CapacityMain.java
@@ -18,6 +18,7 @@
                     new MembershipMeasures(),
                     new HealthMeasures(),
                     new ConfigurationMeasures(),
+                    new DirectoryMeasures(),
                     new OnceMeasures(),
                     new BurnMeasures());
 
@@ -42,7 +43,7 @@
         Probe probe = new Probe();
         Slopes slopes = new Slopes();
         PARTS.forEach(part -> slopes.add(part.take(probe)));
-        CapacityReport report = new CapacityReport(slopes);
+        CapacityReport report = new CapacityReport(slopes, StormRuns.run());
         report.lines().forEach(System.out::println);
         if (options.has(mJson)) {
             write(Path.of(options.valueOf(mJson)), report.json());
--- a/lab/src/main/java/org/dahliapass/lab/capacity/ConfigurationMeasures.java
+++ b/lab/src/main/java/org/dahliapass/lab/capacity/ConfigurationMeasures.java
@@ -43,6 +43,7 @@
         slopes.add(Probe.exact(Quantity.HEAD_BYTES, RECORDS, ConfigurationMeasures::headBytes));
         slopes.add(probe.time(Quantity.HEAD_DECODE, RECORDS, 1, ConfigurationMeasures::decodeHead));
         slopes.add(Probe.exact(Quantity.ACCEPT_CALLS, SERVICES, ConfigurationMeasures::calls));
+        slopes.add(Probe.exact(Quantity.ACCEPT_WRITES, SERVICES, ConfigurationMeasures::writes));
         slopes.add(Probe.exact(Quantity.ACCEPT_BYTES, RECORDS, ConfigurationMeasures::bytes));
         slopes.add(probe.time(Quantity.ACCEPT_TIME, RECORDS, 1, ConfigurationMeasures::accepts));
         return slopes;
@@ -153,9 +154,18 @@
     }
 
     private static double calls(double services) {
+        return accepted((int) services).calls();
+    }
+
+    private static double writes(double services) {
+        return accepted((int) services).writes();
+    }
+
+    /** Returns the store after an accept into a full head, which pushes a record out. */
+    private static SampleStore accepted(int services) {
         SampleStore store = new SampleStore(head(Head.RING_CAPACITY));
-        store.run(new Accept(request((int) services, 1), Head.RING_CAPACITY));
-        return store.calls();
+        store.run(new Accept(request(services, 1), Head.RING_CAPACITY));
+        return store;
     }
 
     private static double bytes(double records) {
--- a/lab/src/main/java/org/dahliapass/lab/capacity/Envelope.java
+++ b/lab/src/main/java/org/dahliapass/lab/capacity/Envelope.java
@@ -1,5 +1,7 @@
 package org.dahliapass.lab.capacity;
 
+import java.util.List;
+import org.dahliapass.decisions.membership.MemberUpdate;
 import org.dahliapass.decisions.membership.MembershipAction.SendGossip;
 import org.dahliapass.entry.GossipCodec;
 import org.dahliapass.model.VmIdentity;
@@ -30,6 +32,11 @@
                 .build();
     }
 
+    /** Returns the size of a whole list as it is sent, in bytes. */
+    static int listBytes(List<MemberUpdate> members) {
+        return bytes(PeerReply.newBuilder().setJoin(GossipCodec.encode(members)));
+    }
+
     /** Returns the size of a request as it is sent, in bytes. */
     static int bytes(VmIdentity sender, PeerRequest.Builder request) {
         return request.setVersion(PeerTransport.VERSION)
--- a/lab/src/main/java/org/dahliapass/lab/capacity/Quantity.java
+++ b/lab/src/main/java/org/dahliapass/lab/capacity/Quantity.java
@@ -38,6 +38,17 @@
     TEXT_HEAP("customer template, as text", Unit.HEAP_BYTES, "template"),
     /** Retained heap of a change record. */
     RECORD_HEAP("change record kept", Unit.HEAP_BYTES, "record"),
+    /** Retained heap of the directory of services and this VM's place in their cells. */
+    DIRECTORY_HEAP("directory of services", Unit.HEAP_BYTES, "service"),
+    /** Processor time of a member's change in the own zone: all services' cells checked. */
+    CELLS_CHECK("member change: all cells checked", Unit.MICROSECONDS, "service"),
+    /** Processor time to take the whole directory from a peer. */
+    DIRECTORY_FILL(
+            "directory taken whole, by a VM that starts", Unit.MICROSECONDS, "service squared"),
+    /** Bytes of the platform's VM list. */
+    VM_LIST_BYTES("platform's VM list", Unit.WIRE_BYTES, "VM"),
+    /** Processor time to read the platform's VM list as JSON. */
+    VM_LIST_PARSE("platform's VM list read as JSON", Unit.MICROSECONDS, "VM"),
     /** Processor time to choose the watchers of a zone. */
     WATCHER_CHOICE("watchers chosen", Unit.MICROSECONDS, "member"),
     /** Processor time to parse templates. */
@@ -50,6 +61,8 @@
     HEAD_DECODE("head value decoded", Unit.MICROSECONDS, "change record"),
     /** Store calls of an accept, by the services in the template. */
     ACCEPT_CALLS("accept, store calls", Unit.CALLS, "service in the template"),
+    /** Store writes of an accept, by the services in the template. */
+    ACCEPT_WRITES("accept, writes among them", Unit.CALLS, "service in the template"),
     /** Bytes of an accept's store calls. */
     ACCEPT_BYTES("accept, bytes to and from the store", Unit.WIRE_BYTES, "record in the head"),
     /** Processor time of an accept. */
--- /dev/null
+++ b/lab/src/main/java/org/dahliapass/lab/capacity/RumorRun.java
@@ -0,0 +1,119 @@
+package org.dahliapass.lab.capacity;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.dahliapass.decisions.configuration.ChangeRecord;
+import org.dahliapass.decisions.configuration.ConfigurationFollower;
+import org.dahliapass.decisions.configuration.CustomerGroup;
+import org.dahliapass.decisions.configuration.FollowerAction;
+import org.dahliapass.decisions.configuration.FollowerPeers;
+import org.dahliapass.decisions.configuration.FollowerSettings;
+import org.dahliapass.decisions.configuration.Head;
+import org.dahliapass.decisions.configuration.Watchers;
+import org.dahliapass.model.ServiceId;
+import org.dahliapass.model.VmIdentity;
+
+/** Spreads one change from the watchers over the followers of all VMs by rumor alone. */
+final class RumorRun {
+    private static final long SEED = 9;
+
+    /**
+     * What the spread took.
+     *
+     * @param hops until the last VM that the rumor reached had it; watchers have it at 0
+     * @param messages rumors sent by all VMs
+     * @param reached share of the VMs that the rumor reached; the rest learns by pings
+     */
+    record Result(int hops, long messages, double reached) {}
+
+    private record Rumor(int vm, int hops, List<ChangeRecord> records) {}
+
+    private final List<VmIdentity> mMembers = new ArrayList<>();
+    private final Map<VmIdentity, Integer> mNumbers = new HashMap<>();
+    private final List<ConfigurationFollower> mFollowers = new ArrayList<>();
+    private final Deque<Rumor> mInFlight = new ArrayDeque<>();
+    private long mMessages;
+
+    /** Knows all members and serves nothing. */
+    private final class Peers implements FollowerPeers {
+        @Override
+        public boolean serves(ServiceId service) {
+            return false;
+        }
+
+        @Override
+        public List<VmIdentity> members() {
+            return mMembers;
+        }
+
+        @Override
+        public List<VmIdentity> groupSources(CustomerGroup group) {
+            return List.of();
+        }
+
+        @Override
+        public List<VmIdentity> textSources(ChangeRecord record) {
+            return List.of();
+        }
+
+        @Override
+        public int storeRank(CustomerGroup group) {
+            return Integer.MAX_VALUE;
+        }
+    }
+
+    private RumorRun(int vms) {
+        SplittableRandom random = new SplittableRandom(SEED);
+        for (int vm = 0; vm < vms; vm++) {
+            mMembers.add(SampleFleet.identity(vm));
+            mNumbers.put(SampleFleet.identity(vm), vm);
+            mFollowers.add(
+                    new ConfigurationFollower(
+                            FollowerSettings.FIELD,
+                            new Peers(),
+                            text -> Optional.empty(),
+                            random.split()));
+        }
+    }
+
+    /** Spreads a change over so many VMs. */
+    static Result of(int vms) {
+        return new RumorRun(vms).run(vms);
+    }
+
+    private Result run(int vms) {
+        List<ChangeRecord> change = SampleDirectory.providers(1);
+        for (int zone = 0; zone < SampleFleet.ZONES; zone++) {
+            for (int watcher = 0; watcher < Watchers.PER_ZONE; watcher++) {
+                int vm = zone + watcher * SampleFleet.ZONES;
+                send(mFollowers.get(vm).onHead(new Head(1, change), 0), 1);
+            }
+        }
+        int hops = 0;
+        while (!mInFlight.isEmpty()) {
+            Rumor rumor = mInFlight.remove();
+            ConfigurationFollower follower = mFollowers.get(rumor.vm());
+            hops = follower.headNumber() == 0 ? rumor.hops() : hops;
+            send(follower.onRumor(rumor.records(), 0), rumor.hops() + 1);
+        }
+        long reached = mFollowers.stream().filter(one -> one.headNumber() == 1).count();
+        return new Result(hops, mMessages, (double) reached / vms);
+    }
+
+    private void send(List<FollowerAction> actions, int hops) {
+        for (FollowerAction action : actions) {
+            if (action instanceof FollowerAction.PassOn passOn) {
+                for (VmIdentity member : passOn.members()) {
+                    mMessages++;
+                    mInFlight.add(new Rumor(mNumbers.get(member), hops, passOn.records()));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/org/dahliapass/lab/capacity/SampleDirectory.java
@@ -0,0 +1,114 @@
+package org.dahliapass.lab.capacity;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.dahliapass.decisions.assignment.CellMembership;
+import org.dahliapass.decisions.configuration.ChangeRecord;
+import org.dahliapass.decisions.configuration.ConfigurationFollower;
+import org.dahliapass.decisions.configuration.CustomerGroup;
+import org.dahliapass.decisions.configuration.FollowerPeers;
+import org.dahliapass.decisions.configuration.FollowerSettings;
+import org.dahliapass.decisions.configuration.GroupFill;
+import org.dahliapass.decisions.configuration.RecordsAnswer;
+import org.dahliapass.decisions.configuration.ServiceUse;
+import org.dahliapass.model.ServiceId;
+import org.dahliapass.model.VmIdentity;
+
+/** One VM's directory of services: the follower of changes and its place in the cells. */
+final class SampleDirectory {
+    private static final int CELL = 6;
+    private static final long SEED = 5;
+
+    private final CellMembership mCells =
+            new CellMembership(SampleFleet.identity(0).name(), SampleFleet.zone(0));
+    private final Map<String, String> mZones = new HashMap<>();
+    private final ConfigurationFollower mFollower;
+    private int mToggles;
+
+    /** Asks nobody and serves what the cells say. */
+    private final class Peers implements FollowerPeers {
+        @Override
+        public boolean serves(ServiceId service) {
+            return mCells.isIn(service, CELL);
+        }
+
+        @Override
+        public List<VmIdentity> members() {
+            return List.of();
+        }
+
+        @Override
+        public List<VmIdentity> groupSources(CustomerGroup group) {
+            return List.of();
+        }
+
+        @Override
+        public List<VmIdentity> textSources(ChangeRecord record) {
+            return List.of();
+        }
+
+        @Override
+        public int storeRank(CustomerGroup group) {
+            return 0;
+        }
+    }
+
+    /** Creates the directory of a VM that has just joined so many members. */
+    SampleDirectory(int members) {
+        for (int vm = 0; vm < members; vm++) {
+            mZones.put(SampleFleet.identity(vm).name(), SampleFleet.zone(vm));
+        }
+        mCells.onMembers(mZones);
+        mFollower =
+                new ConfigurationFollower(
+                        FollowerSettings.FIELD,
+                        new Peers(),
+                        text -> Optional.empty(),
+                        new SplittableRandom(SEED));
+    }
+
+    /** Returns the changes of so many providers, with strings of their own. */
+    static List<ChangeRecord> providers(int services) {
+        List<ChangeRecord> records = new ArrayList<>();
+        for (int number = 1; number <= services; number++) {
+            String provider = "provider-" + number;
+            ServiceUse use = new ServiceUse(new ServiceId(provider, "service-" + number), CELL);
+            records.add(
+                    new ChangeRecord(
+                            number,
+                            provider,
+                            "0123456789abcdef" + (1_000_000_000_000_000L + number),
+                            List.of(use),
+                            "0f8fad5b-d9cb-469f-a165-" + (100_000_000_000L + number),
+                            "operator-7",
+                            0));
+        }
+        return records;
+    }
+
+    /** Takes the whole directory from a peer, as a VM does when it starts. */
+    SampleDirectory fill(List<ChangeRecord> providers) {
+        GroupFill fill = new GroupFill(CustomerGroup.PROVIDERS, providers);
+        mFollower.onAnswer(new RecordsAnswer(1, providers.size(), List.of(), List.of(fill)), 0);
+        if (mFollower.cellSizes().size() != providers.size()) {
+            throw new IllegalStateException("The sample directory was not taken.");
+        }
+        return this;
+    }
+
+    /** One member of this VM's zone goes, or comes back; everything is checked as the VM does. */
+    void memberChanged() {
+        int vm = SampleFleet.ZONES * (1 + mToggles / 2 % 10);
+        mToggles++;
+        String name = SampleFleet.identity(vm).name();
+        if (mZones.remove(name) == null) {
+            mZones.put(name, SampleFleet.zone(vm));
+        }
+        mCells.onMembers(mZones);
+        mFollower.onMembersChanged(0);
+    }
+}
--- a/lab/src/main/java/org/dahliapass/lab/capacity/SampleFleet.java
+++ b/lab/src/main/java/org/dahliapass/lab/capacity/SampleFleet.java
@@ -36,6 +36,20 @@
         return member(number, MemberState.ALIVE, 0);
     }
 
+    /** Returns the news of a VM's next life, in a fleet of so many VMs. */
+    static MemberUpdate successor(int number, int vms) {
+        MemberUpdate former = member(number);
+        VmIdentity identity =
+                new VmIdentity(former.identity().name(), FIRST_INCARNATION + vms + number);
+        Vm vm =
+                new Vm(
+                        identity,
+                        former.vm().availabilityZone(),
+                        former.vm().callers(),
+                        former.vm().peers());
+        return new MemberUpdate(vm, former.operators(), MemberState.ALIVE, 0);
+    }
+
     /** Returns the news of a VM. */
     static MemberUpdate member(int number, MemberState state, int refutation) {
         String host = "10.20." + number / BYTE + "." + number % BYTE;
--- a/lab/src/main/java/org/dahliapass/lab/capacity/SampleStore.java
+++ b/lab/src/main/java/org/dahliapass/lab/capacity/SampleStore.java
@@ -20,6 +20,7 @@
     private final Map<StoreKey, Entry> mEntries = new HashMap<>();
     private long mIndex;
     private long mCalls;
+    private long mWrites;
     private long mBytes;
 
     SampleStore(Head head) {
@@ -31,6 +32,11 @@
         return mCalls;
     }
 
+    /** Returns the writes among them. */
+    long writes() {
+        return mWrites;
+    }
+
     /** Returns the bytes of all values read and written so far. */
     long bytes() {
         return mBytes;
@@ -67,6 +73,7 @@
     }
 
     private SwapAnswer swap(StoreAction.Swap swap) {
+        mWrites++;
         Entry standing = mEntries.get(swap.key());
         long index = standing == null ? 0 : standing.index();
         if (index != swap.index()) {
