--- a/decisions/src/main/java/org/dahliapass/decisions/health/EvidenceTable.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/health/EvidenceTable.java
@@ -1,6 +1,7 @@
 package org.dahliapass.decisions.health;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -51,7 +52,7 @@
     }
 
     /** Returns the kinds that were seen at a place. */
-    Set<String> kinds(String place) {
+    private Set<String> kinds(String place) {
         Set<String> kinds = new TreeSet<>();
         for (Map<String, Map<String, WorkHistory>> places : mHistories.values()) {
             kinds.addAll(places.getOrDefault(place, Map.of()).keySet());
@@ -59,16 +60,26 @@
         return kinds;
     }
 
-    /** Returns the windows of a kind at a place, for each target that has any. */
-    Map<Endpoint, Counts[]> windows(String place, String kind, long nowMillis) {
-        Map<Endpoint, Counts[]> windows = new TreeMap<>();
-        mHistories.forEach(
-                (target, places) -> {
-                    WorkHistory history = places.getOrDefault(place, Map.of()).get(kind);
-                    if (history != null) {
-                        windows.put(target, history.windows(nowMillis));
-                    }
-                });
+    /** Returns the windows at a place by kind. */
+    Map<String, Counts[][]> windows(String place, List<Endpoint> targets, long nowMillis) {
+        Map<String, Counts[][]> windows = new TreeMap<>();
+        for (String kind : kinds(place)) {
+            windows.put(kind, windows(place, kind, targets, nowMillis));
+        }
+        return windows;
+    }
+
+    /** Returns the windows of a kind for each target, null where nothing was seen. */
+    private Counts[][] windows(String place, String kind, List<Endpoint> targets, long nowMillis) {
+        Counts[][] windows = new Counts[targets.size()][];
+        for (int index = 0; index < windows.length; index++) {
+            WorkHistory history =
+                    mHistories
+                            .getOrDefault(targets.get(index), Map.of())
+                            .getOrDefault(place, Map.of())
+                            .get(kind);
+            windows[index] = history == null ? null : history.windows(nowMillis);
+        }
         return windows;
     }
 }
--- a/entry/src/main/java/org/dahliapass/entry/CallerServer.java
+++ b/entry/src/main/java/org/dahliapass/entry/CallerServer.java
@@ -4,11 +4,13 @@
 import com.linecorp.armeria.common.SessionProtocol;
 import com.linecorp.armeria.server.GracefulShutdown;
 import com.linecorp.armeria.server.Server;
+import com.linecorp.armeria.server.ServiceRequestContext;
 import java.net.InetSocketAddress;
 import java.time.Clock;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import org.dahliapass.kernel.ControlLoop;
+import org.dahliapass.kernel.Futures;
 import org.dahliapass.kernel.Kernel;
 import org.dahliapass.kernel.KernelService;
 import org.dahliapass.model.Endpoint;
@@ -46,7 +48,7 @@
         FleetService fleet = kernel.find(FleetService.NAME, FleetService.class);
         OnceService once = kernel.find(OnceService.NAME, OnceService.class);
         RequestIds ids = new RequestIds(mIdentity);
-        Tokens tokens = new Tokens(mClock, fleet);
+        Tokens tokens = new Tokens(mClock, fleet, once.reach());
         ConfigurationService configuration =
                 kernel.find(ConfigurationService.NAME, ConfigurationService.class);
         AskHandler asks = new AskHandler(mSettings, ids, fleet, configuration, tokens, mReadiness);
@@ -64,7 +66,9 @@
                                 .quietPeriod(QUIET_PERIOD)
                                 .timeout(DRAIN_LIMIT)
                                 .build())
-                .decorator((delegate, context, request) -> signed(delegate.serve(context, request)))
+                .decorator(
+                        (delegate, context, request) ->
+                                signed(context, delegate.serve(context, request)))
                 .build();
     }
 
@@ -89,8 +93,16 @@
                 mClock, ids, mReadiness, configuration, services, forwarder, exchanges);
     }
 
-    /** Names this life of this VM in an answer, unless it is one that a forward brought. */
-    private HttpResponse signed(HttpResponse response) {
+    /**
+     * Names this life of this VM in an answer, unless it is one that a forward brought.
+     *
+     * <p>Guards against a caller that keeps a connection to a VM that is leaving, longer than the
+     * answer to its ask holds: the connection is closed after the answers in flight.
+     */
+    private HttpResponse signed(ServiceRequestContext context, HttpResponse response) {
+        if (mReadiness.state() == Readiness.State.LEAVING) {
+            Futures.whenDone(context.initiateConnectionShutdown(), (done, failure) -> {});
+        }
         return response.mapHeaders(
                 headers ->
                         headers.contains(CallerHeaders.ANSWERED_BY)
--- a/entry/src/main/java/org/dahliapass/entry/EntryVm.java
+++ b/entry/src/main/java/org/dahliapass/entry/EntryVm.java
@@ -81,7 +81,7 @@
         mKernel.register(ControlLoop.NAME, mLoop)
                 .register(EntryMetrics.NAME, metrics)
                 .register(ExplanationLog.NAME, new ExplanationLog(metrics))
-                .register(TargetClients.NAME, new TargetClients())
+                .register(TargetClients.NAME, new TargetClients(clock))
                 .register(PeerLink.NAME, mPeers)
                 .register(OnceService.NAME, new OnceService(mIdentity, settings, clock))
                 .register(CallerServer.NAME, mCallers)
@@ -94,7 +94,7 @@
                                 random,
                                 mReadiness))
                 .register(ServiceTable.NAME, new ServiceTable(clock, random, settings))
-                .register(EvidenceExchange.NAME, new EvidenceExchange(settings.controlPeriod()))
+                .register(EvidenceExchange.NAME, new EvidenceExchange(settings))
                 .register(HealthPoller.NAME, new HealthPoller())
                 .register(IsolationGuard.NAME, new IsolationGuard(mReadiness));
     }
--- a/entry/src/main/java/org/dahliapass/entry/GuardedExchange.java
+++ b/entry/src/main/java/org/dahliapass/entry/GuardedExchange.java
@@ -9,6 +9,7 @@
 import java.util.HashSet;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
 import org.dahliapass.decisions.once.Beginning;
 import org.dahliapass.decisions.once.HomeAction;
 import org.dahliapass.decisions.once.Operation;
@@ -34,9 +35,10 @@
     private final Clock mClock;
     private final OnceService mOnce;
     private final AnswerObserver mObserver;
-    private final String mFreshToken;
+    private final Supplier<String> mFreshToken;
     private final CompletableFuture<HttpResponse> mAnswer = new CompletableFuture<>();
     private final Set<Endpoint> mTried = new HashSet<>();
+    private volatile long mRetryAfterMillis = RETRY_AFTER_MILLIS;
 
     GuardedExchange(
             CallerRequest request,
@@ -46,7 +48,7 @@
             Clock clock,
             OnceService once,
             AnswerObserver observer,
-            String freshToken) {
+            Supplier<String> freshToken) {
         mRequest = request;
         mOperation = operation;
         mRuntime = runtime;
@@ -89,7 +91,8 @@
     private void onTry(int attempt, TryResult result) {
         if (result instanceof TryResult.Answered answered) {
             mAnswer.complete(passOn(attempt, answered));
-        } else if (result instanceof TryResult.Refused) {
+        } else if (result instanceof TryResult.Refused refused) {
+            mRetryAfterMillis = refused.refusal().retryAfterMillis();
             Futures.whenDone(mOnce.targetRefused(mOperation, attempt, false), this::onAction);
         } else if (result instanceof TryResult.Failed failed && !failed.kind().mayHaveRun()) {
             mTried.add(failed.target());
@@ -121,7 +124,8 @@
         if (answer instanceof OperationAnswer.Result result) {
             return replay(result.result());
         }
-        return mObserver.refuse(mRequest, refusal(answer, mFreshToken));
+        Refusal refusal = refusal(answer, mFreshToken.get()).withRetryAfter(mRetryAfterMillis);
+        return mObserver.refuse(mRequest, refusal);
     }
 
     private HttpResponse replay(RecordedResult result) {
