--- a/lab/src/main/java/org/dahliapass/lab/capacity/CapacityReport.java
+++ b/lab/src/main/java/org/dahliapass/lab/capacity/CapacityReport.java
@@ -13,6 +13,7 @@
     private static final double MEGA = 1e6;
     private static final double PERCENT = 100;
 
+    private static final double[] EVIDENCE_BYTES = {16_384, 4_096, 2_048, 1_024, 512};
     private static final double[] GUARDED_SHARES = {0.01, 0.05, 0.1, 0.2};
 
     private final Slopes mSlopes;
@@ -41,6 +42,10 @@
         lines.add("");
         addSensitivity(lines);
         lines.add("");
+        lines.add("The setting evidence-budget, and how late successes then are told:");
+        lines.add("");
+        addEvidence(lines);
+        lines.add("");
         lines.add("## The platform's service");
         lines.add("");
         addStore(lines);
@@ -102,6 +107,23 @@
         }
     }
 
+    private void addEvidence(List<String> lines) {
+        lines.add("| evidence-budget | s between reports | msg/s | B/s | Verdict |");
+        lines.add("|--:|--:|--:|--:|---|");
+        for (double bytes : EVIDENCE_BYTES) {
+            Assumptions assumed = Assumptions.PAGE.withEvidenceBytes(bytes);
+            EvidencePace pace = new EvidencePace(mSlopes, FleetSize.LETTER, assumed);
+            add(
+                    lines,
+                    "| %,.0f B/s | %.1f | %.1f | %,.0f | %s |",
+                    bytes,
+                    pace.seconds(),
+                    pace.cost().messages(),
+                    pace.cost().bytes(),
+                    Budget.LETTER.verdict(pace.cost()));
+        }
+    }
+
     private void addStore(List<String> lines) {
         lines.add("| Source | Waiting | Reads/s | Writes/s | KB/s | Verdict |");
         lines.add("|---|--:|--:|--:|--:|---|");
--- a/lab/src/main/java/org/dahliapass/lab/capacity/Consequences.java
+++ b/lab/src/main/java/org/dahliapass/lab/capacity/Consequences.java
@@ -74,14 +74,15 @@
         double list = at(Quantity.LIST_BYTES, mSize.vms());
         double directory = mSize.services() * mSlopes.perUnit(Quantity.HEAD_BYTES);
         double platform = at(Quantity.VM_LIST_BYTES, mSize.vms());
+        double head = new Projection(mSlopes, mSize, Assumptions.PAGE).headAnswer();
         double square = (double) mSize.services() * mSize.services();
         double fill = at(Quantity.DIRECTORY_FILL, square) / MICROS;
         return new Row(
                 REPLACED + " VMs replaced at once, each new VM",
                 text(
-                        "member list %.0f KB, directory at most %.0f KB, VM list %.0f KB; directory"
-                                + " taken in %.1f s of processor time",
-                        list / KILO, directory / KILO, platform / KILO, fill),
+                        "member list %.0f KB, directory %.0f KB at most, VM list %.0f KB, head"
+                                + " %.0f KB; directory taken in %.1f s of processor time",
+                        list / KILO, directory / KILO, platform / KILO, head / KILO, fill),
                 "starts too slowly; ConfigurationFollower checks all services again for each"
                         + " provider that it takes: check once after the fill");
     }
--- a/lab/src/main/java/org/dahliapass/lab/capacity/Projection.java
+++ b/lab/src/main/java/org/dahliapass/lab/capacity/Projection.java
@@ -206,32 +206,23 @@
                 "");
     }
 
-    /** Returns how many pairs of target and kind a report names, if work falls evenly on them. */
-    double entriesPerReport() {
-        double pairs = mSize.targetsPerService() * mAssumptions.kinds();
-        double answers = mSize.requestsPerVm() / mSize.servicesPerVm() / TICKS_PER_SECOND;
-        return pairs * (1 - Math.pow(1 - 1 / pairs, answers));
-    }
-
-    private RoleRow evidence() {
-        double reports = mSize.servicesPerVm() * TICKS_PER_SECOND * (mSize.cell() - 1);
-        double entries = entriesPerReport();
-        double report = at(Quantity.EVIDENCE_BYTES, entries) + Envelope.STREAM_HEADERS;
-        double reply = mSlopes.at(Quantity.REPLY_BYTES, 0) + Envelope.STREAM_HEADERS;
-        Cost cost =
-                new Cost(
-                        reports * 2 * 2,
-                        reports * 2 * (report + reply),
-                        reports * at(Quantity.EVIDENCE_TIME, entries) / MICROS,
-                        0);
+    /** Returns the row of the evidence that the members of a cell exchange. */
+    RoleRow evidence() {
+        EvidencePace pace = new EvidencePace(mSlopes, mSize, mAssumptions);
         return new RoleRow(
                 "entry VM",
-                "evidence to " + (mSize.cell() - 1) + " VMs of each cell, four times a second",
-                decimal(entries) + " targets and kinds a report",
-                cost,
-                "EvidenceExchange over TCP",
-                "report failures at once and successes every 2 s, one message a peer for all"
-                        + " services, targets by number instead of address, no reply");
+                "evidence to "
+                        + (mSize.cell() - 1)
+                        + " VMs of each cell, every "
+                        + decimal(pace.seconds())
+                        + " s",
+                decimal(pace.entries()) + " targets and kinds a report",
+                pace.cost(),
+                "ReportPacer within evidence-budget, "
+                        + count(mAssumptions.evidenceBytes())
+                        + " B/s; signs of life each second",
+                "one sign of life a peer for all services, none while gossip shows it; no replies;"
+                        + " targets by number instead of address");
     }
 
     private RoleRow polls() {
--- a/lab/src/test/java/org/dahliapass/lab/capacity/ProjectionTest.java
+++ b/lab/src/test/java/org/dahliapass/lab/capacity/ProjectionTest.java
@@ -79,6 +79,25 @@
         assertEquals(Budget.LETTER.verdict(new Cost(0, 0, 0.02, 0)), "does not fit: processor");
     }
 
+    @Test
+    public void evidenceIsPacedOnlyIfItExceedsItsBudget() {
+        // Reports of 100 bytes whatever they name: 3 receivers x (100 + 200) accounted bytes, two
+        // services. 7,200 B/s pay for the shortest period, 0.25 s; 900 B/s for 2 s.
+        Slopes flat = slopes(100, 0);
+        EvidencePace unpaced = pace(flat, 7_200);
+        EvidencePace paced = pace(flat, 900);
+
+        assertEquals(unpaced.seconds(), 0.25, EXACT);
+        assertEquals(paced.seconds(), 2.0, EXACT);
+        // Half a report and half a sign of life a second to each of 6, with a reply, both ways.
+        assertEquals(paced.cost().messages(), 6 * 4.0, EXACT);
+        assertEquals(unpaced.cost().messages(), 6 * 4 * 4.0, EXACT);
+    }
+
+    private static EvidencePace pace(Slopes slopes, double bytes) {
+        return new EvidencePace(slopes, SMALL, Assumptions.PAGE.withEvidenceBytes(bytes));
+    }
+
     @Test
     public void storeCountsWaitingReadsAgainstItsLimit() {
         StoreLoad.Row within = new StoreLoad.Row("", 1_000, 1_000, 300, 0);
