Send to targets on the event loop that serves the caller

Cause: the HTTP client picked its event loop by the target, so a request changed threads on its way to the target and its answer changed back. On a busy machine both wait for a thread to be scheduled.

Ruled out by a sampling profile of the VM at 1000 GET/s (102 samples): no hot spot in the decisions (admission and balancing 6 samples, routing 2, metrics 0, logging 0); the rest is Armeria's and Netty's own work. Guarded requests still pass through the control thread.

Change: callers' server and targets' client share one group of at most 8 event loops, and a request is sent on the loop that it arrived on. Off these loops a target always has the same one, as before. Each loop keeps connections of its own, so the number of loops bounds the connections per target.

--- a/entry/src/main/java/org/dahliapass/entry/CallerServer.java
+++ b/entry/src/main/java/org/dahliapass/entry/CallerServer.java
@@ -57,6 +57,7 @@
                 .service("/ask", asks)
                 .service("/outcomes/{customer}/{key}", new OutcomeHandler(ids, once, tokens))
                 .serviceUnder(ServicePath.PREFIX, requests(kernel, ids, tokens))
+                .workerGroup(kernel.find(TargetClients.NAME, TargetClients.class).loops(), false)
                 .requestTimeoutMillis(0)
                 .maxRequestLength(0)
                 .gracefulShutdown(
--- a/entry/src/main/java/org/dahliapass/entry/TargetClients.java
+++ b/entry/src/main/java/org/dahliapass/entry/TargetClients.java
@@ -7,10 +7,15 @@
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.util.EventLoopGroups;
+import io.netty.channel.EventLoopGroup;
+import io.netty.util.concurrent.Future;
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.dahliapass.kernel.Futures;
 import org.dahliapass.kernel.Kernel;
 import org.dahliapass.kernel.KernelService;
 import org.dahliapass.model.Endpoint;
@@ -21,14 +26,26 @@
     public static final String NAME = "target-clients";
 
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
+    private static final long STOP_SECONDS = 5;
     private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
 
+    /**
+     * Each loop keeps connections of its own to each target, so their number bounds those that a
+     * target gets from this VM.
+     */
+    private static final int MOST_LOOPS = 8;
+
+    private final EventLoopGroup mLoops =
+            EventLoopGroups.newEventLoopGroup(
+                    Math.min(MOST_LOOPS, Runtime.getRuntime().availableProcessors()), "traffic");
     private final Map<Endpoint, WebClient> mClients = new ConcurrentHashMap<>();
     private final ClientFactory mFactory =
             ClientFactory.builder()
                     .connectTimeout(CONNECT_TIMEOUT)
                     .idleTimeout(IDLE_TIMEOUT)
                     .useHttp1Pipelining(false)
+                    .workerGroup(mLoops, false)
+                    .eventLoopSchedulerFactory(SameLoopScheduler::new)
                     .build();
 
     /**
@@ -50,6 +67,11 @@
         }
     }
 
+    /** Returns the event loops on which traffic is served and sent. */
+    EventLoopGroup loops() {
+        return mLoops;
+    }
+
     /** Forgets the clients of targets that are no longer used. */
     public void retain(java.util.Set<Endpoint> inUse) {
         mClients.keySet().retainAll(inUse);
@@ -70,6 +92,14 @@
 
     @Override
     public CompletableFuture<Void> stop() {
-        return mFactory.closeAsync().thenApply(ignored -> null);
+        CompletableFuture<Void> stopped = new CompletableFuture<>();
+        Futures.whenDone(mFactory.closeAsync(), (ignored, failure) -> shutDown(stopped));
+        return stopped;
+    }
+
+    private void shutDown(CompletableFuture<Void> stopped) {
+        Future<?> unused =
+                mLoops.shutdownGracefully(0, STOP_SECONDS, TimeUnit.SECONDS)
+                        .addListener(done -> stopped.complete(null));
     }
 }
