--- a/decisions/src/main/java/org/dahliapass/decisions/configuration/ConfigurationFollower.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/configuration/ConfigurationFollower.java
@@ -33,6 +33,7 @@
     private Optional<StoreBackfill> mBackfill = Optional.empty();
     private Optional<VmIdentity> mAhead = Optional.empty();
     private long mAskedUntil = Long.MIN_VALUE;
+    private boolean mDirectoryChanged;
     private long mPassedOn;
 
     /**
@@ -231,15 +232,12 @@
         if (!supersedes(record)) {
             return;
         }
-        boolean directoryChanged = mCustomers.put(record);
+        mDirectoryChanged |= mCustomers.put(record);
         if (mCustomers.isServed(record)) {
             want(record);
         } else {
             release(record.customer());
         }
-        if (directoryChanged) {
-            refreshGroups();
-        }
     }
 
     private void want(ChangeRecord record) {
@@ -333,7 +331,21 @@
         mActions.add(new FollowerAction.PassOn(chosen, news));
     }
 
+    /**
+     * Looks once at the groups that follow from all that was taken in.
+     *
+     * <p>Guards against a look at all services for each provider of a fill, which would show as a
+     * VM that takes seconds of processor time to start among many services.
+     */
+    private void followDirectory() {
+        while (mDirectoryChanged) {
+            mDirectoryChanged = false;
+            refreshGroups();
+        }
+    }
+
     private List<FollowerAction> actions(long nowMillis) {
+        followDirectory();
         askPeer(nowMillis);
         readStore(nowMillis);
         mActions.addAll(mTexts.due(nowMillis, mBudget));
--- a/entry/src/main/java/org/dahliapass/entry/EvidenceExchange.java
+++ b/entry/src/main/java/org/dahliapass/entry/EvidenceExchange.java
@@ -2,9 +2,11 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.dahliapass.decisions.health.EvidenceReport;
 import org.dahliapass.decisions.health.ReportPacer;
@@ -27,7 +29,9 @@
     static final String NAME = "evidence";
 
     /** An idle cell's members still tell each other that they are there; see IsolationGuard. */
-    private static final Duration HEARTBEAT = Duration.ofSeconds(1);
+    private static final Duration HEARTBEAT = Duration.ofMillis(1500);
+
+    private static final ServiceId NO_SERVICE = new ServiceId("", "");
 
     private final Duration mPeriod;
     private final long mBytesPerSecond;
@@ -46,6 +50,7 @@
     private void share() {
         List<ServiceTemplate> served = mServices.served();
         mPacers.keySet().retainAll(served.stream().map(ServiceTemplate::id).toList());
+        Set<Vm> unheard = new LinkedHashSet<>();
         for (ServiceTemplate template : served) {
             long budget = Math.max(1, mBytesPerSecond / served.size());
             ReportPacer pacer =
@@ -54,9 +59,11 @@
             if (pacer.isDue(mLoop.nowMillis())) {
                 share(template, pacer);
             } else if (isSilent(template.id())) {
-                sayAlive(template);
+                unheard.addAll(peers(template));
+                mToldMillis.put(template.id(), mLoop.nowMillis());
             }
         }
+        sayAlive(List.copyOf(unheard));
     }
 
     private boolean isSilent(ServiceId service) {
@@ -66,16 +73,18 @@
 
     /**
      * Guards against a cell whose paced reports are rarer than the window in which its members must
-     * hear each other; with the store away it would stand down as a whole. An empty report costs
-     * little; its sequence number 0 makes the receivers take it for nothing but a sign of life.
+     * hear each other; with the store away it would stand down as a whole. An empty report of no
+     * service costs little; the receivers take it for nothing but a sign of life.
      */
-    private void sayAlive(ServiceTemplate template) {
+    private void sayAlive(List<Vm> peers) {
+        if (peers.isEmpty()) {
+            return;
+        }
         Vm self = mFleet.view().self();
         EvidenceReport empty =
                 new EvidenceReport(
-                        self.identity(), self.availabilityZone(), 0, template.id(), List.of());
-        mLink.report(peers(template), empty, List.of());
-        mToldMillis.put(template.id(), mLoop.nowMillis());
+                        self.identity(), self.availabilityZone(), 0, NO_SERVICE, List.of());
+        mLink.report(peers, empty, List.of());
     }
 
     private void share(ServiceTemplate template, ReportPacer pacer) {
--- a/entry/src/main/java/org/dahliapass/entry/FleetService.java
+++ b/entry/src/main/java/org/dahliapass/entry/FleetService.java
@@ -40,8 +40,10 @@
 
     private static final PartLog LOG = PartLog.of("fleet");
     private static final Duration TICK = Duration.ofMillis(100);
-    private static final Duration LIST_WAIT = Duration.ofSeconds(10);
-    private static final Duration LIST_RETRY = Duration.ofSeconds(2);
+    private static final Duration LIST_PAUSE_ALONE = Duration.ofMillis(500);
+    private static final Duration LIST_PAUSE_YOUNG = Duration.ofSeconds(10);
+    private static final Duration LIST_PAUSE = Duration.ofMinutes(5);
+    private static final Duration YOUNG = Duration.ofMinutes(2);
 
     private final VmIdentity mIdentity;
     private final VmSettings mSettings;
@@ -57,6 +59,8 @@
     private CellMembership mCells;
     private volatile Planned mPlanned = new Planned(List.of(), Map.of());
     private volatile Set<VmIdentity> mIdentities = Set.of();
+    private boolean mChanged;
+    private long mStartedMillis;
     private volatile boolean mLeaving;
     private volatile boolean mStopped;
 
@@ -196,6 +200,7 @@
 
     private void tick() {
         carryOut(mMembership.onTick(mLoop.nowMillis()));
+        publishChanges();
     }
 
     private void carryOut(List<MembershipAction> actions) {
@@ -213,7 +218,18 @@
                 mReplaced.run();
             }
         }
-        if (changed) {
+        mChanged |= changed;
+    }
+
+    /**
+     * Takes all changes of a tick together.
+     *
+     * <p>Guards against a snapshot and a round of listeners for each datagram, which would show as
+     * seconds of processor time while a whole zone is being lost.
+     */
+    private void publishChanges() {
+        if (mChanged) {
+            mChanged = false;
             publish();
             mListeners.forEach(Runnable::run);
         }
@@ -280,21 +296,45 @@
         return zones;
     }
 
-    /** The platform's list lags both ways: it gives addresses to contact, never a verdict. */
-    private void followVmList(long index) {
+    /**
+     * Reads the platform's list at once while this VM knows nobody, and rarely after that.
+     *
+     * <p>The list lags both ways: it gives addresses to contact, never a verdict. Guards against
+     * each VM waiting on it, which at 3,700 VMs would be as many waiting calls on the platform and
+     * a whole list to each at each change; members tell each other of changes sooner.
+     */
+    private void followVmList() {
         if (mStopped) {
             return;
         }
         Futures.whenDone(
-                mVmList.watch(index, LIST_WAIT),
-                (list, failure) -> {
-                    if (failure != null) {
-                        mLoop.after(LIST_RETRY, () -> followVmList(0));
-                        return;
-                    }
-                    mLoop.execute(() -> onVmList(list.vms()));
-                    followVmList(list.index());
-                });
+                mVmList.watch(0, Duration.ZERO),
+                (list, failure) ->
+                        mLoop.execute(
+                                () -> {
+                                    if (failure == null) {
+                                        onVmList(list.vms());
+                                    }
+                                    mLoop.after(listPause(), this::followVmList);
+                                }));
+    }
+
+    private Duration listPause() {
+        Duration base = usualListPause();
+        // Spread, so that VMs that started together don't call together for ever.
+        return base.plusMillis(mRandom.nextLong(base.toMillis()));
+    }
+
+    /**
+     * Guards against a fleet that starts all at once with a list that lags: its VMs may find each
+     * other in separate groups, which only a later look at the list brings together.
+     */
+    private Duration usualListPause() {
+        if (mView.all().size() <= 1) {
+            return LIST_PAUSE_ALONE;
+        }
+        boolean young = mLoop.nowMillis() - mStartedMillis < YOUNG.toMillis();
+        return young ? LIST_PAUSE_YOUNG : LIST_PAUSE;
     }
 
     private void onVmList(List<ListedVm> listed) {
@@ -324,8 +364,9 @@
                         mLoop.nowMillis());
         mCells = new CellMembership(mIdentity.name(), mSettings.availabilityZone());
         publish();
+        mStartedMillis = mLoop.nowMillis();
         mLoop.every(TICK, this::tick);
-        followVmList(0);
+        followVmList();
         return CompletableFuture.completedFuture(null);
     }
 
--- a/entry/src/main/java/org/dahliapass/entry/StoreWatch.java
+++ b/entry/src/main/java/org/dahliapass/entry/StoreWatch.java
@@ -21,7 +21,7 @@
  */
 final class StoreWatch {
     private static final PartLog LOG = PartLog.of("configuration");
-    private static final Duration WAIT = Duration.ofSeconds(5);
+    private static final Duration WAIT = Duration.ofSeconds(55);
     private static final Duration RETRY = Duration.ofMillis(500);
     private static final Duration PROBE_PAUSE = Duration.ofSeconds(1);
 
