--- a/entry/src/main/java/org/dahliapass/entry/FleetService.java
+++ b/entry/src/main/java/org/dahliapass/entry/FleetService.java
@@ -40,10 +40,6 @@
 
     private static final PartLog LOG = PartLog.of("fleet");
     private static final Duration TICK = Duration.ofMillis(100);
-    private static final Duration LIST_PAUSE_ALONE = Duration.ofMillis(500);
-    private static final Duration LIST_PAUSE_YOUNG = Duration.ofSeconds(10);
-    private static final Duration LIST_PAUSE = Duration.ofMinutes(5);
-    private static final Duration YOUNG = Duration.ofMinutes(2);
 
     private final VmIdentity mIdentity;
     private final VmSettings mSettings;
@@ -60,9 +56,8 @@
     private volatile Planned mPlanned = new Planned(List.of(), Map.of());
     private volatile Set<VmIdentity> mIdentities = Set.of();
     private boolean mChanged;
-    private long mStartedMillis;
+    private VmListReader mListReader;
     private volatile boolean mLeaving;
-    private volatile boolean mStopped;
 
     /**
      * The members and the cells that were planned from them, so that an ask costs no planning.
@@ -296,52 +291,6 @@
         return zones;
     }
 
-    /**
-     * Reads the platform's list at once while this VM knows nobody, and rarely after that.
-     *
-     * <p>The list lags both ways: it gives addresses to contact, never a verdict. Guards against
-     * each VM waiting on it, which at 3,700 VMs would be as many waiting calls on the platform and
-     * a whole list to each at each change; members tell each other of changes sooner.
-     */
-    private void followVmList() {
-        if (mStopped) {
-            return;
-        }
-        Futures.whenDone(
-                mVmList.watch(0, Duration.ZERO),
-                (list, failure) ->
-                        mLoop.execute(
-                                () -> {
-                                    if (failure == null) {
-                                        onVmList(list.vms());
-                                    }
-                                    mLoop.after(listPause(), this::followVmList);
-                                }));
-    }
-
-    private Duration listPause() {
-        Duration base = usualListPause();
-        // Spread, so that VMs that started together don't call together for ever.
-        return base.plusMillis(mRandom.nextLong(base.toMillis()));
-    }
-
-    /**
-     * Guards against a fleet that starts all at once with a list that lags: its VMs may find each
-     * other in separate groups, which only a later look at the list brings together.
-     */
-    private Duration usualListPause() {
-        if (mView.all().size() <= 1) {
-            return LIST_PAUSE_ALONE;
-        }
-        boolean young = mLoop.nowMillis() - mStartedMillis < YOUNG.toMillis();
-        return young ? LIST_PAUSE_YOUNG : LIST_PAUSE;
-    }
-
-    private void onVmList(List<ListedVm> listed) {
-        List<Endpoint> hints = listed.stream().map(entry -> entry.vm().peers()).toList();
-        mMembership.setHints(hints);
-    }
-
     @Override
     public CompletableFuture<Void> start(Kernel kernel) {
         mLoop = kernel.find(ControlLoop.NAME, ControlLoop.class);
@@ -364,15 +313,21 @@
                         mLoop.nowMillis());
         mCells = new CellMembership(mIdentity.name(), mSettings.availabilityZone());
         publish();
-        mStartedMillis = mLoop.nowMillis();
         mLoop.every(TICK, this::tick);
-        followVmList();
+        mListReader =
+                new VmListReader(
+                        mVmList,
+                        mLoop,
+                        mRandom,
+                        () -> mView.all().size() <= 1,
+                        mMembership::setHints);
+        mListReader.read();
         return CompletableFuture.completedFuture(null);
     }
 
     @Override
     public CompletableFuture<Void> stop() {
-        mStopped = true;
+        mListReader.stop();
         return CompletableFuture.completedFuture(null);
     }
 }
--- a/entry/src/main/java/org/dahliapass/entry/TryResult.java
+++ b/entry/src/main/java/org/dahliapass/entry/TryResult.java
@@ -3,6 +3,7 @@
 import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.ResponseHeaders;
 import com.linecorp.armeria.common.stream.StreamMessage;
+import java.util.HashSet;
 import java.util.Set;
 import org.dahliapass.decisions.traffic.FailureKind;
 import org.dahliapass.model.Endpoint;
@@ -38,7 +39,7 @@
 
     /** Returns the targets of failed tries joined with this one's, for exclusion. */
     static Set<Endpoint> join(Set<Endpoint> tried, Endpoint target) {
-        Set<Endpoint> joined = new java.util.HashSet<>(tried);
+        Set<Endpoint> joined = new HashSet<>(tried);
         joined.add(target);
         return Set.copyOf(joined);
     }
