Let a VM's settings leave out [control], whose keys all have defaults

Cause: a check of the operators' commands on real processes showed the section demanded. Change: a missing section reads as empty where every key has a default.

--- a/entry/src/main/java/org/dahliapass/entry/VmSettings.java
+++ b/entry/src/main/java/org/dahliapass/entry/VmSettings.java
@@ -71,7 +71,7 @@
     public static VmSettings from(IniFile file) {
         IniSection vm = file.section("vm");
         IniSection platform = file.section("platform");
-        IniSection control = file.section("control");
+        IniSection control = file.sectionOrEmpty("control");
         VmSettings settings =
                 new VmSettings(
                         name(vm, "fleet"),
--- a/entry/src/test/java/org/dahliapass/entry/VmSettingsTest.java
+++ b/entry/src/test/java/org/dahliapass/entry/VmSettingsTest.java
@@ -40,6 +40,12 @@
         assertEquals(settings.gossipPeriod(), Duration.ofSeconds(1));
     }
 
+    @Test
+    public void controlSectionMayBeLeftOut() {
+        VmSettings settings = read(GOOD.substring(0, GOOD.indexOf("[control]")));
+        assertEquals(settings.askTimeToLive(), Duration.ofSeconds(30));
+    }
+
     @Test
     public void reportsAllProblemsAtOnceByFileSectionAndKey() {
         String bad =
--- a/kernel/src/main/java/org/dahliapass/kernel/IniFile.java
+++ b/kernel/src/main/java/org/dahliapass/kernel/IniFile.java
@@ -90,6 +90,11 @@
         return found;
     }
 
+    /** Returns the section of this name; a missing one reads as empty and is no problem. */
+    public IniSection sectionOrEmpty(String name) {
+        return optionalSection(name).orElseGet(() -> new IniSection(this, name, null));
+    }
+
     /** Returns, in file order, the sections whose names begin with this word and a space. */
     public List<IniSection> sectionsOf(String word) {
         List<IniSection> found =
