--- a/entry/src/main/java/org/dahliapass/entry/OnceService.java
+++ b/entry/src/main/java/org/dahliapass/entry/OnceService.java
@@ -33,7 +33,10 @@
     private static final int TARGETS_OFFERED = 3;
     private static final long CLOCK_MARGIN_MILLIS = 60_000;
     private static final int MOST_BODY_BYTES = 16 * 1024;
-    private static final long MOST_BYTES = 8L * 1024 * 1024;
+
+    /** A record with a small answer; larger answers make the table full before its capacity. */
+    private static final long BYTES_PER_RECORD = 1536;
+
     private static final int NOTICE_TRIES = 3;
 
     private final Clock mClock;
@@ -49,7 +52,9 @@
         RetentionWindow window =
                 new RetentionWindow(CLOCK_MARGIN_MILLIS, settings.operationWindow().toMillis());
         int capacity = settings.operationCapacity();
-        TableLimits limits = new TableLimits(capacity, capacity / 10, MOST_BYTES, MOST_BODY_BYTES);
+        TableLimits limits =
+                new TableLimits(
+                        capacity, capacity / 10, capacity * BYTES_PER_RECORD, MOST_BODY_BYTES);
         mClock = clock;
         mLedger = new HomeLedger(self, TARGETS_OFFERED, window, limits);
         mRegister = new WitnessRegister(self, window, limits);
