Show the policy's measurement on a page with two plots

Ruled out: one stylesheet for light and dark pages, as an SVG shown as a picture doesn't know its page; the colours are of middle lightness on no background instead. Curve labels beside every point, which covered each other; points that lie together share one.

--- a/lab/src/main/java/org/dahliapass/lab/policy/Comparison.java
+++ b/lab/src/main/java/org/dahliapass/lab/policy/Comparison.java
@@ -23,7 +23,8 @@
         return lines;
     }
 
-    private static Optional<Row> fastestOther(Row row, List<Row> rows) {
+    /** Returns the row of the other contender that found the fault soonest, if any did. */
+    static Optional<Row> fastestOther(Row row, List<Row> rows) {
         return rows.stream()
                 .filter(other -> other.deployment().equals(row.deployment()))
                 .filter(other -> other.loadPercent() == row.loadPercent())
--- a/lab/src/main/java/org/dahliapass/lab/policy/PolicyMain.java
+++ b/lab/src/main/java/org/dahliapass/lab/policy/PolicyMain.java
@@ -5,6 +5,7 @@
 import java.io.File;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -40,6 +41,7 @@
                 .ofType(Integer.class)
                 .defaultsTo(2);
         parser.accepts("json", "Also write the figures to this file.").withRequiredArg();
+        parser.accepts("svg", "Also write the plots into this directory.").withRequiredArg();
         parser.accepts("fault", "Only faults whose title holds this text.").withRequiredArg();
         parser.accepts("load", "Only this load, in percent.")
                 .withRequiredArg()
@@ -57,6 +59,10 @@
         if (options.has("json")) {
             write(new Figures(rows, curve), (String) options.valueOf("json"));
         }
+        if (options.has("svg")) {
+            PolicyPlots.write(Path.of((String) options.valueOf("svg")), rows, curve)
+                    .forEach(file -> mOutput.println("wrote " + file));
+        }
         return ExitCode.OK;
     }
 
--- /dev/null
+++ b/lab/src/test/java/org/dahliapass/lab/policy/PolicyPlotsTest.java
@@ -0,0 +1,148 @@
+package org.dahliapass.lab.policy;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import java.io.ByteArrayInputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import javax.xml.parsers.DocumentBuilderFactory;
+import org.dahliapass.kernel.StepException;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.w3c.dom.Element;
+
+/** Tests {@link PolicyPlots}. */
+public class PolicyPlotsTest {
+    private static final CurvePoint SETTING = new CurvePoint("himal", 0.001, true, 475, 6000, 0);
+    private static final CurvePoint LOOSER = new CurvePoint("himal", 1, false, 300, 4000, 20);
+
+    private Path mDirectory;
+
+    @BeforeMethod
+    public void makeDirectory() throws IOException {
+        mDirectory = Files.createTempDirectory("plots");
+    }
+
+    @AfterMethod
+    public void removeDirectory() throws IOException {
+        for (String name : List.of(PolicyPlots.CURVE_FILE, PolicyPlots.DETECTION_FILE)) {
+            Files.deleteIfExists(mDirectory.resolve(name));
+        }
+        Files.deleteIfExists(mDirectory);
+    }
+
+    @Test
+    public void curveRingsTheSettingOfEachSeriesAndNoOtherPoint() throws Exception {
+        int inKey = 1;
+        int series = 2;
+        assertEquals(circles(curve(List.of(SETTING, LOOSER)), "none"), inKey + series);
+        assertEquals(circles(curve(List.of(LOOSER, LOOSER)), "none"), 0);
+    }
+
+    @Test
+    public void pointsThatLieTogetherShareALabelAndOthersDoNot() throws Exception {
+        CurvePoint near = new CurvePoint("himal", 0.01, false, 470, 5900, 0);
+        String text = curve(List.of(SETTING, near, LOOSER)).getTextContent();
+        assertTrue(text.contains("0.001 to 0.01"), text);
+        assertFalse(text.contains("to 1\n"), text);
+    }
+
+    @Test
+    public void fasterDetectionIsDrawnFurtherLeft() throws Exception {
+        Element drawn = detection(row(Contender.CELL, 80, 475), row(Contender.PROBES, 80, 1275));
+        assertTrue(
+                lastX(drawn, SvgDrawing.BLUE, "fill") < lastX(drawn, SvgDrawing.ORANGE, "stroke"));
+    }
+
+    @Test
+    public void faultThatWasNotFoundIsDrawnBeyondTheSlowestThatWas() throws Exception {
+        Element missed = detection(row(Contender.CELL, 80, -1), row(Contender.PROBES, 80, 30_000));
+        assertTrue(
+                lastX(missed, SvgDrawing.BLUE, "fill")
+                        > lastX(missed, SvgDrawing.ORANGE, "stroke"));
+    }
+
+    @Test
+    public void markupInTitlesIsEscaped() throws Exception {
+        CurvePoint point = new CurvePoint("a<b>&c", 1, false, 300, 4000, 20);
+        assertTrue(curve(List.of(point)).getTextContent().contains("a<b>&c"));
+    }
+
+    @Test
+    public void rowsOfAnotherLoadGiveNoPlot() {
+        List<Row> rows = List.of(row(Contender.CELL, 50, 475));
+        assertTrue(PolicyPlots.write(mDirectory, rows, List.of()).isEmpty());
+        assertFalse(Files.exists(mDirectory.resolve(PolicyPlots.DETECTION_FILE)));
+    }
+
+    @Test
+    public void directoryThatIsAFileIsAnError() throws IOException {
+        Path file = Files.createFile(mDirectory.resolve(PolicyPlots.CURVE_FILE));
+        assertThrows(
+                StepException.class, () -> PolicyPlots.write(file, List.of(), List.of(SETTING)));
+    }
+
+    private Element curve(List<CurvePoint> points) throws Exception {
+        return parse(PolicyPlots.write(mDirectory, List.of(), points));
+    }
+
+    private Element detection(Row... rows) throws Exception {
+        return parse(PolicyPlots.write(mDirectory, List.of(rows), List.of()));
+    }
+
+    private static Element parse(List<Path> files) throws Exception {
+        assertEquals(files.size(), 1);
+        byte[] svg = Files.readString(files.get(0)).getBytes(StandardCharsets.UTF_8);
+        return DocumentBuilderFactory.newInstance()
+                .newDocumentBuilder()
+                .parse(new ByteArrayInputStream(svg))
+                .getDocumentElement();
+    }
+
+    private static int circles(Element drawing, String fill) {
+        var circles = drawing.getElementsByTagName("circle");
+        int count = 0;
+        for (int index = 0; index < circles.getLength(); index++) {
+            count += ((Element) circles.item(index)).getAttribute("fill").equals(fill) ? 1 : 0;
+        }
+        return count;
+    }
+
+    private static double lastX(Element drawing, String colour, String attribute) {
+        var circles = drawing.getElementsByTagName("circle");
+        double last = -1;
+        for (int index = 0; index < circles.getLength(); index++) {
+            Element circle = (Element) circles.item(index);
+            if (circle.getAttribute(attribute).equals(colour)) {
+                last = Double.parseDouble(circle.getAttribute("cx"));
+            }
+        }
+        return last;
+    }
+
+    private static Row row(Contender contender, int load, double medianMillis) {
+        return new Row(
+                "himal",
+                load,
+                "hard stop",
+                contender.title(),
+                medianMillis,
+                medianMillis,
+                medianMillis < 0 ? 100 : 0,
+                0,
+                29,
+                18,
+                false,
+                0,
+                0,
+                0,
+                0);
+    }
+}
