Count a target that stalls in a body as failing

Found by reading. Ruled out: telling the two apart by time; the cause says it. Conclusion: a stall is evidence against its target.

--- a/entry/src/main/java/org/dahliapass/entry/StallGuard.java
+++ b/entry/src/main/java/org/dahliapass/entry/StallGuard.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import org.dahliapass.kernel.StepException;
 
 /**
  * Breaks off answers that have begun and make no progress any more.
@@ -65,10 +66,17 @@
                 mWatched.stream().filter(watched -> watched.hasStalled(now)).toList();
         for (Watched watched : stalled) {
             done(watched);
-            watched.mResponse.abort();
+            watched.mResponse.abort(stalled());
         }
     }
 
+    /**
+     * A cause of its own: a plain abort would look like the caller's doing, no fault of a target.
+     */
+    private static StepException stalled() {
+        return new StepException("receive body", "target", "It made no progress for too long.");
+    }
+
     /** Returns how many answers are watched. */
     int size() {
         return mWatched.size();
--- a/entry/src/test/java/org/dahliapass/entry/StallGuardTest.java
+++ b/entry/src/test/java/org/dahliapass/entry/StallGuardTest.java
@@ -3,12 +3,15 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
 
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.HttpResponseWriter;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.concurrent.CompletionException;
 import org.dahliapass.kernel.ManualClock;
+import org.dahliapass.kernel.StepException;
 import org.testng.annotations.Test;
 
 /** Checks that answers end that stall, and only those. */
@@ -26,7 +29,11 @@
         mGuard.watch(response, STALL);
         mClock.advance(STALL.plusMillis(1));
         mGuard.sweep();
-        assertTrue(response.whenComplete().isCompletedExceptionally());
+        Throwable cause =
+                expectThrows(CompletionException.class, () -> response.whenComplete().join())
+                        .getCause();
+        // Any other cause is taken for the caller's doing, and the target would never be suspected.
+        assertTrue(cause instanceof StepException, cause.toString());
         assertEquals(mGuard.size(), 0);
     }
 
