Give the membership long run its message loss back, and list the fault

Ruled out: leaving it as a note only; bin/fuzz would then say that all is well. Change: the long run loses messages as the fixed seeds do; KNOWN-RED.txt names it. Conclusion: the fault is not mended; bin/fuzz may fail for it.

--- a/decisions/src/test/java/org/dahliapass/decisions/membership/MembershipFuzzTest.java
+++ b/decisions/src/test/java/org/dahliapass/decisions/membership/MembershipFuzzTest.java
@@ -69,8 +69,9 @@
     }
 
     /**
-     * Goes on with new seeds for as long as asked. The one-way cut comes alone here: with other
-     * messages lost besides, all helpers may miss at once, so that a false death is only rare.
+     * Goes on with new seeds for as long as asked, with the same losses as the fixed seeds. It may
+     * fail for a known fault, see KNOWN-RED.txt: with other messages lost besides the cut link, all
+     * helpers may miss at once, and a healthy VM is declared dead.
      */
     @Test
     public void longRun() {
@@ -79,7 +80,7 @@
         while (Clock.systemUTC().instant().isBefore(end)) {
             long seed = seeds.nextLong();
             assertNull(explain(seed, Plant.NONE));
-            assertNull(deadAfterCut(seed, MembershipSettings.standard(), 0));
+            assertNull(deadAfterCut(seed, MembershipSettings.standard(), CUT_LOSS));
         }
     }
 
