--- /dev/null
+++ b/standins/src/main/java/org/dahliapass/standins/StoreMain.java
@@ -0,0 +1,30 @@
+package org.dahliapass.standins;
+
+import java.util.List;
+import java.util.random.RandomGenerator;
+import joptsimple.OptionSet;
+import org.dahliapass.kernel.MonotonicClock;
+
+/** Runs the configuration store's stand-in as a process. */
+public final class StoreMain extends StandInProgram {
+    private StoreMain() {
+        super("dahliapass-store-stand-in", "stands in for the configuration store.");
+    }
+
+    /** Starts the process. */
+    public static void main(String[] arguments) {
+        System.exit(new StoreMain().main(arguments, System.out, System.err).code());
+    }
+
+    @Override
+    List<StandIn> create(OptionSet options) {
+        return List.of(
+                new StoreStandIn(
+                        port(options), new MonotonicClock(), RandomGenerator.getDefault()));
+    }
+
+    @Override
+    String describe(List<StandIn> started) {
+        return "store=" + endpoints(started);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/dahliapass/standins/TargetMain.java
@@ -0,0 +1,59 @@
+package org.dahliapass.standins;
+
+import java.time.Clock;
+import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import org.dahliapass.kernel.MonotonicClock;
+
+/** Runs the stand-ins of one or many targets as a process. */
+public final class TargetMain extends StandInProgram {
+    private TargetMain() {
+        super("dahliapass-target-stand-in", "stands in for targets.");
+    }
+
+    /** Starts the process. */
+    public static void main(String[] arguments) {
+        System.exit(new TargetMain().main(arguments, System.out, System.err).code());
+    }
+
+    @Override
+    protected void declare(OptionParser parser) {
+        super.declare(parser);
+        declareNumber(parser, "count", "1", "Targets; each after the first has the next port.");
+        declareNumber(parser, "slots", "3", "Slots of each target.");
+        declareNumber(parser, "service-millis", "5", "How long work takes, in milliseconds.");
+        declareNumber(parser, "cold-millis", "0", "How long a target is cold, in milliseconds.");
+        declareNumber(parser, "seed", "1", "Seed of the first target; the next has the next.");
+    }
+
+    @Override
+    List<StandIn> create(OptionSet options) {
+        Clock clock = new MonotonicClock();
+        return IntStream.range(0, number(options, "count"))
+                .<StandIn>mapToObj(place -> create(options, place, clock))
+                .toList();
+    }
+
+    private static TargetStandIn create(OptionSet options, int place, Clock clock) {
+        TargetSettings settings =
+                new TargetSettings(
+                        number(options, "slots"),
+                        number(options, "service-millis"),
+                        number(options, "cold-millis"),
+                        number(options, "seed") + place);
+        int port = port(options) == 0 ? 0 : port(options) + place;
+        return new TargetStandIn(port, settings, clock);
+    }
+
+    @Override
+    String describe(List<StandIn> started) {
+        String controls =
+                started.stream()
+                        .map(target -> ((TargetStandIn) target).control().toString())
+                        .collect(Collectors.joining(","));
+        return "targets=" + endpoints(started) + " controls=" + controls;
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/dahliapass/standins/WaitingReads.java
@@ -0,0 +1,56 @@
+package org.dahliapass.standins;
+
+import io.netty.channel.EventLoop;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.function.ToLongFunction;
+
+/** Holds blocking reads until their key's index has grown or their wait has ended. */
+final class WaitingReads {
+    private record Waiting(String key, long index, CompletableFuture<Void> ready) {}
+
+    private final Set<Waiting> mWaiting = ConcurrentHashMap.newKeySet();
+    private final ToLongFunction<String> mIndexOf;
+
+    WaitingReads(ToLongFunction<String> indexOf) {
+        mIndexOf = indexOf;
+    }
+
+    /** Returns a future that completes when the read is to be answered. */
+    CompletableFuture<Void> await(String key, ReadWait wait, EventLoop eventLoop) {
+        if (!wait.blocks()) {
+            return CompletableFuture.completedFuture(null);
+        }
+        Waiting waiting = new Waiting(key, wait.index(), new CompletableFuture<>());
+        mWaiting.add(waiting);
+        Future<?> timer =
+                eventLoop.schedule(
+                        () -> waiting.ready.complete(null),
+                        wait.waitMillis(),
+                        TimeUnit.MILLISECONDS);
+        // A change between the caller's look and the line above would else be missed.
+        wakeChanged();
+        return waiting.ready.whenComplete(
+                (nothing, failure) -> {
+                    timer.cancel(false);
+                    mWaiting.remove(waiting);
+                });
+    }
+
+    /** Answers the reads whose key's index has grown. */
+    void wakeChanged() {
+        for (Waiting waiting : mWaiting) {
+            if (mIndexOf.applyAsLong(waiting.key) > waiting.index) {
+                waiting.ready.complete(null);
+            }
+        }
+    }
+
+    /** Answers all reads. */
+    void wakeAll() {
+        mWaiting.forEach(waiting -> waiting.ready.complete(null));
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/dahliapass/standins/WorkService.java
@@ -0,0 +1,97 @@
+package org.dahliapass.standins;
+
+import com.linecorp.armeria.common.HttpHeaderNames;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpResponseWriter;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.ResponseHeaders;
+import com.linecorp.armeria.common.ResponseHeadersBuilder;
+import com.linecorp.armeria.server.HttpService;
+import com.linecorp.armeria.server.ServiceRequestContext;
+import java.util.concurrent.Future;
+
+/** Serves a target's work: reads by GET, operations that are counted by key by POST. */
+final class WorkService implements HttpService {
+    /**
+     * A small answer's body.
+     *
+     * @param path the request's path with its query
+     * @param operation the value of {@code X-Operation}, empty if it had none
+     * @param runs how often the key's operation has run, 0 for a read
+     */
+    record Answer(String path, String operation, int runs) {}
+
+    private static final String NOT_PROCESSED = "x-not-processed";
+    private static final String DRAINING = "x-draining";
+    private static final String TRUE = "true";
+
+    private final TargetState mState;
+
+    WorkService(TargetState state) {
+        mState = state;
+    }
+
+    @Override
+    public HttpResponse serve(ServiceRequestContext context, HttpRequest request) {
+        if (mState.isDraining()) {
+            return refuse(
+                    ResponseHeaders.builder(HttpStatus.SERVICE_UNAVAILABLE).add(DRAINING, TRUE));
+        }
+        long streamLength = context.queryParams().getLong("bytes", -1);
+        if (!mState.takeSlot()) {
+            return refuse(
+                    ResponseHeaders.builder(HttpStatus.SERVICE_UNAVAILABLE)
+                            .add(HttpHeaderNames.RETRY_AFTER, "1"));
+        }
+        HttpResponseWriter writer = HttpResponse.streaming();
+        Work work = new Work(mState, writer, context.eventLoop());
+        Future<?> unused =
+                request.aggregate(context.eventLoop())
+                        .thenRun(() -> begin(work, request, streamLength));
+        return writer;
+    }
+
+    private static HttpResponse refuse(ResponseHeadersBuilder headers) {
+        return HttpResponse.of(headers.add(NOT_PROCESSED, TRUE).contentLength(0).build());
+    }
+
+    private void begin(Work work, HttpRequest request, long streamLength) {
+        WorkOutcome outcome = mState.drawOutcome();
+        if (outcome == WorkOutcome.FAIL_BEFORE_RUN) {
+            work.fail(HttpStatus.INTERNAL_SERVER_ERROR);
+            return;
+        }
+        mState.countServed();
+        int runs = countRun(request);
+        Long deadlineMillis = request.headers().getLong("x-request-timeout-ms");
+        if (deadlineMillis != null) {
+            work.after(deadlineMillis, () -> work.fail(HttpStatus.GATEWAY_TIMEOUT));
+        }
+        if (outcome != WorkOutcome.STALL) {
+            work.after(mState.workMillis(), () -> end(work, request, outcome, streamLength, runs));
+        }
+    }
+
+    private int countRun(HttpRequest request) {
+        return request.method() == HttpMethod.POST
+                ? mState.countRun(request.headers().get("idempotency-key", ""))
+                : 0;
+    }
+
+    private static void end(
+            Work work, HttpRequest request, WorkOutcome outcome, long streamLength, int runs) {
+        if (outcome == WorkOutcome.FAIL_AFTER_RUN) {
+            work.fail(HttpStatus.INTERNAL_SERVER_ERROR);
+            return;
+        }
+        boolean closeEarly = outcome == WorkOutcome.CLOSE_EARLY;
+        if (streamLength >= 0) {
+            work.stream(streamLength, closeEarly);
+            return;
+        }
+        String operation = request.headers().get("x-operation", "");
+        work.answer(Answers.encode(new Answer(request.path(), operation, runs)), closeEarly);
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/org/dahliapass/standins/KeyValueTableTest.java
@@ -0,0 +1,84 @@
+package org.dahliapass.standins;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.SplittableRandom;
+import org.dahliapass.kernel.ManualClock;
+import org.testng.annotations.Test;
+
+/** Tests the table's compare-and-swap, indexes and sessions. */
+public class KeyValueTableTest {
+    private final ManualClock mClock = new ManualClock(Instant.EPOCH);
+    private final KeyValueTable mTable = new KeyValueTable(new SplittableRandom(7));
+
+    @Test
+    public void compareAndSwapRaceSecondWriterLoses() {
+        // Two operators read the head at the same index and both write. The first write wins; the
+        // second has to be told so, else it would undo the first.
+        String key = "race";
+        assertTrue(mTable.putIf(key, "old", 0, now()));
+        long index = mTable.index(key, now());
+
+        assertTrue(mTable.putIf(key, "first", index, now()));
+        assertFalse(mTable.putIf(key, "second", index, now()));
+        assertEquals(mTable.get(key, now()).orElseThrow().value(), "first");
+    }
+
+    @Test
+    public void compareAndSwapWithZeroOnlyCreates() {
+        assertTrue(mTable.putIf("create", "a", 0, now()));
+        assertFalse(mTable.putIf("create", "b", 0, now()));
+        assertFalse(mTable.putIf("absent", "c", 99, now()));
+        assertTrue(mTable.get("absent", now()).isEmpty());
+    }
+
+    @Test
+    public void deleteMovesIndexAndAllowsCreate() {
+        mTable.put("deleted", "a", now());
+        long index = mTable.index("deleted", now());
+        assertFalse(mTable.deleteIf("deleted", index + 1, now()));
+        mTable.delete("deleted", now());
+
+        assertTrue(mTable.index("deleted", now()) > index);
+        assertTrue(mTable.putIf("deleted", "b", 0, now()));
+    }
+
+    @Test
+    public void sessionLapsePausedHolderLosesKey() {
+        // A holder pauses beyond its lease and wakes believing it still holds the key. Another has
+        // taken the key meanwhile; the first must neither renew, acquire nor release.
+        String first = mTable.createSession(10_000, now());
+        assertTrue(mTable.acquire("held", "a", first, now()));
+        String second = mTable.createSession(60_000, now());
+        assertFalse(mTable.acquire("held", "b", second, now()));
+        long index = mTable.index("held", now());
+
+        mClock.advance(Duration.ofSeconds(10));
+        assertTrue(mTable.index("held", now()) > index, "the lapse is a change");
+        assertTrue(mTable.acquire("held", "b", second, now()));
+
+        assertFalse(mTable.renewSession(first, now()));
+        assertFalse(mTable.acquire("held", "a", first, now()));
+        assertFalse(mTable.release("held", "a", first, now()));
+        assertEquals(mTable.get("held", now()).orElseThrow().value(), "b");
+    }
+
+    @Test
+    public void renewKeepsSessionAlive() {
+        String session = mTable.createSession(10_000, now());
+        mClock.advance(Duration.ofMillis(9_999));
+        assertTrue(mTable.renewSession(session, now()));
+        mClock.advance(Duration.ofMillis(9_999));
+        assertTrue(mTable.hasSession(session, now()));
+        mClock.advance(Duration.ofMillis(1));
+        assertFalse(mTable.hasSession(session, now()));
+    }
+
+    private long now() {
+        return mClock.millis();
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/org/dahliapass/standins/TargetStandInTest.java
@@ -0,0 +1,158 @@
+package org.dahliapass.standins;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.RequestHeaders;
+import java.time.Instant;
+import java.util.Map;
+import java.util.concurrent.CompletionException;
+import java.util.function.BooleanSupplier;
+import org.dahliapass.kernel.ManualClock;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests a target over HTTP/1.1 and h2c: slots, run counts, cancellation, drain, faults. */
+public class TargetStandInTest {
+    private static final long BOUND_MILLIS = 20_000;
+
+    private TargetStandIn mTarget;
+
+    @BeforeMethod
+    public void start() {
+        TargetSettings settings = new TargetSettings(1, 1, 0, 7);
+        mTarget = new TargetStandIn(0, settings, new ManualClock(Instant.EPOCH));
+        mTarget.start();
+    }
+
+    @AfterMethod
+    public void stop() {
+        mTarget.close();
+    }
+
+    @DataProvider
+    public Object[][] protocols() {
+        return new Object[][] {{"h1c"}, {"h2c"}};
+    }
+
+    @Test(dataProvider = "protocols", timeOut = BOUND_MILLIS)
+    public void busySlotShedsUntilClientCancels(String protocol) {
+        WebClient client = client(protocol);
+        mTarget.setFaults(fault("{\"stall\":true}"));
+        HttpResponse stalled = client.get("/work/a");
+        waitUntil(() -> mTarget.state().load().busySlots() == 1);
+
+        AggregatedHttpResponse shed = client.get("/work/b").aggregate().join();
+        assertEquals(shed.status(), HttpStatus.SERVICE_UNAVAILABLE);
+        assertEquals(shed.headers().get("x-not-processed"), "true");
+        assertEquals(shed.headers().get("retry-after"), "1");
+        assertFalse(shed.headers().contains("x-draining"));
+
+        stalled.abort();
+        waitUntil(() -> mTarget.state().cancelled() == 1);
+        mTarget.setFaults(TargetFaults.NONE);
+        assertEquals(client.get("/work/c").aggregate().join().status(), HttpStatus.OK);
+        assertEquals(mTarget.state().served(), 2);
+    }
+
+    @Test(timeOut = BOUND_MILLIS)
+    public void operationCountsRunsByKey() {
+        assertTrue(post("k1").contentUtf8().contains("\"operation\":\"k1\",\"runs\":1"));
+        assertTrue(post("k1").contentUtf8().contains("\"runs\":2"));
+        assertTrue(post("k2").contentUtf8().contains("\"runs\":1"));
+        assertEquals(mTarget.state().runs(), Map.of("k1", 2, "k2", 1));
+        assertEquals(
+                client("h1c").get("/runs").aggregate().join().contentUtf8(), "{\"k1\":2,\"k2\":1}");
+    }
+
+    @Test(timeOut = BOUND_MILLIS)
+    public void failedOperationCountsOnlyIfItRan() {
+        mTarget.setFaults(fault("{\"failShare\":1}"));
+        assertEquals(post("before").status(), HttpStatus.INTERNAL_SERVER_ERROR);
+        mTarget.setFaults(fault("{\"failShare\":1,\"failAfterRun\":true}"));
+        assertEquals(post("after").status(), HttpStatus.INTERNAL_SERVER_ERROR);
+        assertEquals(mTarget.state().runs(), Map.of("after", 1));
+        assertEquals(mTarget.state().load().busySlots(), 0);
+    }
+
+    @Test(timeOut = BOUND_MILLIS)
+    public void drainRefusesNewWork() {
+        mTarget.setDraining(true);
+        AggregatedHttpResponse refused = post("k");
+        assertEquals(refused.headers().get("x-draining"), "true");
+        assertEquals(refused.headers().get("x-not-processed"), "true");
+        assertTrue(mTarget.state().runs().isEmpty());
+    }
+
+    @Test(timeOut = BOUND_MILLIS)
+    public void deadlineAbandonsStalledWork() {
+        mTarget.setFaults(fault("{\"stall\":true}"));
+        RequestHeaders headers =
+                RequestHeaders.of(HttpMethod.GET, "/work/a", "x-request-timeout-ms", "5");
+        AggregatedHttpResponse response = client("h1c").execute(headers).aggregate().join();
+        assertEquals(response.status(), HttpStatus.GATEWAY_TIMEOUT);
+        assertEquals(mTarget.state().load().busySlots(), 0);
+        assertEquals(mTarget.state().cancelled(), 0);
+    }
+
+    @Test(dataProvider = "protocols", timeOut = BOUND_MILLIS)
+    public void streamArrivesWholeOrBreaks(String protocol) {
+        int length = 3 * PatternBody.PIECE_LENGTH + 5;
+        WebClient client = client(protocol);
+        byte[] body = client.get("/x?bytes=" + length).aggregate().join().content().array();
+        assertEquals(body.length, length);
+        for (int offset = 0; offset < length; offset++) {
+            assertEquals(body[offset], PatternBody.at(offset));
+        }
+
+        mTarget.setFaults(fault("{\"closeEarly\":true}"));
+        assertThrows(
+                CompletionException.class,
+                () -> client.get("/x?bytes=" + length).aggregate().join());
+        assertThrows(CompletionException.class, () -> client.get("/x").aggregate().join());
+        assertEquals(mTarget.state().cancelled(), 0);
+    }
+
+    @Test(timeOut = BOUND_MILLIS)
+    public void refusedConnectionsLeaveControlPort() {
+        WebClient control = WebClient.of("http://" + mTarget.control());
+        String body = "{\"refuseConnections\":true,\"loadLies\":9}";
+        control.put("/faults", body).aggregate().join();
+        assertThrows(CompletionException.class, () -> post("k"));
+        assertEquals(
+                control.get("/load").aggregate().join().contentUtf8(),
+                "{\"busySlots\":9,\"slots\":1}");
+        control.put("/faults", "{}").aggregate().join();
+        assertEquals(post("k").status(), HttpStatus.OK);
+    }
+
+    private AggregatedHttpResponse post(String key) {
+        RequestHeaders headers =
+                RequestHeaders.of(
+                        HttpMethod.POST, "/work/p", "idempotency-key", key, "x-operation", key);
+        return client("h2c").execute(headers).aggregate().join();
+    }
+
+    private WebClient client(String protocol) {
+        return WebClient.of(protocol + "://" + mTarget.endpoint());
+    }
+
+    private static TargetFaults fault(String json) {
+        return Answers.decode(json, TargetFaults.class);
+    }
+
+    private static void waitUntil(BooleanSupplier condition) {
+        while (!condition.getAsBoolean()) {
+            Thread.onSpinWait();
+        }
+    }
+}
