--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/Balancer.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/Balancer.java
@@ -10,13 +10,11 @@
 import org.dahliapass.model.RequestKind;
 
 /**
- * Picks a target with a free slot: of two drawn by weight, the one with the lesser load.
+ * Finds the targets with a free slot for a request, of which {@link Placement} chooses one.
  *
  * <p>The VM's own share of the slots goes first; others' unused slots are borrowed only while the
  * cell has many. Reports are always somewhat old, so VMs that all took the one least loaded target,
- * or borrowed the last free slots, would meet there and be refused. Two draws by weight bound a
- * target's part of the work by twice its weight's, so one that returns after a fault starts slowly
- * although it is idle.
+ * or borrowed the last free slots, would meet there and be refused.
  *
  * <p>Not safe for use by several threads: the caller guards it by the same lock as its slot table.
  * A pick costs O(targets x VMs of the cell).
@@ -28,16 +26,16 @@
     private static final double BULKY_SHARE_AMONG_SHORT = 0.5;
 
     /**
-     * Targets without trust are passed over only while at least this share is left. If most have
-     * lost it, the cause is rather this VM's path or a load that all of them suffer from, and the
-     * few others would drown.
+     * Requests that may wait at a target beyond its slots where VMs share no slots but tell each
+     * other what they use: with none a slot would stand idle until the news that it is free has
+     * gone round, about a third of the time of an answer.
      */
-    private static final double LEAST_TRUSTED_SHARE = 0.34;
+    private static final int WAITING_AT_TARGET = 1;
 
     private final SlotTable mSlots;
     private final int mBulkySlotsPerTarget;
-    private final RandomGenerator mRandom;
     private final TrustTable mTrust;
+    private final Placement mPlacement;
     private List<WeightedTarget> mTargets = List.of();
     private double mGreatestWeight;
 
@@ -50,19 +48,27 @@
      * @param random draws the targets
      */
     public Balancer(SlotTable slots, double bulkyShare, RandomGenerator random) {
-        this(slots, bulkyShare, random, new TrustTable());
+        this("", slots, bulkyShare, random, new TrustTable(), new HangRisk());
     }
 
     /**
      * Starts without targets.
      *
-     * @param trust which targets to prefer while there are enough of them
+     * @param zone this VM's availability zone
+     * @param trust which targets' newest work failed
+     * @param risk which targets may have begun to hang
      */
-    public Balancer(SlotTable slots, double bulkyShare, RandomGenerator random, TrustTable trust) {
+    public Balancer(
+            String zone,
+            SlotTable slots,
+            double bulkyShare,
+            RandomGenerator random,
+            TrustTable trust,
+            HangRisk risk) {
         mSlots = slots;
         mTrust = trust;
         mBulkySlotsPerTarget = Math.max(1, (int) (slots.slotsPerTarget() * bulkyShare));
-        mRandom = random;
+        mPlacement = new Placement(zone, slots, trust, risk, random);
     }
 
     /** Returns the share of a target's slots that bulky requests may take in a service. */
@@ -89,19 +95,49 @@
      */
     public Optional<Endpoint> pick(RequestKind kind, Set<Endpoint> excluded, long nowMillis) {
         Optional<Endpoint> trial = trial(kind, excluded, nowMillis);
-        return trial.isPresent() ? trial : pickAgain(kind, excluded, nowMillis);
+        if (trial.isPresent()) {
+            return trial;
+        }
+        return mPlacement.choose(kind, withSlot(kind, excluded, nowMillis), mTargets, nowMillis);
     }
 
     /** Picks a target as {@link #pick}, for a further try, which must not be a trial. */
     public Optional<Endpoint> pickAgain(RequestKind kind, Set<Endpoint> excluded, long nowMillis) {
+        return mPlacement.chooseAgain(
+                kind, withSlot(kind, excluded, nowMillis), mTargets, nowMillis);
+    }
+
+    private List<WeightedTarget> withSlot(
+            RequestKind kind, Set<Endpoint> excluded, long nowMillis) {
         if (kind.bulky() && mSlots.ownBulkyTotal() >= bulkyLimit()) {
-            return Optional.empty();
+            return List.of();
         }
         List<WeightedTarget> own = withOwnSlot(kind, excluded);
+        if (mSlots.cellSize() == 1) {
+            return withUnused(own, nowMillis);
+        }
         if (!own.isEmpty()) {
-            return Optional.of(lesserLoaded(own, nowMillis));
+            return own;
         }
-        return mayBorrow(nowMillis) ? borrow(kind, excluded, nowMillis) : Optional.empty();
+        return mayBorrow(nowMillis) ? borrowable(kind, excluded, nowMillis) : List.of();
+    }
+
+    /**
+     * Returns the targets that have a slot which no other VM uses, or nearly so if there is none.
+     */
+    private List<WeightedTarget> withUnused(List<WeightedTarget> own, long nowMillis) {
+        List<WeightedTarget> unused = belowLimit(own, 0, nowMillis);
+        return unused.isEmpty() ? belowLimit(own, WAITING_AT_TARGET, nowMillis) : unused;
+    }
+
+    private List<WeightedTarget> belowLimit(
+            List<WeightedTarget> targets, int beyondSlots, long nowMillis) {
+        return targets.stream()
+                .filter(
+                        target ->
+                                Math.round(inFlight(target, nowMillis))
+                                        < usableSlots(target) + beyondSlots)
+                .toList();
     }
 
     private List<WeightedTarget> withOwnSlot(RequestKind kind, Set<Endpoint> excluded) {
@@ -131,7 +167,8 @@
         return mTargets.stream().anyMatch(target -> isUsable(target, kind, excluded));
     }
 
-    private Optional<Endpoint> borrow(RequestKind kind, Set<Endpoint> excluded, long nowMillis) {
+    private List<WeightedTarget> borrowable(
+            RequestKind kind, Set<Endpoint> excluded, long nowMillis) {
         List<WeightedTarget> unused = new ArrayList<>();
         for (WeightedTarget target : mTargets) {
             if (isUsable(target, kind, excluded)
@@ -140,7 +177,7 @@
                 unused.add(target);
             }
         }
-        return unused.isEmpty() ? Optional.empty() : Optional.of(lesserLoaded(unused, nowMillis));
+        return unused;
     }
 
     /** A VM without any slot of its own may always borrow: it would serve nobody else. */
@@ -181,36 +218,6 @@
         return mSlots.own(endpoint) + mSlots.others(endpoint, nowMillis);
     }
 
-    private Endpoint lesserLoaded(List<WeightedTarget> targets, long nowMillis) {
-        List<WeightedTarget> preferred = trusted(targets, nowMillis);
-        WeightedTarget first = draw(preferred);
-        WeightedTarget second = draw(preferred);
-        boolean firstIsLess = load(first, nowMillis) <= load(second, nowMillis);
-        return (firstIsLess ? first : second).endpoint();
-    }
-
-    private List<WeightedTarget> trusted(List<WeightedTarget> targets, long nowMillis) {
-        List<WeightedTarget> trusted = new ArrayList<>(targets);
-        trusted.removeIf(target -> !mTrust.isTrusted(target.endpoint(), nowMillis));
-        return trusted.size() < LEAST_TRUSTED_SHARE * mTargets.size() ? targets : trusted;
-    }
-
-    private double load(WeightedTarget target, long nowMillis) {
-        return inFlight(target, nowMillis) / usableSlots(target);
-    }
-
-    private WeightedTarget draw(List<WeightedTarget> targets) {
-        double sum = targets.stream().mapToDouble(WeightedTarget::weight).sum();
-        double rest = mRandom.nextDouble() * sum;
-        for (WeightedTarget target : targets) {
-            rest -= target.weight();
-            if (rest < 0) {
-                return target;
-            }
-        }
-        return targets.get(targets.size() - 1);
-    }
-
     /**
      * Returns how many bulky requests this VM may have in flight.
      *
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/HedgePolicy.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/HedgePolicy.java
@@ -14,6 +14,9 @@
  * call costs O(targets).
  */
 public final class HedgePolicy {
+    /** Nine in ten answers take less than twice the mean, as skewed as their times are. */
+    private static final int SLOW_ANSWER_FACTOR = 2;
+
     private final RetryBudget mBudget;
     private final Balancer mBalancer;
     private final SlotTable mSlots;
@@ -34,12 +37,25 @@
         mTimes = times;
     }
 
-    /** Returns how long after the first try {@code start} is worth asking; empty for never. */
-    public static OptionalLong delayMillis(RequestKind kind) {
-        if (!kind.idempotency().mayRepeat() || kind.hedgeAfter().isZero()) {
+    /**
+     * Returns how long after the first try {@code start} is worth asking; empty for never.
+     *
+     * <p>So that the second answer still meets the kind's objective, it leaves as much of it as
+     * nine in ten answers need. No hedge starts before the mean time of an answer: by then a third
+     * of sound answers are out, and more would cost the budget what failures need.
+     */
+    public OptionalLong delayMillis(RequestKind kind) {
+        if (!mayHedge(kind)) {
             return OptionalLong.empty();
         }
-        return OptionalLong.of(kind.hedgeAfter().toMillis());
+        long typical = mTimes.typicalMillis(kind);
+        long latest = kind.lateAfter().toMillis() - SLOW_ANSWER_FACTOR * typical;
+        long known = typical == 0 ? kind.hedgeAfter().toMillis() : Math.max(typical, latest);
+        return OptionalLong.of(Math.min(known, kind.hedgeAfter().toMillis()));
+    }
+
+    private static boolean mayHedge(RequestKind kind) {
+        return kind.idempotency().mayRepeat() && !kind.hedgeAfter().isZero();
     }
 
     /**
@@ -59,7 +75,7 @@
             boolean overloaded,
             long nowMillis) {
         boolean hadFurtherTry = tried.size() > 1;
-        if (hadFurtherTry || delayMillis(kind).isEmpty()) {
+        if (hadFurtherTry || !mayHedge(kind)) {
             return Optional.empty();
         }
         if (overloaded || !mBudget.hasLeft(nowMillis)) {
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/TrustTable.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/TrustTable.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -39,16 +38,9 @@
     private final List<TrustChange> mNews = new ArrayList<>();
     private boolean mTrialsAllowed = true;
 
-    /** A piece of work that has no answer yet. */
-    private record Work(long startedMillis, long overdueMillis) {
-        private boolean isLost(long nowMillis) {
-            return nowMillis - overdueMillis >= overdueMillis - startedMillis;
-        }
-    }
-
     /** What is known of one target. */
     private static final class TargetTrust {
-        private final Map<Object, Work> mOverdueAt = new LinkedHashMap<>();
+        private final UnansweredWork mWork = new UnansweredWork();
         private int mAnswersNeeded;
         private boolean mPeersDoubt;
         private int mPeersAnswersNeeded;
@@ -61,10 +53,6 @@
             boolean proven = mAnswersNeeded == 0 && !mPeersDoubt;
             return proven || nowMillis - mSetbackMillis > FORGET_MILLIS;
         }
-
-        private boolean hasOverdue(long nowMillis) {
-            return mOverdueAt.values().stream().anyMatch(work -> work.overdueMillis() <= nowMillis);
-        }
     }
 
     /** Sets whether trials may be had: each may cost a further try at another target. */
@@ -80,7 +68,7 @@
      */
     public void onStarted(Endpoint target, Object work, long overdueMillis, long nowMillis) {
         TargetTrust record = mRecords.computeIfAbsent(target, unused -> new TargetTrust());
-        record.mOverdueAt.put(work, new Work(nowMillis, overdueMillis));
+        record.mWork.start(work, overdueMillis, nowMillis);
         record.mTrialFromMillis = nowMillis + TRIAL_PAUSE_MILLIS;
     }
 
@@ -88,7 +76,7 @@
     public void onEnded(Endpoint target, Object work) {
         TargetTrust record = mRecords.get(target);
         if (record != null) {
-            record.mOverdueAt.remove(work);
+            record.mWork.end(work);
         }
     }
 
@@ -136,9 +124,7 @@
     public void giveUpOnLost(long nowMillis) {
         mRecords.forEach(
                 (target, record) -> {
-                    boolean lost =
-                            record.mOverdueAt.values().removeIf(work -> work.isLost(nowMillis));
-                    if (lost) {
+                    if (record.mWork.removeLost(nowMillis)) {
                         onSetback(target, Setback.FAILED, nowMillis);
                     }
                 });
@@ -174,13 +160,31 @@
         }
     }
 
+    /** Returns whether no failure speaks against the target, however late answers are. */
+    public boolean isProven(Endpoint target, long nowMillis) {
+        TargetTrust record = mRecords.get(target);
+        return record == null || record.isProven(nowMillis);
+    }
+
+    /** Returns whether the target was full a moment ago. */
+    public boolean isResting(Endpoint target, long nowMillis) {
+        TargetTrust record = mRecords.get(target);
+        return record != null && nowMillis < record.mRestUntilMillis;
+    }
+
+    /** Returns what the unanswered work at a target says of it, as in {@link TargetWork}. */
+    public double silence(Endpoint target, long nowMillis) {
+        TargetTrust record = mRecords.get(target);
+        return record == null ? 1 : record.mWork.silence(nowMillis);
+    }
+
     /** Returns whether the newest work speaks for the target. */
     public boolean isTrusted(Endpoint target, long nowMillis) {
         TargetTrust record = mRecords.get(target);
         return record == null
                 || (record.isProven(nowMillis)
                         && nowMillis >= record.mRestUntilMillis
-                        && !record.hasOverdue(nowMillis));
+                        && !record.mWork.hasOverdue(nowMillis));
     }
 
     /**
@@ -191,7 +195,7 @@
         return mTrialsAllowed
                 && record != null
                 && !record.isProven(nowMillis)
-                && record.mOverdueAt.isEmpty()
+                && record.mWork.isEmpty()
                 && nowMillis >= record.mTrialFromMillis;
     }
 
--- /dev/null
+++ b/decisions/src/test/java/org/dahliapass/decisions/traffic/PlacementTest.java
@@ -0,0 +1,147 @@
+package org.dahliapass.decisions.traffic;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.dahliapass.model.Endpoint;
+import org.dahliapass.model.RequestKind;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests of {@link Placement}. */
+public final class PlacementTest {
+    private static final int TARGETS = 10;
+    private static final int SLOTS = 3;
+    private static final int DRAWS = 300;
+    private static final long NOW = 10_000;
+    private static final String ZONE = "near";
+
+    private final List<WeightedTarget> mTargets = Kinds.targets(TARGETS);
+    private SlotTable mSlots;
+    private TrustTable mTrust;
+    private HangRisk mRisk;
+    private Placement mPlacement;
+
+    @BeforeMethod
+    public void start() {
+        mSlots = new SlotTable(SLOTS, 1_000);
+        mTrust = new TrustTable();
+        mRisk = new HangRisk();
+        mPlacement = new Placement(ZONE, mSlots, mTrust, mRisk, new SplittableRandom(3));
+        for (int number = 0; number < TARGETS; number++) {
+            mRisk.onProof(Kinds.endpoint(number), NOW - 100);
+        }
+    }
+
+    /**
+     * A sign-off would be lost at a target that began to hang a moment ago. The others prove
+     * themselves all the time; this one's last proof gets older, long before anything is overdue.
+     */
+    @Test
+    public void requestThatMustNotRepeatAvoidsAnOldProof() {
+        for (int number = 1; number < TARGETS; number++) {
+            mRisk.onProof(Kinds.endpoint(number), NOW + 900);
+        }
+        assertTrue(picksOf(Kinds.SIGN_OFF, 0, NOW + 1_000) < DRAWS / 100);
+    }
+
+    /** The same target is found well again, or not, by requests whose loss can be made good. */
+    @Test
+    public void requestThatMayRepeatLooksAfterTheOldestProof() {
+        for (int number = 1; number < TARGETS; number++) {
+            mRisk.onProof(Kinds.endpoint(number), NOW + 900);
+        }
+        assertEquals(picksOf(Kinds.LOOKUP, 0, NOW + 1_000), DRAWS);
+    }
+
+    @Test
+    public void targetThatIsLookedAtGetsNoSecondLook() {
+        mSlots.onStarted(Kinds.endpoint(0), false);
+        for (int number = 1; number < TARGETS; number++) {
+            mRisk.onProof(Kinds.endpoint(number), NOW + 900);
+        }
+        assertTrue(picksOf(Kinds.LOOKUP, 0, NOW + 1_000) < DRAWS / 2);
+    }
+
+    @Test
+    public void silenceTurnsWorkAwayBeforeItIsOverdue() {
+        mTrust.onStarted(Kinds.endpoint(0), "work", NOW + 640, NOW);
+        assertTrue(picksOf(Kinds.SIGN_OFF, 0, NOW + 500) < DRAWS / 100);
+    }
+
+    /**
+     * At high load locks were sent to targets that hang, since few of the sound ones had a free
+     * slot at that moment: the share of sound targets was taken of the free ones, not of all.
+     */
+    @Test
+    public void waitsForABusySoundTargetRatherThanTakeAFreeFailingOne() {
+        mTrust.onSetback(Kinds.endpoint(0), Setback.FAILED, NOW);
+        List<WeightedTarget> free = List.of(mTargets.get(0));
+        assertEquals(mPlacement.choose(Kinds.SIGN_OFF, free, mTargets, NOW + 1), Optional.empty());
+    }
+
+    /** When most targets look bad the cause is elsewhere, and the few others would drown. */
+    @Test
+    public void takesAnyTargetWhenMostHaveFailed() {
+        for (int number = 0; number < TARGETS - 2; number++) {
+            mTrust.onSetback(Kinds.endpoint(number), Setback.FAILED, NOW);
+        }
+        assertTrue(
+                mPlacement
+                        .choose(Kinds.SIGN_OFF, mTargets.subList(0, 1), mTargets, NOW + 1)
+                        .isPresent());
+    }
+
+    @Test
+    public void fullTargetIsLeftAloneForAMoment() {
+        mTrust.onSetback(Kinds.endpoint(0), Setback.FULL, NOW);
+        assertEquals(picksOf(Kinds.SIGN_OFF, 0, NOW + 100), 0);
+        assertTrue(picksOf(Kinds.SIGN_OFF, 0, NOW + 300) > 0);
+    }
+
+    @Test
+    public void amongEqualsTheLessLoadedIsTaken() {
+        for (int number = 1; number < TARGETS; number++) {
+            mSlots.onStarted(Kinds.endpoint(number), false);
+        }
+        assertTrue(picksOf(Kinds.SIGN_OFF, 0, NOW) > DRAWS / TARGETS);
+    }
+
+    @Test
+    public void furtherTryGoesWhereItIsSafest() {
+        mTrust.onSetback(Kinds.endpoint(0), Setback.FAILED, NOW);
+        for (int draw = 0; draw < DRAWS; draw++) {
+            Endpoint chosen =
+                    mPlacement.chooseAgain(Kinds.LOOKUP, mTargets, mTargets, NOW + 1).orElseThrow();
+            assertFalse(chosen.equals(Kinds.endpoint(0)));
+        }
+    }
+
+    @Test
+    public void largeAnswersStayWithinTheZoneWhileATargetThereIsFree() {
+        WeightedTarget near = new WeightedTarget(Kinds.endpoint(0), ZONE, 1, true);
+        WeightedTarget far = new WeightedTarget(Kinds.endpoint(1), "far", 1, true);
+        List<WeightedTarget> both = List.of(near, far);
+        for (int draw = 0; draw < DRAWS; draw++) {
+            assertEquals(
+                    mPlacement.choose(Kinds.EXTRACT, both, both, NOW).orElseThrow(),
+                    near.endpoint());
+        }
+        assertEquals(
+                mPlacement.choose(Kinds.EXTRACT, List.of(far), both, NOW).orElseThrow(),
+                far.endpoint());
+    }
+
+    private int picksOf(RequestKind kind, int target, long now) {
+        int picks = 0;
+        for (int draw = 0; draw < DRAWS; draw++) {
+            Endpoint chosen = mPlacement.choose(kind, mTargets, mTargets, now).orElseThrow();
+            picks += chosen.equals(Kinds.endpoint(target)) ? 1 : 0;
+        }
+        return picks;
+    }
+}
--- a/decisions/src/test/java/org/dahliapass/decisions/traffic/TrustTableTest.java
+++ b/decisions/src/test/java/org/dahliapass/decisions/traffic/TrustTableTest.java
@@ -24,7 +24,14 @@
     @BeforeMethod
     public void start() {
         mTrust = new TrustTable();
-        mBalancer = new Balancer(new SlotTable(3, 1_000), 1, new SplittableRandom(1), mTrust);
+        mBalancer =
+                new Balancer(
+                        "zone",
+                        new SlotTable(3, 1_000),
+                        1,
+                        new SplittableRandom(1),
+                        mTrust,
+                        new HangRisk());
         mBalancer.onTargets(
                 IntStream.range(0, TARGETS)
                         .mapToObj(number -> new WeightedTarget(target(number), "zone", 1, true))
--- a/entry/src/main/java/org/dahliapass/entry/ServiceRuntime.java
+++ b/entry/src/main/java/org/dahliapass/entry/ServiceRuntime.java
@@ -28,12 +28,12 @@
 import org.dahliapass.decisions.traffic.RetryDecision;
 import org.dahliapass.decisions.traffic.RetryPolicy;
 import org.dahliapass.decisions.traffic.ServiceTimes;
-import org.dahliapass.decisions.traffic.Setback;
 import org.dahliapass.decisions.traffic.SlotTable;
 import org.dahliapass.decisions.traffic.TargetInFlight;
+import org.dahliapass.decisions.traffic.TargetWork;
 import org.dahliapass.decisions.traffic.TrustChange;
-import org.dahliapass.decisions.traffic.TrustTable;
 import org.dahliapass.decisions.traffic.WeightedTarget;
+import org.dahliapass.decisions.traffic.WorkEvidence;
 import org.dahliapass.kernel.Futures;
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.model.RequestKind;
@@ -52,12 +52,12 @@
     private final ServiceId mId;
     private final int mSlotsPerTarget;
     private final Clock mClock;
-    private final EvidenceSink mEvidence;
+    private final EvidenceSink mOutcomes;
     private final EntryMetrics mMetrics;
     private final SlotTable mSlots;
-    private final TrustTable mTrust = new TrustTable();
-    private final Balancer mBalancer;
     private final ServiceTimes mTimes = new ServiceTimes();
+    private final WorkEvidence mEvidence;
+    private final Balancer mBalancer;
     private final RetryBudget mBudget = new RetryBudget();
     private final AdmissionQueue<SlotWaiter> mQueue;
     private final RetryPolicy mRetries;
@@ -65,8 +65,13 @@
     private volatile BiConsumer<ServiceId, TrustChange> mTrustListener = (service, change) -> {};
     private final RateLimiter mRates = new RateLimiter(RATE_BUCKETS);
 
-    /** Starts without targets. */
+    /**
+     * Starts without targets.
+     *
+     * @param zone this VM's availability zone
+     */
     public ServiceRuntime(
+            String zone,
             ServiceTemplate template,
             Clock clock,
             RandomGenerator random,
@@ -75,10 +80,18 @@
         mId = template.id();
         mSlotsPerTarget = template.slotsPerTarget();
         mClock = clock;
-        mEvidence = evidence;
+        mOutcomes = evidence;
         mMetrics = metrics;
         mSlots = new SlotTable(template.slotsPerTarget(), REPORT_HALF_LIFE_MILLIS);
-        mBalancer = new Balancer(mSlots, Balancer.bulkyShare(template.kinds()), random, mTrust);
+        mEvidence = new WorkEvidence(mTimes, mSlots);
+        mBalancer =
+                new Balancer(
+                        zone,
+                        mSlots,
+                        Balancer.bulkyShare(template.kinds()),
+                        random,
+                        mEvidence.trust(),
+                        mEvidence.risk());
         mQueue =
                 new AdmissionQueue<>(
                         QueueLimits.forService(template), mSlots, mBalancer, mTimes, random);
@@ -163,7 +176,9 @@
         long now = mClock.millis();
         Admission admission;
         synchronized (this) {
-            mTrust.allowTrials(firstTry && !mQueue.isOverloaded() && mBudget.hasLeft(now));
+            mEvidence
+                    .trust()
+                    .allowTrials(firstTry && !mQueue.isOverloaded() && mBudget.hasLeft(now));
             admission = mQueue.offer(entry, now);
             if (firstTry) {
                 mBudget.onFirstTry(entry.kind(), now);
@@ -190,6 +205,11 @@
         return Optional.empty();
     }
 
+    /** Returns how long after the first try a hedge is worth asking for; empty for never. */
+    public synchronized OptionalLong hedgeDelayMillis(RequestKind kind) {
+        return mHedges.delayMillis(kind);
+    }
+
     /** Gets a slot for a hedge if policy and budget allow one. */
     public Optional<Slot> hedge(SlotRequest request, Set<Endpoint> tried) {
         long now = mClock.millis();
@@ -214,25 +234,7 @@
     }
 
     private synchronized void noteStarted(Slot slot, long now) {
-        long unusual = mTimes.unusualMillis(slot.entry().kind());
-        mTrust.onStarted(slot.target(), slot, now + unusual, now);
-    }
-
-    /** Tells the trust table how a piece of work ended; the lock is held. */
-    private void noteEnded(Slot slot, Outcome outcome, long now) {
-        boolean late = now - slot.startedMillis() >= mTimes.unusualMillis(slot.entry().kind());
-        mTrust.onEnded(slot.target(), slot);
-        switch (outcome) {
-            case SUCCESS -> mTrust.onAnswered(slot.target(), now);
-            case FAILURE -> mTrust.onSetback(slot.target(), Setback.ERROR, now);
-            case REFUSED_SHED -> mTrust.onSetback(slot.target(), Setback.FULL, now);
-            case CANCELLED -> {
-                if (late) {
-                    mTrust.onSetback(slot.target(), Setback.LATE, now);
-                }
-            }
-            default -> mTrust.onSetback(slot.target(), Setback.FAILED, now);
-        }
+        mEvidence.onStarted(slot.entry().kind(), slot.target(), slot, now);
     }
 
     /**
@@ -252,12 +254,31 @@
 
     /** Takes what another VM's work showed of a target. */
     public synchronized void onPeerTrust(TrustChange change) {
-        mTrust.onPeer(change, mClock.millis());
+        mEvidence.trust().onPeer(change, mClock.millis());
+    }
+
+    /** Returns what is new in this VM's work for the other VMs; empty if nothing is. */
+    public synchronized List<TargetWork> takeWorkReport() {
+        return mEvidence.takeReport(mClock.millis());
+    }
+
+    /** Takes another VM's report, and gives the slots that it frees to those who wait. */
+    public void onPeerReport(VmIdentity vm, List<TargetWork> report) {
+        long now = mClock.millis();
+        QueueStep<SlotWaiter> step;
+        synchronized (this) {
+            mEvidence.onPeerReport(vm.name(), report, now);
+            for (TargetWork work : report) {
+                mSlots.onPeerInFlight(vm, work.target(), work.inFlight(), now);
+            }
+            step = mQueue.onSlotFreed(now);
+        }
+        carryOut(step, now);
     }
 
     /** Returns whether the newest work speaks for a target. */
     public synchronized boolean isTrusted(Endpoint target) {
-        return mTrust.isTrusted(target, mClock.millis());
+        return mEvidence.trust().isTrusted(target, mClock.millis());
     }
 
     /** Observes the head of an answer. */
@@ -277,8 +298,9 @@
         QueueStep<SlotWaiter> step;
         List<TrustChange> news;
         synchronized (this) {
-            noteEnded(slot, outcome, now);
-            news = mTrust.takeNews();
+            mEvidence.onEnded(
+                    slot.entry().kind(), slot.target(), slot, slot.startedMillis(), outcome, now);
+            news = mEvidence.trust().takeNews();
             step =
                     slot.extra()
                             ? mQueue.onExtraTryEnded(
@@ -296,13 +318,13 @@
         }
         news.forEach(change -> mTrustListener.accept(mId, change));
         mMetrics.onTry(mId.name(), outcome.name().toLowerCase(Locale.ROOT));
-        mEvidence.onOutcome(mId, slot.target(), slot.entry().kind().name(), outcome, latencyMillis);
+        mOutcomes.onOutcome(mId, slot.target(), slot.entry().kind().name(), outcome, latencyMillis);
         carryOut(step, now);
     }
 
     /** Takes a target's own word that it is leaving. */
     void onDraining(Endpoint target) {
-        mEvidence.onDraining(mId, target);
+        mOutcomes.onDraining(mId, target);
     }
 
     /** Takes a new view of the targets, and gives the slots that it opens to those who wait. */
@@ -311,7 +333,7 @@
         QueueStep<SlotWaiter> step;
         synchronized (this) {
             mSlots.retainTargets(targets);
-            mTrust.retain(
+            mEvidence.retain(
                     targets.stream().map(WeightedTarget::endpoint).collect(Collectors.toSet()));
             mBalancer.onTargets(targets);
             step = mQueue.onSlotFreed(now);
@@ -340,8 +362,8 @@
         QueueStep<SlotWaiter> step;
         List<TrustChange> news;
         synchronized (this) {
-            mTrust.giveUpOnLost(now);
-            news = mTrust.takeNews();
+            mEvidence.trust().giveUpOnLost(now);
+            news = mEvidence.trust().takeNews();
             step = mQueue.onSlotFreed(now);
         }
         news.forEach(change -> mTrustListener.accept(mId, change));
--- a/entry/src/main/java/org/dahliapass/entry/ServiceTable.java
+++ b/entry/src/main/java/org/dahliapass/entry/ServiceTable.java
@@ -181,7 +181,14 @@
         ServiceTemplate before = mTemplates.put(template.id(), template);
         ServiceRuntime runtime = mRuntimes.get(template.id());
         if (runtime == null || !runtime.fits(template)) {
-            runtime = new ServiceRuntime(template, mClock, mRandom, this, mMetrics);
+            runtime =
+                    new ServiceRuntime(
+                            mSettings.availabilityZone(),
+                            template,
+                            mClock,
+                            mRandom,
+                            this,
+                            mMetrics);
         }
         runtime.onCell(self, cell);
         TargetHealth health = mHealth.get(template.id());
--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
@@ -17,7 +17,6 @@
 import java.util.concurrent.TimeUnit;
 import org.dahliapass.decisions.traffic.FailedTry;
 import org.dahliapass.decisions.traffic.FailureKind;
-import org.dahliapass.decisions.traffic.HedgePolicy;
 import org.dahliapass.entry.RefusedException;
 import org.dahliapass.entry.Slot;
 import org.dahliapass.kernel.Futures;
@@ -131,7 +130,7 @@
 
     /** A trial at a target without trust gets its hedge sooner. */
     private void planHedge(TargetOffer offer) {
-        OptionalLong delay = HedgePolicy.delayMillis(mRequest.kind());
+        OptionalLong delay = mPool.runtime().hedgeDelayMillis(mRequest.kind());
         if (delay.isEmpty() || mHedge != null) {
             return;
         }
@@ -289,11 +288,13 @@
         if (mWaiting != null) {
             mWaiting.cancel(false);
         }
-        for (TargetOffer offer : new ArrayList<>(mRunning)) {
+        // Taken out first: an offer that is stopped ends at once, and would be noted twice.
+        List<TargetOffer> stopped = List.copyOf(mRunning);
+        mRunning.clear();
+        for (TargetOffer offer : stopped) {
             note(offer, "stopped: " + kind);
             offer.abort(kind);
         }
-        mRunning.clear();
     }
 
     private void finish(HttpResponse response, int status, String outcome) {
--- a/gateway/src/main/java/org/dahliapass/gateway/ServicePools.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ServicePools.java
@@ -50,7 +50,7 @@
     private static final Duration TICK = Duration.ofMillis(250);
 
     /** Longer than evidence counts and a target that was taken out stays out at first. */
-    private static final long WEIGHED_AFTER_WORK_MILLIS = 20_000;
+    private static final long WEIGHED_AFTER_NEWS_MILLIS = 20_000;
 
     private final Clock mClock;
     private final RandomGenerator mRandom;
@@ -60,7 +60,10 @@
     private final Map<String, TargetHealth> mHealth = new HashMap<>();
     private final Map<String, ServiceTemplate> mTemplates = new HashMap<>();
     private ControlLoop mLoop;
-    private long mWorkedMillis;
+
+    /** When there was last something to weigh: work, or targets that came or went. */
+    private long mNewsMillis;
+
     private StoreFollower mFollower;
     private TargetConnections mConnections;
     private volatile BiConsumer<ServiceId, TrustChange> mTrustListener = (service, change) -> {};
@@ -84,6 +87,11 @@
         return Optional.ofNullable(mPools.get(service));
     }
 
+    /** Returns the names of all services; any thread may call this. */
+    Set<String> names() {
+        return mPools.keySet();
+    }
+
     /** Sets who tells the other VMs of changes of trust; while the kernel starts. */
     void setTrustListener(BiConsumer<ServiceId, TrustChange> listener) {
         mTrustListener = listener;
@@ -108,8 +116,8 @@
                     if (health == null) {
                         return;
                     }
-                    mWorkedMillis = mClock.millis();
-                    health.onOutcome(target, kind, outcome, latencyMillis, mWorkedMillis);
+                    mNewsMillis = mClock.millis();
+                    health.onOutcome(target, kind, outcome, latencyMillis, mNewsMillis);
                     if (outcome.isFailure()) {
                         publishTargets(service.name());
                     }
@@ -222,7 +230,9 @@
             mHealth.put(
                     service,
                     new TargetHealth(self, mSettings.self().availabilityZone(), template, now));
+            mNewsMillis = now;
         } else if (!template.equals(known) || hasNewInstance(before, targets)) {
+            mNewsMillis = now;
             forgetReplaced(health, template, before, targets, now);
             health.update(template, now);
         }
@@ -236,7 +246,14 @@
     }
 
     private ServiceRuntime newRuntime(ServiceTemplate template) {
-        ServiceRuntime runtime = new ServiceRuntime(template, mClock, mRandom, this, mMetrics);
+        ServiceRuntime runtime =
+                new ServiceRuntime(
+                        mSettings.self().availabilityZone(),
+                        template,
+                        mClock,
+                        mRandom,
+                        this,
+                        mMetrics);
         runtime.setTrustListener((service, change) -> mTrustListener.accept(service, change));
         return runtime;
     }
@@ -294,10 +311,15 @@
                 now);
     }
 
-    /** A VM that takes no work has nothing to weigh, which is most VMs most of the time. */
+    /**
+     * A VM that takes no work has nothing to weigh, which is most VMs most of the time.
+     *
+     * <p>Targets that came are weighed without work, too: else their slow start would end only
+     * after the VM's first requests, and the first that must not repeat would be refused.
+     */
     private void tick() {
         long now = mClock.millis();
-        if (now - mWorkedMillis > WEIGHED_AFTER_WORK_MILLIS) {
+        if (now - mNewsMillis > WEIGHED_AFTER_NEWS_MILLIS) {
             return;
         }
         for (String service : mPools.keySet()) {
--- a/gateway/src/main/java/org/dahliapass/gateway/TrustExchange.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/TrustExchange.java
@@ -12,25 +12,36 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.dahliapass.decisions.routing.AddressPlan;
+import org.dahliapass.decisions.traffic.TargetWork;
 import org.dahliapass.decisions.traffic.TrustChange;
+import org.dahliapass.kernel.ControlLoop;
 import org.dahliapass.kernel.Kernel;
 import org.dahliapass.kernel.KernelService;
 import org.dahliapass.kernel.StepException;
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.model.ServiceId;
+import org.dahliapass.model.VmIdentity;
 import org.dahliapass.model.routing.FleetVm;
 import org.dahliapass.model.routing.TargetRegistration;
 import org.dahliapass.wire.message.TrustNews;
+import org.dahliapass.wire.message.WorkAtTarget;
 
 /**
- * Tells the VMs that take callers which targets fail or answer again, so that each need not find
- * out by losing requests of its own.
+ * Tells the VMs that take callers which targets fail or answer again, and ten times a second what
+ * is in flight where, so that each need not find out by losing requests of its own.
  *
  * <p>One datagram a change and VM, about 80 bytes; a lost one costs a preference for some seconds.
+ * One report a service, VM and period while there is work, about 25 bytes a target with work.
  */
 final class TrustExchange implements KernelService {
     /** The name under which the kernel holds the exchange. */
@@ -38,12 +49,19 @@
 
     private static final int VERSION = 1;
 
+    /**
+     * The time between reports: a third of the time of an answer, 290 ms, so that most work is told
+     * of while it runs.
+     */
+    private static final Duration REPORT_PERIOD = Duration.ofMillis(100);
+
     private final GatewaySettings mSettings;
     private final EventLoopGroup mLoops;
     private final EventLog mLog;
     private final AddressPlan mPlan;
     private StoreFollower mFollower;
     private ServicePools mPools;
+    private ControlLoop mLoop;
     private volatile Channel mChannel;
 
     TrustExchange(GatewaySettings settings, EventLoopGroup loops, EventLog log) {
@@ -58,6 +76,8 @@
         mFollower = kernel.find(StoreFollower.NAME, StoreFollower.class);
         mPools = kernel.find(ServicePools.NAME, ServicePools.class);
         mPools.setTrustListener(this::tell);
+        mLoop = kernel.find(ControlLoop.NAME, ControlLoop.class);
+        mLoop.every(REPORT_PERIOD, this::report);
         Endpoint peers = mSettings.self().peers();
         CompletableFuture<Void> started = new CompletableFuture<>();
         ChannelFuture bound =
@@ -100,6 +120,46 @@
                         .setTrusted(change.trusted())
                         .build()
                         .toByteArray();
+        sendToTakers(news);
+    }
+
+    /** Reports the work of this VM to the other VMs that take callers; control thread only. */
+    private void report() {
+        for (String service : mPools.names()) {
+            mPools.find(service).ifPresent(pool -> report(service, pool));
+        }
+    }
+
+    private void report(String service, ServicePool pool) {
+        List<TargetWork> work = pool.runtime().takeWorkReport();
+        if (work.isEmpty()) {
+            return;
+        }
+        TrustNews.Builder news =
+                TrustNews.newBuilder()
+                        .setVersion(VERSION)
+                        .setSender(mSettings.self().name())
+                        .setService(service);
+        long now = mLoop.nowMillis();
+        for (TargetWork one : work) {
+            pool.at(one.target())
+                    .ifPresent(target -> news.addWork(encode(target.instance(), one, now)));
+        }
+        sendToTakers(news.build().toByteArray());
+    }
+
+    private static WorkAtTarget encode(String instance, TargetWork work, long now) {
+        WorkAtTarget.Builder encoded =
+                WorkAtTarget.newBuilder()
+                        .setInstance(instance)
+                        .setInFlight(work.inFlight())
+                        .setSilence((float) work.silence());
+        work.provenMillis()
+                .ifPresent(proven -> encoded.setProvenAgeMillis((int) Math.max(0, now - proven)));
+        return encoded.build();
+    }
+
+    private void sendToTakers(byte[] news) {
         Set<FleetVm> takers = mPlan.takers(mFollower.view().vms());
         for (FleetVm vm : takers) {
             if (!vm.name().equals(mSettings.self().name())) {
@@ -119,6 +179,12 @@
         if (pool.isEmpty()) {
             return;
         }
+        if (news.getWorkCount() > 0) {
+            onReport(pool.get(), news);
+        }
+        if (news.getInstance().isEmpty()) {
+            return;
+        }
         for (TargetRegistration target : pool.get().registrations().values()) {
             if (target.instance().equals(news.getInstance())) {
                 TrustChange change = new TrustChange(target.endpoint(), news.getTrusted());
@@ -128,6 +194,29 @@
         }
     }
 
+    private void onReport(ServicePool pool, TrustNews news) {
+        Map<String, Endpoint> addresses = new HashMap<>();
+        pool.registrations()
+                .forEach((address, target) -> addresses.put(target.instance(), address));
+        long now = mLoop.nowMillis();
+        List<TargetWork> report = new ArrayList<>();
+        for (WorkAtTarget work : news.getWorkList()) {
+            Endpoint address = addresses.get(work.getInstance());
+            if (address != null) {
+                report.add(decode(address, work, now));
+            }
+        }
+        pool.runtime().onPeerReport(new VmIdentity(news.getSender(), 0), report);
+    }
+
+    private static TargetWork decode(Endpoint target, WorkAtTarget work, long now) {
+        OptionalLong proven =
+                work.hasProvenAgeMillis()
+                        ? OptionalLong.of(now - work.getProvenAgeMillis())
+                        : OptionalLong.empty();
+        return new TargetWork(target, work.getInFlight(), Math.max(1, work.getSilence()), proven);
+    }
+
     private void logChange(
             String service, TargetRegistration target, TrustChange change, String witness) {
         mLog.write(
--- /dev/null
+++ b/gateway/src/test/java/org/dahliapass/gateway/GatewayCallerGoneTest.java
@@ -0,0 +1,120 @@
+package org.dahliapass.gateway;
+
+import static org.testng.Assert.assertEquals;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import org.dahliapass.platform.TargetHeaders;
+import org.dahliapass.standins.CallerStandIn;
+import org.dahliapass.standins.GatewaySample;
+import org.dahliapass.standins.SealingTargetStandIn;
+import org.dahliapass.standins.SealingTargetStandIn.Behaviour;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests of what a gateway VM does when a caller leaves while its request is at a target. */
+public final class GatewayCallerGoneTest {
+    private PathFixture mPath;
+
+    /** How a caller leaves. */
+    private enum Leaving {
+        /** It closes its connection in order. */
+        CLOSE {
+            @Override
+            void leave(Socket connection) throws IOException {
+                connection.close();
+            }
+        },
+        /** It resets its connection, as one does that leaves with bytes unread. */
+        RESET {
+            @Override
+            void leave(Socket connection) throws IOException {
+                connection.setSoLinger(true, 0);
+                connection.close();
+            }
+        };
+
+        abstract void leave(Socket connection) throws IOException;
+    }
+
+    /**
+     * Reads may take a minute and go to one target, so that only the caller's leaving ends them.
+     */
+    @BeforeMethod
+    public void start() {
+        mPath = new PathFixture();
+        String patient =
+                GatewaySample.configuration(2, "/slow/")
+                        .replace("1.5,0.8,2,null,2", "60,30,2,null,1");
+        mPath.mStore.put("op/config", patient);
+        PathFixture.await(() -> CallerStandIn.status(mPath.get("/slow/warm")) == 200);
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() {
+        mPath.close();
+    }
+
+    /** How the caller leaves, and whether it asked for its connection to be closed afterwards. */
+    @DataProvider
+    public Object[][] leavings() {
+        return new Object[][] {
+            {Leaving.CLOSE, false},
+            {Leaving.CLOSE, true},
+            {Leaving.RESET, false},
+            {Leaving.RESET, true}
+        };
+    }
+
+    /**
+     * A slow target stays busy for nobody. The caller of a listing leaves before its time is over;
+     * the target works on until the deadline, and requests that somebody waits for queue behind it.
+     */
+    @Test(dataProvider = "leavings")
+    public void listingWhoseCallerLeftIsStopped(Leaving leaving, boolean once) throws IOException {
+        behave(Behaviour.HANG);
+        Socket caller = mPath.caller().open(request("/slow/left", once));
+        PathFixture.await(() -> mPath.seen("/slow/left") == 1);
+        int before = ended();
+        leaving.leave(caller);
+        PathFixture.await(() -> ended() == before + 1);
+        assertEquals(mPath.seen("/slow/left"), 1);
+    }
+
+    /** The same on a connection that has served a request before. */
+    @Test
+    public void listingOnAKeptConnectionWhoseCallerLeftIsStopped() throws IOException {
+        Socket caller = mPath.caller().open(request("/slow/first", false));
+        PathFixture.await(() -> mPath.seen("/slow/first") == 1);
+        int first = caller.getInputStream().read();
+        assertEquals(first, 'H');
+        behave(Behaviour.HANG);
+        caller.getOutputStream()
+                .write(request("/slow/second", false).getBytes(StandardCharsets.ISO_8859_1));
+        PathFixture.await(() -> mPath.seen("/slow/second") == 1);
+        int before = ended();
+        caller.close();
+        PathFixture.await(() -> ended() == before + 1);
+    }
+
+    private int ended() {
+        return mPath.mTargets.stream().mapToInt(SealingTargetStandIn::endedConnections).sum();
+    }
+
+    private void behave(Behaviour behaviour) {
+        mPath.mTargets.forEach(target -> target.behave(seen -> behaviour));
+    }
+
+    private static String request(String path, boolean once) {
+        return "GET "
+                + path
+                + " HTTP/1.1\r\nHost: a.example\r\n"
+                + TargetHeaders.ATTEMPT_ID
+                + ": gone\r\nX-Dahliapass-Deadline-Ms: 60000\r\n"
+                + (once ? "Connection: close\r\n" : "")
+                + "\r\n";
+    }
+}
--- a/gateway/src/test/java/org/dahliapass/gateway/GatewayLifeTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/GatewayLifeTest.java
@@ -8,6 +8,7 @@
 import org.dahliapass.platform.AskCalls;
 import org.dahliapass.platform.StoreCalls;
 import org.dahliapass.standins.CallerStandIn;
+import org.dahliapass.standins.GatewaySample;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -42,13 +43,25 @@
         assertEquals(CallerStandIn.status(mPath.get("/r/other")), 200);
     }
 
+    /**
+     * Locks would be refused at a VM until somebody sends it a read. The targets come after the VM
+     * and begin with a slow start, in which they take no locks; it has to end without any work.
+     */
+    @Test
+    public void slowStartOfTargetsEndsWithoutWork() {
+        try (PathFixture path = PathFixture.withoutTargets()) {
+            path.registerTargets();
+            PathFixture.await(() -> CallerStandIn.status(path.post("/l/first", "body")) == 200);
+        }
+    }
+
     @Test
     public void newConfigurationIsInForceAndAnOlderOneIsIgnored() {
-        mPath.mStore.put("op/config", PathFixture.configuration(5, "/new/"));
+        mPath.mStore.put("op/config", GatewaySample.configuration(5, "/new/"));
         PathFixture.await(() -> CallerStandIn.status(mPath.get("/new/1")) == 200);
         assertEquals(CallerStandIn.status(mPath.get("/r/1")), 404);
-        mPath.mStore.put("op/config", PathFixture.configuration(4, "/r/"));
-        mPath.mStore.put("op/config", PathFixture.configuration(6, "/newest/"));
+        mPath.mStore.put("op/config", GatewaySample.configuration(4, "/r/"));
+        mPath.mStore.put("op/config", GatewaySample.configuration(6, "/newest/"));
         PathFixture.await(() -> CallerStandIn.status(mPath.get("/newest/1")) == 200);
         assertEquals(CallerStandIn.status(mPath.get("/r/1")), 404);
     }
@@ -69,14 +82,14 @@
             assertEquals(CallerStandIn.status(mPath.get("/r/away" + number)), 200);
         }
         mPath.mStore.setAway(false);
-        mPath.mStore.put("op/config", PathFixture.configuration(5, "/back/"));
+        mPath.mStore.put("op/config", GatewaySample.configuration(5, "/back/"));
         PathFixture.await(() -> CallerStandIn.status(mPath.get("/back/1")) == 200);
     }
 
     @Test
     public void changesAfterALostHistoryAreFound() {
         mPath.mStore.setAway(true);
-        mPath.mStore.put("op/config", PathFixture.configuration(5, "/lost/"));
+        mPath.mStore.put("op/config", GatewaySample.configuration(5, "/lost/"));
         mPath.mStore.forgetHistory();
         mPath.mStore.setAway(false);
         PathFixture.await(() -> CallerStandIn.status(mPath.get("/lost/1")) == 200);
--- a/gateway/src/test/java/org/dahliapass/gateway/PathFixture.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/PathFixture.java
@@ -1,17 +1,13 @@
 package org.dahliapass.gateway;
 
-import java.io.IOException;
 import java.io.OutputStream;
 import java.io.PrintStream;
-import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import org.dahliapass.kernel.IniFile;
 import org.dahliapass.kernel.MonotonicClock;
 import org.dahliapass.standins.CallerStandIn;
+import org.dahliapass.standins.GatewaySample;
 import org.dahliapass.standins.MetadataStoreStandIn;
 import org.dahliapass.standins.SealingTargetStandIn;
 
@@ -26,12 +22,22 @@
     final GatewaySettings mSettings;
     final GatewayVm mVm;
 
+    /** Starts a VM that has served a read. */
     PathFixture() {
+        this(true);
+        await(() -> CallerStandIn.status(get("/r/warm")) == 200);
+    }
+
+    private PathFixture(boolean registered) {
         mStore.start();
         mTargets.forEach(SealingTargetStandIn::start);
-        mTargets.forEach(target -> mStore.put(target.key(), target.registration("x", "ready")));
-        mStore.put("op/config", configuration(1, "/r/"));
-        mSettings = GatewaySettings.from(IniFile.parse("test", settings()));
+        if (registered) {
+            registerTargets();
+        }
+        mStore.put("op/config", GatewaySample.configuration(1, "/r/"));
+        mSettings =
+                GatewaySettings.from(
+                        IniFile.parse("test", GatewaySample.settings(mStore.endpoint())));
         EventLog log =
                 new EventLog(
                         new MonotonicClock(),
@@ -39,56 +45,18 @@
                         new PrintStream(OutputStream.nullOutputStream()));
         mVm = new GatewayVm(mSettings, new MonotonicClock(), log);
         mVm.start().join();
-        await(() -> CallerStandIn.status(get("/r/warm")) == 200);
     }
 
-    /** Returns a configuration with a route for reads and one for locks. */
-    static String configuration(long version, String reads) {
-        return "{\"version\":"
-                + version
-                + ",\"routes\":{\"columns\":[\"name\",\"host\",\"prefix\",\"kind\",\"timeout_s\","
-                + "\"target_latency_s\",\"priority\",\"traffic_split\",\"max_attempts\","
-                + "\"service\"],\"rows\":[[\"reads\",\"a.example\",\""
-                + reads
-                + "\",\"safe\",1.5,0.8,2,null,2,\"x\"],[\"locks\",\"a.example\",\"/l/\",\"unsafe\","
-                + "1.2,0.8,1,null,2,\"x\"]]},\"services\":{\"columns\":[\"name\",\"health_path\","
-                + "\"conn_limit\"],\"rows\":[[\"x\",\"/health\",360]]},\"limits\":{"
-                + "\"max_header_bytes\":16384,\"max_body_bytes\":1000,\"header_timeout_s\":3,"
-                + "\"idle_timeout_s\":15}}";
+    /** Starts a VM that has its routes and no target yet. */
+    static PathFixture withoutTargets() {
+        PathFixture path = new PathFixture(false);
+        await(() -> CallerStandIn.status(path.get("/other/")) == 404);
+        return path;
     }
 
-    private String settings() {
-        List<Integer> ports = freePorts(5);
-        return String.format(
-                "[vm]%nname = vm%navailability-zone = zone-a%nregion = r%n"
-                        + "callers = 127.0.0.1:%d%nasks = 127.0.0.1:%d%nreadiness = 127.0.0.1:%d%n"
-                        + "peers = 127.0.0.1:%d%ncontrol = 127.0.0.1:%d%nstop-grace-seconds = 3.5%n"
-                        + "[store]%naddress = %s%n[policy]%nask-time-to-live = 1500ms%n"
-                        + "vms-per-zone = 2%nfloor = 50%%%nretries = 50%%%n"
-                        + "false-ejections-per-hour = 0.01%nfailing-share = 30%%%nslow-factor = 3%n"
-                        + "return-after = 2s%nslow-start = 2s%n",
-                ports.get(0),
-                ports.get(1),
-                ports.get(2),
-                ports.get(3),
-                ports.get(4),
-                mStore.endpoint());
-    }
-
-    private static List<Integer> freePorts(int count) {
-        List<ServerSocket> sockets = new ArrayList<>();
-        try {
-            for (int number = 0; number < count; number++) {
-                sockets.add(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
-            }
-            List<Integer> ports = sockets.stream().map(ServerSocket::getLocalPort).toList();
-            for (ServerSocket socket : sockets) {
-                socket.close();
-            }
-            return ports;
-        } catch (IOException failure) {
-            throw new UncheckedIOException(failure);
-        }
+    /** Enters both targets into the store, ready for work. */
+    void registerTargets() {
+        mTargets.forEach(target -> mStore.put(target.key(), target.registration("x", "ready")));
     }
 
     /** Sends a read and returns the whole answer as it came. */
--- a/standins/src/main/java/org/dahliapass/standins/CallerStandIn.java
+++ b/standins/src/main/java/org/dahliapass/standins/CallerStandIn.java
@@ -75,6 +75,22 @@
         }
     }
 
+    /**
+     * Opens a connection of its own and sends bytes there, without waiting for an answer.
+     *
+     * @return the connection, for the test to close
+     */
+    public Socket open(String bytes) {
+        try {
+            Socket socket = new Socket(InetAddress.getByName(mServer.host()), mServer.port());
+            socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+            socket.getOutputStream().flush();
+            return socket;
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+    }
+
     /** Returns the status of an answer; 0 if there was none. */
     public static int status(String answer) {
         return answer.length() < STATUS_TO
--- a/standins/src/main/java/org/dahliapass/standins/SealingTargetStandIn.java
+++ b/standins/src/main/java/org/dahliapass/standins/SealingTargetStandIn.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import org.dahliapass.model.Endpoint;
 
@@ -30,6 +31,7 @@
     private final ServerSocket mSocket;
     private final List<Seen> mSeen = new CopyOnWriteArrayList<>();
     private final List<Socket> mConnections = new CopyOnWriteArrayList<>();
+    private final AtomicInteger mEnded = new AtomicInteger();
     private volatile Function<Seen, Behaviour> mBehaviour = seen -> Behaviour.ANSWER;
 
     /** What the target does with a request. */
@@ -211,8 +213,15 @@
             }
         } catch (IOException closed) {
             // Either side closed the connection, which ends its thread.
-            mConnections.remove(connection);
+            mEnded.incrementAndGet();
+            return;
         }
+        mEnded.incrementAndGet();
+    }
+
+    /** Returns how many of its connections have ended, whoever closed them. */
+    public int endedConnections() {
+        return mEnded.get();
     }
 
     private static Seen read(String line, BufferedReader reader) throws IOException {
