--- a/gateway/src/main/java/org/dahliapass/gateway/GatewayAnswers.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewayAnswers.java
@@ -72,6 +72,14 @@
         return answer(HttpStatus.BAD_REQUEST, 0, "The request has no attempt id.");
     }
 
+    /** Answers a request whose head is too large. */
+    HttpResponse headTooLarge() {
+        return answer(
+                HttpStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+                0,
+                "The head is larger than allowed. Send fewer or shorter headers.");
+    }
+
     /** Answers a request whose body is too large. */
     HttpResponse tooLarge() {
         return answer(HttpStatus.REQUEST_ENTITY_TOO_LARGE, 0, "The body is larger than allowed.");
--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyHandler.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyHandler.java
@@ -3,9 +3,12 @@
 import com.linecorp.armeria.common.AggregatedHttpRequest;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.server.HttpService;
 import com.linecorp.armeria.server.ServiceRequestContext;
+import io.netty.util.AsciiString;
 import java.time.Clock;
+import java.util.Map;
 import java.util.Optional;
 import org.dahliapass.decisions.routing.RouteTable;
 import org.dahliapass.decisions.routing.ShareChooser;
@@ -24,6 +27,9 @@
      */
     private static final long WAY_BACK_MILLIS = 35;
 
+    /** The colon, the space and the line end of a header line, in bytes. */
+    private static final int HEADER_LINE_EXTRA = 4;
+
     private final Clock mClock;
     private final GatewaySettings mSettings;
     private final GatewayState mState;
@@ -77,6 +83,9 @@
         }
         long arrivalMillis = mClock.millis();
         RequestLimits limits = routes.get().configuration().limits();
+        if (headBytes(request.headers()) > limits.headerBytes()) {
+            return mAnswers.headTooLarge();
+        }
         // 0 would mean "no limit" here, so one byte more is let through and checked below.
         context.setMaxRequestLength(limits.bodyBytes() + 1);
         return HttpResponse.of(
@@ -141,6 +150,17 @@
                 .start();
     }
 
+    /**
+     * Returns the size of a request's head on the wire, in bytes, without its first line's words.
+     */
+    private static long headBytes(RequestHeaders headers) {
+        long bytes = headers.path().length();
+        for (Map.Entry<AsciiString, String> header : headers) {
+            bytes += header.getKey().length() + header.getValue().length() + HEADER_LINE_EXTRA;
+        }
+        return bytes;
+    }
+
     /** Returns how long the caller waits, in milliseconds; as long as the route if it says not. */
     private static long patience(AggregatedHttpRequest message, long routeMillis) {
         String text = message.headers().get(TargetHeaders.TIME_LEFT_MILLIS);
--- a/gateway/src/test/java/org/dahliapass/gateway/GatewayCallerGoneTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/GatewayCallerGoneTest.java
@@ -113,7 +113,9 @@
                 + path
                 + " HTTP/1.1\r\nHost: a.example\r\n"
                 + TargetHeaders.ATTEMPT_ID
-                + ": gone\r\nX-Dahliapass-Deadline-Ms: 60000\r\n"
+                + ": gone\r\n"
+                + TargetHeaders.TIME_LEFT_MILLIS
+                + ": 60000\r\n"
                 + (once ? "Connection: close\r\n" : "")
                 + "\r\n";
     }
--- a/gateway/src/test/java/org/dahliapass/gateway/GatewayPathTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/GatewayPathTest.java
@@ -187,6 +187,18 @@
         assertEquals(mPath.seen("/l/large"), 0);
     }
 
+    @Test
+    public void headOverTheLimitIsRefused() {
+        String request =
+                "GET /r/head HTTP/1.1\r\nHost: a.example\r\n"
+                        + TargetHeaders.ATTEMPT_ID
+                        + ": head\r\nX-Filler: "
+                        + "x".repeat(16_384)
+                        + "\r\n\r\n";
+        assertEquals(CallerStandIn.status(mPath.caller().raw(request)), 431);
+        assertEquals(mPath.seen("/r/head"), 0);
+    }
+
     /** The chunked framing goes before the length, and what follows is a request of its own. */
     @Test
     public void requestWithinARequestIsNotRun() {
--- a/lab/src/main/java/org/dahliapass/lab/GatewayRehearsal.java
+++ b/lab/src/main/java/org/dahliapass/lab/GatewayRehearsal.java
@@ -9,6 +9,8 @@
 import org.dahliapass.gateway.GatewayVm;
 import org.dahliapass.kernel.IniFile;
 import org.dahliapass.kernel.MonotonicClock;
+import org.dahliapass.platform.AskCalls;
+import org.dahliapass.platform.ConfigurationDocument;
 import org.dahliapass.standins.CallerStandIn;
 import org.dahliapass.standins.GatewaySample;
 import org.dahliapass.standins.MetadataStoreStandIn;
@@ -39,7 +41,7 @@
         store.start();
         targets.forEach(SealingTargetStandIn::start);
         targets.forEach(target -> store.put(target.key(), target.registration("x", "ready")));
-        store.put("op/config", GatewaySample.configuration(1, "/r/"));
+        store.put(ConfigurationDocument.KEY, GatewaySample.configuration(1, "/r/"));
         GatewaySettings settings =
                 GatewaySettings.from(
                         IniFile.parse("rehearsal", GatewaySample.settings(store.endpoint())));
@@ -47,9 +49,10 @@
         GatewayVm vm = new GatewayVm(settings, clock, new EventLog(clock, "vm", nowhere));
         vm.start().join();
         boolean served = serves(new CallerStandIn(settings.self().callers(), "a.example"), targets);
-        CallerStandIn.read(settings.asks(), "/api/resolve?name=a.example&region=r&zone=zone-a");
-        CallerStandIn.read(settings.readiness(), "/api/readiness");
-        store.put("op/config", GatewaySample.configuration(2, "/other/"));
+        CallerStandIn.read(
+                settings.asks(), AskCalls.ASK_PATH + "?name=a.example&region=r&zone=zone-a");
+        CallerStandIn.read(settings.readiness(), AskCalls.READINESS_PATH);
+        store.put(ConfigurationDocument.KEY, GatewaySample.configuration(2, "/other/"));
         Runtime.getRuntime().halt(served ? 0 : 1);
     }
 
