Keep a part of the retry budget for locks, and send work when all targets refuse a part

Hedges of reads and second tries of locks shared one budget without an order.

Change: a target that was full a moment ago is passed over only while another is there; requests that may repeat spend at most 70% of what the budget earned.

--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/HedgePolicy.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/HedgePolicy.java
@@ -78,7 +78,7 @@
         if (hadFurtherTry || !mayHedge(kind)) {
             return Optional.empty();
         }
-        if (overloaded || !mBudget.hasLeft(nowMillis)) {
+        if (overloaded || !mBudget.hasLeft(kind, nowMillis)) {
             return Optional.empty();
         }
         if (deadlineMillis - nowMillis < Math.max(1, mTimes.typicalMillis(kind))) {
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/Placement.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/Placement.java
@@ -120,16 +120,24 @@
         return mRisk.chance(target, mTrust.silence(target, nowMillis), nowMillis);
     }
 
+    /**
+     * Returns the targets that may get the request, without those that were full a moment ago while
+     * there are others. When all of them refuse a part of their work, whatever their load, waiting
+     * for one that does not would end in refusing everything.
+     */
     private List<WeightedTarget> acceptable(
             List<WeightedTarget> free, List<WeightedTarget> all, long nowMillis) {
         long sound = all.stream().filter(target -> isAcceptable(target, nowMillis)).count();
         if (sound < LEAST_SHARE * all.size()) {
             return free;
         }
-        return free.stream()
-                .filter(target -> isAcceptable(target, nowMillis))
-                .filter(target -> !mTrust.isResting(target.endpoint(), nowMillis))
-                .toList();
+        List<WeightedTarget> acceptable =
+                free.stream().filter(target -> isAcceptable(target, nowMillis)).toList();
+        List<WeightedTarget> rested =
+                acceptable.stream()
+                        .filter(target -> !mTrust.isResting(target.endpoint(), nowMillis))
+                        .toList();
+        return rested.isEmpty() ? acceptable : rested;
     }
 
     private boolean isAcceptable(WeightedTarget target, long nowMillis) {
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/RetryBudget.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/RetryBudget.java
@@ -16,6 +16,12 @@
     /** So that a service with little traffic can have a retry at all. */
     private static final double MINIMUM = 2;
 
+    /**
+     * The share of what was earned that requests which may repeat can spend. With 18% earned and a
+     * third of all requests of that sort, it allows a further try for a third of them.
+     */
+    private static final double SHARE_OF_READS = 0.7;
+
     private final double[] mEarned = new double[BUCKETS];
     private final int[] mSpent = new int[BUCKETS];
     private long mNewestBucket = Long.MIN_VALUE;
@@ -25,16 +31,23 @@
         mEarned[bucketAt(nowMillis)] += kind.retryShare();
     }
 
-    /** Returns whether a further try may be spent. */
-    public boolean hasLeft(long nowMillis) {
+    /**
+     * Returns whether a further try may be spent on a request of a kind.
+     *
+     * <p>Guards against hedges of reads that use up the budget in a calm moment, so that none is
+     * left when targets begin to refuse: a read that is lost may be asked for again, a lock that is
+     * refused keeps somebody from going on. Reads leave a part to requests that must not repeat.
+     */
+    public boolean hasLeft(RequestKind kind, long nowMillis) {
         bucketAt(nowMillis);
-        double earned = MINIMUM;
+        double earned = 0;
         int spent = 0;
         for (int index = 0; index < BUCKETS; index++) {
             earned += mEarned[index];
             spent += mSpent[index];
         }
-        return spent + 1 <= earned;
+        double usable = kind.idempotency().mayRepeat() ? earned * SHARE_OF_READS : earned;
+        return spent + 1 <= MINIMUM + usable;
     }
 
     /** Spends a further try. */
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/RetryPolicy.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/RetryPolicy.java
@@ -54,7 +54,7 @@
         if (overloaded) {
             return new Stop(StopReason.OVERLOADED);
         }
-        if (!mBudget.hasLeft(nowMillis)) {
+        if (!mBudget.hasLeft(failed.kind(), nowMillis)) {
             return new Stop(StopReason.BUDGET_SPENT);
         }
         Optional<Endpoint> target = mBalancer.pickAgain(failed.kind(), failed.tried(), nowMillis);
--- a/decisions/src/test/java/org/dahliapass/decisions/traffic/PlacementTest.java
+++ b/decisions/src/test/java/org/dahliapass/decisions/traffic/PlacementTest.java
@@ -103,6 +103,18 @@
         assertTrue(picksOf(Kinds.SIGN_OFF, 0, NOW + 300) > 0);
     }
 
+    /**
+     * Locks were refused for seconds although targets took half of what they were sent. All targets
+     * refuse a part of their work at random, so each of them was full a moment ago.
+     */
+    @Test
+    public void takesATargetThatWasFullWhenAllWere() {
+        for (int number = 0; number < TARGETS; number++) {
+            mTrust.onSetback(Kinds.endpoint(number), Setback.FULL, NOW);
+        }
+        assertTrue(mPlacement.choose(Kinds.SIGN_OFF, mTargets, mTargets, NOW + 100).isPresent());
+    }
+
     @Test
     public void amongEqualsTheLessLoadedIsTaken() {
         for (int number = 1; number < TARGETS; number++) {
--- a/entry/src/main/java/org/dahliapass/entry/ServiceRuntime.java
+++ b/entry/src/main/java/org/dahliapass/entry/ServiceRuntime.java
@@ -178,7 +178,10 @@
         synchronized (this) {
             mEvidence
                     .trust()
-                    .allowTrials(firstTry && !mQueue.isOverloaded() && mBudget.hasLeft(now));
+                    .allowTrials(
+                            firstTry
+                                    && !mQueue.isOverloaded()
+                                    && mBudget.hasLeft(entry.kind(), now));
             admission = mQueue.offer(entry, now);
             if (firstTry) {
                 mBudget.onFirstTry(entry.kind(), now);
