Split reports of work and refusals out of files that had grown large

TrustExchange gives its translation of reports to WorkReportCodec, ServiceRuntime its refusals to RefusedException; no change of behaviour.

--- a/entry/src/main/java/org/dahliapass/entry/ServiceRuntime.java
+++ b/entry/src/main/java/org/dahliapass/entry/ServiceRuntime.java
@@ -1,6 +1,5 @@
 package org.dahliapass.entry;
 
-import com.linecorp.armeria.common.util.Exceptions;
 import java.time.Clock;
 import java.util.ArrayList;
 import java.util.List;
@@ -118,7 +117,7 @@
         QueueEntry<SlotWaiter> entry = newEntry(request, excluded);
         OptionalLong wait = rateWait(request);
         if (wait.isPresent()) {
-            return CompletableFuture.failedFuture(rateLimited(wait.getAsLong()));
+            return CompletableFuture.failedFuture(RefusedException.rateLimited(wait.getAsLong()));
         }
         offer(entry, true);
         return withdrawnOnCancel(entry);
@@ -190,7 +189,7 @@
         if (admission instanceof Admission.Dispatch dispatch) {
             give(entry, dispatch.target(), now);
         } else if (admission instanceof Admission.Refused refused) {
-            entry.request().slot().completeExceptionally(refused(refused));
+            entry.request().slot().completeExceptionally(RefusedException.of(refused));
         }
     }
 
@@ -386,7 +385,10 @@
 
     private void carryOut(QueueStep<SlotWaiter> step, long now) {
         for (Expired<SlotWaiter> expired : step.expired()) {
-            expired.entry().request().slot().completeExceptionally(refused(expired.refusal()));
+            expired.entry()
+                    .request()
+                    .slot()
+                    .completeExceptionally(RefusedException.of(expired.refusal()));
         }
         for (Dispatched<SlotWaiter> dispatched : step.dispatched()) {
             give(dispatched.entry(), dispatched.target(), now);
@@ -404,36 +406,4 @@
             release(slot, Outcome.CANCELLED, 0);
         }
     }
-
-    /** Returns the caller's answer for a failed acquire. */
-    static Refusal refusalOf(Throwable failure) {
-        Throwable cause = Exceptions.peel(failure);
-        if (cause instanceof RefusedException refused) {
-            return refused.refusal();
-        }
-        return Refusal.of(RefusalCode.OVERLOADED, "The request was withdrawn.", 1000);
-    }
-
-    private static RefusedException rateLimited(long waitMillis) {
-        return new RefusedException(
-                Refusal.of(
-                        RefusalCode.RATE_LIMITED,
-                        "More requests of this kind than the template's rate allows.",
-                        waitMillis));
-    }
-
-    private static RefusedException refused(Admission.Refused refused) {
-        RefusalCode code =
-                refused.reason() == org.dahliapass.decisions.traffic.RefusalReason.NO_TARGET
-                        ? RefusalCode.NO_TARGET
-                        : RefusalCode.OVERLOADED;
-        String message =
-                switch (refused.reason()) {
-                    case NO_TARGET -> "No target of the service takes work of this kind now.";
-                    case QUEUE_FULL -> "The queue, or this customer's part of it, is full.";
-                    case TOO_LATE -> "No slot comes free in time, by the rate measured now.";
-                    case WAITED_OUT -> "No slot came free within the kind's patience.";
-                };
-        return new RefusedException(Refusal.of(code, message, refused.retryAfterMillis()));
-    }
 }
--- a/entry/src/main/java/org/dahliapass/entry/TargetTry.java
+++ b/entry/src/main/java/org/dahliapass/entry/TargetTry.java
@@ -91,7 +91,7 @@
 
     private void onSlot(Slot slot, Throwable failure) {
         if (failure != null) {
-            mResult.complete(new TryResult.Refused(ServiceRuntime.refusalOf(failure)));
+            mResult.complete(new TryResult.Refused(RefusedException.refusalOf(failure)));
             return;
         }
         long remaining = mRequest.remainingMillis(mClock.millis());
--- a/gateway/src/main/java/org/dahliapass/gateway/TrustExchange.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/TrustExchange.java
@@ -13,12 +13,8 @@
 import io.netty.channel.socket.DatagramPacket;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.dahliapass.decisions.routing.AddressPlan;
@@ -34,7 +30,6 @@
 import org.dahliapass.model.routing.FleetVm;
 import org.dahliapass.model.routing.TargetRegistration;
 import org.dahliapass.wire.message.TrustNews;
-import org.dahliapass.wire.message.WorkAtTarget;
 
 /**
  * Tells the VMs that take callers which targets fail or answer again, and ten times a second what
@@ -135,28 +130,17 @@
         if (work.isEmpty()) {
             return;
         }
-        TrustNews.Builder news =
+        byte[] news =
                 TrustNews.newBuilder()
                         .setVersion(VERSION)
                         .setSender(mSettings.self().name())
-                        .setService(service);
-        long now = mLoop.nowMillis();
-        for (TargetWork one : work) {
-            pool.at(one.target())
-                    .ifPresent(target -> news.addWork(encode(target.instance(), one, now)));
-        }
-        sendToTakers(news.build().toByteArray());
-    }
-
-    private static WorkAtTarget encode(String instance, TargetWork work, long now) {
-        WorkAtTarget.Builder encoded =
-                WorkAtTarget.newBuilder()
-                        .setInstance(instance)
-                        .setInFlight(work.inFlight())
-                        .setSilence((float) work.silence());
-        work.provenMillis()
-                .ifPresent(proven -> encoded.setProvenAgeMillis((int) Math.max(0, now - proven)));
-        return encoded.build();
+                        .setService(service)
+                        .addAllWork(
+                                WorkReportCodec.encode(
+                                        work, pool.registrations(), mLoop.nowMillis()))
+                        .build()
+                        .toByteArray();
+        sendToTakers(news);
     }
 
     private void sendToTakers(byte[] news) {
@@ -195,28 +179,11 @@
     }
 
     private void onReport(ServicePool pool, TrustNews news) {
-        Map<String, Endpoint> addresses = new HashMap<>();
-        pool.registrations()
-                .forEach((address, target) -> addresses.put(target.instance(), address));
-        long now = mLoop.nowMillis();
-        List<TargetWork> report = new ArrayList<>();
-        for (WorkAtTarget work : news.getWorkList()) {
-            Endpoint address = addresses.get(work.getInstance());
-            if (address != null) {
-                report.add(decode(address, work, now));
-            }
-        }
+        List<TargetWork> report =
+                WorkReportCodec.decode(news.getWorkList(), pool.registrations(), mLoop.nowMillis());
         pool.runtime().onPeerReport(new VmIdentity(news.getSender(), 0), report);
     }
 
-    private static TargetWork decode(Endpoint target, WorkAtTarget work, long now) {
-        OptionalLong proven =
-                work.hasProvenAgeMillis()
-                        ? OptionalLong.of(now - work.getProvenAgeMillis())
-                        : OptionalLong.empty();
-        return new TargetWork(target, work.getInFlight(), Math.max(1, work.getSilence()), proven);
-    }
-
     private void logChange(
             String service, TargetRegistration target, TrustChange change, String witness) {
         mLog.write(
