Ask for a hedge again while none can be had

Reads of routes that allow one target were sent on trials too, where nothing can make a loss good.

Change: the hedge is asked for every 100 ms while there is time; only kinds that may be hedged go on trials or look after old proofs.

Test: GatewayHedgeTest#hedgeIsAskedForAgainOnceASlotComesFree failed before.

--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/Balancer.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/Balancer.java
@@ -153,7 +153,7 @@
     }
 
     private Optional<Endpoint> trial(RequestKind kind, Set<Endpoint> excluded, long nowMillis) {
-        if (!kind.idempotency().mayRepeat()) {
+        if (!HedgePolicy.mayHedge(kind)) {
             return Optional.empty();
         }
         return withOwnSlot(kind, excluded).stream()
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/HedgePolicy.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/HedgePolicy.java
@@ -54,7 +54,8 @@
         return OptionalLong.of(Math.min(known, kind.hedgeAfter().toMillis()));
     }
 
-    private static boolean mayHedge(RequestKind kind) {
+    /** Returns whether a loss of this kind's requests can be made good by a hedge. */
+    static boolean mayHedge(RequestKind kind) {
         return kind.idempotency().mayRepeat() && !kind.hedgeAfter().isZero();
     }
 
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/Placement.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/Placement.java
@@ -84,7 +84,7 @@
     Optional<Endpoint> choose(
             RequestKind kind, List<WeightedTarget> free, List<WeightedTarget> all, long nowMillis) {
         List<WeightedTarget> acceptable = nearest(kind, acceptable(free, all, nowMillis));
-        if (kind.idempotency().mayRepeat()) {
+        if (HedgePolicy.mayHedge(kind)) {
             List<WeightedTarget> stale = stalest(acceptable, nowMillis);
             if (!stale.isEmpty()) {
                 return Optional.of(draw(stale).endpoint());
--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
@@ -38,6 +38,13 @@
     /** About the mean time of an answer in both deployments, 220 to 430 ms. */
     private static final long TRIAL_HEDGE_MILLIS = 250;
 
+    /**
+     * A hedge for which no slot or budget was left is asked for again after this time. Guards
+     * against a read that waits its whole time for a target that hangs, because all others were
+     * full for one moment; slots come free about every 10 ms at the usual load.
+     */
+    private static final long HEDGE_AGAIN_MILLIS = 100;
+
     private final ProxyRequest mRequest;
     private final ServicePool mPool;
     private final TargetConnections mConnections;
@@ -226,7 +233,11 @@
             return;
         }
         Optional<Slot> slot = mPool.runtime().hedge(mRequest, Set.copyOf(mTried));
-        slot.ifPresent(given -> onSlot(given, null));
+        if (slot.isPresent()) {
+            onSlot(slot.get(), null);
+        } else if (mRequest.remainingMillis(mClock.millis()) > HEDGE_AGAIN_MILLIS) {
+            mHedge = mLoop.schedule(this::hedge, HEDGE_AGAIN_MILLIS, TimeUnit.MILLISECONDS);
+        }
     }
 
     /** Ends the exchange if nothing runs that might still answer. */
