Leave a store that falls silent within a second, and tell starts of targets apart

The store was silent towards a third of the VMs; a VM that others follow noticed only when its watch timed out, 1.5 s of waiting and 1.2 s of timeout after the last answer. Ruled out: the follower's own watch, which ends after 0.9 s. Change: a VM that watches the store renews its lease every 0.4 s, turns its followers away once the store was silent for 1 s, and follows another VM itself; answers to calls that were left behind start no second wait.

Found by reading beside it: an entry with a number that fits no type threw past the catch and ended the wait for changes for good (ChangeFeedTest, failed before). Entries that can't be read now name nobody and are told once; the start of a target (Unix milliseconds) is part of its identity, and entries of an earlier start change nothing. The tests of silence and of abandoned watches were written with the code and not seen to fail before it.

--- a/decisions/src/main/java/org/dahliapass/decisions/routing/Believed.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/routing/Believed.java
@@ -45,6 +45,12 @@
         mDropAtMillis.remove(name);
     }
 
+    /** Drops one entry at once, whatever the state of the store. */
+    public void drop(String name) {
+        mEntries.remove(name);
+        mDropAtMillis.remove(name);
+    }
+
     /** Notes that the store answers again after a time in which it didn't. */
     public void onStoreBack(long nowMillis) {
         mGraceUntilMillis = nowMillis + mGraceMillis;
--- a/gateway/src/main/java/org/dahliapass/gateway/ChangeFeed.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ChangeFeed.java
@@ -54,6 +54,16 @@
 
     private static final long PEER_PAUSE_MILLIS = 3_000;
 
+    /**
+     * A store that gave no answer for this long is taken for silent: it answers within 4 ms, and
+     * within 240 ms when it is slow. Those that follow this VM have to hear of it well within the 2
+     * seconds in which a change must be in force, which a waiting watch alone would not show.
+     */
+    private static final long STORE_SILENT_MILLIS = 1_000;
+
+    /** How often the silence of the store is looked for; adds to the time above. */
+    private static final Duration SILENCE_CHECK = Duration.ofMillis(200);
+
     /**
      * The pause after news, so that changes that come in a series are fetched together. Changes
      * must be in force within 2 seconds.
@@ -80,6 +90,13 @@
     private StoreFollower mFollower;
     private boolean mCurrent;
     private String mSource = "";
+
+    /** The store's revision up to which everything was taken. */
+    private long mRevision;
+
+    /** Counts the calls that wait for changes: an answer to an abandoned one says nothing. */
+    private int mFollowNumber;
+
     private int mNextSeed;
 
     ChangeFeed(
@@ -118,6 +135,7 @@
         mLoop = kernel.find(ControlLoop.NAME, ControlLoop.class);
         mFollower = kernel.find(StoreFollower.NAME, StoreFollower.class);
         mLoop.execute(this::readStore);
+        mLoop.every(SILENCE_CHECK, this::leaveSilentStore);
         return CompletableFuture.completedFuture(null);
     }
 
@@ -179,6 +197,7 @@
 
     private void takeAll(List<StoredItem> items, long revision) {
         mMirror.reset(items, revision);
+        mRevision = revision;
         mFollower.takeAll(items);
         step();
         follow(revision);
@@ -186,9 +205,11 @@
 
     /** Waits for the next changes, where the plan says. */
     private void follow(long revision) {
+        boolean storeAnswers = !mFollower.isAway() && !isStoreSilent();
         Optional<FleetVm> source =
-                mPlan.source(mFollower.view().vms(), !mFollower.isAway(), mLoop.nowMillis());
+                mPlan.source(mFollower.view().vms(), storeAnswers, mLoop.nowMillis());
         noteSource(source);
+        mFollowNumber++;
         if (source.isPresent()) {
             followPeer(source.get(), revision);
         } else {
@@ -196,6 +217,33 @@
         }
     }
 
+    private boolean isStoreSilent() {
+        return mLoop.nowMillis() - mFollower.heardMillis() > STORE_SILENT_MILLIS;
+    }
+
+    /**
+     * Guards against a store that falls silent towards this VM only. It shows as a watch that
+     * simply goes on waiting, while a change is acknowledged to the operator; all that follow this
+     * VM would serve by the old configuration until the watch times out. They are turned away at
+     * once instead, and this VM follows another one that still hears from the store.
+     */
+    private void leaveSilentStore() {
+        if (!mCurrent || !isStoreSilent()) {
+            return;
+        }
+        mLog.write(
+                EventLog.Kind.DEPENDENCY,
+                "store_silent",
+                line -> line.put("silent_ms", mLoop.nowMillis() - mFollower.heardMillis()));
+        setNotCurrent();
+        follow(mRevision);
+    }
+
+    /** Returns whether this VM waits for changes at the store itself; control thread only. */
+    boolean followsStore() {
+        return mCurrent;
+    }
+
     private void noteSource(Optional<FleetVm> source) {
         String name = source.map(FleetVm::name).orElse("store");
         if (name.equals(mSource)) {
@@ -218,28 +266,47 @@
     }
 
     private void followStore(long revision) {
+        int number = mFollowNumber;
         onControl(
                 mStore.watch(EVERYTHING, revision, STORE_WATCH),
                 answer -> {
                     mFollower.onAnswer();
-                    mCurrent = true;
-                    take(revision, answer, this::readStore, GATHER);
+                    if (number == mFollowNumber) {
+                        mCurrent = true;
+                        take(revision, answer, this::readStore, GATHER);
+                    }
+                },
+                failure -> {
+                    if (number == mFollowNumber) {
+                        onStoreFailed(failure);
+                    }
                 },
-                this::onStoreFailed,
                 pause(),
-                () -> follow(revision));
+                () -> followAgain(number, revision));
+    }
+
+    /** Goes on waiting for changes, unless that was begun anew meanwhile. */
+    private void followAgain(int number, long revision) {
+        if (number == mFollowNumber) {
+            follow(revision);
+        }
     }
 
     private void followPeer(FleetVm peer, long revision) {
+        int number = mFollowNumber;
         setNotCurrent();
         KeyValueStore client = clientOf(peer.peers());
         Consumer<Throwable> onFailure = failure -> mPlan.onFailed(peer, mLoop.nowMillis());
         onControl(
                 client.watch(EVERYTHING, revision, PEER_WATCH),
-                answer -> take(revision, answer, () -> readPeer(peer, revision), Duration.ZERO),
+                answer -> {
+                    if (number == mFollowNumber) {
+                        take(revision, answer, () -> readPeer(peer, revision), Duration.ZERO);
+                    }
+                },
                 onFailure,
                 Duration.ZERO,
-                () -> follow(revision));
+                () -> followAgain(number, revision));
     }
 
     /** Reads the copy of a VM; one that is older than what is known here is of no use. */
@@ -270,10 +337,12 @@
             mFollower.takeEvents(changes.events());
             step();
             long next = Math.max(revision, changes.revision());
+            mRevision = next;
             if (changes.events().isEmpty() || pause.isZero()) {
                 follow(next);
             } else {
-                mLoop.after(pause, () -> follow(next));
+                int number = mFollowNumber;
+                mLoop.after(pause, () -> followAgain(number, next));
             }
             return;
         }
--- a/gateway/src/main/java/org/dahliapass/gateway/FleetEntry.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/FleetEntry.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import org.dahliapass.kernel.ControlLoop;
 import org.dahliapass.kernel.Futures;
 import org.dahliapass.kernel.Kernel;
@@ -24,20 +25,36 @@
     private static final Duration TIME_TO_LIVE = Duration.ofSeconds(4);
 
     private static final Duration RENEWAL = Duration.ofSeconds(1);
+
+    /**
+     * A VM that others follow renews more often, which costs a twentieth of a watch: by the answers
+     * it knows within a second that the store has fallen silent.
+     */
+    private static final Duration RENEWAL_OF_FOLLOWED = Duration.ofMillis(400);
+
     private static final long NONE = 0;
 
     private final KeyValueStore mStore;
     private final FleetVm mSelf;
+    private final BooleanSupplier mIsFollowed;
     private final EventLog mLog;
     private ControlLoop mLoop;
     private StoreFollower mFollower;
     private long mLease = NONE;
+    private long mBegunMillis = Long.MIN_VALUE / 2;
     private boolean mBusy;
     private boolean mLeft;
 
-    FleetEntry(KeyValueStore store, FleetVm self, EventLog log) {
+    /**
+     * Joins what the entry needs.
+     *
+     * @param isFollowed whether other VMs hear of changes through this one; asked on the control
+     *     thread
+     */
+    FleetEntry(KeyValueStore store, FleetVm self, BooleanSupplier isFollowed, EventLog log) {
         mStore = store;
         mSelf = self;
+        mIsFollowed = isFollowed;
         mLog = log;
     }
 
@@ -46,7 +63,7 @@
         mLoop = kernel.find(ControlLoop.NAME, ControlLoop.class);
         mFollower = kernel.find(StoreFollower.NAME, StoreFollower.class);
         mLoop.execute(this::keepUp);
-        mLoop.every(RENEWAL, this::keepUp);
+        mLoop.every(RENEWAL_OF_FOLLOWED, this::keepUpIfDue);
         return CompletableFuture.completedFuture(null);
     }
 
@@ -64,12 +81,20 @@
                                         : mStore.endLease(lease));
     }
 
+    private void keepUpIfDue() {
+        long dueMillis = mBegunMillis + RENEWAL.toMillis() - RENEWAL_OF_FOLLOWED.toMillis() / 2;
+        if (mIsFollowed.getAsBoolean() || mLoop.nowMillis() >= dueMillis) {
+            keepUp();
+        }
+    }
+
     /** Renews the lease, or begins one and writes the entry if there is none. */
     private void keepUp() {
         if (mBusy || mLeft) {
             return;
         }
         mBusy = true;
+        mBegunMillis = mLoop.nowMillis();
         CompletableFuture<?> step = mLease == NONE ? enter() : renew();
         Futures.whenDone(
                 step,
--- a/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
@@ -53,7 +53,7 @@
         StoreFollower follower = new StoreFollower(log);
         ChangeFeed feed = new ChangeFeed(settings, store, connections.factory(), random, log);
         ServicePools pools = new ServicePools(clock, random, settings, metrics, log);
-        mEntry = new FleetEntry(store, settings.self(), log);
+        mEntry = new FleetEntry(store, settings.self(), feed::followsStore, log);
         ProxyHandler proxy =
                 new ProxyHandler(
                         clock,
--- a/gateway/src/main/java/org/dahliapass/gateway/StoreFollower.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/StoreFollower.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -13,7 +14,6 @@
 import org.dahliapass.kernel.ControlLoop;
 import org.dahliapass.kernel.Kernel;
 import org.dahliapass.kernel.KernelService;
-import org.dahliapass.kernel.StepException;
 import org.dahliapass.model.routing.FleetVm;
 import org.dahliapass.model.routing.RoutingConfiguration;
 import org.dahliapass.model.routing.TargetRegistration;
@@ -41,14 +41,22 @@
 
     private static final int OUTAGE_LEAST = 4;
 
+    /** Bounds the memory that another writer's keys can take; beyond it, items are told again. */
+    private static final int MOST_REFUSED_KNOWN = 1_000;
+
     private final EventLog mLog;
     private final Believed<TargetRegistration> mTargets = new Believed<>(LAPSE_GRACE_MILLIS);
     private final Believed<FleetVm> mVms = new Believed<>(LAPSE_GRACE_MILLIS);
     private final List<Runnable> mListeners = new ArrayList<>();
+
+    /** The revisions of the items that were refused, so that each is told of once. */
+    private final Map<String, Long> mRefused = new HashMap<>();
+
     private Optional<RouteTable> mRoutes = Optional.empty();
     private ControlLoop mLoop;
     private boolean mAway;
     private long mAwaySinceMillis;
+    private long mHeardMillis = Long.MIN_VALUE / 2;
     private volatile RoutingView mView = new RoutingView(Optional.empty(), List.of());
 
     StoreFollower(EventLog log) {
@@ -75,6 +83,11 @@
         return mAway;
     }
 
+    /** Returns when the store last answered a call of this VM, in milliseconds. */
+    long heardMillis() {
+        return mHeardMillis;
+    }
+
     /** Takes a failed call to the store from any part of this VM; control thread only. */
     void onFailure(Throwable failure) {
         if (mAway) {
@@ -92,10 +105,11 @@
 
     /** Takes an answered call to the store from any part of this VM; control thread only. */
     void onAnswer() {
+        long now = mLoop.nowMillis();
+        mHeardMillis = now;
         if (!mAway) {
             return;
         }
-        long now = mLoop.nowMillis();
         mAway = false;
         mTargets.onStoreBack(now);
         mVms.onStoreBack(now);
@@ -156,7 +170,14 @@
         return key.startsWith(prefix) ? key.substring(prefix.length()) : "";
     }
 
-    /** An item that can't be decoded leaves the last good state in force and is logged. */
+    /**
+     * Takes one item. A configuration that can't be decoded leaves the last good one in force; an
+     * entry that can't be decoded names nobody, so that nothing is sent there any more.
+     *
+     * <p>Guards against an item of another writer on which reading fails in a way that nobody
+     * thought of: it would end the taking of all items behind it and the wait for changes with it,
+     * which shows as a VM that serves by what it knew at that moment for good.
+     */
     private void takeWritten(StoredItem item) {
         try {
             if (item.key().equals(ConfigurationDocument.KEY)) {
@@ -167,14 +188,30 @@
                 FleetVm vm = VmEntry.decode(item);
                 mVms.put(vm.name(), vm);
             }
-        } catch (StepException failure) {
-            mLog.write(
-                    EventLog.Kind.BELIEF,
-                    "item_refused",
-                    line -> line.put("key", item.key()).put("cause", failure.getMessage()));
+        } catch (RuntimeException failure) {
+            refuse(item, failure);
         }
     }
 
+    private void refuse(StoredItem item, RuntimeException failure) {
+        mTargets.drop(nameUnder(RegistrationDocument.PREFIX, item.key()));
+        mVms.drop(nameUnder(VmEntry.PREFIX, item.key()));
+        Long told = mRefused.put(item.key(), item.revision());
+        if (told != null && told == item.revision()) {
+            return;
+        }
+        if (mRefused.size() > MOST_REFUSED_KNOWN) {
+            mRefused.clear();
+        }
+        mLog.write(
+                EventLog.Kind.BELIEF,
+                "item_refused",
+                line ->
+                        line.put("key", item.key())
+                                .put("revision", item.revision())
+                                .put("cause", failure.toString()));
+    }
+
     private void takeConfiguration(RoutingConfiguration configuration) {
         long known = mRoutes.map(routes -> routes.configuration().version()).orElse(-1L);
         if (configuration.version() <= known) {
@@ -190,10 +227,26 @@
                                 .put("routes", configuration.routes().size()));
     }
 
+    /**
+     * Guards against an entry that an earlier start of a target wrote, and that reached the store
+     * after those of the present one: it would bring back an address or a state that is over.
+     */
     private void takeTarget(TargetRegistration target) {
         TargetRegistration before = mTargets.entries().get(target.instance());
+        if (before != null && before.startedMillis() > target.startedMillis()) {
+            mLog.write(
+                    EventLog.Kind.BELIEF,
+                    "older_start_ignored",
+                    line ->
+                            line.put("instance", target.instance())
+                                    .put("started_ms", target.startedMillis())
+                                    .put("known_started_ms", before.startedMillis()));
+            return;
+        }
         mTargets.put(target.instance(), target);
-        if (before != null && before.draining() == target.draining()) {
+        if (before != null
+                && before.draining() == target.draining()
+                && before.startedMillis() == target.startedMillis()) {
             return;
         }
         mLog.write(
--- /dev/null
+++ b/gateway/src/test/java/org/dahliapass/gateway/ChangeFeedTest.java
@@ -0,0 +1,220 @@
+package org.dahliapass.gateway;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.linecorp.armeria.client.ClientFactory;
+import com.linecorp.armeria.common.HttpData;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.dahliapass.kernel.ControlLoop;
+import org.dahliapass.kernel.IniFile;
+import org.dahliapass.kernel.Kernel;
+import org.dahliapass.kernel.ManualClock;
+import org.dahliapass.model.Endpoint;
+import org.dahliapass.platform.ConfigurationDocument;
+import org.dahliapass.platform.KeyValueStore;
+import org.dahliapass.platform.RangePage;
+import org.dahliapass.platform.StoreEvent;
+import org.dahliapass.platform.StoredItem;
+import org.dahliapass.platform.VmEntry;
+import org.dahliapass.platform.WatchAnswer;
+import org.dahliapass.standins.GatewaySample;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests of {@link ChangeFeed} over a store that answers only what a test lets it answer. */
+public final class ChangeFeedTest {
+    private ManualClock mClock;
+    private FakeStore mStore;
+    private Kernel mKernel;
+    private ControlLoop mLoop;
+    private ChangeFeed mFeed;
+    private StoreFollower mFollower;
+
+    @BeforeMethod
+    public void start() {
+        mClock = new ManualClock(Instant.ofEpochSecond(1_000));
+        mStore = new FakeStore();
+        EventLog log = new EventLog(mClock, "vm", new PrintStream(OutputStream.nullOutputStream()));
+        GatewaySettings settings =
+                GatewaySettings.from(
+                        IniFile.parse(
+                                "test", GatewaySample.settings(new Endpoint("127.0.0.1", 9))));
+        mStore.mSelf =
+                new StoredItem(
+                        VmEntry.key(settings.self().name()),
+                        HttpData.wrap(VmEntry.encode(settings.self())),
+                        1);
+        mLoop = new ControlLoop(mClock);
+        mFollower = new StoreFollower(log);
+        mFeed =
+                new ChangeFeed(
+                        settings, mStore, ClientFactory.ofDefault(), new SplittableRandom(1), log);
+        mKernel =
+                new Kernel()
+                        .register(ControlLoop.NAME, mLoop)
+                        .register(StoreFollower.NAME, mFollower)
+                        .register(ChangeFeed.NAME, mFeed);
+        mKernel.start().join();
+        PathFixture.await(() -> mStore.mWatches.get() == 1);
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() {
+        mLoop.stopTimers().join();
+        mKernel.stop().join();
+    }
+
+    /**
+     * Callers get 404 for a new route long after the operator's change was acknowledged. The store
+     * falls silent towards the VM that all others follow; its watch just goes on waiting, so the
+     * others take the silence for peace. It has to turn them away within well under 2 seconds.
+     */
+    @Test
+    public void storeThatFallsSilentIsLeftBeforeItsWatchTimesOut() {
+        mStore.answerWatch(0, List.of());
+        PathFixture.await(this::isCurrent);
+        PathFixture.await(() -> mStore.mWatches.get() >= 2);
+        mClock.advance(Duration.ofMillis(1_100));
+        PathFixture.await(() -> !isCurrent());
+    }
+
+    /** The watch that was left behind is answered after all: its news must not start a second. */
+    @Test
+    public void answerOfAnAbandonedWatchStartsNoSecondOne() {
+        mStore.answerWatch(0, List.of());
+        PathFixture.await(() -> mStore.mWatches.get() >= 2 && isCurrent());
+        mClock.advance(Duration.ofMillis(1_100));
+        PathFixture.await(() -> mStore.mWatches.get() >= 3);
+        int watches = mStore.mWatches.get();
+        mStore.answerWatch(1, List.of());
+        assertTrue(mLoop.ask(() -> mStore.mWatches.get() == watches).join());
+    }
+
+    /**
+     * All VMs stop hearing of changes for good. An entry of another writer holds a number that fits
+     * no type of ours; reading it throws, and the loop that waits for changes ends with it.
+     */
+    @Test
+    public void entryThatCannotBeReadDoesNotEndTheFeed() {
+        byte[] odd =
+                ("{\"service\":\"x\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"state\":\"ready\","
+                                + "\"slots\":99999999999999}")
+                        .getBytes(StandardCharsets.UTF_8);
+        mStore.answerWatch(
+                0,
+                List.of(
+                        new StoreEvent.Written(
+                                new StoredItem("servers/odd", HttpData.wrap(odd), 2)),
+                        new StoreEvent.Written(
+                                new StoredItem(
+                                        ConfigurationDocument.KEY,
+                                        HttpData.ofUtf8(GatewaySample.configuration(3, "/r/")),
+                                        3))));
+        PathFixture.await(() -> mFollower.view().routes().isPresent());
+        PathFixture.await(() -> mStore.mWatches.get() >= 2);
+    }
+
+    /**
+     * Locks go to an address that is over. A target started again under its name, and an entry of
+     * the start before reaches the store late; it must change nothing.
+     */
+    @Test
+    public void entryOfAnEarlierStartChangesNothing() {
+        mStore.answerWatch(0, List.of(target("i-1", 2_000, 7, 2), target("i-1", 1_000, 6, 3)));
+        PathFixture.await(() -> mStore.mWatches.get() >= 2);
+        assertEquals(mLoop.ask(() -> mFollower.targets().get("i-1").endpoint().port()).join(), 7);
+    }
+
+    @Test
+    public void entryOfALaterStartReplacesTheEarlierOne() {
+        mStore.answerWatch(0, List.of(target("i-1", 1_000, 6, 2), target("i-1", 2_000, 7, 3)));
+        PathFixture.await(() -> mStore.mWatches.get() >= 2);
+        assertEquals(
+                mLoop.ask(() -> mFollower.targets().get("i-1").incarnation()).join(), "i-1@2000");
+    }
+
+    /** A target whose entry can't be read any more gets no work; the others go on. */
+    @Test
+    public void entryThatBecomesUnreadableNamesNobody() {
+        mStore.answerWatch(
+                0,
+                List.of(
+                        target("i-1", 1_000, 6, 2),
+                        target("i-2", 1_000, 7, 3),
+                        new StoreEvent.Written(
+                                new StoredItem("servers/i-1", HttpData.ofUtf8("no JSON"), 4))));
+        PathFixture.await(() -> mStore.mWatches.get() >= 2);
+        assertEquals(
+                mLoop.ask(() -> List.copyOf(mFollower.targets().keySet())).join(), List.of("i-2"));
+    }
+
+    private static StoreEvent target(String name, long startedMillis, int port, long revision) {
+        String entry =
+                "{\"service\":\"x\",\"address\":\"10.0.0.1:"
+                        + port
+                        + "\",\"zone\":\"z\",\"state\":\"ready\",\"slots\":3,\"born\":"
+                        + startedMillis
+                        + "}";
+        return new StoreEvent.Written(
+                new StoredItem("servers/" + name, HttpData.ofUtf8(entry), revision));
+    }
+
+    private boolean isCurrent() {
+        return mLoop.ask(mFeed::isCurrent).join();
+    }
+
+    /** A store whose watches wait until a test answers them, and never time out. */
+    private static final class FakeStore implements KeyValueStore {
+        private final AtomicInteger mWatches = new AtomicInteger();
+        private final List<CompletableFuture<WatchAnswer>> mWaiting =
+                new java.util.concurrent.CopyOnWriteArrayList<>();
+        private volatile StoredItem mSelf;
+
+        private void answerWatch(int number, List<StoreEvent> events) {
+            mWaiting.get(number).complete(new WatchAnswer.Changes(events, 1 + events.size()));
+        }
+
+        @Override
+        public CompletableFuture<RangePage> range(String prefix, String after) {
+            return CompletableFuture.completedFuture(new RangePage(List.of(mSelf), false, 1));
+        }
+
+        @Override
+        public CompletableFuture<WatchAnswer> watch(String prefix, long revision, Duration wait) {
+            CompletableFuture<WatchAnswer> answer = new CompletableFuture<>();
+            mWaiting.add(answer);
+            mWatches.incrementAndGet();
+            return answer;
+        }
+
+        @Override
+        public CompletableFuture<Boolean> put(String key, byte[] value, long lease) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<Long> grantLease(Duration timeToLive) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<Boolean> renewLease(long lease) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<Void> endLease(long lease) {
+            return new CompletableFuture<>();
+        }
+    }
+}
--- a/gateway/src/test/java/org/dahliapass/gateway/WorkReportCodecTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/WorkReportCodecTest.java
@@ -60,6 +60,6 @@
 
     private static TargetRegistration registration(Endpoint address, String instance) {
         return new TargetRegistration(
-                instance, "x", address, "zone-a", "v1", 3, false, Duration.ZERO);
+                instance, "x", address, "zone-a", "v1", 3, false, Duration.ZERO, 0);
     }
 }
--- a/model/src/main/java/org/dahliapass/model/routing/TargetRegistration.java
+++ b/model/src/main/java/org/dahliapass/model/routing/TargetRegistration.java
@@ -6,7 +6,7 @@
 /**
  * What a target says of itself in the platform's store.
  *
- * @param instance identifies this start of the target; another start has another one
+ * @param instance names the target; a later start may have the same name
  * @param service the service that it serves
  * @param endpoint where it is reached; may be another instance's later
  * @param availabilityZone the name of its availability zone
@@ -14,6 +14,7 @@
  * @param slots requests that it works on at once
  * @param draining whether it wants nothing new
  * @param warmupLeft how much longer it is slow after its start, when it wrote this
+ * @param startedMillis when this start of the target began, in Unix milliseconds; 0 if it says not
  */
 public record TargetRegistration(
         String instance,
@@ -23,4 +24,13 @@
         String softwareVersion,
         int slots,
         boolean draining,
-        Duration warmupLeft) {}
+        Duration warmupLeft,
+        long startedMillis) {
+    /**
+     * Returns what identifies this start of the target among all starts of all targets: what was
+     * learned of an earlier start says nothing of this one.
+     */
+    public String incarnation() {
+        return instance + "@" + startedMillis;
+    }
+}
