Send a further try to a doubtful target rather than nowhere

A further try can't wait, so the caller got 503 or 502. Ruled out: the retry budget, slots and slow start. Change: a further try takes a doubtful target if no other is free.

--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/Balancer.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/Balancer.java
@@ -91,6 +91,12 @@
         return mPlacement.choose(kind, withSlot(kind, excluded, nowMillis), mTargets, nowMillis);
     }
 
+    /** Picks a target as {@link #pick}, for a further try after one that failed. */
+    public Optional<Endpoint> pickAgain(RequestKind kind, Set<Endpoint> excluded, long nowMillis) {
+        return mPlacement.chooseAgain(
+                kind, withSlot(kind, excluded, nowMillis), mTargets, nowMillis);
+    }
+
     private List<WeightedTarget> withSlot(
             RequestKind kind, Set<Endpoint> excluded, long nowMillis) {
         if (kind.bulky() && mSlots.ownBulkyTotal() >= bulkyLimit()) {
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/Placement.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/Placement.java
@@ -92,6 +92,16 @@
         return draw(HedgePolicy.mayHedge(kind), targets, nowMillis);
     }
 
+    /**
+     * Chooses a target for a further try, which can't wait: without a target it ends as a failure
+     * or a refusal, so a doubtful target is better than none.
+     */
+    Optional<Endpoint> chooseAgain(
+            RequestKind kind, List<WeightedTarget> free, List<WeightedTarget> all, long nowMillis) {
+        Optional<Endpoint> chosen = choose(kind, free, all, nowMillis);
+        return chosen.isPresent() ? chosen : draw(HedgePolicy.mayHedge(kind), free, nowMillis);
+    }
+
     /**
      * Keeps large answers within the availability zone while a target there has a slot: of three
      * zones two thirds would cross, and the links between zones are the dearest.
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/RetryPolicy.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/RetryPolicy.java
@@ -57,7 +57,7 @@
         if (!mBudget.hasLeft(failed.kind(), nowMillis)) {
             return new Stop(StopReason.BUDGET_SPENT);
         }
-        Optional<Endpoint> target = mBalancer.pick(failed.kind(), failed.tried(), nowMillis);
+        Optional<Endpoint> target = mBalancer.pickAgain(failed.kind(), failed.tried(), nowMillis);
         if (target.isEmpty()) {
             return new Stop(StopReason.NO_TARGET);
         }
--- a/decisions/src/test/java/org/dahliapass/decisions/traffic/PlacementTest.java
+++ b/decisions/src/test/java/org/dahliapass/decisions/traffic/PlacementTest.java
@@ -96,6 +96,19 @@
         assertEquals(mPlacement.choose(Kinds.SIGN_OFF, free, mTargets, NOW + 1), Optional.empty());
     }
 
+    /**
+     * A lookup ended with an error although another target was free: the sound target had been
+     * tried already, the other one was in doubt, and a further try can't wait for better.
+     */
+    @Test
+    public void furtherTryTakesADoubtfulTargetRatherThanNone() {
+        failed(0);
+        List<WeightedTarget> free = List.of(mTargets.get(0));
+        assertEquals(
+                mPlacement.chooseAgain(Kinds.LOOKUP, free, mTargets, NOW + 1),
+                Optional.of(Kinds.endpoint(0)));
+    }
+
     /** When most targets look bad the cause is elsewhere, and the few others would drown. */
     @Test
     public void takesAnyTargetWhenMostHaveFailed() {
@@ -140,7 +153,7 @@
         failed(0);
         for (int draw = 0; draw < DRAWS; draw++) {
             Endpoint chosen =
-                    mPlacement.choose(Kinds.LOOKUP, mTargets, mTargets, NOW + 1).orElseThrow();
+                    mPlacement.chooseAgain(Kinds.LOOKUP, mTargets, mTargets, NOW + 1).orElseThrow();
             assertFalse(chosen.equals(Kinds.endpoint(0)));
         }
     }
