--- a/gateway/src/main/java/org/dahliapass/gateway/FleetEntry.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/FleetEntry.java
@@ -82,6 +82,7 @@
     }
 
     private void keepUpIfDue() {
+        // Half a step early, so that the step nearest to the renewal's time is taken.
         long dueMillis = mBegunMillis + RENEWAL.toMillis() - RENEWAL_OF_FOLLOWED.toMillis() / 2;
         if (mIsFollowed.getAsBoolean() || mLoop.nowMillis() >= dueMillis) {
             keepUp();
--- a/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
@@ -87,8 +87,7 @@
                 .register(ChangeFeed.NAME, feed)
                 .register(FleetEntry.NAME, mEntry)
                 .register(ServicePools.NAME, pools)
-                .register(
-                        TrustExchange.NAME, new TrustExchange(settings, connections.loops(), log));
+                .register(WorkExchange.NAME, new WorkExchange(settings, connections.loops(), log));
     }
 
     /** Starts all services; requests are served once configuration is there. */
--- a/gateway/src/main/java/org/dahliapass/gateway/TrustExchange.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/WorkExchange.java
@@ -41,9 +41,9 @@
  * <p>One datagram an end and VM, about 80 bytes; a lost one costs a preference for some seconds.
  * One report a service, VM and period while there is work, about 25 bytes a target with work.
  */
-final class TrustExchange implements KernelService {
+final class WorkExchange implements KernelService {
     /** The name under which the kernel holds the exchange. */
-    static final String NAME = "trust-exchange";
+    static final String NAME = "work-exchange";
 
     private static final int VERSION = 1;
 
@@ -62,7 +62,7 @@
     private ControlLoop mLoop;
     private volatile Channel mChannel;
 
-    TrustExchange(GatewaySettings settings, EventLoopGroup loops, EventLog log) {
+    WorkExchange(GatewaySettings settings, EventLoopGroup loops, EventLog log) {
         mSettings = settings;
         mLoops = loops;
         mLog = log;
