--- a/gateway/src/test/java/org/dahliapass/gateway/ChangeFeedTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/ChangeFeedTest.java
@@ -107,8 +107,8 @@
     @Test
     public void entryThatCannotBeReadDoesNotEndTheFeed() {
         byte[] odd =
-                ("{\"service\":\"x\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"state\":\"ready\","
-                                + "\"slots\":99999999999999}")
+                ("{\"service\":\"x\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+                                + "\"state\":\"ready\",\"slots\":99999999999999}")
                         .getBytes(StandardCharsets.UTF_8);
         mStore.answerWatch(
                 0,
--- a/lab/src/main/java/org/dahliapass/lab/fleet/Scenario.java
+++ b/lab/src/main/java/org/dahliapass/lab/fleet/Scenario.java
@@ -51,7 +51,6 @@
     private static final Duration SHORTEST = Duration.ofMillis(1);
     private static final double RETRY_SHARE = 0.18;
 
-    /** Copies the list. */
     Scenario {
         loads = List.copyOf(loads);
     }
