Tell once a second what each VM carries and what of it is short

Cause: on large deployments requests are held until callers give up while the VMs look idle. No line tells a VM whose processor is short from one whose link is, or from one that feeds the copy of the store to too many others. Change: a line a second with requests, bytes to callers and to followers, how long answers take from their first byte to the last one written, and how late the control and the traffic thread run; the same as metrics. No decision changes.

--- a/entry/src/main/java/org/dahliapass/entry/EntryMetrics.java
+++ b/entry/src/main/java/org/dahliapass/entry/EntryMetrics.java
@@ -37,6 +37,23 @@
                     .labelNames("service", "kind")
                     .classicOnly()
                     .register(mRegistry);
+    private final Histogram mDeliverySeconds =
+            Histogram.builder()
+                    .name("dahliapass_delivery_seconds")
+                    .help("Seconds from an answer's first byte to its last one written.")
+                    .classicOnly()
+                    .register(mRegistry);
+    private final Gauge mLateSeconds =
+            Gauge.builder()
+                    .name("dahliapass_thread_late_seconds")
+                    .help("The most that a thread ran its tasks late in the last second.")
+                    .labelNames("thread")
+                    .register(mRegistry);
+    private final Counter mCopiedBytes =
+            Counter.builder()
+                    .name("dahliapass_copied_bytes_total")
+                    .help("Bytes of the copy of the store handed to VMs that follow this one.")
+                    .register(mRegistry);
     private final Counter mActions =
             Counter.builder()
                     .name("dahliapass_actions_total")
@@ -70,6 +87,21 @@
         mHeadSeconds.labelValues(service, kind).observe(latencyMillis / MILLIS_PER_SECOND);
     }
 
+    /** Observes how long an answer took from its first byte to its last one written. */
+    public void onDelivered(long millis) {
+        mDeliverySeconds.observe(millis / MILLIS_PER_SECOND);
+    }
+
+    /** Sets how late a thread ran its tasks at most, in the last second. */
+    public void onLate(String thread, long millis) {
+        mLateSeconds.labelValues(thread).set(millis / MILLIS_PER_SECOND);
+    }
+
+    /** Counts bytes of the copy of the store that were handed to another VM. */
+    public void onCopied(long bytes) {
+        mCopiedBytes.inc((double) bytes);
+    }
+
     /** Counts an automatic action. */
     public void onAction(String action) {
         mActions.labelValues(action).inc();
--- a/gateway/src/main/java/org/dahliapass/gateway/EventLog.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/EventLog.java
@@ -42,6 +42,8 @@
         LIFE(50),
         /** A dependency was lost or is back. */
         DEPENDENCY(20),
+        /** What the VM carries, and which of its resources is short. */
+        LOAD(2),
         /** What the VM believes of configuration, targets or fellow VMs has changed. */
         BELIEF(200),
         /** How one request was decided on and how it ended. */
--- a/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
@@ -54,6 +54,7 @@
         ChangeFeed feed = new ChangeFeed(settings, store, connections.factory(), random, log);
         ServicePools pools = new ServicePools(clock, random, settings, metrics, log);
         mEntry = new FleetEntry(store, settings.self(), feed::followsStore, log);
+        VmLoad load = new VmLoad(clock, connections.loops(), metrics, log);
         ProxyHandler proxy =
                 new ProxyHandler(
                         clock,
@@ -64,7 +65,8 @@
                         new ShareChooser(random),
                         connections,
                         log,
-                        new GatewayAnswers(random));
+                        new GatewayAnswers(random),
+                        load);
         follower.onChange(
                 () ->
                         follower.view()
@@ -81,12 +83,13 @@
                                 metrics,
                                 proxy,
                                 new AskHandler(settings, mState, follower),
-                                new MirrorService(mLoop, feed),
+                                new MirrorService(mLoop, feed, load),
                                 connections.loops()))
                 .register(StoreFollower.NAME, follower)
                 .register(ChangeFeed.NAME, feed)
                 .register(FleetEntry.NAME, mEntry)
                 .register(ServicePools.NAME, pools)
+                .register(VmLoad.NAME, load)
                 .register(WorkExchange.NAME, new WorkExchange(settings, connections.loops(), log));
     }
 
--- a/gateway/src/main/java/org/dahliapass/gateway/MirrorService.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/MirrorService.java
@@ -27,13 +27,15 @@
 final class MirrorService {
     private final ControlLoop mLoop;
     private final ChangeFeed mFeed;
+    private final VmLoad mLoad;
     private final List<Waiter> mWaiters = new ArrayList<>();
 
     private record Waiter(long revision, CompletableFuture<HttpResponse> answer) {}
 
-    MirrorService(ControlLoop loop, ChangeFeed feed) {
+    MirrorService(ControlLoop loop, ChangeFeed feed, VmLoad load) {
         mLoop = loop;
         mFeed = feed;
+        mLoad = load;
         feed.onStep(this::answerWaiters);
     }
 
@@ -104,7 +106,8 @@
         return HttpResponse.of(HttpStatus.SERVICE_UNAVAILABLE);
     }
 
-    private static HttpResponse json(String body) {
+    private HttpResponse json(String body) {
+        mLoad.onCopied(body.length());
         return HttpResponse.of(HttpStatus.OK, MediaType.JSON, body);
     }
 }
--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyHandler.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyHandler.java
@@ -39,6 +39,7 @@
     private final TargetConnections mConnections;
     private final EventLog mLog;
     private final GatewayAnswers mAnswers;
+    private final VmLoad mLoad;
     private RouteTable mRoutes;
 
     ProxyHandler(
@@ -50,7 +51,8 @@
             ShareChooser shares,
             TargetConnections connections,
             EventLog log,
-            GatewayAnswers answers) {
+            GatewayAnswers answers,
+            VmLoad load) {
         mClock = clock;
         mSettings = settings;
         mState = state;
@@ -60,11 +62,13 @@
         mConnections = connections;
         mLog = log;
         mAnswers = answers;
+        mLoad = load;
     }
 
     @Override
     public HttpResponse serve(ServiceRequestContext context, HttpRequest request) {
         context.clearRequestTimeout();
+        mLoad.onRequest(context);
         if (mState.phase().closesConnections()) {
             Futures.whenDone(context.initiateConnectionShutdown(), (done, failure) -> {});
         }
