Let each VM tell the others what it has to carry work with

Cause: a VM's entry names its addresses only, so nothing can tell a VM with 1.5 cores and 140 Mbit/s from one with 0.3 and 7. The platform gives both figures in the settings. Change: settings processors, processor-share and link-megabits, and two fields of the VM's entry. No decision uses them yet; entries without them are read as before. Not measured: no behaviour changes.

--- a/decisions/src/test/java/org/dahliapass/decisions/routing/AddressPlanTest.java
+++ b/decisions/src/test/java/org/dahliapass/decisions/routing/AddressPlanTest.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.model.routing.FleetVm;
+import org.dahliapass.model.routing.VmCapacity;
 import org.testng.annotations.Test;
 
 /** Tests of {@link AddressPlan}. */
@@ -56,7 +57,8 @@
                                 "zone-" + zone,
                                 "region",
                                 new Endpoint("10." + zone + ".0." + number, 80),
-                                new Endpoint("10." + zone + ".0." + number, 81)));
+                                new Endpoint("10." + zone + ".0." + number, 81),
+                                VmCapacity.ASSUMED));
             }
         }
         return vms;
--- a/decisions/src/test/java/org/dahliapass/decisions/routing/UpstreamPlanTest.java
+++ b/decisions/src/test/java/org/dahliapass/decisions/routing/UpstreamPlanTest.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.model.routing.FleetVm;
+import org.dahliapass.model.routing.VmCapacity;
 import org.testng.annotations.Test;
 
 /** Tests of {@link UpstreamPlan}. */
@@ -76,7 +77,14 @@
                 Endpoint callers = new Endpoint("10." + zone + ".0." + number, 80);
                 Endpoint peers = new Endpoint("10." + zone + ".0." + number, 81);
                 String name = "vm-" + zone + "-" + number;
-                vms.add(new FleetVm(name, "zone-" + zone, "region", callers, peers));
+                vms.add(
+                        new FleetVm(
+                                name,
+                                "zone-" + zone,
+                                "region",
+                                callers,
+                                peers,
+                                VmCapacity.ASSUMED));
             }
         }
         return vms;
--- a/gateway/src/main/java/org/dahliapass/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewaySettings.java
@@ -11,6 +11,7 @@
 import org.dahliapass.model.DetectionPolicy;
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.model.routing.FleetVm;
+import org.dahliapass.model.routing.VmCapacity;
 
 /**
  * The settings of one gateway VM.
@@ -52,6 +53,12 @@
     private static final Duration MINUTE = Duration.ofMinutes(1);
     private static final int MOST_VMS_PER_ZONE = 64;
 
+    /** The least share of a processor that a VM may be given. */
+    private static final double LEAST_SHARE = 0.01;
+
+    private static final double MOST_PROCESSORS = 1_000;
+    private static final double MOST_LINK_MEGABITS = 1_000_000;
+
     /**
      * Reads a settings file.
      *
@@ -76,7 +83,8 @@
                                 vm.text("availability-zone"),
                                 vm.text("region"),
                                 endpoint(vm, "callers"),
-                                endpoint(vm, "peers")),
+                                endpoint(vm, "peers"),
+                                capacity(vm)),
                         endpoint(vm, "asks"),
                         endpoint(vm, "readiness"),
                         vm.has("metrics") ? Optional.of(endpoint(vm, "metrics")) : Optional.empty(),
@@ -93,6 +101,18 @@
         return settings;
     }
 
+    private static VmCapacity capacity(IniSection vm) {
+        double processors = vm.decimal("processors", 1, MOST_PROCESSORS, 1);
+        double share = vm.decimal("processor-share", LEAST_SHARE, 1, VmCapacity.ASSUMED.cores());
+        double link =
+                vm.decimal(
+                        "link-megabits",
+                        VmCapacity.LEAST,
+                        MOST_LINK_MEGABITS,
+                        VmCapacity.ASSUMED.linkMegabits());
+        return new VmCapacity(processors * share, link);
+    }
+
     private static DetectionPolicy detection(IniSection policy) {
         return new DetectionPolicy(
                 policy.decimal("false-ejections-per-hour", 1e-9, 100),
--- a/model/src/main/java/org/dahliapass/model/routing/FleetVm.java
+++ b/model/src/main/java/org/dahliapass/model/routing/FleetVm.java
@@ -10,6 +10,12 @@
  * @param region the region of that zone
  * @param callers where it takes requests of callers
  * @param peers where it takes the messages of the other VMs
+ * @param capacity what it has to carry work with
  */
 public record FleetVm(
-        String name, String availabilityZone, String region, Endpoint callers, Endpoint peers) {}
+        String name,
+        String availabilityZone,
+        String region,
+        Endpoint callers,
+        Endpoint peers,
+        VmCapacity capacity) {}
