--- /dev/null
+++ b/gateway/src/test/java/org/dahliapass/gateway/WorkExchangeTest.java
@@ -0,0 +1,79 @@
+package org.dahliapass.gateway;
+
+import static org.testng.Assert.assertEquals;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import org.dahliapass.kernel.IniFile;
+import org.dahliapass.kernel.MonotonicClock;
+import org.dahliapass.model.Endpoint;
+import org.dahliapass.standins.GatewaySample;
+import org.dahliapass.standins.MetadataStoreStandIn;
+import org.dahliapass.wire.message.TrustNews;
+import org.dahliapass.wire.message.WorkAtTarget;
+import org.testng.annotations.Test;
+
+/** Tests of {@link WorkExchange} over the loopback address. */
+public final class WorkExchangeTest {
+    /** Targets at which a VM that takes 120 requests/s has work at the same time. */
+    private static final int TARGETS_WITH_WORK = 120;
+
+    /**
+     * VMs choose targets that other VMs have filled, and are turned away there. A VM that takes
+     * many callers has work at more than 60 targets, its report is longer than 2,048 bytes, and the
+     * others cut it off there and refuse the rest: 455 times in 12 s, "the input ended unexpectedly
+     * in the middle of a field".
+     */
+    @Test
+    public void longReportIsTakenWhole() throws IOException {
+        ByteArrayOutputStream output = new ByteArrayOutputStream();
+        try (MetadataStoreStandIn store = new MetadataStoreStandIn(0, new MonotonicClock())) {
+            store.start();
+            GatewaySettings settings =
+                    GatewaySettings.from(
+                            IniFile.parse("test", GatewaySample.settings(store.endpoint())));
+            EventLog log = new EventLog(new MonotonicClock(), "vm", new PrintStream(output, true));
+            GatewayVm vm = new GatewayVm(settings, new MonotonicClock(), log);
+            vm.start().join();
+            send(settings.self().peers(), report());
+            // No report, so its refusal marks the place up to which all datagrams were read.
+            send(settings.self().peers(), new byte[] {-1});
+            PathFixture.await(() -> refusals(output) > 0);
+            assertEquals(refusals(output), 1);
+            vm.stopNow().join();
+        }
+    }
+
+    private static byte[] report() {
+        TrustNews.Builder report =
+                TrustNews.newBuilder().setVersion(1).setSender("vm-2").setService("x");
+        for (int number = 0; number < TARGETS_WITH_WORK; number++) {
+            report.addWork(
+                    WorkAtTarget.newBuilder()
+                            .setInstance("i-7f3a91c2d" + number + "@1785243507111")
+                            .setInFlight(1)
+                            .setSilence(1));
+        }
+        return report.build().toByteArray();
+    }
+
+    private static void send(Endpoint to, byte[] content) throws IOException {
+        try (DatagramSocket socket = new DatagramSocket()) {
+            socket.send(
+                    new DatagramPacket(
+                            content, content.length, new InetSocketAddress(to.host(), to.port())));
+        }
+    }
+
+    private static long refusals(ByteArrayOutputStream output) {
+        return output.toString(StandardCharsets.UTF_8)
+                .lines()
+                .filter(line -> line.contains("datagram_refused"))
+                .count();
+    }
+}
