Take other VMs' reports of work whole, however long

Cause: the receive buffer of datagrams was the library's default, 2,048 bytes; a report names each target with work in about 45 bytes, so VMs with work at more than about 45 targets were not heard. Ruled out: loss on the way (the refusals say that the message ends early, and all VMs refuse the same). Change: a receive buffer of the longest datagram there is. WorkExchangeTest passes and leaves the list.

--- a/gateway/src/main/java/org/dahliapass/gateway/WorkExchange.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/WorkExchange.java
@@ -8,7 +8,9 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import java.net.InetSocketAddress;
@@ -58,6 +60,12 @@
      */
     private static final double MILLIS_A_TAKER = 12.5;
 
+    /**
+     * The longest datagram of the protocol, in bytes. What is longer than the receive buffer is cut
+     * off without a sign to its sender, and a report grows with the work that a VM has.
+     */
+    private static final int LONGEST_DATAGRAM = 65_507;
+
     private final GatewaySettings mSettings;
     private final EventLoopGroup mLoops;
     private final EventLog mLog;
@@ -86,6 +94,9 @@
                 new Bootstrap()
                         .group(mLoops)
                         .channel(TransportType.datagramChannelType(mLoops))
+                        .option(
+                                ChannelOption.RECVBUF_ALLOCATOR,
+                                new FixedRecvByteBufAllocator(LONGEST_DATAGRAM))
                         .handler(new Receiver())
                         .bind(new InetSocketAddress(peers.host(), peers.port()));
         mChannel = bound.channel();
