Refuse at arrival while the thread that serves callers is behind

Ruled out: the admission queue, which refuses in time but sees a request only once it is read. Change: under load a check is due each 100 ms and waits in the same line as the requests. If none was on time for 0.4 s, what comes is refused before any work is done on it, with a time to come back. A single stall refuses nobody. The load line measures by the same check; idle VMs run none.

--- /dev/null
+++ b/decisions/src/test/java/org/dahliapass/decisions/traffic/ThreadLatenessTest.java
@@ -0,0 +1,64 @@
+package org.dahliapass.decisions.traffic;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import org.testng.annotations.Test;
+
+/** Tests of {@link ThreadLateness}. */
+public final class ThreadLatenessTest {
+    private static final long CHECK = 100;
+
+    private final ThreadLateness mLateness = new ThreadLateness();
+
+    /**
+     * Callers give up on most of their requests, and next to none is refused. A VM gets more than
+     * its thread can do: at 70 requests/s on 0.3 cores its checks ran 100 to 723 ms late, each
+     * later than the one before, and all that came waited in that line until its caller left.
+     */
+    @Test
+    public void threadThatFallsFurtherBehindRefuses() {
+        long[] late = {71, 101, 289, 431, 502, 723};
+        long now = 0;
+        for (long millis : late) {
+            mLateness.onPlanned(now + CHECK, now);
+            now += CHECK + millis;
+            mLateness.onRun(now);
+        }
+        mLateness.onPlanned(now + CHECK, now);
+        assertTrue(mLateness.isBehind(now));
+    }
+
+    /** A request that waits beside a pause would be served if nobody refused it. */
+    @Test
+    public void shortStallRefusesNobody() {
+        mLateness.onPlanned(CHECK, 0);
+        assertFalse(mLateness.isBehind(CHECK + 250));
+        assertEquals(mLateness.onRun(CHECK + 250), 250);
+        mLateness.onPlanned(2 * CHECK + 250, CHECK + 250);
+        assertEquals(mLateness.onRun(2 * CHECK + 255), 5);
+        assertFalse(mLateness.isBehind(2 * CHECK + 255));
+    }
+
+    @Test
+    public void threadThatHasCaughtUpTakesRequestsAgain() {
+        mLateness.onPlanned(CHECK, 0);
+        mLateness.onRun(1_000);
+        mLateness.onPlanned(1_000 + CHECK, 1_000);
+        assertTrue(mLateness.isBehind(1_050));
+        mLateness.onRun(1_000 + CHECK);
+        assertFalse(mLateness.isBehind(1_000 + CHECK));
+    }
+
+    /** Time in which nothing was in flight says nothing of the thread. */
+    @Test
+    public void idleThreadIsNotBehind() {
+        mLateness.onPlanned(CHECK, 0);
+        mLateness.onRun(CHECK);
+        mLateness.onIdle();
+        assertFalse(mLateness.isBehind(60_000));
+        mLateness.onPlanned(60_000 + CHECK, 60_000);
+        assertFalse(mLateness.isBehind(60_050));
+    }
+}
--- a/gateway/src/main/java/org/dahliapass/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewaySettings.java
@@ -25,7 +25,7 @@
  * @param store where the platform's store is reached
  * @param stopGrace how long after SIGTERM the process may live
  * @param askTimeToLive how long a caller may keep an ask's answer
- * @param vmsPerZone how many VMs take the callers of one availability zone
+ * @param vmsPerZone how many VMs take the callers of one availability zone at least
  * @param floorShare the share of a service's targets that stay in service whatever the evidence
  * @param retryShare further tries allowed, as a share of first tries
  * @param detection how sure the VM must be before it takes a target out
--- a/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
@@ -54,7 +54,7 @@
         ChangeFeed feed = new ChangeFeed(settings, store, connections.factory(), random, log);
         ServicePools pools = new ServicePools(clock, random, settings, metrics, log);
         mEntry = new FleetEntry(store, settings.self(), feed::followsStore, log);
-        VmLoad load = new VmLoad(clock, connections.loops(), metrics, log);
+        VmLoad load = new VmLoad(clock, metrics, log);
         ProxyHandler proxy =
                 new ProxyHandler(
                         clock,
--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyHandler.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyHandler.java
@@ -27,6 +27,9 @@
      */
     private static final long WAY_BACK_MILLIS = 35;
 
+    /** What a caller is taken to have left that doesn't say; most routes' timeouts are longer. */
+    private static final long UNTOLD_PATIENCE_MILLIS = 1_000;
+
     /** The colon, the space and the line end of a header line, in bytes. */
     private static final int HEADER_LINE_EXTRA = 4;
 
@@ -76,6 +79,9 @@
         if (!mState.phase().serves() || routes.isEmpty()) {
             return mAnswers.refused(STARTING_WAIT_MILLIS);
         }
+        if (mLoad.isBehind()) {
+            return refuseUnread(request);
+        }
         noteRoutes(routes.get());
         String path = context.rawPath();
         Optional<RouteRule> route = routes.get().find(authority(request), pathOnly(path));
@@ -110,6 +116,24 @@
                                 }));
     }
 
+    /**
+     * Refuses a request before any work is done on it, so that the caller may come back at another
+     * VM while it has time, and this VM gets through what it has.
+     */
+    private HttpResponse refuseUnread(HttpRequest request) {
+        long left = patience(request.headers(), UNTOLD_PATIENCE_MILLIS);
+        long wait = mAnswers.comeBackMillis(left);
+        mLog.write(
+                EventLog.Kind.REQUEST,
+                "request_refused_unread",
+                line ->
+                        line.put("id", request.headers().get(TargetHeaders.ATTEMPT_ID, ""))
+                                .put("left_ms", left)
+                                .put("come_back_ms", wait)
+                                .put("cause", "this VM's thread is behind"));
+        return mAnswers.refused(wait);
+    }
+
     /** Forgets what was counted for routes that are gone; runs on the traffic thread only. */
     private void noteRoutes(RouteTable routes) {
         if (mRoutes != routes) {
@@ -142,7 +166,9 @@
                         path,
                         message,
                         arrivalMillis,
-                        arrivalMillis + Math.min(timeoutMillis, patience(message, timeoutMillis)));
+                        arrivalMillis
+                                + Math.min(
+                                        timeoutMillis, patience(message.headers(), timeoutMillis)));
         return new ProxyExchange(
                         matched,
                         pool.get(),
@@ -166,8 +192,8 @@
     }
 
     /** Returns how long the caller waits, in milliseconds; as long as the route if it says not. */
-    private static long patience(AggregatedHttpRequest message, long routeMillis) {
-        String text = message.headers().get(TargetHeaders.TIME_LEFT_MILLIS);
+    private static long patience(RequestHeaders headers, long routeMillis) {
+        String text = headers.get(TargetHeaders.TIME_LEFT_MILLIS);
         if (text == null) {
             return routeMillis;
         }
--- a/gateway/src/main/java/org/dahliapass/gateway/VmLoad.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/VmLoad.java
@@ -3,12 +3,13 @@
 import com.linecorp.armeria.common.logging.RequestLog;
 import com.linecorp.armeria.server.ServiceRequestContext;
 import io.netty.channel.EventLoop;
-import io.netty.channel.EventLoopGroup;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.time.Clock;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import org.dahliapass.decisions.traffic.ThreadLateness;
 import org.dahliapass.entry.EntryMetrics;
 import org.dahliapass.kernel.ControlLoop;
 import org.dahliapass.kernel.Futures;
@@ -26,49 +27,52 @@
     /** The name under which the kernel holds the load. */
     static final String NAME = "vm-load";
 
-    /** Short enough to see a pause of a request's length; four wake-ups a second cost little. */
-    private static final Duration STEP = Duration.ofMillis(250);
-
     /** A line a second for each VM that has anything to tell. */
-    private static final int STEPS_PER_LINE = 4;
+    private static final Duration PERIOD = Duration.ofSeconds(1);
+
+    /** Short enough to see a line before it costs callers their objective; only under load. */
+    private static final long CHECK_MILLIS = 100;
 
     /** A thread that runs its timers later than this is told of without any traffic. */
     private static final long LATE_MILLIS = 100;
 
     private final Clock mClock;
-    private final EventLoopGroup mLoops;
     private final EntryMetrics mMetrics;
     private final EventLog mLog;
+    private final ThreadLateness mTrafficLateness = new ThreadLateness();
     private final AtomicLong mRequests = new AtomicLong();
     private final AtomicLong mInFlight = new AtomicLong();
     private final AtomicLong mCallerBytes = new AtomicLong();
     private final AtomicLong mFollowerBytes = new AtomicLong();
     private final AtomicLong mSlowestDeliveryMillis = new AtomicLong();
     private final AtomicLong mTrafficLateMillis = new AtomicLong();
-    private ControlLoop mControl;
     private long mControlDueMillis;
-    private long mControlLateMillis;
-    private int mSteps;
+    private boolean mChecking;
 
-    VmLoad(Clock clock, EventLoopGroup loops, EntryMetrics metrics, EventLog log) {
+    VmLoad(Clock clock, EntryMetrics metrics, EventLog log) {
         mClock = clock;
-        mLoops = loops;
         mMetrics = metrics;
         mLog = log;
     }
 
     @Override
     public CompletableFuture<Void> start(Kernel kernel) {
-        mControl = kernel.find(ControlLoop.NAME, ControlLoop.class);
-        mControlDueMillis = mClock.millis() + STEP.toMillis();
-        mControl.every(STEP, this::step);
+        mControlDueMillis = mClock.millis() + PERIOD.toMillis();
+        kernel.find(ControlLoop.NAME, ControlLoop.class).every(PERIOD, this::tell);
         return CompletableFuture.completedFuture(null);
     }
 
-    /** Counts a request of a caller until the last byte of its answer was written. */
+    /**
+     * Counts a request of a caller until the last byte of its answer was written; traffic thread
+     * only.
+     */
     void onRequest(ServiceRequestContext context) {
         mRequests.incrementAndGet();
         mInFlight.incrementAndGet();
+        if (!mChecking) {
+            mChecking = true;
+            planCheck(context.eventLoop().withoutContext());
+        }
         Futures.whenDone(
                 context.log().whenComplete(),
                 (log, failure) -> {
@@ -79,6 +83,32 @@
                 });
     }
 
+    /**
+     * Returns whether requests that come now wait longer and longer before they are read; traffic
+     * thread only.
+     */
+    boolean isBehind() {
+        return mTrafficLateness.isBehind(mClock.millis());
+    }
+
+    private void planCheck(EventLoop traffic) {
+        long now = mClock.millis();
+        mTrafficLateness.onPlanned(now + CHECK_MILLIS, now);
+        ScheduledFuture<?> unused =
+                traffic.schedule(() -> check(traffic), CHECK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void check(EventLoop traffic) {
+        long late = mTrafficLateness.onRun(mClock.millis());
+        mTrafficLateMillis.accumulateAndGet(late, Math::max);
+        if (mInFlight.get() > 0) {
+            planCheck(traffic);
+            return;
+        }
+        mTrafficLateness.onIdle();
+        mChecking = false;
+    }
+
     private void onDelivered(RequestLog log) {
         long nanos = log.responseEndTimeNanos() - log.responseStartTimeNanos();
         long millis = TimeUnit.NANOSECONDS.toMillis(nanos);
@@ -93,31 +123,15 @@
         mMetrics.onCopied(bytes);
     }
 
-    private void step() {
-        long now = mClock.millis();
-        mControlLateMillis = Math.max(mControlLateMillis, now - mControlDueMillis);
-        mControlDueMillis = now + STEP.toMillis();
-        EventLoop traffic = mLoops.next();
-        traffic.execute(() -> noteTraffic(now));
-        mSteps++;
-        if (mSteps % STEPS_PER_LINE == 0) {
-            tell();
-        }
-    }
-
-    /** Notes how long a task waited for the traffic thread. */
-    private void noteTraffic(long postedMillis) {
-        mTrafficLateMillis.accumulateAndGet(mClock.millis() - postedMillis, Math::max);
-    }
-
     private void tell() {
-        long control = mControlLateMillis;
+        long now = mClock.millis();
+        long control = Math.max(0, now - mControlDueMillis);
+        mControlDueMillis = now + PERIOD.toMillis();
         long traffic = mTrafficLateMillis.getAndSet(0);
         long requests = mRequests.getAndSet(0);
         long callerBytes = mCallerBytes.getAndSet(0);
         long followerBytes = mFollowerBytes.getAndSet(0);
         long delivery = mSlowestDeliveryMillis.getAndSet(0);
-        mControlLateMillis = 0;
         mMetrics.onLate("control", control);
         mMetrics.onLate("traffic", traffic);
         boolean isLate = Math.max(control, traffic) >= LATE_MILLIS;
