Spare VMs without work what follows from nothing new

Ruled out, by a profile of one VM beside 107 entries and 372 targets: one large cost. Half is asks and waits for changes on the traffic thread, a third the control thread.

--- a/decisions/src/main/java/org/dahliapass/decisions/routing/Believed.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/routing/Believed.java
@@ -28,6 +28,7 @@
     private final Map<String, T> mEntries = new LinkedHashMap<>();
     private final Map<String, Long> mDropAtMillis = new HashMap<>();
     private long mGraceUntilMillis = Long.MIN_VALUE;
+    private long mChanges;
 
     /**
      * Starts without entries.
@@ -40,14 +41,19 @@
 
     /** Takes an entry that was written. */
     public void put(String name, T entry) {
-        mEntries.remove(name);
+        T before = mEntries.remove(name);
         mEntries.put(name, entry);
+        if (!entry.equals(before)) {
+            mChanges++;
+        }
         mDropAtMillis.remove(name);
     }
 
     /** Drops one entry at once, whatever the state of the store. */
     public void drop(String name) {
-        mEntries.remove(name);
+        if (mEntries.remove(name) != null) {
+            mChanges++;
+        }
         mDropAtMillis.remove(name);
     }
 
@@ -75,8 +81,7 @@
                                 : nowMillis + mGraceMillis;
                 mDropAtMillis.putIfAbsent(name, dropAt);
             } else {
-                mEntries.remove(name);
-                mDropAtMillis.remove(name);
+                drop(name);
             }
         }
     }
@@ -91,12 +96,19 @@
                     }
                 });
         for (String name : overdue) {
-            mDropAtMillis.remove(name);
-            mEntries.remove(name);
+            drop(name);
         }
         return overdue;
     }
 
+    /**
+     * Returns a number that grows whenever an entry comes, goes or says something new, so that what
+     * follows from the entries is worked out only then: most writes only say that who wrote lives.
+     */
+    public long changes() {
+        return mChanges;
+    }
+
     /** Returns the entries that are believed in, by name; last written last. */
     public Map<String, T> entries() {
         return Collections.unmodifiableMap(mEntries);
--- a/decisions/src/test/java/org/dahliapass/decisions/routing/BelievedTest.java
+++ b/decisions/src/test/java/org/dahliapass/decisions/routing/BelievedTest.java
@@ -57,4 +57,19 @@
         mBelieved.put("a", "newer");
         assertEquals(List.copyOf(mBelieved.entries().keySet()), List.of("b", "c", "d", "a"));
     }
+
+    /**
+     * Every VM of a large fleet would work out anew what follows from hundreds of equal entries.
+     */
+    @Test
+    public void entryThatSaysNothingNewIsNoChange() {
+        long before = mBelieved.changes();
+        mBelieved.put("a", "entry of a");
+        mBelieved.drop("unknown");
+        assertEquals(mBelieved.changes(), before);
+        mBelieved.put("a", "newer");
+        mBelieved.drop("b");
+        mBelieved.remove(Set.of("c"), TOGETHER, 1_000);
+        assertEquals(mBelieved.changes(), before + 3);
+    }
 }
--- a/gateway/src/main/java/org/dahliapass/gateway/ServicePools.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ServicePools.java
@@ -49,6 +49,12 @@
     /** How often evidence is weighed without an urgent cause. */
     private static final Duration TICK = Duration.ofMillis(250);
 
+    /**
+     * Without work only the slow start of new targets goes on, which takes seconds: a tick a second
+     * is enough. A tick goes through all targets, and most VMs of a large fleet have no work.
+     */
+    private static final int TICKS_WITHOUT_WORK = 4;
+
     /** Longer than evidence counts and a target that was taken out stays out at first. */
     private static final long WEIGHED_AFTER_NEWS_MILLIS = 20_000;
 
@@ -64,6 +70,11 @@
     /** When there was last something to weigh: work, or targets that came or went. */
     private long mNewsMillis;
 
+    /** When work of this VM ended last. */
+    private long mWorkMillis = Long.MIN_VALUE / 2;
+
+    private int mTicks;
+
     private StoreFollower mFollower;
     private TargetConnections mConnections;
     private volatile BiConsumer<ServiceId, WorkNews> mNewsListener = (service, news) -> {};
@@ -117,6 +128,7 @@
                         return;
                     }
                     mNewsMillis = mClock.millis();
+                    mWorkMillis = mNewsMillis;
                     health.onOutcome(target, kind, outcome, latencyMillis, mNewsMillis);
                     if (outcome.isFailure()) {
                         publishTargets(service.name());
@@ -325,6 +337,10 @@
         if (now - mNewsMillis > WEIGHED_AFTER_NEWS_MILLIS) {
             return;
         }
+        boolean worked = now - mWorkMillis <= WEIGHED_AFTER_NEWS_MILLIS;
+        if (!worked && mTicks++ % TICKS_WITHOUT_WORK != 0) {
+            return;
+        }
         for (String service : mPools.keySet()) {
             mHealth.get(service).onTick(now);
             publishTargets(service);
--- a/gateway/src/main/java/org/dahliapass/gateway/StoreFollower.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/StoreFollower.java
@@ -61,6 +61,11 @@
     private long mAwaySinceMillis;
     private long mHeardMillis = Long.MIN_VALUE / 2;
     private double mDemand;
+
+    /** The changes of targets and of VMs that the published view has. */
+    private long mPublishedTargets;
+
+    private long mPublishedVms;
     private volatile RoutingView mView;
 
     /**
@@ -84,7 +89,10 @@
         return mTargets.entries();
     }
 
-    /** Adds what is run on the control thread after each change; before the start. */
+    /**
+     * Adds what is run on the control thread after each change of the configuration or the targets;
+     * before the start.
+     */
     void onChange(Runnable listener) {
         mListeners.add(listener);
     }
@@ -308,9 +316,18 @@
     }
 
     private void publish() {
+        boolean servicesChanged =
+                mTargets.changes() != mPublishedTargets || !mRoutes.equals(mView.routes());
+        if (!servicesChanged && mVms.changes() == mPublishedVms) {
+            return;
+        }
         List<FleetVm> vms = List.copyOf(mVms.entries().values());
         mView = new RoutingView(mRoutes, vms, plan(vms));
-        mListeners.forEach(Runnable::run);
+        mPublishedVms = mVms.changes();
+        mPublishedTargets = mTargets.changes();
+        if (servicesChanged) {
+            mListeners.forEach(Runnable::run);
+        }
     }
 
     /**
@@ -325,7 +342,7 @@
                                                 routes.configuration(),
                                                 mTargets.entries().values()))
                         .orElse(0.0);
-        if (demand == mDemand && Set.copyOf(vms).equals(Set.copyOf(mView.vms()))) {
+        if (demand == mDemand && mVms.changes() == mPublishedVms) {
             return mView.plan();
         }
         mDemand = demand;
