--- a/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
@@ -26,8 +26,8 @@
 
     /**
      * What is left of the grace when the process begins to end by itself. The runtime then still
-     * waits 300 ms for threads that wait in the kernel, as those of the network do, and a small VM
-     * that is busy runs its timers late; with 100 ms beside that, one process in four was killed.
+     * waits 300 ms for threads that wait in the kernel, as those of the network do: a process was
+     * gone 340 ms after its last line. The rest is for the late timers of a small VM that is busy.
      */
     private static final Duration RESERVE = Duration.ofMillis(900);
 
