--- a/decisions/src/main/java/org/dahliapass/decisions/routing/CallerDemand.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/routing/CallerDemand.java
@@ -18,7 +18,7 @@
  */
 public final class CallerDemand {
     /**
-     * How many answers of usual length fit into a route's objective. The objectives known are 2.8
+     * How many answers of usual length fit into a route's objective. The objectives known are 2.5
      * to 7.5 times the mean time of an answer, most of them 3.0 to 4.8 times.
      */
     private static final double ANSWERS_AN_OBJECTIVE = 3.3;
