--- a/deploy/archive-classes.sh
+++ b/deploy/archive-classes.sh
@@ -4,7 +4,7 @@
 set -eu
 gateway=target/gateway
 java -XX:-UsePerfData -XX:DumpLoadedClassList=$gateway/classes.lst \
-    -cp "$gateway/dahliapass-gateway.jar:lab/target/lab-0.1.0.jar:standins/target/standins-0.1.0.jar" \
+    -cp "$gateway/dahliapass-gateway.jar:lab/target/lab-0.1.0.jar:lab/target/lib/*" \
     org.dahliapass.lab.GatewayRehearsal > $gateway/rehearsal.log
 java -XX:-UsePerfData -Xshare:dump -XX:SharedClassListFile=$gateway/classes.lst \
     -XX:SharedArchiveFile=$gateway/classes.jsa -Xlog:cds=off -Xlog:cds+dynamic=off \
--- a/entry/src/main/java/org/dahliapass/entry/AnswerObserver.java
+++ b/entry/src/main/java/org/dahliapass/entry/AnswerObserver.java
@@ -1,5 +1,7 @@
 package org.dahliapass.entry;
 
+import org.dahliapass.traffic.EntryMetrics;
+
 import com.linecorp.armeria.common.HttpHeaderNames;
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.ResponseHeaders;
--- a/entry/src/main/java/org/dahliapass/entry/CallerRequest.java
+++ b/entry/src/main/java/org/dahliapass/entry/CallerRequest.java
@@ -1,5 +1,7 @@
 package org.dahliapass.entry;
 
+import org.dahliapass.traffic.SlotRequest;
+
 import com.linecorp.armeria.common.AggregatedHttpRequest;
 import org.dahliapass.model.RequestKind;
 
--- a/entry/src/main/java/org/dahliapass/entry/ConfigurationService.java
+++ b/entry/src/main/java/org/dahliapass/entry/ConfigurationService.java
@@ -1,5 +1,7 @@
 package org.dahliapass.entry;
 
+import org.dahliapass.traffic.EntryMetrics;
+
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -29,8 +31,8 @@
 import org.dahliapass.model.VmIdentity;
 import org.dahliapass.model.explain.Action;
 import org.dahliapass.model.explain.Explanation;
-import org.dahliapass.platform.ConfigurationCodec;
-import org.dahliapass.platform.StoreClient;
+import org.dahliapass.registry.ConfigurationCodec;
+import org.dahliapass.registry.StoreClient;
 
 /**
  * Runs the follower of accepted changes on the control thread and publishes the templates in force.
--- a/entry/src/main/java/org/dahliapass/entry/EntryVm.java
+++ b/entry/src/main/java/org/dahliapass/entry/EntryVm.java
@@ -1,5 +1,7 @@
 package org.dahliapass.entry;
 
+import org.dahliapass.traffic.EntryMetrics;
+
 import java.time.Clock;
 import java.time.Duration;
 import java.util.SplittableRandom;
@@ -12,8 +14,8 @@
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.model.VmIdentity;
 import org.dahliapass.model.burn.BurnLedger;
-import org.dahliapass.platform.HttpStoreClient;
-import org.dahliapass.platform.HttpVmListClient;
+import org.dahliapass.registry.HttpStoreClient;
+import org.dahliapass.registry.HttpVmListClient;
 import org.dahliapass.wire.LinkFilter;
 
 /** One entry VM, put together from its services; a process holds one, tests hold several. */
--- a/entry/src/main/java/org/dahliapass/entry/EvidenceExchange.java
+++ b/entry/src/main/java/org/dahliapass/entry/EvidenceExchange.java
@@ -1,5 +1,7 @@
 package org.dahliapass.entry;
 
+import org.dahliapass.traffic.ServiceRuntime;
+
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
--- a/entry/src/main/java/org/dahliapass/entry/ExplanationLog.java
+++ b/entry/src/main/java/org/dahliapass/entry/ExplanationLog.java
@@ -1,5 +1,7 @@
 package org.dahliapass.entry;
 
+import org.dahliapass.traffic.EntryMetrics;
+
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
--- a/entry/src/main/java/org/dahliapass/entry/FleetService.java
+++ b/entry/src/main/java/org/dahliapass/entry/FleetService.java
@@ -1,5 +1,7 @@
 package org.dahliapass.entry;
 
+import org.dahliapass.traffic.EntryMetrics;
+
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.EnumMap;
@@ -30,8 +32,8 @@
 import org.dahliapass.model.ServiceTemplate;
 import org.dahliapass.model.Vm;
 import org.dahliapass.model.VmIdentity;
-import org.dahliapass.platform.ListedVm;
-import org.dahliapass.platform.VmListClient;
+import org.dahliapass.registry.ListedVm;
+import org.dahliapass.registry.VmListClient;
 
 /** Runs the membership on the control thread and publishes the fleet as traffic threads see it. */
 public final class FleetService implements KernelService {
--- a/entry/src/main/java/org/dahliapass/entry/GuardedExchange.java
+++ b/entry/src/main/java/org/dahliapass/entry/GuardedExchange.java
@@ -1,5 +1,7 @@
 package org.dahliapass.entry;
 
+import org.dahliapass.traffic.ServiceRuntime;
+
 import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.ResponseHeaders;
--- a/entry/src/main/java/org/dahliapass/entry/IdempotentExchange.java
+++ b/entry/src/main/java/org/dahliapass/entry/IdempotentExchange.java
@@ -1,5 +1,9 @@
 package org.dahliapass.entry;
 
+import org.dahliapass.traffic.Slot;
+
+import org.dahliapass.traffic.ServiceRuntime;
+
 import com.linecorp.armeria.common.HttpResponse;
 import java.time.Clock;
 import java.util.ArrayList;
--- a/entry/src/main/java/org/dahliapass/entry/OperatorAnswers.java
+++ b/entry/src/main/java/org/dahliapass/entry/OperatorAnswers.java
@@ -1,5 +1,7 @@
 package org.dahliapass.entry;
 
+import org.dahliapass.traffic.ServiceRuntime;
+
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
--- a/entry/src/main/java/org/dahliapass/entry/OperatorServer.java
+++ b/entry/src/main/java/org/dahliapass/entry/OperatorServer.java
@@ -1,5 +1,7 @@
 package org.dahliapass.entry;
 
+import org.dahliapass.traffic.EntryMetrics;
+
 import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.HttpMethod;
 import com.linecorp.armeria.common.HttpResponse;
--- a/entry/src/main/java/org/dahliapass/entry/RequestHandler.java
+++ b/entry/src/main/java/org/dahliapass/entry/RequestHandler.java
@@ -1,5 +1,7 @@
 package org.dahliapass.entry;
 
+import org.dahliapass.traffic.ServiceRuntime;
+
 import com.linecorp.armeria.common.AggregatedHttpRequest;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
--- a/entry/src/main/java/org/dahliapass/entry/ServiceTable.java
+++ b/entry/src/main/java/org/dahliapass/entry/ServiceTable.java
@@ -1,5 +1,11 @@
 package org.dahliapass.entry;
 
+import org.dahliapass.traffic.EntryMetrics;
+
+import org.dahliapass.traffic.EvidenceSink;
+
+import org.dahliapass.traffic.ServiceRuntime;
+
 import java.time.Clock;
 import java.util.ArrayList;
 import java.util.Collection;
--- a/entry/src/main/java/org/dahliapass/entry/StoreWatch.java
+++ b/entry/src/main/java/org/dahliapass/entry/StoreWatch.java
@@ -9,9 +9,9 @@
 import org.dahliapass.kernel.ControlLoop;
 import org.dahliapass.kernel.Futures;
 import org.dahliapass.kernel.PartLog;
-import org.dahliapass.platform.ConfigurationCodec;
-import org.dahliapass.platform.StoreClient;
-import org.dahliapass.platform.StoredValue;
+import org.dahliapass.registry.ConfigurationCodec;
+import org.dahliapass.registry.StoreClient;
+import org.dahliapass.registry.StoredValue;
 
 /**
  * Holds a blocking read on the store's head while this VM is one of its zone's watchers.
--- a/entry/src/main/java/org/dahliapass/entry/TargetTry.java
+++ b/entry/src/main/java/org/dahliapass/entry/TargetTry.java
@@ -1,5 +1,9 @@
 package org.dahliapass.entry;
 
+import org.dahliapass.traffic.Slot;
+
+import org.dahliapass.traffic.ServiceRuntime;
+
 import com.linecorp.armeria.client.ResponseTimeoutException;
 import com.linecorp.armeria.client.UnprocessedRequestException;
 import com.linecorp.armeria.common.HttpData;
@@ -91,7 +95,7 @@
 
     private void onSlot(Slot slot, Throwable failure) {
         if (failure != null) {
-            mResult.complete(new TryResult.Refused(RefusedException.refusalOf(failure)));
+            mResult.complete(new TryResult.Refused(SlotRefusals.of(failure)));
             return;
         }
         long remaining = mRequest.remainingMillis(mClock.millis());
--- a/entry/src/main/java/org/dahliapass/entry/VmListReader.java
+++ b/entry/src/main/java/org/dahliapass/entry/VmListReader.java
@@ -8,8 +8,8 @@
 import org.dahliapass.kernel.ControlLoop;
 import org.dahliapass.kernel.Futures;
 import org.dahliapass.model.Endpoint;
-import org.dahliapass.platform.VmList;
-import org.dahliapass.platform.VmListClient;
+import org.dahliapass.registry.VmList;
+import org.dahliapass.registry.VmListClient;
 
 /**
  * Reads the platform's VM list: at once and often while this VM knows nobody, rarely after that.
--- a/gateway/src/main/java/org/dahliapass/gateway/AnswerCheck.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/AnswerCheck.java
@@ -1,7 +1,7 @@
 package org.dahliapass.gateway;
 
-import com.linecorp.armeria.common.HttpHeaderNames;
-import com.linecorp.armeria.common.ResponseHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Set;
 import org.dahliapass.decisions.traffic.FailureKind;
 import org.dahliapass.platform.TargetHeaders;
@@ -46,15 +46,15 @@
     /**
      * Judges the head of an answer.
      *
-     * @param headers the head
+     * @param status the answer's status
+     * @param headers its headers
      * @param id the id of the request that waits for an answer on this connection
      */
-    static AnswerCheck of(ResponseHeaders headers, String id) {
+    static AnswerCheck of(int status, HttpHeaders headers, String id) {
         String named = headers.get(TargetHeaders.ATTEMPT_ID);
         if (named != null && !named.equals(id)) {
             return FOREIGN;
         }
-        int status = headers.status().code();
         boolean refused = REFUSALS.contains(status) && headers.contains(TargetHeaders.NOT_EXECUTED);
         if (refused || status == MISDIRECTED) {
             return NOT_RUN;
--- a/gateway/src/main/java/org/dahliapass/gateway/AskHandler.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/AskHandler.java
@@ -1,18 +1,16 @@
 package org.dahliapass.gateway;
 
-import com.linecorp.armeria.common.HttpRequest;
-import com.linecorp.armeria.common.HttpResponse;
-import com.linecorp.armeria.common.HttpStatus;
-import com.linecorp.armeria.common.MediaType;
-import com.linecorp.armeria.common.QueryParams;
-import com.linecorp.armeria.server.HttpService;
-import com.linecorp.armeria.server.ServiceRequestContext;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.QueryStringDecoder;
 import java.util.List;
+import org.dahliapass.http.Answer;
+import org.dahliapass.http.RequestHandler;
+import org.dahliapass.http.ServerCall;
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.platform.AskCalls;
 
 /** Tells callers which addresses to use. */
-final class AskHandler implements HttpService {
+final class AskHandler implements RequestHandler {
     private final GatewaySettings mSettings;
     private final GatewayState mState;
     private final StoreFollower mFollower;
@@ -24,24 +22,28 @@
     }
 
     @Override
-    public HttpResponse serve(ServiceRequestContext context, HttpRequest request) {
-        QueryParams query = context.queryParams();
+    public void onRequest(ServerCall call) {
+        QueryStringDecoder query = new QueryStringDecoder(call.head().uri());
         List<Endpoint> addresses =
                 mFollower
                         .view()
                         .plan()
                         .addresses(
-                                query.get(AskCalls.ZONE, mSettings.self().availabilityZone()),
-                                query.get(AskCalls.REGION, mSettings.self().region()));
+                                named(query, AskCalls.ZONE, mSettings.self().availabilityZone()),
+                                named(query, AskCalls.REGION, mSettings.self().region()));
         if (addresses.isEmpty() && mState.phase().isReady()) {
             addresses = List.of(mSettings.self().callers());
         }
-        if (addresses.isEmpty()) {
-            return HttpResponse.of(HttpStatus.SERVICE_UNAVAILABLE);
-        }
-        return HttpResponse.of(
-                HttpStatus.OK,
-                MediaType.JSON,
-                AskCalls.encode(addresses, mSettings.askTimeToLive()));
+        call.answer(
+                addresses.isEmpty()
+                        ? Answer.of(HttpResponseStatus.SERVICE_UNAVAILABLE)
+                        : Answer.json(
+                                HttpResponseStatus.OK,
+                                AskCalls.encode(addresses, mSettings.askTimeToLive())));
+    }
+
+    private static String named(QueryStringDecoder query, String name, String otherwise) {
+        List<String> values = query.parameters().get(name);
+        return values == null ? otherwise : values.get(0);
     }
 }
--- a/gateway/src/main/java/org/dahliapass/gateway/ChangeFeed.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ChangeFeed.java
@@ -1,6 +1,5 @@
 package org.dahliapass.gateway;
 
-import com.linecorp.armeria.client.ClientFactory;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -13,6 +12,7 @@
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.dahliapass.decisions.routing.UpstreamPlan;
+import org.dahliapass.http.HttpClient;
 import org.dahliapass.kernel.ControlLoop;
 import org.dahliapass.kernel.Futures;
 import org.dahliapass.kernel.Kernel;
@@ -77,7 +77,7 @@
     private static final int PAUSE_JITTER_MILLIS = 300;
 
     private final KeyValueStore mStore;
-    private final ClientFactory mFactory;
+    private final HttpClient mClient;
     private final RandomGenerator mRandom;
     private final EventLog mLog;
     private final UpstreamPlan mPlan;
@@ -101,11 +101,11 @@
     ChangeFeed(
             GatewaySettings settings,
             KeyValueStore store,
-            ClientFactory factory,
+            HttpClient client,
             RandomGenerator random,
             EventLog log) {
         mStore = store;
-        mFactory = factory;
+        mClient = client;
         mRandom = random;
         mLog = log;
         mSeeds = settings.seeds();
@@ -325,7 +325,7 @@
 
     private KeyValueStore clientOf(Endpoint peer) {
         return mPeers.computeIfAbsent(
-                peer, endpoint -> new HttpKeyValueStore(endpoint, PEER_TIMEOUT, mFactory));
+                peer, endpoint -> new HttpKeyValueStore(endpoint, PEER_TIMEOUT, mClient));
     }
 
     private void take(long revision, WatchAnswer answer, Runnable readAgain, Duration pause) {
--- a/gateway/src/main/java/org/dahliapass/gateway/EventLog.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/EventLog.java
@@ -1,7 +1,5 @@
 package org.dahliapass.gateway;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.time.Clock;
@@ -11,6 +9,7 @@
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.function.Consumer;
+import org.dahliapass.kernel.JsonObject;
 
 /**
  * Writes one JSON object a line for each decision, without ever holding up who logs.
@@ -30,8 +29,7 @@
     private final Clock mClock;
     private final String mVm;
     private final PrintStream mOutput;
-    private final ObjectMapper mMapper = new ObjectMapper();
-    private final BlockingQueue<ObjectNode> mQueue = new ArrayBlockingQueue<>(QUEUE_LINES);
+    private final BlockingQueue<JsonObject> mQueue = new ArrayBlockingQueue<>(QUEUE_LINES);
     private final Map<Kind, Integer> mWritten = new EnumMap<>(Kind.class);
     private long mSecond;
     private long mDropped;
@@ -77,7 +75,7 @@
      * @param event what happened, as a short name
      * @param fields adds the inputs and the outcome; not called for a line that is dropped
      */
-    public void write(Kind kind, String event, Consumer<ObjectNode> fields) {
+    public void write(Kind kind, String event, Consumer<JsonObject> fields) {
         long now = mClock.millis();
         long dropped;
         synchronized (this) {
@@ -88,7 +86,7 @@
             dropped = mDropped;
             mDropped = 0;
         }
-        ObjectNode line = mMapper.createObjectNode();
+        JsonObject line = new JsonObject();
         line.put("at_ms", now).put("vm", mVm).put("part", kind.name().toLowerCase(Locale.ROOT));
         line.put("event", event);
         fields.accept(line);
--- a/gateway/src/main/java/org/dahliapass/gateway/GatewayAnswers.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewayAnswers.java
@@ -1,18 +1,13 @@
 package org.dahliapass.gateway;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.linecorp.armeria.common.HttpData;
-import com.linecorp.armeria.common.HttpHeaderNames;
-import com.linecorp.armeria.common.HttpResponse;
-import com.linecorp.armeria.common.HttpStatus;
-import com.linecorp.armeria.common.MediaType;
-import com.linecorp.armeria.common.ResponseHeaders;
-import com.linecorp.armeria.common.ResponseHeadersBuilder;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.random.RandomGenerator;
+import org.dahliapass.http.Answer;
+import org.dahliapass.kernel.JsonObject;
 
 /** The answers that this VM gives in place of a target's. */
 final class GatewayAnswers {
-    static final ObjectMapper JSON = new ObjectMapper();
     static final int BAD_GATEWAY = 502;
     static final int UNAVAILABLE = 503;
     static final int TIMEOUT = 504;
@@ -39,61 +34,62 @@
     }
 
     /** Refuses a request that has not run and never will. */
-    HttpResponse refused(long comeBackMillis) {
+    CallerAnswer refused(long comeBackMillis) {
         return answer(
-                HttpStatus.SERVICE_UNAVAILABLE,
+                HttpResponseStatus.SERVICE_UNAVAILABLE,
                 comeBackMillis,
                 "The request was not run. Come back after the time in Retry-After.");
     }
 
     /** Ends a request that may have run and got no answer. */
-    HttpResponse failed() {
+    CallerAnswer failed() {
         return answer(
-                HttpStatus.BAD_GATEWAY,
+                HttpResponseStatus.BAD_GATEWAY,
                 0,
                 "A target failed while it had the request, which may have run.");
     }
 
     /** Ends a request whose time is over while a target had it. */
-    HttpResponse timedOut() {
+    CallerAnswer timedOut() {
         return answer(
-                HttpStatus.GATEWAY_TIMEOUT,
+                HttpResponseStatus.GATEWAY_TIMEOUT,
                 0,
                 "The time is over while a target had the request, which may have run.");
     }
 
     /** Answers a request that matches no route. */
-    HttpResponse noRoute() {
-        return answer(HttpStatus.NOT_FOUND, 0, "No route takes this host and path.");
+    CallerAnswer noRoute() {
+        return answer(HttpResponseStatus.NOT_FOUND, 0, "No route takes this host and path.");
     }
 
     /** Answers a request that has no id. */
-    HttpResponse noId() {
-        return answer(HttpStatus.BAD_REQUEST, 0, "The request has no attempt id.");
+    CallerAnswer noId() {
+        return answer(HttpResponseStatus.BAD_REQUEST, 0, "The request has no attempt id.");
     }
 
     /** Answers a request whose head is too large. */
-    HttpResponse headTooLarge() {
+    CallerAnswer headTooLarge() {
         return answer(
-                HttpStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+                HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
                 0,
                 "The head is larger than allowed. Send fewer or shorter headers.");
     }
 
     /** Answers a request whose body is too large. */
-    HttpResponse tooLarge() {
-        return answer(HttpStatus.REQUEST_ENTITY_TOO_LARGE, 0, "The body is larger than allowed.");
+    CallerAnswer tooLarge() {
+        return answer(
+                HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, 0, "The body is larger than allowed.");
     }
 
-    private static HttpResponse answer(HttpStatus status, long comeBackMillis, String message) {
-        ResponseHeadersBuilder headers =
-                ResponseHeaders.builder(status).contentType(MediaType.JSON);
+    private static CallerAnswer answer(
+            HttpResponseStatus status, long comeBackMillis, String message) {
+        Answer answer = Answer.json(status, new JsonObject().put("message", message).toString());
         if (comeBackMillis > 0) {
-            headers.set(
-                    HttpHeaderNames.RETRY_AFTER,
-                    Double.toString(comeBackMillis / MILLIS_PER_SECOND));
+            answer.headers()
+                    .set(
+                            HttpHeaderNames.RETRY_AFTER,
+                            Double.toString(comeBackMillis / MILLIS_PER_SECOND));
         }
-        String body = JSON.createObjectNode().put("message", message).toString();
-        return HttpResponse.of(headers.build(), HttpData.ofUtf8(body));
+        return CallerAnswer.whole(answer);
     }
 }
--- a/gateway/src/main/java/org/dahliapass/gateway/GatewayServers.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewayServers.java
@@ -1,22 +1,23 @@
 package org.dahliapass.gateway;
 
-import com.linecorp.armeria.common.HttpData;
-import com.linecorp.armeria.common.HttpResponse;
-import com.linecorp.armeria.common.HttpStatus;
-import com.linecorp.armeria.common.MediaType;
-import com.linecorp.armeria.common.SessionProtocol;
-import com.linecorp.armeria.server.Server;
-import com.linecorp.armeria.server.ServerBuilder;
 import io.netty.channel.EventLoopGroup;
-import java.net.InetSocketAddress;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.time.Clock;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import org.dahliapass.entry.EntryMetrics;
+import org.dahliapass.http.Answer;
+import org.dahliapass.http.HttpServer;
+import org.dahliapass.http.PathRoutes;
+import org.dahliapass.http.RequestHandler;
+import org.dahliapass.http.ServerLimits;
 import org.dahliapass.kernel.Kernel;
 import org.dahliapass.kernel.KernelService;
-import org.dahliapass.model.Endpoint;
+import org.dahliapass.model.routing.RequestLimits;
 import org.dahliapass.platform.AskCalls;
 import org.dahliapass.platform.StoreCalls;
+import org.dahliapass.traffic.EntryMetrics;
 
 /**
  * The HTTP servers of a VM: one for callers' requests, one for asks and readiness, and one for what
@@ -26,13 +27,12 @@
     /** The name under which the kernel holds the servers. */
     static final String NAME = "servers";
 
-    private static final int MOST_HEADER_BYTES = 64 * 1024;
-
     /**
-     * Longer than any idle timeout that an operator sets: callers reuse connections up to four
-     * fifths of theirs, and one that is closed under a request costs the caller that request.
+     * What clients may take before there is a configuration, and at the addresses of which it says
+     * nothing. A head comes in one piece mostly; an idle connection costs little.
      */
-    private static final Duration IDLE_TIMEOUT = Duration.ofMinutes(2);
+    private static final ServerLimits LIMITS =
+            new ServerLimits(Duration.ofSeconds(10), Duration.ofSeconds(30), Duration.ofMinutes(2));
 
     private final GatewaySettings mSettings;
     private final GatewayState mState;
@@ -41,9 +41,11 @@
     private final AskHandler mAsks;
     private final MirrorService mMirror;
     private final EventLoopGroup mLoops;
-    private Server mCallers;
-    private Server mAskers;
-    private Server mPeers;
+    private final Clock mClock;
+    private final StoreFollower mFollower;
+    private HttpServer mCallers;
+    private HttpServer mAskers;
+    private HttpServer mPeers;
 
     GatewayServers(
             GatewaySettings settings,
@@ -52,7 +54,9 @@
             ProxyHandler proxy,
             AskHandler asks,
             MirrorService mirror,
-            EventLoopGroup loops) {
+            EventLoopGroup loops,
+            Clock clock,
+            StoreFollower follower) {
         mSettings = settings;
         mState = state;
         mMetrics = metrics;
@@ -60,58 +64,61 @@
         mAsks = asks;
         mMirror = mirror;
         mLoops = loops;
+        mClock = clock;
+        mFollower = follower;
     }
 
     @Override
     public CompletableFuture<Void> start(Kernel kernel) {
-        mCallers = builder(mSettings.self().callers()).serviceUnder("/", mProxy).build();
-        ServerBuilder asks = builder(mSettings.asks());
-        listen(asks, mSettings.readiness());
+        mCallers = new HttpServer(mLoops, mProxy, mClock, this::callersLimits);
         mAskers =
-                asks.service(AskCalls.ASK_PATH, mAsks)
-                        .service(AskCalls.READINESS_PATH, (context, request) -> readiness())
-                        .build();
-        ServerBuilder peers = builder(mSettings.self().peers());
-        listen(peers, mSettings.control());
-        mSettings.metrics().ifPresent(endpoint -> listen(peers, endpoint));
+                server(
+                        new PathRoutes()
+                                .add(AskCalls.ASK_PATH, mAsks)
+                                .add(
+                                        AskCalls.READINESS_PATH,
+                                        call -> call.answer(Answer.of(readiness()))));
         mPeers =
-                peers.service(StoreCalls.RANGE_PATH, mMirror::range)
-                        .service(StoreCalls.WATCH_PATH, mMirror::watch)
-                        .service("/metrics", (context, request) -> metrics())
-                        .build();
-        return mCallers.start()
-                .thenCompose(ignored -> mAskers.start())
-                .thenCompose(ignored -> mPeers.start());
+                server(
+                        new PathRoutes()
+                                .add(StoreCalls.RANGE_PATH, mMirror::range)
+                                .add(StoreCalls.WATCH_PATH, mMirror::watch)
+                                .add("/metrics", call -> call.answer(metrics())));
+        List<CompletableFuture<Void>> started = new ArrayList<>();
+        started.add(mCallers.listen(mSettings.self().callers()));
+        started.add(mAskers.listen(mSettings.asks()));
+        started.add(mAskers.listen(mSettings.readiness()));
+        started.add(mPeers.listen(mSettings.self().peers()));
+        started.add(mPeers.listen(mSettings.control()));
+        mSettings.metrics().ifPresent(endpoint -> started.add(mPeers.listen(endpoint)));
+        return CompletableFuture.allOf(started.toArray(CompletableFuture<?>[]::new));
+    }
+
+    private HttpServer server(RequestHandler handler) {
+        return new HttpServer(mLoops, handler, mClock, () -> LIMITS);
     }
 
-    private ServerBuilder builder(Endpoint endpoint) {
-        ServerBuilder builder =
-                Server.builder()
-                        .workerGroup(mLoops, false)
-                        .http1MaxHeaderSize(MOST_HEADER_BYTES)
-                        .http1MaxInitialLineLength(MOST_HEADER_BYTES)
-                        .idleTimeout(IDLE_TIMEOUT)
-                        .requestTimeoutMillis(0)
-                        .maxRequestLength(0)
-                        .disableServerHeader()
-                        .disableDateHeader()
-                        .gracefulShutdownTimeout(Duration.ZERO, Duration.ZERO);
-        listen(builder, endpoint);
-        return builder;
+    /** Returns how long callers may take, by the operator's configuration. */
+    private ServerLimits callersLimits() {
+        return mFollower
+                .view()
+                .routes()
+                .map(routes -> serverLimits(routes.configuration().limits()))
+                .orElse(LIMITS);
     }
 
-    private static void listen(ServerBuilder builder, Endpoint endpoint) {
-        builder.port(new InetSocketAddress(endpoint.host(), endpoint.port()), SessionProtocol.HTTP);
+    private static ServerLimits serverLimits(RequestLimits limits) {
+        return new ServerLimits(limits.headerTimeout(), limits.idleTimeout(), limits.idleTimeout());
     }
 
-    private HttpResponse readiness() {
-        return HttpResponse.of(
-                mState.phase().isReady() ? HttpStatus.OK : HttpStatus.SERVICE_UNAVAILABLE);
+    private HttpResponseStatus readiness() {
+        return mState.phase().isReady()
+                ? HttpResponseStatus.OK
+                : HttpResponseStatus.SERVICE_UNAVAILABLE;
     }
 
-    private HttpResponse metrics() {
-        return HttpResponse.of(
-                HttpStatus.OK, MediaType.PLAIN_TEXT_UTF_8, HttpData.wrap(mMetrics.scrape()));
+    private Answer metrics() {
+        return Answer.text(HttpResponseStatus.OK, mMetrics.scrape());
     }
 
     @Override
--- a/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
@@ -6,12 +6,12 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
 import org.dahliapass.decisions.routing.ShareChooser;
-import org.dahliapass.entry.EntryMetrics;
 import org.dahliapass.kernel.ControlLoop;
 import org.dahliapass.kernel.Futures;
 import org.dahliapass.kernel.Kernel;
 import org.dahliapass.platform.HttpKeyValueStore;
 import org.dahliapass.platform.KeyValueStore;
+import org.dahliapass.traffic.EntryMetrics;
 
 /** One gateway VM, put together from its services; a process holds one, tests hold several. */
 public final class GatewayVm {
@@ -51,11 +51,11 @@
         mLog = log;
         mLoop = new ControlLoop(clock);
         EntryMetrics metrics = new EntryMetrics();
-        TargetConnections connections = new TargetConnections();
+        TargetConnections connections = new TargetConnections(clock);
         KeyValueStore store =
-                new HttpKeyValueStore(settings.store(), STORE_TIMEOUT, connections.factory());
+                new HttpKeyValueStore(settings.store(), STORE_TIMEOUT, connections.client());
         StoreFollower follower = new StoreFollower(settings.vmsPerZone(), log);
-        ChangeFeed feed = new ChangeFeed(settings, store, connections.factory(), random, log);
+        ChangeFeed feed = new ChangeFeed(settings, store, connections.client(), random, log);
         ServicePools pools = new ServicePools(clock, random, settings, metrics, log);
         mEntry = new FleetEntry(store, settings.self(), feed::followsStore, log);
         VmLoad load = new VmLoad(clock, metrics, log);
@@ -88,7 +88,9 @@
                                 proxy,
                                 new AskHandler(settings, mState, follower),
                                 new MirrorService(mLoop, feed, load),
-                                connections.loops()))
+                                connections.loops(),
+                                clock,
+                                follower))
                 .register(StoreFollower.NAME, follower)
                 .register(ChangeFeed.NAME, feed)
                 .register(FleetEntry.NAME, mEntry)
--- a/gateway/src/main/java/org/dahliapass/gateway/MirrorService.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/MirrorService.java
@@ -1,16 +1,13 @@
 package org.dahliapass.gateway;
 
-import com.linecorp.armeria.common.HttpRequest;
-import com.linecorp.armeria.common.HttpResponse;
-import com.linecorp.armeria.common.HttpStatus;
-import com.linecorp.armeria.common.MediaType;
-import com.linecorp.armeria.common.QueryParams;
-import com.linecorp.armeria.server.ServiceRequestContext;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.QueryStringDecoder;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
+import org.dahliapass.http.Answer;
+import org.dahliapass.http.ServerCall;
 import org.dahliapass.kernel.ControlLoop;
 import org.dahliapass.platform.StoreCalls;
 import org.dahliapass.platform.WatchAnswer;
@@ -30,7 +27,7 @@
     private final VmLoad mLoad;
     private final List<Waiter> mWaiters = new ArrayList<>();
 
-    private record Waiter(long revision, CompletableFuture<HttpResponse> answer) {}
+    private record Waiter(long revision, ServerCall call) {}
 
     MirrorService(ControlLoop loop, ChangeFeed feed, VmLoad load) {
         mLoop = loop;
@@ -40,11 +37,11 @@
     }
 
     /** Answers with the whole copy. */
-    HttpResponse range(ServiceRequestContext context, HttpRequest request) {
-        return HttpResponse.of(mLoop.ask(this::copy));
+    void range(ServerCall call) {
+        mLoop.execute(() -> answer(call, copy()));
     }
 
-    private HttpResponse copy() {
+    private Answer copy() {
         if (!mFeed.mirror().isFilled()) {
             return unavailable();
         }
@@ -52,45 +49,49 @@
     }
 
     /** Answers once there are changes, or none when the caller's wait ends. */
-    HttpResponse watch(ServiceRequestContext context, HttpRequest request) {
-        context.clearRequestTimeout();
-        QueryParams query = context.queryParams();
-        long revision = query.getLong(StoreCalls.AFTER, 0);
-        Duration wait = Duration.ofMillis(query.getLong(StoreCalls.WAIT_MILLIS, 0));
-        CompletableFuture<HttpResponse> answer = new CompletableFuture<>();
-        mLoop.execute(() -> await(new Waiter(revision, answer), wait));
-        return HttpResponse.of(answer);
+    void watch(ServerCall call) {
+        QueryStringDecoder query = new QueryStringDecoder(call.head().uri());
+        long revision = number(query, StoreCalls.AFTER);
+        Duration wait = Duration.ofMillis(number(query, StoreCalls.WAIT_MILLIS));
+        mLoop.execute(() -> await(new Waiter(revision, call), wait));
+    }
+
+    /** Returns a parameter's whole number; 0 if it has none. */
+    private static long number(QueryStringDecoder query, String name) {
+        try {
+            return Long.parseLong(query.parameters().getOrDefault(name, List.of("0")).get(0));
+        } catch (NumberFormatException foreign) {
+            // Not one of this fleet's VMs: it is told to read everything anew.
+            return 0;
+        }
     }
 
     private void await(Waiter waiter, Duration wait) {
         mWaiters.add(waiter);
         answerWaiters();
-        if (waiter.answer().isDone()) {
+        if (!mWaiters.contains(waiter)) {
             return;
         }
-        mLoop.after(
-                wait,
-                () -> {
-                    mWaiters.remove(waiter);
-                    waiter.answer()
-                            .complete(
-                                    json(
-                                            StoreCalls.encode(
-                                                    new WatchAnswer.Changes(
-                                                            List.of(), waiter.revision()))));
-                });
+        mLoop.after(wait, () -> answerWithoutChanges(waiter));
+    }
+
+    private void answerWithoutChanges(Waiter waiter) {
+        if (mWaiters.remove(waiter)) {
+            WatchAnswer.Changes none = new WatchAnswer.Changes(List.of(), waiter.revision());
+            answer(waiter.call(), json(StoreCalls.encode(none)));
+        }
     }
 
     private void answerWaiters() {
         mWaiters.removeIf(
                 waiter -> {
-                    Optional<HttpResponse> answer = answer(waiter.revision());
-                    answer.ifPresent(waiter.answer()::complete);
+                    Optional<Answer> answer = answerTo(waiter.revision());
+                    answer.ifPresent(given -> answer(waiter.call(), given));
                     return answer.isPresent();
                 });
     }
 
-    private Optional<HttpResponse> answer(long revision) {
+    private Optional<Answer> answerTo(long revision) {
         if (!mFeed.isCurrent()) {
             return Optional.of(unavailable());
         }
@@ -99,15 +100,19 @@
                 found ->
                         found instanceof WatchAnswer.Changes known
                                 ? json(StoreCalls.encode(known))
-                                : HttpResponse.of(HttpStatus.GONE));
+                                : Answer.of(HttpResponseStatus.GONE));
+    }
+
+    private static void answer(ServerCall call, Answer answer) {
+        call.loop().execute(() -> call.answer(answer));
     }
 
-    private static HttpResponse unavailable() {
-        return HttpResponse.of(HttpStatus.SERVICE_UNAVAILABLE);
+    private static Answer unavailable() {
+        return Answer.of(HttpResponseStatus.SERVICE_UNAVAILABLE);
     }
 
-    private HttpResponse json(String body) {
+    private Answer json(String body) {
         mLoad.onCopied(body.length());
-        return HttpResponse.of(HttpStatus.OK, MediaType.JSON, body);
+        return Answer.json(HttpResponseStatus.OK, body);
     }
 }
--- a/gateway/src/main/java/org/dahliapass/gateway/OfferResult.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/OfferResult.java
@@ -1,6 +1,5 @@
 package org.dahliapass.gateway;
 
-import com.linecorp.armeria.common.HttpResponse;
 import org.dahliapass.decisions.traffic.FailureKind;
 import org.dahliapass.model.Endpoint;
 
@@ -14,9 +13,9 @@
      *
      * @param target the target
      * @param status its status
-     * @param response the answer for the caller
+     * @param answer the answer for the caller
      */
-    record Answered(Endpoint target, int status, HttpResponse response) implements OfferResult {}
+    record Answered(Endpoint target, int status, CallerAnswer answer) implements OfferResult {}
 
     /**
      * No answer that may be passed on.
--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
@@ -1,11 +1,5 @@
 package org.dahliapass.gateway;
 
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
-import com.linecorp.armeria.common.HttpResponse;
-import com.linecorp.armeria.common.util.Exceptions;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.time.Clock;
@@ -19,10 +13,12 @@
 import java.util.concurrent.TimeUnit;
 import org.dahliapass.decisions.traffic.FailedTry;
 import org.dahliapass.decisions.traffic.FailureKind;
-import org.dahliapass.entry.RefusedException;
-import org.dahliapass.entry.Slot;
+import org.dahliapass.http.ServerCall;
 import org.dahliapass.kernel.Futures;
+import org.dahliapass.kernel.JsonObject;
 import org.dahliapass.model.Endpoint;
+import org.dahliapass.traffic.RefusedException;
+import org.dahliapass.traffic.Slot;
 
 /**
  * Serves one request from its first offer to its one answer.
@@ -47,6 +43,7 @@
      */
     private static final long HEDGE_AGAIN_MILLIS = 100;
 
+    private final ServerCall mCall;
     private final ProxyRequest mRequest;
     private final ServicePool mPool;
     private final TargetConnections mConnections;
@@ -54,12 +51,9 @@
     private final EventLoop mLoop;
     private final EventLog mLog;
     private final GatewayAnswers mAnswers;
-    private final CompletableFuture<HttpResponse> mAnswer = new CompletableFuture<>();
     private final List<TargetOffer> mRunning = new ArrayList<>();
-    private final List<ObjectNode> mHistory = new ArrayList<>();
+    private final List<JsonObject> mHistory = new ArrayList<>();
     private final Set<Endpoint> mTried = new HashSet<>();
-    private final ChannelFutureListener mOnConnectionClosed = closed -> onCallerGone();
-    private Channel mConnection;
     private CompletableFuture<Slot> mWaiting;
     private ScheduledFuture<?> mDeadline;
     private ScheduledFuture<?> mHedge;
@@ -70,47 +64,35 @@
     private boolean mDone;
 
     ProxyExchange(
+            ServerCall call,
             ProxyRequest request,
             ServicePool pool,
             TargetConnections connections,
             Clock clock,
-            EventLoop loop,
             EventLog log,
             GatewayAnswers answers) {
+        mCall = call;
         mRequest = request;
         mPool = pool;
         mConnections = connections;
         mClock = clock;
-        mLoop = loop;
+        mLoop = call.loop();
         mLog = log;
         mAnswers = answers;
     }
 
     /**
-     * Starts the exchange and returns the caller's answer.
+     * Starts the exchange.
      *
      * <p>Guards against work that is sent to a target after its caller has left, while it waited
      * for a slot: the close of the connection itself ends the exchange, whatever state the answer
      * is in.
-     *
-     * @param connection the caller's connection
      */
-    HttpResponse start(Channel connection) {
-        mConnection = connection;
-        // Kept apart from the answer's own end: the listener must be taken off a kept connection.
-        mConnection.closeFuture().addListener(mOnConnectionClosed);
+    void start() {
+        mCall.onGone(this::onCallerGone);
         long remaining = mRequest.remainingMillis(mClock.millis());
         mDeadline = mLoop.schedule(this::onDeadline, remaining, TimeUnit.MILLISECONDS);
         await(mPool.runtime().acquire(mRequest, Set.of()));
-        HttpResponse response = HttpResponse.of(mAnswer);
-        Futures.whenDone(
-                response.whenComplete(),
-                (ignored, failure) -> {
-                    if (failure != null) {
-                        mLoop.execute(this::onCallerGone);
-                    }
-                });
-        return response;
     }
 
     private void await(CompletableFuture<Slot> slot) {
@@ -134,7 +116,7 @@
             }
             return;
         }
-        TargetOffer offer = new TargetOffer(mRequest, slot, mPool, mConnections, mClock, mLoop);
+        TargetOffer offer = new TargetOffer(mRequest, slot, mPool, mConnections, mClock);
         if (mDone) {
             offer.abort(FailureKind.CANCELLED_BY_CALLER);
             return;
@@ -181,15 +163,15 @@
         mReached++;
         if (mDone) {
             // The caller left while a request that must not repeat was still at its target.
-            answered.response().abort();
+            answered.answer().drop();
             return;
         }
         boolean error = answered.status() >= SERVER_ERROR;
         if (!error) {
-            finish(answered.response(), answered.status(), "answered");
+            finish(answered.answer(), answered.status(), "answered");
             return;
         }
-        mError.ifPresent(old -> old.response().abort());
+        mError.ifPresent(old -> old.answer().drop());
         mError = Optional.of(answered);
         if (!mRunning.isEmpty() || retry(answered.target(), FailureKind.SERVER_ERROR)) {
             return;
@@ -256,7 +238,7 @@
         }
         if (mError.isPresent()) {
             OfferResult.Answered error = mError.get();
-            finish(error.response(), error.status(), "the target's own failure");
+            finish(error.answer(), error.status(), "the target's own failure");
         } else if (mMayHaveRun) {
             finish(mAnswers.failed(), GatewayAnswers.BAD_GATEWAY, "may have run");
         } else {
@@ -270,7 +252,7 @@
             finishUnlessRunning();
             return;
         }
-        Throwable cause = Exceptions.peel(failure);
+        Throwable cause = Futures.cause(failure);
         String reason = cause instanceof RefusedException ? cause.getMessage() : cause.toString();
         long wait = mAnswers.comeBackMillis(mRequest.remainingMillis(mClock.millis()));
         finish(mAnswers.refused(wait), GatewayAnswers.UNAVAILABLE, reason);
@@ -285,7 +267,7 @@
         mDone = true;
         stopOffers(FailureKind.TIMED_OUT);
         if (mError.isPresent()) {
-            finish(mError.get().response(), mError.get().status(), "the target's own failure");
+            finish(mError.get().answer(), mError.get().status(), "the target's own failure");
         } else if (mayHaveRun) {
             finish(mAnswers.timedOut(), GatewayAnswers.TIMEOUT, "the time is over");
         } else {
@@ -317,34 +299,32 @@
         }
     }
 
-    private void finish(HttpResponse response, int status, String outcome) {
+    private void finish(CallerAnswer answer, int status, String outcome) {
         mDone = true;
-        mConnection.closeFuture().removeListener(mOnConnectionClosed);
         mDeadline.cancel(false);
         if (mHedge != null) {
             mHedge.cancel(false);
         }
-        if (response != null) {
-            mAnswer.complete(response);
+        if (answer != null) {
+            answer.give(mCall);
         }
         if (mRequest.kind().idempotency().mayRepeat()) {
             stopOffers(FailureKind.CANCELLED_BY_CALLER);
         } else if (mWaiting != null) {
             mWaiting.cancel(false);
         }
-        mError.filter(error -> error.response() != response)
-                .ifPresent(error -> error.response().abort());
+        mError.filter(error -> error.answer() != answer).ifPresent(error -> error.answer().drop());
         log(status, outcome);
     }
 
     private static void discard(OfferResult result) {
         if (result instanceof OfferResult.Answered answered) {
-            answered.response().abort();
+            answered.answer().drop();
         }
     }
 
     private void note(TargetOffer offer, String end) {
-        ObjectNode entry = GatewayAnswers.JSON.createObjectNode();
+        JsonObject entry = new JsonObject();
         entry.put("target", offer.target().toString())
                 .put("instance", offer.instance().orElse("unknown"))
                 .put("bout_chance", Math.round(offer.chanceOfBout() * PERCENT) / PERCENT)
@@ -368,9 +348,8 @@
                             .put("took_ms", now - mRequest.arrivalMillis())
                             .put("left_ms", mRequest.deadlineMillis() - now)
                             .put("status", status)
-                            .put("outcome", outcome);
-                    ArrayNode offers = line.putArray("offers");
-                    mHistory.forEach(offers::add);
+                            .put("outcome", outcome)
+                            .putList("offers", mHistory);
                 });
     }
 }
--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyHandler.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyHandler.java
@@ -1,24 +1,24 @@
 package org.dahliapass.gateway;
 
-import com.linecorp.armeria.common.AggregatedHttpRequest;
-import com.linecorp.armeria.common.HttpRequest;
-import com.linecorp.armeria.common.HttpResponse;
-import com.linecorp.armeria.common.RequestHeaders;
-import com.linecorp.armeria.server.HttpService;
-import com.linecorp.armeria.server.ServiceRequestContext;
-import io.netty.util.AsciiString;
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
 import java.time.Clock;
 import java.util.Map;
 import java.util.Optional;
 import org.dahliapass.decisions.routing.RouteTable;
 import org.dahliapass.decisions.routing.ShareChooser;
-import org.dahliapass.kernel.Futures;
+import org.dahliapass.http.RequestHandler;
+import org.dahliapass.http.RequestTarget;
+import org.dahliapass.http.ServerCall;
 import org.dahliapass.model.routing.RequestLimits;
 import org.dahliapass.model.routing.RouteRule;
 import org.dahliapass.platform.TargetHeaders;
 
 /** Matches callers' requests with routes and hands them to the exchange that serves them. */
-final class ProxyHandler implements HttpService {
+final class ProxyHandler implements RequestHandler {
     private static final long STARTING_WAIT_MILLIS = 300;
 
     /**
@@ -69,69 +69,65 @@
     }
 
     @Override
-    public HttpResponse serve(ServiceRequestContext context, HttpRequest request) {
-        context.clearRequestTimeout();
-        mLoad.onRequest(context);
+    public void onRequest(ServerCall call) {
+        mLoad.onRequest(call);
         if (mState.phase().closesConnections()) {
-            Futures.whenDone(context.initiateConnectionShutdown(), (done, failure) -> {});
+            call.closeAfterAnswer();
         }
         Optional<RouteTable> routes = mFollower.view().routes();
         if (!mState.phase().serves() || routes.isEmpty()) {
-            return mAnswers.refused(STARTING_WAIT_MILLIS);
+            mAnswers.refused(STARTING_WAIT_MILLIS).give(call);
+            return;
         }
         if (mLoad.isBehind()) {
-            return refuseUnread(request);
+            refuseUnread(call);
+            return;
         }
         noteRoutes(routes.get());
-        String path = context.rawPath();
-        Optional<RouteRule> route = routes.get().find(authority(request), pathOnly(path));
+        match(call, routes.get());
+    }
+
+    private void match(ServerCall call, RouteTable routes) {
+        HttpRequest head = call.head();
+        RequestTarget target = RequestTarget.of(head);
+        Optional<RouteRule> route = routes.find(target.authority(), target.pathOnly());
         if (route.isEmpty()) {
-            return mAnswers.noRoute();
+            mAnswers.noRoute().give(call);
+            return;
         }
-        if (request.headers().get(TargetHeaders.ATTEMPT_ID) == null) {
-            return mAnswers.noId();
+        if (!head.headers().contains(TargetHeaders.ATTEMPT_ID)) {
+            mAnswers.noId().give(call);
+            return;
         }
-        long arrivalMillis = mClock.millis();
-        RequestLimits limits = routes.get().configuration().limits();
-        if (headBytes(request.headers()) > limits.headerBytes()) {
-            return mAnswers.headTooLarge();
+        RequestLimits limits = routes.configuration().limits();
+        if (headBytes(head) > limits.headerBytes()) {
+            mAnswers.headTooLarge().give(call);
+            return;
         }
-        // 0 would mean "no limit" here, so one byte more is let through and checked below.
-        context.setMaxRequestLength(limits.bodyBytes() + 1);
-        return HttpResponse.of(
-                request.aggregate()
-                        .handle(
-                                (message, failure) -> {
-                                    if (failure != null
-                                            || message.content().length() > limits.bodyBytes()) {
-                                        return mAnswers.tooLarge();
-                                    }
-                                    return exchange(
-                                            context,
-                                            message,
-                                            routes.get(),
-                                            route.get(),
-                                            path,
-                                            arrivalMillis);
-                                }));
+        long arrivalMillis = mClock.millis();
+        call.readBody(
+                limits.bodyBytes(),
+                body -> exchange(call, target, body, routes, route.get(), arrivalMillis),
+                () -> mAnswers.tooLarge().give(call));
     }
 
     /**
      * Refuses a request before any work is done on it, so that the caller may come back at another
      * VM while it has time, and this VM gets through what it has.
      */
-    private HttpResponse refuseUnread(HttpRequest request) {
-        long left = patience(request.headers(), UNTOLD_PATIENCE_MILLIS);
+    private void refuseUnread(ServerCall call) {
+        HttpHeaders headers = call.head().headers();
+        long left = patience(headers, UNTOLD_PATIENCE_MILLIS);
         long wait = mAnswers.comeBackMillis(left);
         mLog.write(
                 EventLog.Kind.REQUEST,
                 "request_refused_unread",
                 line ->
-                        line.put("id", request.headers().get(TargetHeaders.ATTEMPT_ID, ""))
+                        line.put("id", headers.get(TargetHeaders.ATTEMPT_ID, ""))
                                 .put("left_ms", left)
                                 .put("come_back_ms", wait)
                                 .put("cause", "this VM's thread is behind"));
-        return mAnswers.refused(wait);
+        mAnswers.refused(wait).give(call);
     }
 
     /** Forgets what was counted for routes that are gone; runs on the traffic thread only. */
@@ -142,57 +138,52 @@
         }
     }
 
-    private HttpResponse exchange(
-            ServiceRequestContext context,
-            AggregatedHttpRequest message,
+    private void exchange(
+            ServerCall call,
+            RequestTarget target,
+            ByteBuf body,
             RouteTable routes,
             RouteRule route,
-            String path,
             long arrivalMillis) {
         String service = mShares.next(route);
         Optional<ServicePool> pool = mPools.find(service);
         if (pool.isEmpty()) {
-            return mAnswers.refused(STARTING_WAIT_MILLIS);
+            mAnswers.refused(STARTING_WAIT_MILLIS).give(call);
+            return;
         }
+        HttpHeaders headers = new DefaultHttpHeaders().set(call.head().headers());
+        headers.set(HttpHeaderNames.HOST, target.authority());
         long timeoutMillis = route.timeout().toMillis();
         ProxyRequest matched =
                 new ProxyRequest(
-                        message.headers().get(TargetHeaders.ATTEMPT_ID),
+                        headers.get(TargetHeaders.ATTEMPT_ID),
                         routes.configuration().version(),
                         route,
                         service,
                         RouteKinds.of(
                                 route, routes.configuration().limits(), mSettings.retryShare()),
-                        path,
-                        message,
+                        target.path(),
+                        call.head().method(),
+                        headers,
+                        body,
                         arrivalMillis,
-                        arrivalMillis
-                                + Math.min(
-                                        timeoutMillis, patience(message.headers(), timeoutMillis)));
-        return new ProxyExchange(
-                        matched,
-                        pool.get(),
-                        mConnections,
-                        mClock,
-                        context.eventLoop().withoutContext(),
-                        mLog,
-                        mAnswers)
-                .start(context.log().partial().channel());
+                        arrivalMillis + Math.min(timeoutMillis, patience(headers, timeoutMillis)));
+        new ProxyExchange(call, matched, pool.get(), mConnections, mClock, mLog, mAnswers).start();
     }
 
     /**
      * Returns the size of a request's head on the wire, in bytes, without its first line's words.
      */
-    private static long headBytes(RequestHeaders headers) {
-        long bytes = headers.path().length();
-        for (Map.Entry<AsciiString, String> header : headers) {
+    private static long headBytes(HttpRequest head) {
+        long bytes = head.uri().length();
+        for (Map.Entry<String, String> header : head.headers()) {
             bytes += header.getKey().length() + header.getValue().length() + HEADER_LINE_EXTRA;
         }
         return bytes;
     }
 
     /** Returns how long the caller waits, in milliseconds; as long as the route if it says not. */
-    private static long patience(RequestHeaders headers, long routeMillis) {
+    private static long patience(HttpHeaders headers, long routeMillis) {
         String text = headers.get(TargetHeaders.TIME_LEFT_MILLIS);
         if (text == null) {
             return routeMillis;
@@ -204,14 +195,4 @@
             return routeMillis;
         }
     }
-
-    private static String authority(HttpRequest request) {
-        String authority = request.authority();
-        return authority == null ? "" : authority;
-    }
-
-    private static String pathOnly(String pathAndQuery) {
-        int query = pathAndQuery.indexOf('?');
-        return query < 0 ? pathAndQuery : pathAndQuery.substring(0, query);
-    }
 }
--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyRequest.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyRequest.java
@@ -1,9 +1,11 @@
 package org.dahliapass.gateway;
 
-import com.linecorp.armeria.common.AggregatedHttpRequest;
-import org.dahliapass.entry.SlotRequest;
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import org.dahliapass.model.RequestKind;
 import org.dahliapass.model.routing.RouteRule;
+import org.dahliapass.traffic.SlotRequest;
 
 /**
  * One caller's request after it was matched with a route.
@@ -14,7 +16,9 @@
  * @param service the service that was chosen of the route's
  * @param kind the route's requests as the traffic decisions know them
  * @param path the path and query as the caller sent them
- * @param message its headers and whole body
+ * @param method its method
+ * @param headers its headers as the caller sent them
+ * @param body its whole body, on the heap
  * @param arrivalMillis when it arrived, in milliseconds
  * @param deadlineMillis when its answer is of no more use, in milliseconds: the caller has left or
  *     the route's timeout is over
@@ -26,7 +30,9 @@
         String service,
         RequestKind kind,
         String path,
-        AggregatedHttpRequest message,
+        HttpMethod method,
+        HttpHeaders headers,
+        ByteBuf body,
         long arrivalMillis,
         long deadlineMillis)
         implements SlotRequest {
--- a/gateway/src/main/java/org/dahliapass/gateway/ServicePool.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ServicePool.java
@@ -3,9 +3,9 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import org.dahliapass.entry.ServiceRuntime;
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.model.routing.TargetRegistration;
+import org.dahliapass.traffic.ServiceRuntime;
 
 /** One service on this VM as traffic threads see it; immutable but for what the runtime counts. */
 final class ServicePool {
--- a/gateway/src/main/java/org/dahliapass/gateway/ServicePools.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ServicePools.java
@@ -14,15 +14,11 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
 import java.util.random.RandomGenerator;
-import java.util.stream.Collectors;
 import org.dahliapass.decisions.health.Outcome;
 import org.dahliapass.decisions.health.TargetHealth;
 import org.dahliapass.decisions.health.TargetStatus;
 import org.dahliapass.decisions.traffic.WeightedTarget;
 import org.dahliapass.decisions.traffic.WorkNews;
-import org.dahliapass.entry.EntryMetrics;
-import org.dahliapass.entry.EvidenceSink;
-import org.dahliapass.entry.ServiceRuntime;
 import org.dahliapass.kernel.ControlLoop;
 import org.dahliapass.kernel.Kernel;
 import org.dahliapass.kernel.KernelService;
@@ -36,6 +32,9 @@
 import org.dahliapass.model.routing.RouteRule;
 import org.dahliapass.model.routing.RoutingConfiguration;
 import org.dahliapass.model.routing.TargetRegistration;
+import org.dahliapass.traffic.EntryMetrics;
+import org.dahliapass.traffic.EvidenceSink;
+import org.dahliapass.traffic.ServiceRuntime;
 
 /**
  * The services of the configuration: for each its traffic decisions and the health of its targets.
@@ -76,7 +75,6 @@
     private int mTicks;
 
     private StoreFollower mFollower;
-    private TargetConnections mConnections;
     private volatile BiConsumer<ServiceId, WorkNews> mNewsListener = (service, news) -> {};
     private volatile Map<String, ServicePool> mPools = Map.of();
 
@@ -112,7 +110,6 @@
     public CompletableFuture<Void> start(Kernel kernel) {
         mLoop = kernel.find(ControlLoop.NAME, ControlLoop.class);
         mFollower = kernel.find(StoreFollower.NAME, StoreFollower.class);
-        mConnections = kernel.find(TargetConnections.NAME, TargetConnections.class);
         mFollower.onChange(this::refresh);
         mLoop.every(TICK, this::tick);
         return CompletableFuture.completedFuture(null);
@@ -172,10 +169,6 @@
         mHealth.keySet().retainAll(pools.keySet());
         mTemplates.keySet().retainAll(pools.keySet());
         mPools = Map.copyOf(pools);
-        mConnections.retain(
-                pools.values().stream()
-                        .flatMap(pool -> pool.registrations().keySet().stream())
-                        .collect(Collectors.toSet()));
         pools.keySet().forEach(this::publishTargets);
     }
 
--- a/gateway/src/main/java/org/dahliapass/gateway/StoreFollower.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/StoreFollower.java
@@ -58,6 +58,10 @@
     private Optional<RouteTable> mRoutes = Optional.empty();
     private ControlLoop mLoop;
     private boolean mAway;
+
+    /** While a whole read is taken, which is told of in one line: a fleet has many targets. */
+    private boolean mReadsAll;
+
     private long mAwaySinceMillis;
     private long mHeardMillis = Long.MIN_VALUE / 2;
     private double mDemand;
@@ -147,12 +151,20 @@
     /** Takes a whole read of the store; control thread only. */
     void takeAll(List<StoredItem> items) {
         Set<String> seen = new HashSet<>();
+        mReadsAll = true;
         for (StoredItem item : items) {
             seen.add(item.key());
             takeWritten(item);
         }
+        mReadsAll = false;
         removeAbsent(seen);
         publish();
+        mLog.write(
+                EventLog.Kind.BELIEF,
+                "store_read",
+                line ->
+                        line.put("targets", mTargets.entries().size())
+                                .put("vms", mVms.entries().size()));
     }
 
     private void removeAbsent(Set<String> seen) {
@@ -200,7 +212,7 @@
     private void takeWritten(StoredItem item) {
         try {
             if (item.key().equals(ConfigurationDocument.KEY)) {
-                takeConfiguration(ConfigurationDocument.decode(item.value().array()));
+                takeConfiguration(ConfigurationDocument.decode(item.value()));
             } else if (item.key().startsWith(RegistrationDocument.PREFIX)) {
                 takeTarget(RegistrationDocument.decode(item));
             } else if (item.key().startsWith(VmEntry.PREFIX)) {
@@ -263,9 +275,11 @@
             return;
         }
         mTargets.put(target.instance(), target);
-        if (before != null
-                && before.draining() == target.draining()
-                && before.startedMillis() == target.startedMillis()) {
+        boolean known =
+                before != null
+                        && before.draining() == target.draining()
+                        && before.startedMillis() == target.startedMillis();
+        if (known || mReadsAll) {
             return;
         }
         mLog.write(
@@ -288,10 +302,9 @@
         mLog.write(
                 EventLog.Kind.BELIEF,
                 "entries_removed",
-                line -> {
-                    targets.forEach(line.putArray("targets")::add);
-                    vms.forEach(line.putArray("vms")::add);
-                });
+                line ->
+                        line.putList("targets", List.copyOf(targets))
+                                .putList("vms", List.copyOf(vms)));
     }
 
     private static int outage(int entries) {
@@ -308,10 +321,9 @@
         mLog.write(
                 EventLog.Kind.BELIEF,
                 "lapsed_entries_dropped",
-                line -> {
-                    targets.forEach(line.putArray("targets")::add);
-                    vms.forEach(line.putArray("vms")::add);
-                });
+                line ->
+                        line.putList("targets", List.copyOf(targets))
+                                .putList("vms", List.copyOf(vms)));
         publish();
     }
 
--- a/gateway/src/main/java/org/dahliapass/gateway/TargetOffer.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/TargetOffer.java
@@ -1,38 +1,26 @@
 package org.dahliapass.gateway;
 
-import com.linecorp.armeria.client.UnprocessedRequestException;
-import com.linecorp.armeria.common.HttpData;
-import com.linecorp.armeria.common.HttpHeaderNames;
-import com.linecorp.armeria.common.HttpHeaders;
-import com.linecorp.armeria.common.HttpObject;
-import com.linecorp.armeria.common.HttpRequest;
-import com.linecorp.armeria.common.HttpResponse;
-import com.linecorp.armeria.common.HttpResponseWriter;
-import com.linecorp.armeria.common.RequestHeaders;
-import com.linecorp.armeria.common.RequestHeadersBuilder;
-import com.linecorp.armeria.common.ResponseHeaders;
-import com.linecorp.armeria.common.ResponseHeadersBuilder;
-import com.linecorp.armeria.common.logging.RequestLogProperty;
-import com.linecorp.armeria.common.util.Exceptions;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.EventLoop;
-import io.netty.util.AsciiString;
-import java.nio.channels.ClosedChannelException;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import java.time.Clock;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.dahliapass.decisions.health.Outcome;
 import org.dahliapass.decisions.traffic.FailureKind;
-import org.dahliapass.entry.Slot;
+import org.dahliapass.http.Answer;
+import org.dahliapass.http.AnswerListener;
+import org.dahliapass.http.ClientCall;
+import org.dahliapass.http.HopHeaders;
+import org.dahliapass.http.NotSentException;
 import org.dahliapass.kernel.Futures;
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.model.routing.TargetRegistration;
 import org.dahliapass.platform.TargetHeaders;
-import org.reactivestreams.Subscriber;
-import org.reactivestreams.Subscription;
+import org.dahliapass.traffic.Slot;
 
 /**
  * One offer of one request to one target: sends it, checks the answer and collects it.
@@ -41,23 +29,13 @@
  * for again where the request may repeat; an answer too large to be kept is passed on as it comes.
  * Runs on the traffic thread. Each offer gives its slot back exactly once.
  */
-final class TargetOffer implements Subscriber<HttpObject> {
+final class TargetOffer implements AnswerListener {
     /** Answers up to this size, in bytes, are kept until they are whole. */
     private static final int KEPT_BYTES = 2 * 1024 * 1024;
 
     private static final int SERVER_ERROR = 500;
 
-    private static final List<AsciiString> HOP_HEADERS =
-            List.of(
-                    HttpHeaderNames.CONNECTION,
-                    HttpHeaderNames.of("keep-alive"),
-                    HttpHeaderNames.of("proxy-connection"),
-                    HttpHeaderNames.PROXY_AUTHORIZATION,
-                    HttpHeaderNames.TE,
-                    HttpHeaderNames.TRANSFER_ENCODING,
-                    HttpHeaderNames.UPGRADE,
-                    HttpHeaderNames.EXPECT,
-                    TargetHeaders.EXPECTED_INSTANCE);
+    private static final int FIRST_BODY_BYTES = 1_024;
 
     private final double mChanceOfBout;
     private final ProxyRequest mRequest;
@@ -65,16 +43,11 @@
     private final ServicePool mPool;
     private final TargetConnections mConnections;
     private final Clock mClock;
-    private final EventLoop mLoop;
     private final CompletableFuture<OfferResult> mResult = new CompletableFuture<>();
-    private final List<HttpData> mKept = new ArrayList<>();
-    private TargetConnections.Sent mSent;
-    private Subscription mSubscription;
-    private ResponseHeaders mHeaders;
-    private HttpHeaders mTrailers = HttpHeaders.of();
-    private HttpResponseWriter mWriter;
-    private Optional<ResetNote> mResets = Optional.empty();
-    private long mKeptBytes;
+    private ClientCall mCall;
+    private HttpResponse mHead;
+    private ByteBuf mKept;
+    private StreamedAnswer mStream;
     private long mSentMillis;
     private long mHeadMillis;
     private boolean mReleased;
@@ -84,23 +57,28 @@
             Slot slot,
             ServicePool pool,
             TargetConnections connections,
-            Clock clock,
-            EventLoop loop) {
+            Clock clock) {
         mRequest = request;
         mSlot = slot;
         mPool = pool;
         mChanceOfBout = pool.runtime().chanceOfBout(slot.target());
         mConnections = connections;
         mClock = clock;
-        mLoop = loop;
     }
 
     /** Sends the request; the future completes once the answer is whole or the offer failed. */
     CompletableFuture<OfferResult> send() {
         mSentMillis = mClock.millis();
-        RequestHeaders headers = headersFor(mRequest.remainingMillis(mSentMillis));
-        mSent = mConnections.send(target(), HttpRequest.of(headers, mRequest.message().content()));
-        mSent.response().subscribe(this, mLoop);
+        mCall =
+                mConnections
+                        .client()
+                        .send(
+                                target(),
+                                mRequest.method(),
+                                mRequest.path(),
+                                headersFor(mRequest.remainingMillis(mSentMillis)),
+                                mRequest.body(),
+                                this);
         return mResult;
     }
 
@@ -131,170 +109,107 @@
      */
     void abort(FailureKind kind) {
         release(kind);
-        if (mSent != null) {
-            mSent.response().abort();
+        if (mCall != null) {
+            mCall.abort();
         }
     }
 
-    private RequestHeaders headersFor(long remaining) {
-        RequestHeadersBuilder headers = mRequest.message().headers().toBuilder();
-        HOP_HEADERS.forEach(headers::remove);
-        headers.path(mRequest.path())
-                .scheme("http")
-                .set(TargetHeaders.TIME_LEFT_MILLIS, Long.toString(remaining));
+    private HttpHeaders headersFor(long remaining) {
+        HttpHeaders headers = new DefaultHttpHeaders().set(mRequest.headers());
+        HopHeaders.strip(headers);
+        headers.set(TargetHeaders.TIME_LEFT_MILLIS, Long.toString(remaining));
+        headers.remove(TargetHeaders.EXPECTED_INSTANCE);
         instance().ifPresent(found -> headers.set(TargetHeaders.EXPECTED_INSTANCE, found));
-        return headers.build();
+        return headers;
     }
 
     @Override
-    public void onSubscribe(Subscription subscription) {
-        mSubscription = subscription;
-        subscription.request(Long.MAX_VALUE);
-    }
-
-    @Override
-    public void onNext(HttpObject object) {
-        if (object instanceof ResponseHeaders headers) {
-            onHeaders(headers);
-        } else if (object instanceof HttpData data) {
-            onData(data);
-        } else if (object instanceof HttpHeaders trailers) {
-            mTrailers = trailers;
-        }
-    }
-
-    private void onHeaders(ResponseHeaders headers) {
-        if (headers.status().isInformational()) {
-            return;
-        }
+    public void onHead(HttpResponse head) {
         mHeadMillis = mClock.millis();
-        mHeaders = headers;
-        AnswerCheck check = AnswerCheck.of(headers, mRequest.id());
+        mHead = head;
+        int status = head.status().code();
+        AnswerCheck check = AnswerCheck.of(status, head.headers(), mRequest.id());
         if (check == AnswerCheck.OWN) {
-            watchUnframed(headers);
+            mKept = Unpooled.buffer(firstBytes());
             return;
         }
-        fail(check.failure(), check.cause() + " (status " + headers.status().code() + ")");
+        fail(check.failure(), check.cause() + " (status " + status + ")");
         if (check != AnswerCheck.NOT_RUN) {
-            closeConnection();
-        }
-    }
-
-    private void watchUnframed(ResponseHeaders headers) {
-        boolean framed =
-                headers.contains(HttpHeaderNames.CONTENT_LENGTH)
-                        || headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
-        Channel connection =
-                mSent.context().log().isAvailable(RequestLogProperty.SESSION)
-                        ? mSent.context().log().partial().channel()
-                        : null;
-        if (!framed && connection != null) {
-            mResets = Optional.of(ResetNote.on(connection));
+            // Guards against more bytes of unknown origin that would meet the next request.
+            mCall.abort();
         }
     }
 
-    /** Guards against more bytes of unknown origin that would meet the next request. */
-    private void closeConnection() {
-        mSubscription.cancel();
-        Futures.whenDone(
-                mSent.context().log().whenAvailable(RequestLogProperty.SESSION),
-                (log, failure) -> {
-                    if (failure == null && log.channel() != null) {
-                        ChannelFuture unused = log.channel().close();
-                    }
-                });
+    private int firstBytes() {
+        long told = HttpUtil.getContentLength(mHead, (long) FIRST_BODY_BYTES);
+        return (int) Math.min(told, KEPT_BYTES);
     }
 
-    private void onData(HttpData data) {
-        if (mResult.isDone() && mWriter == null) {
-            data.close();
+    @Override
+    public void onData(ByteBuf piece) {
+        if (mStream != null) {
+            mStream.write(piece.retainedDuplicate());
             return;
         }
-        if (mWriter != null) {
-            write(data);
+        if (mResult.isDone()) {
             return;
         }
-        mKept.add(data);
-        mKeptBytes += data.length();
-        if (mKeptBytes > KEPT_BYTES && mHeaders.status().code() < SERVER_ERROR) {
-            passOn();
+        boolean isError = mHead.status().code() >= SERVER_ERROR;
+        if (mKept.readableBytes() + piece.readableBytes() <= KEPT_BYTES || isError) {
+            mKept.writeBytes(piece);
+            return;
         }
+        passOn();
+        mStream.write(piece.retainedDuplicate());
     }
 
     /** Begins to pass on an answer that is too large to be kept. */
     private void passOn() {
-        mWriter = HttpResponse.streaming();
-        mWriter.write(forCaller());
-        mKept.forEach(this::write);
-        mKept.clear();
-        Futures.whenDone(
-                mWriter.whenComplete(),
-                (ignored, failure) -> {
-                    if (failure != null) {
-                        mLoop.execute(() -> abort(FailureKind.CANCELLED_BY_CALLER));
-                    }
-                });
-        mResult.complete(new OfferResult.Answered(target(), mHeaders.status().code(), mWriter));
-    }
-
-    private void write(HttpData data) {
-        if (!mWriter.tryWrite(data)) {
-            data.close();
-        }
+        mStream =
+                new StreamedAnswer(
+                        mHead.status(),
+                        forCaller(),
+                        HttpUtil.getContentLength(mHead, -1L),
+                        mKept,
+                        mCall::setReading,
+                        () -> abort(FailureKind.CANCELLED_BY_CALLER));
+        mKept = null;
+        mResult.complete(new OfferResult.Answered(target(), mHead.status().code(), mStream));
     }
 
     @Override
-    public void onComplete() {
-        if (mHeaders == null) {
-            fail(FailureKind.CUT_SHORT, "the answer has no head");
+    public void onEnd(HttpHeaders trailers) {
+        if (mResult.isDone() && mStream == null) {
             return;
         }
-        if (mResets.map(ResetNote::isReset).orElse(false)) {
-            onError(new ClosedChannelException());
-            return;
-        }
-        boolean error = mHeaders.status().code() >= SERVER_ERROR;
-        release(error ? FailureKind.SERVER_ERROR : null);
-        if (mWriter != null) {
-            if (!mTrailers.isEmpty()) {
-                mWriter.write(mTrailers);
-            }
-            mWriter.close();
+        boolean isError = mHead.status().code() >= SERVER_ERROR;
+        release(isError ? FailureKind.SERVER_ERROR : null);
+        if (mStream != null) {
+            mStream.end(trailers);
             return;
         }
+        Answer answer = new Answer(mHead.status(), forCaller(), mKept, trailers);
         mResult.complete(
                 new OfferResult.Answered(
-                        target(),
-                        mHeaders.status().code(),
-                        HttpResponse.of(forCaller(), HttpData.wrap(keptBytes()), mTrailers)));
-    }
-
-    private byte[] keptBytes() {
-        byte[] all = new byte[(int) mKeptBytes];
-        int at = 0;
-        for (HttpData data : mKept) {
-            System.arraycopy(data.array(), 0, all, at, data.length());
-            at += data.length();
-        }
-        return all;
+                        target(), mHead.status().code(), CallerAnswer.whole(answer)));
     }
 
     @Override
-    public void onError(Throwable failure) {
+    public void onFailure(Throwable failure) {
         FailureKind kind = classify(failure);
-        if (mWriter != null) {
+        if (mStream != null) {
             release(kind);
-            mWriter.close(failure);
+            mStream.cut();
             return;
         }
         fail(kind, describe(failure));
     }
 
     private FailureKind classify(Throwable failure) {
-        if (Exceptions.peel(failure) instanceof UnprocessedRequestException) {
+        if (failure instanceof NotSentException) {
             return FailureKind.CONNECT_FAILED;
         }
-        return mHeaders == null ? FailureKind.RESET_AFTER_SEND : FailureKind.CUT_SHORT;
+        return mHead == null ? FailureKind.RESET_AFTER_SEND : FailureKind.CUT_SHORT;
     }
 
     private void fail(FailureKind kind, String cause) {
@@ -302,10 +217,10 @@
         mResult.complete(new OfferResult.Failed(target(), kind, cause));
     }
 
-    private ResponseHeaders forCaller() {
-        ResponseHeadersBuilder headers = mHeaders.toBuilder();
-        HOP_HEADERS.forEach(headers::remove);
-        return headers.build();
+    private HttpHeaders forCaller() {
+        HttpHeaders headers = mHead.headers();
+        HopHeaders.strip(headers);
+        return headers;
     }
 
     private void release(FailureKind kind) {
@@ -332,7 +247,7 @@
     }
 
     private static String describe(Throwable failure) {
-        Throwable cause = Exceptions.peel(failure);
+        Throwable cause = Futures.cause(failure);
         Throwable root = cause.getCause() == null ? cause : cause.getCause();
         return root.getClass().getSimpleName() + ": " + root.getMessage();
     }
--- a/gateway/src/main/java/org/dahliapass/gateway/VmLoad.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/VmLoad.java
@@ -1,7 +1,5 @@
 package org.dahliapass.gateway;
 
-import com.linecorp.armeria.common.logging.RequestLog;
-import com.linecorp.armeria.server.ServiceRequestContext;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.time.Clock;
@@ -10,11 +8,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.dahliapass.decisions.traffic.ThreadLateness;
-import org.dahliapass.entry.EntryMetrics;
+import org.dahliapass.http.ServerCall;
 import org.dahliapass.kernel.ControlLoop;
-import org.dahliapass.kernel.Futures;
 import org.dahliapass.kernel.Kernel;
 import org.dahliapass.kernel.KernelService;
+import org.dahliapass.traffic.EntryMetrics;
 
 /**
  * Tells once a second what this VM carries and which of its resources is short.
@@ -66,21 +64,14 @@
      * Counts a request of a caller until the last byte of its answer was written; traffic thread
      * only.
      */
-    void onRequest(ServiceRequestContext context) {
+    void onRequest(ServerCall call) {
         mRequests.incrementAndGet();
         mInFlight.incrementAndGet();
         if (!mChecking) {
             mChecking = true;
-            planCheck(context.eventLoop().withoutContext());
+            planCheck(call.loop());
         }
-        Futures.whenDone(
-                context.log().whenComplete(),
-                (log, failure) -> {
-                    mInFlight.decrementAndGet();
-                    if (failure == null) {
-                        onDelivered(log);
-                    }
-                });
+        call.onDelivered(this::onDelivered);
     }
 
     /**
@@ -109,12 +100,14 @@
         mChecking = false;
     }
 
-    private void onDelivered(RequestLog log) {
-        long nanos = log.responseEndTimeNanos() - log.responseStartTimeNanos();
-        long millis = TimeUnit.NANOSECONDS.toMillis(nanos);
-        mCallerBytes.addAndGet(log.requestLength() + log.responseLength());
-        mSlowestDeliveryMillis.accumulateAndGet(millis, Math::max);
-        mMetrics.onDelivered(millis);
+    private void onDelivered(ServerCall.Delivery delivery) {
+        mInFlight.decrementAndGet();
+        if (!delivery.whole()) {
+            return;
+        }
+        mCallerBytes.addAndGet(delivery.bytes());
+        mSlowestDeliveryMillis.accumulateAndGet(delivery.millis(), Math::max);
+        mMetrics.onDelivered(delivery.millis());
     }
 
     /** Counts bytes of the copy of the store that were handed to a VM which follows this one. */
--- a/gateway/src/main/java/org/dahliapass/gateway/WorkExchange.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/WorkExchange.java
@@ -1,7 +1,6 @@
 package org.dahliapass.gateway;
 
 import com.google.protobuf.InvalidProtocolBufferException;
-import com.linecorp.armeria.common.util.TransportType;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -13,6 +12,7 @@
 import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
@@ -93,7 +93,8 @@
         ChannelFuture bound =
                 new Bootstrap()
                         .group(mLoops)
-                        .channel(TransportType.datagramChannelType(mLoops))
+                        .channel(NioDatagramChannel.class)
+                        .disableResolver()
                         .option(
                                 ChannelOption.RECVBUF_ALLOCATOR,
                                 new FixedRecvByteBufAllocator(LONGEST_DATAGRAM))
--- a/gateway/src/test/java/org/dahliapass/gateway/AnswerCheckTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/AnswerCheckTest.java
@@ -2,9 +2,9 @@
 
 import static org.testng.Assert.assertEquals;
 
-import com.linecorp.armeria.common.HttpHeaderNames;
-import com.linecorp.armeria.common.ResponseHeaders;
-import com.linecorp.armeria.common.ResponseHeadersBuilder;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import org.dahliapass.platform.TargetHeaders;
 import org.testng.annotations.Test;
 
@@ -14,12 +14,12 @@
 
     @Test
     public void signedAnswerToThisRequestIsPassedOn() {
-        assertEquals(AnswerCheck.of(signed(200, ID).build(), ID), AnswerCheck.OWN);
+        assertEquals(AnswerCheck.of(200, signed(ID), ID), AnswerCheck.OWN);
     }
 
     @Test
     public void targetsOwnFailureIsPassedOn() {
-        assertEquals(AnswerCheck.of(signed(500, ID).build(), ID), AnswerCheck.OWN);
+        assertEquals(AnswerCheck.of(500, signed(ID), ID), AnswerCheck.OWN);
     }
 
     /**
@@ -28,62 +28,58 @@
      */
     @Test
     public void answerToAnotherRequestIsForeign() {
-        assertEquals(AnswerCheck.of(signed(200, "other").build(), ID), AnswerCheck.FOREIGN);
+        assertEquals(AnswerCheck.of(200, signed("other"), ID), AnswerCheck.FOREIGN);
     }
 
     /** The late copy of a refusal must not be read as the refusal of the next request. */
     @Test
     public void refusalOfAnotherRequestIsForeign() {
-        ResponseHeaders late =
-                ResponseHeaders.builder(503)
+        HttpHeaders late =
+                new DefaultHttpHeaders()
                         .set(TargetHeaders.ATTEMPT_ID, "other")
-                        .set(TargetHeaders.NOT_EXECUTED, "1")
-                        .build();
-        assertEquals(AnswerCheck.of(late, ID), AnswerCheck.FOREIGN);
+                        .set(TargetHeaders.NOT_EXECUTED, "1");
+        assertEquals(AnswerCheck.of(503, late, ID), AnswerCheck.FOREIGN);
     }
 
     @Test
     public void refusalProvesThatItDidNotRun() {
-        ResponseHeaders refusal =
-                ResponseHeaders.builder(503)
+        HttpHeaders refusal =
+                new DefaultHttpHeaders()
                         .set(TargetHeaders.ATTEMPT_ID, ID)
-                        .set(TargetHeaders.NOT_EXECUTED, "1")
-                        .build();
-        assertEquals(AnswerCheck.of(refusal, ID), AnswerCheck.NOT_RUN);
+                        .set(TargetHeaders.NOT_EXECUTED, "1");
+        assertEquals(AnswerCheck.of(503, refusal, ID), AnswerCheck.NOT_RUN);
     }
 
     @Test
     public void anotherInstanceAtTheAddressDidNotRunIt() {
-        assertEquals(AnswerCheck.of(ResponseHeaders.of(421), ID), AnswerCheck.NOT_RUN);
+        assertEquals(AnswerCheck.of(421, new DefaultHttpHeaders(), ID), AnswerCheck.NOT_RUN);
     }
 
     @Test
     public void refusalWithoutTheStatementProvesNothing() {
-        assertEquals(AnswerCheck.of(ResponseHeaders.of(503), ID), AnswerCheck.SPOILED);
+        assertEquals(AnswerCheck.of(503, new DefaultHttpHeaders(), ID), AnswerCheck.SPOILED);
     }
 
     @Test
     public void successWithTheStatementIsNoRefusal() {
-        ResponseHeaders odd = signed(200, ID).set(TargetHeaders.NOT_EXECUTED, "1").build();
-        assertEquals(AnswerCheck.of(odd, ID), AnswerCheck.OWN);
+        HttpHeaders odd = signed(ID).set(TargetHeaders.NOT_EXECUTED, "1");
+        assertEquals(AnswerCheck.of(200, odd, ID), AnswerCheck.OWN);
     }
 
     @Test
     public void unsignedSuccessIsSpoiled() {
-        ResponseHeaders unsigned =
-                ResponseHeaders.builder(200).set(TargetHeaders.ATTEMPT_ID, ID).build();
-        assertEquals(AnswerCheck.of(unsigned, ID), AnswerCheck.SPOILED);
+        HttpHeaders unsigned = new DefaultHttpHeaders().set(TargetHeaders.ATTEMPT_ID, ID);
+        assertEquals(AnswerCheck.of(200, unsigned, ID), AnswerCheck.SPOILED);
     }
 
     @Test
     public void encodedBodyIsNotTheTargetsBody() {
-        ResponseHeaders encoded =
-                signed(200, ID).set(HttpHeaderNames.CONTENT_ENCODING, "gzip").build();
-        assertEquals(AnswerCheck.of(encoded, ID), AnswerCheck.SPOILED);
+        HttpHeaders encoded = signed(ID).set(HttpHeaderNames.CONTENT_ENCODING, "gzip");
+        assertEquals(AnswerCheck.of(200, encoded, ID), AnswerCheck.SPOILED);
     }
 
-    private static ResponseHeadersBuilder signed(int status, String id) {
-        return ResponseHeaders.builder(status)
+    private static HttpHeaders signed(String id) {
+        return new DefaultHttpHeaders()
                 .set(TargetHeaders.ATTEMPT_ID, id)
                 .set(TargetHeaders.SIGNATURE, "3e1b.07");
     }
--- a/gateway/src/test/java/org/dahliapass/gateway/ChangeFeedTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/ChangeFeedTest.java
@@ -3,8 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-import com.linecorp.armeria.client.ClientFactory;
-import com.linecorp.armeria.common.HttpData;
+import io.netty.channel.EventLoopGroup;
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
@@ -13,7 +12,10 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.dahliapass.http.EventLoops;
+import org.dahliapass.http.HttpClient;
 import org.dahliapass.kernel.ControlLoop;
 import org.dahliapass.kernel.IniFile;
 import org.dahliapass.kernel.Kernel;
@@ -33,6 +35,7 @@
 
 /** Tests of {@link ChangeFeed} over a store that answers only what a test lets it answer. */
 public final class ChangeFeedTest {
+    private EventLoopGroup mLoops;
     private ManualClock mClock;
     private FakeStore mStore;
     private Kernel mKernel;
@@ -42,6 +45,7 @@
 
     @BeforeMethod
     public void start() {
+        mLoops = EventLoops.one("test");
         mClock = new ManualClock(Instant.ofEpochSecond(1_000));
         mStore = new FakeStore();
         EventLog log = new EventLog(mClock, "vm", new PrintStream(OutputStream.nullOutputStream()));
@@ -50,15 +54,18 @@
                         IniFile.parse(
                                 "test", GatewaySample.settings(new Endpoint("127.0.0.1", 9))));
         mStore.mSelf =
-                new StoredItem(
-                        VmEntry.key(settings.self().name()),
-                        HttpData.wrap(VmEntry.encode(settings.self())),
-                        1);
+                StoredItem.of(
+                        VmEntry.key(settings.self().name()), VmEntry.encode(settings.self()), 1);
         mLoop = new ControlLoop(mClock);
         mFollower = new StoreFollower(settings.vmsPerZone(), log);
         mFeed =
                 new ChangeFeed(
-                        settings, mStore, ClientFactory.ofDefault(), new SplittableRandom(1), log);
+                        settings,
+                        mStore,
+                        new HttpClient(
+                                mLoops, mClock, Duration.ofSeconds(1), Duration.ofSeconds(1)),
+                        new SplittableRandom(1),
+                        log);
         mKernel =
                 new Kernel()
                         .register(ControlLoop.NAME, mLoop)
@@ -72,6 +79,7 @@
     public void stop() {
         mLoop.stopTimers().join();
         mKernel.stop().join();
+        mLoops.shutdownGracefully(0, 0, TimeUnit.SECONDS).syncUninterruptibly();
     }
 
     /**
@@ -113,12 +121,11 @@
         mStore.answerWatch(
                 0,
                 List.of(
+                        new StoreEvent.Written(StoredItem.of("servers/odd", odd, 2)),
                         new StoreEvent.Written(
-                                new StoredItem("servers/odd", HttpData.wrap(odd), 2)),
-                        new StoreEvent.Written(
-                                new StoredItem(
+                                StoredItem.of(
                                         ConfigurationDocument.KEY,
-                                        HttpData.ofUtf8(GatewaySample.configuration(3, "/r/")),
+                                        GatewaySample.configuration(3, "/r/"),
                                         3))));
         PathFixture.await(() -> mFollower.view().routes().isPresent());
         PathFixture.await(() -> mStore.mWatches.get() >= 2);
@@ -151,8 +158,7 @@
                 List.of(
                         target("i-1", 1_000, 6, 2),
                         target("i-2", 1_000, 7, 3),
-                        new StoreEvent.Written(
-                                new StoredItem("servers/i-1", HttpData.ofUtf8("no JSON"), 4))));
+                        new StoreEvent.Written(StoredItem.of("servers/i-1", "no JSON", 4))));
         PathFixture.await(() -> mStore.mWatches.get() >= 2);
         assertEquals(
                 mLoop.ask(() -> List.copyOf(mFollower.targets().keySet())).join(), List.of("i-2"));
@@ -165,8 +171,7 @@
                         + "\",\"zone\":\"z\",\"state\":\"ready\",\"slots\":3,\"born\":"
                         + startedMillis
                         + "}";
-        return new StoreEvent.Written(
-                new StoredItem("servers/" + name, HttpData.ofUtf8(entry), revision));
+        return new StoreEvent.Written(StoredItem.of("servers/" + name, entry, revision));
     }
 
     private boolean isCurrent() {
--- a/gateway/src/test/java/org/dahliapass/gateway/GatewayPathTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/GatewayPathTest.java
@@ -199,9 +199,13 @@
         assertEquals(mPath.seen("/r/head"), 0);
     }
 
-    /** The chunked framing goes before the length, and what follows is a request of its own. */
+    /**
+     * A lock that its caller never sent would run. A request tells both a length and chunks; who
+     * reads it by the one takes a part of the body for a request of its own. It is refused, and
+     * nothing behind it on the connection is read.
+     */
     @Test
-    public void requestWithinARequestIsNotRun() {
+    public void requestWithTwoFramingsIsRefusedAndItsConnectionClosed() {
         String lines =
                 String.format(
                         """
@@ -215,13 +219,15 @@
 
                         GET /r/inner HTTP/1.1
                         Host: a.example
-                        Connection: close
+                        %s: inner
 
                         """,
-                        TargetHeaders.ATTEMPT_ID);
+                        TargetHeaders.ATTEMPT_ID, TargetHeaders.ATTEMPT_ID);
         String answer = mPath.caller().raw(lines.replace("\n", "\r\n"));
-        assertEquals(CallerStandIn.status(answer), 200);
+        assertEquals(CallerStandIn.status(answer), 400);
+        assertTrue(answer.toLowerCase(Locale.ROOT).contains("connection: close"), answer);
         assertEquals(CallerStandIn.status(mPath.get("/r/next")), 200);
+        assertEquals(mPath.seen("/l/smuggled"), 0);
         assertEquals(mPath.seen("/r/inner"), 0);
     }
 
--- a/gateway/src/test/java/org/dahliapass/gateway/StoreMirrorTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/StoreMirrorTest.java
@@ -3,7 +3,6 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-import com.linecorp.armeria.common.HttpData;
 import java.util.List;
 import java.util.Optional;
 import org.dahliapass.platform.StoreEvent;
@@ -67,6 +66,6 @@
     }
 
     private static StoredItem item(String key, long revision) {
-        return new StoredItem(key, HttpData.ofUtf8("value"), revision);
+        return StoredItem.of(key, "value", revision);
     }
 }
--- /dev/null
+++ b/http/src/main/java/org/dahliapass/http/Answer.java
@@ -0,0 +1,45 @@
+package org.dahliapass.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * A whole answer to a request.
+ *
+ * @param status its status
+ * @param headers its headers, without framing: the connection adds the length
+ * @param body its body, on the heap, so that it needs no release
+ * @param trailers the headers after a body in chunks, mostly none
+ */
+public record Answer(
+        HttpResponseStatus status, HttpHeaders headers, ByteBuf body, HttpHeaders trailers) {
+    private static final String JSON = "application/json";
+    private static final String TEXT = "text/plain; charset=utf-8";
+
+    /** Returns an answer without a body. */
+    public static Answer of(HttpResponseStatus status) {
+        return new Answer(
+                status, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER, EmptyHttpHeaders.INSTANCE);
+    }
+
+    /** Returns an answer with a JSON document. */
+    public static Answer json(HttpResponseStatus status, String document) {
+        return of(status, JSON, document.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Returns an answer with a text. */
+    public static Answer text(HttpResponseStatus status, byte[] text) {
+        return of(status, TEXT, text);
+    }
+
+    private static Answer of(HttpResponseStatus status, String type, byte[] body) {
+        HttpHeaders headers = new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, type);
+        return new Answer(status, headers, Unpooled.wrappedBuffer(body), EmptyHttpHeaders.INSTANCE);
+    }
+}
--- /dev/null
+++ b/http/src/main/java/org/dahliapass/http/ServerConnection.java
@@ -0,0 +1,446 @@
+package org.dahliapass.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ReferenceCountUtil;
+import java.time.Clock;
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/**
+ * One client's connection: its requests one after another, each answered before the next is taken.
+ */
+final class ServerConnection extends ChannelInboundHandlerAdapter {
+    /** Pieces of pipelined requests that are held before no more is read from the client. */
+    private static final int MOST_HELD = 64;
+
+    /** The first character behind those that a request's path may have. */
+    private static final char DELETE = 0x7f;
+
+    private final RequestHandler mHandler;
+    private final Clock mClock;
+    private final ServerCodec mCodec = new ServerCodec(this::onBytes);
+    private final Deque<HttpObject> mHeld = new ArrayDeque<>();
+    private Channel mChannel;
+    private ServerCall mCall;
+    private Phase mPhase = Phase.IDLE;
+    private Runnable mWritable = () -> {};
+    private HttpVersion mVersion = HttpVersion.HTTP_1_1;
+    private long mPhaseMillis;
+    private long mBegunMillis;
+    private long mBodyBytes;
+    private boolean mAsksToContinue;
+    private boolean mCloses;
+    private boolean mChunked;
+    private boolean mWriting;
+    private boolean mDrops;
+
+    /** What the connection waits for, and so how long it may take. */
+    private enum Phase {
+        /** A next request. */
+        IDLE {
+            @Override
+            long mostMillis(ServerLimits limits) {
+                return limits.idle().toMillis();
+            }
+        },
+        /** The rest of a request's head. */
+        HEAD {
+            @Override
+            long mostMillis(ServerLimits limits) {
+                return limits.head().toMillis();
+            }
+        },
+        /** More of a request's body. */
+        BODY {
+            @Override
+            long mostMillis(ServerLimits limits) {
+                return limits.body().toMillis();
+            }
+        },
+        /** The answer, whose time is bounded elsewhere. */
+        ANSWER {
+            @Override
+            long mostMillis(ServerLimits limits) {
+                return Long.MAX_VALUE;
+            }
+        };
+
+        abstract long mostMillis(ServerLimits limits);
+    }
+
+    ServerConnection(RequestHandler handler, Clock clock) {
+        mHandler = handler;
+        mClock = clock;
+        mPhaseMillis = clock.millis();
+    }
+
+    /** Returns the codec that stands before this handler. */
+    ServerCodec codec() {
+        return mCodec;
+    }
+
+    EventLoop loop() {
+        return mChannel.eventLoop();
+    }
+
+    boolean isOpen() {
+        return mChannel.isActive();
+    }
+
+    boolean isWritable() {
+        return mChannel.isWritable();
+    }
+
+    void onWritable(Runnable listener) {
+        mWritable = listener;
+    }
+
+    void closeAfterAnswer() {
+        mCloses = true;
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) {
+        mChannel = context.channel();
+    }
+
+    private void onBytes() {
+        if (mPhase == Phase.IDLE) {
+            enter(Phase.HEAD);
+        } else if (mPhase == Phase.BODY) {
+            mPhaseMillis = mClock.millis();
+        }
+    }
+
+    private void enter(Phase phase) {
+        mPhase = phase;
+        mPhaseMillis = mClock.millis();
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        HttpObject part = (HttpObject) message;
+        if (mDrops) {
+            ReferenceCountUtil.release(part);
+            return;
+        }
+        boolean ofNextRequest = mCall != null && mCall.isBodyWhole();
+        if (!ofNextRequest) {
+            take(part);
+            return;
+        }
+        mHeld.add(part);
+        if (mHeld.size() >= MOST_HELD) {
+            mChannel.config().setAutoRead(false);
+        }
+    }
+
+    private void take(HttpObject part) {
+        try {
+            if (part.decoderResult().isFailure()) {
+                refuseMalformed(part.decoderResult().cause());
+                return;
+            }
+            if (part instanceof HttpRequest head) {
+                begin(head);
+            }
+            if (part instanceof HttpContent content) {
+                onContent(content);
+            }
+        } finally {
+            ReferenceCountUtil.release(part);
+        }
+    }
+
+    private void begin(HttpRequest head) {
+        mVersion = head.protocolVersion();
+        if (!isProper(head)) {
+            refuse(HttpResponseStatus.BAD_REQUEST);
+            return;
+        }
+        mCloses |= !HttpUtil.isKeepAlive(head);
+        mAsksToContinue = HttpUtil.is100ContinueExpected(head);
+        mCodec.setBodiless(HttpMethod.HEAD.equals(head.method()));
+        mCall = new ServerCall(this, head);
+        enter(Phase.BODY);
+        mHandler.onRequest(mCall);
+    }
+
+    /**
+     * Guards against a request that another reader takes for another one: several hosts, or a path
+     * with bytes that change when they are written again.
+     */
+    private static boolean isProper(HttpRequest head) {
+        int hosts = head.headers().getAll(HttpHeaderNames.HOST).size();
+        boolean needsHost = head.protocolVersion().equals(HttpVersion.HTTP_1_1);
+        return hosts <= 1
+                && (hosts == 1 || !needsHost)
+                && head.uri().chars().allMatch(letter -> letter > ' ' && letter < DELETE);
+    }
+
+    private void onContent(HttpContent content) {
+        if (mCall == null) {
+            return;
+        }
+        mCall.onContent(content.content());
+        if (!(content instanceof LastHttpContent)) {
+            return;
+        }
+        enter(Phase.ANSWER);
+        ServerCall call = mCall;
+        call.onBodyEnd();
+        if (mCall == call && call.isAnswered() && !mWriting) {
+            endCall();
+        }
+    }
+
+    /** Returns the length that a request tells for its body; -1 if it tells none. */
+    long lengthOf(HttpRequest head) {
+        return HttpUtil.getContentLength(head, -1L);
+    }
+
+    /** Lets a client go on that waits for leave to send its body. */
+    void wantBody() {
+        if (mAsksToContinue) {
+            mAsksToContinue = false;
+            send(
+                    new DefaultFullHttpResponse(
+                            HttpVersion.HTTP_1_1,
+                            HttpResponseStatus.CONTINUE,
+                            Unpooled.EMPTY_BUFFER));
+        }
+    }
+
+    /** Guards against bytes that can't be told from a next request: nothing after them is read. */
+    private void refuseMalformed(Throwable cause) {
+        mDrops = true;
+        mCloses = true;
+        if (mCall != null && mCall.isAnswered()) {
+            close();
+            return;
+        }
+        HttpResponseStatus status = HttpResponseStatus.BAD_REQUEST;
+        if (cause instanceof TooLongHttpLineException) {
+            status = HttpResponseStatus.REQUEST_URI_TOO_LONG;
+        } else if (cause instanceof TooLongHttpHeaderException) {
+            status = HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
+        }
+        refuse(status);
+    }
+
+    /** Answers in place of the handler, and closes. */
+    private void refuse(HttpResponseStatus status) {
+        ServerCall call = mCall;
+        mCall = null;
+        mDrops = true;
+        mCloses = true;
+        if (call != null) {
+            tellDelivered(call, false);
+            call.onClientGone();
+        }
+        HttpResponse answer =
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
+        frame(answer, 0);
+        mChannel.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
+    }
+
+    void write(Answer answer) {
+        // A client that waits for leave to send its body can't tell where its next request begins.
+        mCloses |= mAsksToContinue;
+        DefaultFullHttpResponse whole =
+                new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1,
+                        answer.status(),
+                        answer.body().duplicate(),
+                        answer.headers(),
+                        answer.trailers());
+        if (!isHead() && hasBody(answer.status())) {
+            frame(whole, answer.trailers().isEmpty() ? answer.body().readableBytes() : -1);
+        } else {
+            setConnection(whole);
+        }
+        beginWriting(answer.body().readableBytes());
+        mChannel.writeAndFlush(whole)
+                .addListener((ChannelFuture done) -> onWritten(done.isSuccess()));
+    }
+
+    void writeHead(HttpResponseStatus status, HttpHeaders headers, long length) {
+        HttpResponse head =
+                new DefaultHttpResponse(
+                        HttpVersion.HTTP_1_1, status, new DefaultHttpHeaders().set(headers));
+        mCloses |= mAsksToContinue;
+        frame(head, length);
+        beginWriting(0);
+        ChannelFuture unused = mChannel.write(head, mChannel.voidPromise());
+    }
+
+    void writePiece(ByteBuf piece) {
+        mBodyBytes += piece.readableBytes();
+        send(new DefaultHttpContent(piece));
+    }
+
+    void writeEnd(HttpHeaders trailers) {
+        LastHttpContent end =
+                trailers.isEmpty() || !mChunked
+                        ? LastHttpContent.EMPTY_LAST_CONTENT
+                        : new DefaultLastHttpContent(
+                                Unpooled.EMPTY_BUFFER, new DefaultHttpHeaders().set(trailers));
+        mChannel.writeAndFlush(end)
+                .addListener((ChannelFuture done) -> onWritten(done.isSuccess()));
+    }
+
+    /** Sends what nobody waits for; if it can't be written, the connection closes. */
+    private void send(Object message) {
+        ChannelFuture unused = mChannel.writeAndFlush(message, mChannel.voidPromise());
+    }
+
+    private boolean isHead() {
+        return mCall != null && HttpMethod.HEAD.equals(mCall.head().method());
+    }
+
+    private static boolean hasBody(HttpResponseStatus status) {
+        int code = status.code();
+        return code != HttpResponseStatus.NO_CONTENT.code()
+                && code != HttpResponseStatus.NOT_MODIFIED.code();
+    }
+
+    /** Says where a body ends: by its length, in chunks, or for old clients by the close. */
+    private void frame(HttpResponse answer, long length) {
+        mChunked = length < 0 && mVersion.equals(HttpVersion.HTTP_1_1);
+        if (length >= 0) {
+            answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
+        } else if (mChunked) {
+            answer.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
+            answer.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        } else {
+            answer.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
+            mCloses = true;
+        }
+        setConnection(answer);
+    }
+
+    private void setConnection(HttpResponse answer) {
+        if (mCloses) {
+            answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        } else if (mVersion.equals(HttpVersion.HTTP_1_0)) {
+            answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.KEEP_ALIVE);
+        }
+    }
+
+    private void beginWriting(long bodyBytes) {
+        mWriting = true;
+        mBegunMillis = mClock.millis();
+        mBodyBytes = bodyBytes;
+    }
+
+    private void onWritten(boolean whole) {
+        if (mCall == null) {
+            return;
+        }
+        mCall.delivered(new ServerCall.Delivery(whole, mBodyBytes, mClock.millis() - mBegunMillis));
+        mWriting = false;
+        if (!whole) {
+            close();
+        } else if (mCall.isBodyWhole()) {
+            endCall();
+        } else if (mAsksToContinue) {
+            // The body was never asked for and won't come.
+            mDrops = true;
+            close();
+        }
+    }
+
+    /** The answer is written and the request read to its end: goes on with the next one. */
+    private void endCall() {
+        mCall = null;
+        if (mCloses) {
+            mDrops = true;
+            close();
+            return;
+        }
+        mWritable = () -> {};
+        enter(Phase.IDLE);
+        while (!mHeld.isEmpty() && (mCall == null || !mCall.isBodyWhole()) && !mDrops) {
+            take(mHeld.poll());
+        }
+        if (mHeld.size() < MOST_HELD) {
+            mChannel.config().setAutoRead(true);
+        }
+    }
+
+    /** Closes a connection whose client takes longer than allowed. */
+    void check(ServerLimits limits) {
+        if (mClock.millis() - mPhaseMillis <= mPhase.mostMillis(limits)) {
+            return;
+        }
+        boolean midway = mPhase == Phase.HEAD || (mCall != null && !mCall.isAnswered());
+        if (midway) {
+            // True: a request is handed on only once it is whole.
+            refuse(HttpResponseStatus.REQUEST_TIMEOUT);
+        } else {
+            close();
+        }
+    }
+
+    void close() {
+        ChannelFuture unused = mChannel.close();
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        if (context.channel().isWritable()) {
+            mWritable.run();
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        mHeld.forEach(ReferenceCountUtil::release);
+        mHeld.clear();
+        mDrops = true;
+        ServerCall call = mCall;
+        mCall = null;
+        if (call == null) {
+            return;
+        }
+        tellDelivered(call, false);
+        call.onClientGone();
+    }
+
+    private void tellDelivered(ServerCall call, boolean whole) {
+        long millis = whole ? mClock.millis() - mBegunMillis : 0;
+        call.delivered(new ServerCall.Delivery(whole, mBodyBytes, millis));
+    }
+
+    /** A reset by the client, mostly; what it leaves undone is ended by the close. */
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable failure) {
+        close();
+    }
+}
--- a/kernel/src/main/java/org/dahliapass/kernel/Futures.java
+++ b/kernel/src/main/java/org/dahliapass/kernel/Futures.java
@@ -1,6 +1,7 @@
 package org.dahliapass.kernel;
 
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.function.BiConsumer;
 
 /** Ends chains of futures whose last step nobody waits for. */
@@ -28,4 +29,13 @@
                             }
                         });
     }
+
+    /** Returns what made a future fail, without what the chain of futures put around it. */
+    public static Throwable cause(Throwable failure) {
+        Throwable cause = failure;
+        while (cause instanceof CompletionException && cause.getCause() != null) {
+            cause = cause.getCause();
+        }
+        return cause;
+    }
 }
--- a/lab/src/main/java/org/dahliapass/lab/capacity/ConfigurationMeasures.java
+++ b/lab/src/main/java/org/dahliapass/lab/capacity/ConfigurationMeasures.java
@@ -17,7 +17,7 @@
 import org.dahliapass.model.Template;
 import org.dahliapass.model.TemplateParser;
 import org.dahliapass.model.Vm;
-import org.dahliapass.platform.ConfigurationCodec;
+import org.dahliapass.registry.ConfigurationCodec;
 
 /** Measures templates, the head value and accepts. */
 final class ConfigurationMeasures implements Measures {
--- a/lab/src/main/java/org/dahliapass/lab/capacity/SampleStore.java
+++ b/lab/src/main/java/org/dahliapass/lab/capacity/SampleStore.java
@@ -11,7 +11,7 @@
 import org.dahliapass.decisions.configuration.StoreKey;
 import org.dahliapass.decisions.configuration.StoreMachine;
 import org.dahliapass.decisions.configuration.SwapAnswer;
-import org.dahliapass.platform.ConfigurationCodec;
+import org.dahliapass.registry.ConfigurationCodec;
 
 /** A key-value table that counts calls and the bytes of the values in them. */
 final class SampleStore {
--- a/lab/src/main/java/org/dahliapass/lab/fleet/Attempt.java
+++ b/lab/src/main/java/org/dahliapass/lab/fleet/Attempt.java
@@ -10,7 +10,7 @@
 import org.dahliapass.decisions.health.Outcome;
 import org.dahliapass.decisions.traffic.FailedTry;
 import org.dahliapass.decisions.traffic.FailureKind;
-import org.dahliapass.entry.SlotRequest;
+import org.dahliapass.traffic.SlotRequest;
 import org.dahliapass.kernel.Futures;
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.model.RequestKind;
--- a/lab/src/main/java/org/dahliapass/lab/fleet/FleetRun.java
+++ b/lab/src/main/java/org/dahliapass/lab/fleet/FleetRun.java
@@ -13,9 +13,9 @@
 import org.dahliapass.decisions.traffic.TargetWork;
 import org.dahliapass.decisions.traffic.WeightedTarget;
 import org.dahliapass.decisions.traffic.WorkNews;
-import org.dahliapass.entry.EntryMetrics;
-import org.dahliapass.entry.EvidenceSink;
-import org.dahliapass.entry.ServiceRuntime;
+import org.dahliapass.traffic.EntryMetrics;
+import org.dahliapass.traffic.EvidenceSink;
+import org.dahliapass.traffic.ServiceRuntime;
 import org.dahliapass.model.DetectionPolicy;
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.model.ServiceId;
@@ -78,7 +78,7 @@
         for (int number = 0; number < mScenario.vms(); number++) {
             runtimes.add(newRuntime());
         }
-        List<Placer<org.dahliapass.entry.Slot>> placers = new ArrayList<>();
+        List<Placer<org.dahliapass.traffic.Slot>> placers = new ArrayList<>();
         for (int number = 0; number < runtimes.size(); number++) {
             int self = number;
             ServiceRuntime runtime = runtimes.get(number);
--- a/operator/src/main/java/org/dahliapass/operator/AcceptCommand.java
+++ b/operator/src/main/java/org/dahliapass/operator/AcceptCommand.java
@@ -10,7 +10,7 @@
 import org.dahliapass.decisions.configuration.StoreKey;
 import org.dahliapass.kernel.ExitCode;
 import org.dahliapass.model.Endpoint;
-import org.dahliapass.platform.ConfigurationStore;
+import org.dahliapass.registry.ConfigurationStore;
 
 /** Checks a draft, accepts it, and asks the VMs which of them have it in force. */
 final class AcceptCommand {
--- a/operator/src/main/java/org/dahliapass/operator/AcceptedTemplates.java
+++ b/operator/src/main/java/org/dahliapass/operator/AcceptedTemplates.java
@@ -9,7 +9,7 @@
 import org.dahliapass.decisions.configuration.Pointer;
 import org.dahliapass.decisions.configuration.StoreKey;
 import org.dahliapass.decisions.configuration.TemplateText;
-import org.dahliapass.platform.ConfigurationStore;
+import org.dahliapass.registry.ConfigurationStore;
 
 /** Looks up in the store what was accepted for one customer: the head first, then the pointer. */
 final class AcceptedTemplates {
--- a/operator/src/main/java/org/dahliapass/operator/Environment.java
+++ b/operator/src/main/java/org/dahliapass/operator/Environment.java
@@ -6,7 +6,7 @@
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.dahliapass.model.Endpoint;
-import org.dahliapass.platform.StoreClient;
+import org.dahliapass.registry.StoreClient;
 
 /**
  * What the command works with; tests bring their own.
--- a/operator/src/main/java/org/dahliapass/operator/Invocation.java
+++ b/operator/src/main/java/org/dahliapass/operator/Invocation.java
@@ -6,7 +6,7 @@
 import joptsimple.OptionSet;
 import org.dahliapass.kernel.StepException;
 import org.dahliapass.model.Endpoint;
-import org.dahliapass.platform.ConfigurationStore;
+import org.dahliapass.registry.ConfigurationStore;
 
 /** One call of the command: its options, read by typed getters, and its environment. */
 final class Invocation {
--- a/operator/src/main/java/org/dahliapass/operator/OperatorMain.java
+++ b/operator/src/main/java/org/dahliapass/operator/OperatorMain.java
@@ -9,7 +9,7 @@
 import org.dahliapass.kernel.ExitCode;
 import org.dahliapass.kernel.MonotonicClock;
 import org.dahliapass.kernel.Program;
-import org.dahliapass.platform.HttpStoreClient;
+import org.dahliapass.registry.HttpStoreClient;
 
 /** The operators' command. */
 public final class OperatorMain extends Program {
--- a/operator/src/test/java/org/dahliapass/operator/MemoryStoreClient.java
+++ b/operator/src/test/java/org/dahliapass/operator/MemoryStoreClient.java
@@ -7,10 +7,10 @@
 import java.util.concurrent.CompletableFuture;
 import org.dahliapass.kernel.StepException;
 import org.dahliapass.platform.OutcomeUnknownException;
-import org.dahliapass.platform.StoreClient;
-import org.dahliapass.platform.StoredValue;
-import org.dahliapass.platform.SwapResult;
-import org.dahliapass.platform.WatchedValue;
+import org.dahliapass.registry.StoreClient;
+import org.dahliapass.registry.StoredValue;
+import org.dahliapass.registry.SwapResult;
+import org.dahliapass.registry.WatchedValue;
 
 /** A store in memory that can lose the answer to a swap of the head and then stay away. */
 final class MemoryStoreClient implements StoreClient {
--- a/platform/src/main/java/org/dahliapass/platform/ConfigurationCodec.java
+++ b/registry/src/main/java/org/dahliapass/registry/ConfigurationCodec.java
@@ -1,4 +1,4 @@
-package org.dahliapass.platform;
+package org.dahliapass.registry;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
--- a/platform/src/main/java/org/dahliapass/platform/ConfigurationStore.java
+++ b/registry/src/main/java/org/dahliapass/registry/ConfigurationStore.java
@@ -1,4 +1,4 @@
-package org.dahliapass.platform;
+package org.dahliapass.registry;
 
 import java.time.Duration;
 import java.util.Optional;
@@ -13,6 +13,7 @@
 import org.dahliapass.decisions.configuration.StoreKey;
 import org.dahliapass.decisions.configuration.StoreMachine;
 import org.dahliapass.decisions.configuration.SwapAnswer;
+import org.dahliapass.platform.OutcomeUnknownException;
 
 /** Reads typed values of the configuration store and runs {@link StoreMachine}s against it. */
 public final class ConfigurationStore {
--- a/platform/src/main/java/org/dahliapass/platform/HttpStoreClient.java
+++ b/registry/src/main/java/org/dahliapass/registry/HttpStoreClient.java
@@ -1,4 +1,4 @@
-package org.dahliapass.platform;
+package org.dahliapass.registry;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.dahliapass.kernel.StepException;
 import org.dahliapass.model.Endpoint;
+import org.dahliapass.platform.OutcomeUnknownException;
 
 /** Speaks the key-value part of the Consul HTTP API, version 1. */
 public final class HttpStoreClient implements StoreClient {
--- a/platform/src/main/java/org/dahliapass/platform/HttpVmListClient.java
+++ b/registry/src/main/java/org/dahliapass/registry/HttpVmListClient.java
@@ -1,4 +1,4 @@
-package org.dahliapass.platform;
+package org.dahliapass.registry;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
--- a/platform/src/main/java/org/dahliapass/platform/PlatformHttp.java
+++ b/registry/src/main/java/org/dahliapass/registry/PlatformHttp.java
@@ -1,4 +1,4 @@
-package org.dahliapass.platform;
+package org.dahliapass.registry;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -21,6 +21,7 @@
 import java.util.stream.Collectors;
 import org.dahliapass.kernel.StepException;
 import org.dahliapass.model.Endpoint;
+import org.dahliapass.platform.OutcomeUnknownException;
 
 /** Sends the platform's HTTP calls, each with a time-out, and turns failures into typed ones. */
 final class PlatformHttp {
--- a/platform/src/main/java/org/dahliapass/platform/StoreClient.java
+++ b/registry/src/main/java/org/dahliapass/registry/StoreClient.java
@@ -1,8 +1,9 @@
-package org.dahliapass.platform;
+package org.dahliapass.registry;
 
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.dahliapass.platform.OutcomeUnknownException;
 
 /**
  * Reads and writes the platform's configuration store.
--- a/platform/src/main/java/org/dahliapass/platform/StoredValue.java
+++ b/registry/src/main/java/org/dahliapass/registry/StoredValue.java
@@ -1,4 +1,4 @@
-package org.dahliapass.platform;
+package org.dahliapass.registry;
 
 /**
  * A value as the store holds it.
--- a/platform/src/main/java/org/dahliapass/platform/SwapResult.java
+++ b/registry/src/main/java/org/dahliapass/registry/SwapResult.java
@@ -1,4 +1,4 @@
-package org.dahliapass.platform;
+package org.dahliapass.registry;
 
 /** What became of a compare-and-swap whose answer arrived. */
 public enum SwapResult {
--- a/platform/src/main/java/org/dahliapass/platform/VmListClient.java
+++ b/registry/src/main/java/org/dahliapass/registry/VmListClient.java
@@ -1,4 +1,4 @@
-package org.dahliapass.platform;
+package org.dahliapass.registry;
 
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
--- /dev/null
+++ b/registry/src/main/java/org/dahliapass/registry/package-info.java
@@ -0,0 +1,2 @@
+/** Clients of the configuration store and the VM list that the entry VM and operators use. */
+package org.dahliapass.registry;
--- a/platform/src/test/java/org/dahliapass/platform/ConfigurationCodecTest.java
+++ b/registry/src/test/java/org/dahliapass/registry/ConfigurationCodecTest.java
@@ -1,4 +1,4 @@
-package org.dahliapass.platform;
+package org.dahliapass.registry;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.expectThrows;
--- a/platform/src/test/java/org/dahliapass/platform/HttpStoreClientTest.java
+++ b/registry/src/test/java/org/dahliapass/registry/HttpStoreClientTest.java
@@ -1,4 +1,4 @@
-package org.dahliapass.platform;
+package org.dahliapass.registry;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
@@ -24,6 +24,7 @@
 import java.util.function.Function;
 import org.dahliapass.kernel.StepException;
 import org.dahliapass.model.Endpoint;
+import org.dahliapass.platform.OutcomeUnknownException;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.Test;
--- a/entry/src/main/java/org/dahliapass/entry/EntryMetrics.java
+++ b/traffic/src/main/java/org/dahliapass/traffic/EntryMetrics.java
@@ -1,4 +1,4 @@
-package org.dahliapass.entry;
+package org.dahliapass.traffic;
 
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Gauge;
--- a/entry/src/main/java/org/dahliapass/entry/ServiceRuntime.java
+++ b/traffic/src/main/java/org/dahliapass/traffic/ServiceRuntime.java
@@ -1,4 +1,4 @@
-package org.dahliapass.entry;
+package org.dahliapass.traffic;
 
 import java.time.Clock;
 import java.util.ArrayList;
@@ -276,7 +276,7 @@
     }
 
     /** Observes the head of an answer. */
-    void onHead(RequestKind kind, long latencyMillis) {
+    public void onHead(RequestKind kind, long latencyMillis) {
         mMetrics.onHead(mId.name(), kind.name(), latencyMillis);
     }
 
@@ -317,7 +317,7 @@
     }
 
     /** Takes a target's own word that it is leaving. */
-    void onDraining(Endpoint target) {
+    public void onDraining(Endpoint target) {
         mOutcomes.onDraining(mId, target);
     }
 
@@ -350,12 +350,12 @@
     }
 
     /** Takes a peer's count of its own requests in flight. */
-    synchronized void onPeerInFlight(VmIdentity observer, Endpoint target, int inFlight) {
+    public synchronized void onPeerInFlight(VmIdentity observer, Endpoint target, int inFlight) {
         mSlots.onPeerInFlight(observer, target, inFlight, mClock.millis());
     }
 
     /** Returns this VM's requests in flight at each target. */
-    synchronized List<TargetInFlight> inFlight() {
+    public synchronized List<TargetInFlight> inFlight() {
         return new ArrayList<>(mSlots.ownReport());
     }
 
--- a/entry/src/main/java/org/dahliapass/entry/Slot.java
+++ b/traffic/src/main/java/org/dahliapass/traffic/Slot.java
@@ -1,4 +1,4 @@
-package org.dahliapass.entry;
+package org.dahliapass.traffic;
 
 import org.dahliapass.decisions.traffic.QueueEntry;
 import org.dahliapass.model.Endpoint;
--- a/entry/src/main/java/org/dahliapass/entry/SlotRequest.java
+++ b/traffic/src/main/java/org/dahliapass/traffic/SlotRequest.java
@@ -1,4 +1,4 @@
-package org.dahliapass.entry;
+package org.dahliapass.traffic;
 
 import org.dahliapass.model.RequestKind;
 
