Test the HTTP package's edge, and guard its idle connections

Cause: the parser's edge had tests through whole VMs only, and a server that sends a part of a late second answer on an idle connection had it kept by the codec until the next request.

--- a/entry/src/main/java/org/dahliapass/entry/AnswerObserver.java
+++ b/entry/src/main/java/org/dahliapass/entry/AnswerObserver.java
@@ -1,7 +1,5 @@
 package org.dahliapass.entry;
 
-import org.dahliapass.traffic.EntryMetrics;
-
 import com.linecorp.armeria.common.HttpHeaderNames;
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.ResponseHeaders;
@@ -12,6 +10,7 @@
 import org.dahliapass.model.RequestKind;
 import org.dahliapass.model.burn.BurnLedger;
 import org.dahliapass.model.burn.Outcome;
+import org.dahliapass.traffic.EntryMetrics;
 
 /** Gives callers their answers and accounts for each of them once. */
 final class AnswerObserver {
--- a/entry/src/main/java/org/dahliapass/entry/CallerRequest.java
+++ b/entry/src/main/java/org/dahliapass/entry/CallerRequest.java
@@ -1,9 +1,8 @@
 package org.dahliapass.entry;
 
-import org.dahliapass.traffic.SlotRequest;
-
 import com.linecorp.armeria.common.AggregatedHttpRequest;
 import org.dahliapass.model.RequestKind;
+import org.dahliapass.traffic.SlotRequest;
 
 /**
  * One caller's request after it was matched with a template.
--- a/entry/src/main/java/org/dahliapass/entry/ConfigurationService.java
+++ b/entry/src/main/java/org/dahliapass/entry/ConfigurationService.java
@@ -1,7 +1,5 @@
 package org.dahliapass.entry;
 
-import org.dahliapass.traffic.EntryMetrics;
-
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -33,6 +31,7 @@
 import org.dahliapass.model.explain.Explanation;
 import org.dahliapass.registry.ConfigurationCodec;
 import org.dahliapass.registry.StoreClient;
+import org.dahliapass.traffic.EntryMetrics;
 
 /**
  * Runs the follower of accepted changes on the control thread and publishes the templates in force.
--- a/entry/src/main/java/org/dahliapass/entry/EntryVm.java
+++ b/entry/src/main/java/org/dahliapass/entry/EntryVm.java
@@ -1,7 +1,5 @@
 package org.dahliapass.entry;
 
-import org.dahliapass.traffic.EntryMetrics;
-
 import java.time.Clock;
 import java.time.Duration;
 import java.util.SplittableRandom;
@@ -16,6 +14,7 @@
 import org.dahliapass.model.burn.BurnLedger;
 import org.dahliapass.registry.HttpStoreClient;
 import org.dahliapass.registry.HttpVmListClient;
+import org.dahliapass.traffic.EntryMetrics;
 import org.dahliapass.wire.LinkFilter;
 
 /** One entry VM, put together from its services; a process holds one, tests hold several. */
--- a/entry/src/main/java/org/dahliapass/entry/EvidenceExchange.java
+++ b/entry/src/main/java/org/dahliapass/entry/EvidenceExchange.java
@@ -1,7 +1,5 @@
 package org.dahliapass.entry;
 
-import org.dahliapass.traffic.ServiceRuntime;
-
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -20,6 +18,7 @@
 import org.dahliapass.model.ServiceTemplate;
 import org.dahliapass.model.Vm;
 import org.dahliapass.model.VmIdentity;
+import org.dahliapass.traffic.ServiceRuntime;
 
 /**
  * Tells the other VMs of each cell what this VM saw, within a budget of bytes a second.
--- a/entry/src/main/java/org/dahliapass/entry/ExchangeFactory.java
+++ b/entry/src/main/java/org/dahliapass/entry/ExchangeFactory.java
@@ -1,7 +1,5 @@
 package org.dahliapass.entry;
 
-import org.dahliapass.traffic.ServiceRuntime;
-
 import com.linecorp.armeria.common.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
@@ -16,6 +14,7 @@
 import org.dahliapass.decisions.once.OperationKey;
 import org.dahliapass.kernel.ControlLoop;
 import org.dahliapass.model.Idempotency;
+import org.dahliapass.traffic.ServiceRuntime;
 
 /** Chooses the exchange that serves a matched request. */
 final class ExchangeFactory {
--- a/entry/src/main/java/org/dahliapass/entry/ExplanationLog.java
+++ b/entry/src/main/java/org/dahliapass/entry/ExplanationLog.java
@@ -1,7 +1,5 @@
 package org.dahliapass.entry;
 
-import org.dahliapass.traffic.EntryMetrics;
-
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
@@ -10,6 +8,7 @@
 import org.dahliapass.kernel.KernelService;
 import org.dahliapass.kernel.PartLog;
 import org.dahliapass.model.explain.Explanation;
+import org.dahliapass.traffic.EntryMetrics;
 
 /** Keeps the newest explanations of what this VM did on its own, for operators. */
 public final class ExplanationLog implements KernelService {
--- a/entry/src/main/java/org/dahliapass/entry/FleetService.java
+++ b/entry/src/main/java/org/dahliapass/entry/FleetService.java
@@ -1,7 +1,5 @@
 package org.dahliapass.entry;
 
-import org.dahliapass.traffic.EntryMetrics;
-
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.EnumMap;
@@ -34,6 +32,7 @@
 import org.dahliapass.model.VmIdentity;
 import org.dahliapass.registry.ListedVm;
 import org.dahliapass.registry.VmListClient;
+import org.dahliapass.traffic.EntryMetrics;
 
 /** Runs the membership on the control thread and publishes the fleet as traffic threads see it. */
 public final class FleetService implements KernelService {
--- a/entry/src/main/java/org/dahliapass/entry/GuardedExchange.java
+++ b/entry/src/main/java/org/dahliapass/entry/GuardedExchange.java
@@ -1,7 +1,5 @@
 package org.dahliapass.entry;
 
-import org.dahliapass.traffic.ServiceRuntime;
-
 import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.ResponseHeaders;
@@ -19,6 +17,7 @@
 import org.dahliapass.decisions.once.RecordedResult;
 import org.dahliapass.kernel.Futures;
 import org.dahliapass.model.Endpoint;
+import org.dahliapass.traffic.ServiceRuntime;
 
 /**
  * Serves one request that must run at most once, on the VM that its key names as home.
--- a/entry/src/main/java/org/dahliapass/entry/IdempotentExchange.java
+++ b/entry/src/main/java/org/dahliapass/entry/IdempotentExchange.java
@@ -1,9 +1,5 @@
 package org.dahliapass.entry;
 
-import org.dahliapass.traffic.Slot;
-
-import org.dahliapass.traffic.ServiceRuntime;
-
 import com.linecorp.armeria.common.HttpResponse;
 import java.time.Clock;
 import java.util.ArrayList;
@@ -17,6 +13,8 @@
 import org.dahliapass.kernel.ControlLoop;
 import org.dahliapass.kernel.Futures;
 import org.dahliapass.model.Endpoint;
+import org.dahliapass.traffic.ServiceRuntime;
+import org.dahliapass.traffic.Slot;
 
 /**
  * Serves one idempotent request: first try, retries out of the budget, at most one hedge; the first
--- a/entry/src/main/java/org/dahliapass/entry/OperatorAnswers.java
+++ b/entry/src/main/java/org/dahliapass/entry/OperatorAnswers.java
@@ -1,7 +1,5 @@
 package org.dahliapass.entry;
 
-import org.dahliapass.traffic.ServiceRuntime;
-
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -16,6 +14,7 @@
 import org.dahliapass.model.burn.BurnLedger;
 import org.dahliapass.model.burn.BurnSnapshot;
 import org.dahliapass.model.explain.Explanation;
+import org.dahliapass.traffic.ServiceRuntime;
 
 /** Puts what operators ask a VM for into JSON. */
 final class OperatorAnswers {
--- a/entry/src/main/java/org/dahliapass/entry/OperatorServer.java
+++ b/entry/src/main/java/org/dahliapass/entry/OperatorServer.java
@@ -1,7 +1,5 @@
 package org.dahliapass.entry;
 
-import org.dahliapass.traffic.EntryMetrics;
-
 import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.HttpMethod;
 import com.linecorp.armeria.common.HttpResponse;
@@ -17,6 +15,7 @@
 import org.dahliapass.kernel.Kernel;
 import org.dahliapass.kernel.KernelService;
 import org.dahliapass.model.Endpoint;
+import org.dahliapass.traffic.EntryMetrics;
 
 /** The HTTP server for operators: health, metrics, status, explanations, drain. */
 public final class OperatorServer implements KernelService {
--- a/entry/src/main/java/org/dahliapass/entry/RequestHandler.java
+++ b/entry/src/main/java/org/dahliapass/entry/RequestHandler.java
@@ -1,7 +1,5 @@
 package org.dahliapass.entry;
 
-import org.dahliapass.traffic.ServiceRuntime;
-
 import com.linecorp.armeria.common.AggregatedHttpRequest;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
@@ -11,6 +9,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.dahliapass.model.RequestKind;
+import org.dahliapass.traffic.ServiceRuntime;
 
 /** Matches callers' requests with templates and hands them to the exchange that serves them. */
 final class RequestHandler implements HttpService {
--- a/entry/src/main/java/org/dahliapass/entry/ServiceTable.java
+++ b/entry/src/main/java/org/dahliapass/entry/ServiceTable.java
@@ -1,11 +1,5 @@
 package org.dahliapass.entry;
 
-import org.dahliapass.traffic.EntryMetrics;
-
-import org.dahliapass.traffic.EvidenceSink;
-
-import org.dahliapass.traffic.ServiceRuntime;
-
 import java.time.Clock;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -33,6 +27,9 @@
 import org.dahliapass.model.ServiceTemplate;
 import org.dahliapass.model.Vm;
 import org.dahliapass.model.VmIdentity;
+import org.dahliapass.traffic.EntryMetrics;
+import org.dahliapass.traffic.EvidenceSink;
+import org.dahliapass.traffic.ServiceRuntime;
 
 /**
  * The services that this VM serves: for each its traffic decisions and the health of its targets.
--- a/entry/src/main/java/org/dahliapass/entry/TargetTry.java
+++ b/entry/src/main/java/org/dahliapass/entry/TargetTry.java
@@ -1,9 +1,5 @@
 package org.dahliapass.entry;
 
-import org.dahliapass.traffic.Slot;
-
-import org.dahliapass.traffic.ServiceRuntime;
-
 import com.linecorp.armeria.client.ResponseTimeoutException;
 import com.linecorp.armeria.client.UnprocessedRequestException;
 import com.linecorp.armeria.common.HttpData;
@@ -25,6 +21,8 @@
 import org.dahliapass.decisions.traffic.FailureKind;
 import org.dahliapass.kernel.Futures;
 import org.dahliapass.model.Endpoint;
+import org.dahliapass.traffic.ServiceRuntime;
+import org.dahliapass.traffic.Slot;
 
 /**
  * One try of one request at one target: waits for a slot, sends, and hands on the answer as it
--- a/http/src/main/java/org/dahliapass/http/ClientConnection.java
+++ b/http/src/main/java/org/dahliapass/http/ClientConnection.java
@@ -50,6 +50,26 @@
         mChannel = context.channel();
     }
 
+    /**
+     * Returns what stands before the codec and closes an idle connection that is sent anything.
+     *
+     * <p>Guards against the beginning of a late second answer: the codec keeps it until more comes,
+     * and the next request on this connection would get it for its own.
+     */
+    ChannelInboundHandlerAdapter guard() {
+        return new ChannelInboundHandlerAdapter() {
+            @Override
+            public void channelRead(ChannelHandlerContext context, Object bytes) {
+                if (mCall == null) {
+                    ReferenceCountUtil.release(bytes);
+                    close();
+                    return;
+                }
+                context.fireChannelRead(bytes);
+            }
+        };
+    }
+
     boolean isOpen() {
         return mChannel.isActive();
     }
--- a/http/src/main/java/org/dahliapass/http/HttpClient.java
+++ b/http/src/main/java/org/dahliapass/http/HttpClient.java
@@ -208,7 +208,11 @@
                     new HttpDecoderConfig()
                             .setMaxInitialLineLength(MOST_HEAD_BYTES)
                             .setMaxHeaderSize(MOST_HEAD_BYTES);
-            channel.pipeline().addLast(new HttpClientCodec(config, false, false), mConnection);
+            channel.pipeline()
+                    .addLast(
+                            mConnection.guard(),
+                            new HttpClientCodec(config, false, false),
+                            mConnection);
             mOpen.add(channel);
             channel.closeFuture().addListener(closed -> mOpen.remove(channel));
         }
--- /dev/null
+++ b/http/src/test/java/org/dahliapass/http/HopHeadersTest.java
@@ -0,0 +1,56 @@
+package org.dahliapass.http;
+
+import static org.testng.Assert.assertEquals;
+
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpVersion;
+import org.testng.annotations.Test;
+
+/** Tests of {@link HopHeaders} and {@link RequestTarget}. */
+public final class HopHeadersTest {
+    @Test
+    public void headersOfTheConnectionAndThoseItNamesAreTakenOut() {
+        HttpHeaders headers =
+                new DefaultHttpHeaders()
+                        .add("Connection", "close, X-Mine")
+                        .add("connection", "x-other")
+                        .add("X-Mine", "1")
+                        .add("X-Other", "2")
+                        .add("Keep-Alive", "timeout=5")
+                        .add("Transfer-Encoding", "chunked")
+                        .add("X-Stays", "3");
+        HopHeaders.strip(headers);
+        assertEquals(headers.entries().toString(), "[X-Stays=3]");
+    }
+
+    /** A caller must not have its request passed on without its host or its length. */
+    @Test
+    public void headersOfTheMessageStayWhateverConnectionNames() {
+        HttpHeaders headers =
+                new DefaultHttpHeaders()
+                        .add("Connection", "Host, Content-Length")
+                        .add("Host", "a")
+                        .add("Content-Length", "2");
+        HopHeaders.strip(headers);
+        assertEquals(headers.entries().toString(), "[Host=a, Content-Length=2]");
+    }
+
+    @Test
+    public void targetIsReadFromThePathOrFromAWholeAddress() {
+        assertEquals(target("/a/b?c=/d"), new RequestTarget("h", "/a/b?c=/d"));
+        assertEquals(target("http://other:80/a?b"), new RequestTarget("other:80", "/a?b"));
+        assertEquals(target("http://other"), new RequestTarget("other", "/"));
+        assertEquals(target("/a/b?c=/d").pathOnly(), "/a/b");
+        assertEquals(target("/to?http://x/").pathOnly(), "/to");
+    }
+
+    private static RequestTarget target(String uri) {
+        HttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri);
+        request.headers().set("Host", "h");
+        return RequestTarget.of(request);
+    }
+}
--- a/lab/src/main/java/org/dahliapass/lab/fleet/Attempt.java
+++ b/lab/src/main/java/org/dahliapass/lab/fleet/Attempt.java
@@ -10,10 +10,10 @@
 import org.dahliapass.decisions.health.Outcome;
 import org.dahliapass.decisions.traffic.FailedTry;
 import org.dahliapass.decisions.traffic.FailureKind;
-import org.dahliapass.traffic.SlotRequest;
 import org.dahliapass.kernel.Futures;
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.model.RequestKind;
+import org.dahliapass.traffic.SlotRequest;
 
 /**
  * One request from its arrival to its one end, by the rules of the exchange of a gateway VM.
--- a/lab/src/main/java/org/dahliapass/lab/fleet/FleetRun.java
+++ b/lab/src/main/java/org/dahliapass/lab/fleet/FleetRun.java
@@ -13,14 +13,14 @@
 import org.dahliapass.decisions.traffic.TargetWork;
 import org.dahliapass.decisions.traffic.WeightedTarget;
 import org.dahliapass.decisions.traffic.WorkNews;
-import org.dahliapass.traffic.EntryMetrics;
-import org.dahliapass.traffic.EvidenceSink;
-import org.dahliapass.traffic.ServiceRuntime;
 import org.dahliapass.model.DetectionPolicy;
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.model.ServiceId;
 import org.dahliapass.model.ServiceTemplate;
 import org.dahliapass.model.VmIdentity;
+import org.dahliapass.traffic.EntryMetrics;
+import org.dahliapass.traffic.EvidenceSink;
+import org.dahliapass.traffic.ServiceRuntime;
 
 /** One run of a scenario with one seed and one way to place work. */
 final class FleetRun {
--- a/lab/src/main/java/org/dahliapass/lab/fleet/RuntimePlacer.java
+++ b/lab/src/main/java/org/dahliapass/lab/fleet/RuntimePlacer.java
@@ -6,9 +6,9 @@
 import java.util.concurrent.CompletableFuture;
 import org.dahliapass.decisions.health.Outcome;
 import org.dahliapass.decisions.traffic.FailedTry;
+import org.dahliapass.model.Endpoint;
 import org.dahliapass.traffic.ServiceRuntime;
 import org.dahliapass.traffic.Slot;
-import org.dahliapass.model.Endpoint;
 
 /** The decisions that VMs run in production. */
 record RuntimePlacer(ServiceRuntime runtime) implements Placer<Slot> {
