Let a VM without work sleep

Cause: a VM without work woke its control thread 27 times a second for timers that had nothing to do, and four compiler threads and the metrics' own scheduler beside it. Ruled out: the watch of the store, one call in 1.5 s. Change: PeriodicTask comes again only while it has something to do; reports, ticks, the load line and the look at a silent store use it. No exemplars.

--- a/gateway/src/main/java/org/dahliapass/gateway/ChangeFeed.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ChangeFeed.java
@@ -17,6 +17,7 @@
 import org.dahliapass.kernel.Futures;
 import org.dahliapass.kernel.Kernel;
 import org.dahliapass.kernel.KernelService;
+import org.dahliapass.kernel.PeriodicTask;
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.model.routing.FleetVm;
 import org.dahliapass.platform.HttpKeyValueStore;
@@ -86,6 +87,7 @@
     private final List<Endpoint> mSeeds;
     private final List<Runnable> mListeners = new ArrayList<>();
     private ControlLoop mLoop;
+    private PeriodicTask mSilenceCheck;
     private StoreFollower mFollower;
     private boolean mCurrent;
     private String mSource = "";
@@ -132,7 +134,7 @@
         mLoop = kernel.find(ControlLoop.NAME, ControlLoop.class);
         mFollower = kernel.find(StoreFollower.NAME, StoreFollower.class);
         mLoop.execute(this::readStore);
-        mLoop.every(SILENCE_CHECK, this::leaveSilentStore);
+        mSilenceCheck = new PeriodicTask(mLoop, SILENCE_CHECK, this::leaveSilentStore);
         return CompletableFuture.completedFuture(null);
     }
 
@@ -224,9 +226,12 @@
      * VM would serve by the old configuration until the watch times out. They are turned away at
      * once instead, and this VM follows another one that still hears from the store.
      */
-    private void leaveSilentStore() {
-        if (!mCurrent || !isStoreSilent()) {
-            return;
+    private Optional<Duration> leaveSilentStore() {
+        if (!mCurrent) {
+            return Optional.empty();
+        }
+        if (!isStoreSilent()) {
+            return Optional.of(SILENCE_CHECK);
         }
         mLog.write(
                 EventLog.Kind.DEPENDENCY,
@@ -234,6 +239,7 @@
                 line -> line.put("silent_ms", mLoop.nowMillis() - mFollower.heardMillis()));
         setNotCurrent();
         follow(mRevision);
+        return Optional.empty();
     }
 
     /** Returns whether this VM waits for changes at the store itself; control thread only. */
@@ -270,6 +276,7 @@
                     mFollower.onAnswer();
                     if (number == mFollowNumber) {
                         mCurrent = true;
+                        mSilenceCheck.wake();
                         take(revision, answer, this::readStore, GATHER);
                     }
                 },
--- a/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
@@ -59,6 +59,7 @@
         ServicePools pools = new ServicePools(clock, random, settings, metrics, log);
         mEntry = new FleetEntry(store, settings.self(), feed::followsStore, log);
         VmLoad load = new VmLoad(clock, metrics, log);
+        WorkExchange work = new WorkExchange(settings, connections.loops(), log);
         ProxyHandler proxy =
                 new ProxyHandler(
                         clock,
@@ -70,7 +71,8 @@
                         connections,
                         log,
                         new GatewayAnswers(random),
-                        load);
+                        load,
+                        work::onWork);
         follower.onChange(
                 () ->
                         follower.view()
@@ -96,7 +98,7 @@
                 .register(FleetEntry.NAME, mEntry)
                 .register(ServicePools.NAME, pools)
                 .register(VmLoad.NAME, load)
-                .register(WorkExchange.NAME, new WorkExchange(settings, connections.loops(), log));
+                .register(WorkExchange.NAME, work);
     }
 
     /** Starts all services; requests are served once configuration is there. */
--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyHandler.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyHandler.java
@@ -43,6 +43,7 @@
     private final EventLog mLog;
     private final GatewayAnswers mAnswers;
     private final VmLoad mLoad;
+    private final Runnable mOnWork;
     private RouteTable mRoutes;
 
     ProxyHandler(
@@ -55,7 +56,8 @@
             TargetConnections connections,
             EventLog log,
             GatewayAnswers answers,
-            VmLoad load) {
+            VmLoad load,
+            Runnable onWork) {
         mClock = clock;
         mSettings = settings;
         mState = state;
@@ -66,6 +68,7 @@
         mLog = log;
         mAnswers = answers;
         mLoad = load;
+        mOnWork = onWork;
     }
 
     @Override
@@ -168,6 +171,7 @@
                         body,
                         arrivalMillis,
                         arrivalMillis + Math.min(timeoutMillis, patience(headers, timeoutMillis)));
+        mOnWork.run();
         new ProxyExchange(call, matched, pool.get(), mConnections, mClock, mLog, mAnswers).start();
     }
 
--- a/gateway/src/main/java/org/dahliapass/gateway/ServicePools.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ServicePools.java
@@ -22,6 +22,7 @@
 import org.dahliapass.kernel.ControlLoop;
 import org.dahliapass.kernel.Kernel;
 import org.dahliapass.kernel.KernelService;
+import org.dahliapass.kernel.PeriodicTask;
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.model.RequestKind;
 import org.dahliapass.model.ServiceId;
@@ -52,7 +53,7 @@
      * Without work only the slow start of new targets goes on, which takes seconds: a tick a second
      * is enough. A tick goes through all targets, and most VMs of a large fleet have no work.
      */
-    private static final int TICKS_WITHOUT_WORK = 4;
+    private static final Duration TICK_WITHOUT_WORK = Duration.ofSeconds(1);
 
     /** Longer than evidence counts and a target that was taken out stays out at first. */
     private static final long WEIGHED_AFTER_NEWS_MILLIS = 20_000;
@@ -65,6 +66,7 @@
     private final Map<String, TargetHealth> mHealth = new HashMap<>();
     private final Map<String, ServiceTemplate> mTemplates = new HashMap<>();
     private ControlLoop mLoop;
+    private PeriodicTask mTick;
 
     /** When there was last something to weigh: work, or targets that came or went. */
     private long mNewsMillis;
@@ -72,8 +74,6 @@
     /** When work of this VM ended last. */
     private long mWorkMillis = Long.MIN_VALUE / 2;
 
-    private int mTicks;
-
     private StoreFollower mFollower;
     private volatile BiConsumer<ServiceId, WorkNews> mNewsListener = (service, news) -> {};
     private volatile Map<String, ServicePool> mPools = Map.of();
@@ -111,7 +111,7 @@
         mLoop = kernel.find(ControlLoop.NAME, ControlLoop.class);
         mFollower = kernel.find(StoreFollower.NAME, StoreFollower.class);
         mFollower.onChange(this::refresh);
-        mLoop.every(TICK, this::tick);
+        mTick = new PeriodicTask(mLoop, TICK, this::tick);
         return CompletableFuture.completedFuture(null);
     }
 
@@ -126,6 +126,7 @@
                     }
                     mNewsMillis = mClock.millis();
                     mWorkMillis = mNewsMillis;
+                    mTick.wake();
                     health.onOutcome(target, kind, outcome, latencyMillis, mNewsMillis);
                     if (outcome.isFailure()) {
                         publishTargets(service.name());
@@ -169,6 +170,7 @@
         mHealth.keySet().retainAll(pools.keySet());
         mTemplates.keySet().retainAll(pools.keySet());
         mPools = Map.copyOf(pools);
+        mTick.wake();
         pools.keySet().forEach(this::publishTargets);
     }
 
@@ -325,20 +327,18 @@
      * <p>Targets that came are weighed without work, too: else their slow start would end only
      * after the VM's first requests, and the first that must not repeat would be refused.
      */
-    private void tick() {
+    private Optional<Duration> tick() {
         long now = mClock.millis();
         if (now - mNewsMillis > WEIGHED_AFTER_NEWS_MILLIS) {
-            return;
-        }
-        boolean worked = now - mWorkMillis <= WEIGHED_AFTER_NEWS_MILLIS;
-        if (!worked && mTicks++ % TICKS_WITHOUT_WORK != 0) {
-            return;
+            return Optional.empty();
         }
         for (String service : mPools.keySet()) {
             mHealth.get(service).onTick(now);
             publishTargets(service);
             mPools.get(service).runtime().upkeep();
         }
+        boolean worked = now - mWorkMillis <= WEIGHED_AFTER_NEWS_MILLIS;
+        return Optional.of(worked ? TICK : TICK_WITHOUT_WORK);
     }
 
     private void publishTargets(String service) {
--- a/gateway/src/main/java/org/dahliapass/gateway/VmLoad.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/VmLoad.java
@@ -4,6 +4,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.time.Clock;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -12,6 +13,7 @@
 import org.dahliapass.kernel.ControlLoop;
 import org.dahliapass.kernel.Kernel;
 import org.dahliapass.kernel.KernelService;
+import org.dahliapass.kernel.PeriodicTask;
 import org.dahliapass.traffic.EntryMetrics;
 
 /**
@@ -34,6 +36,8 @@
     /** A thread that runs its timers later than this is told of without any traffic. */
     private static final long LATE_MILLIS = 100;
 
+    private static final long NOT_DUE = Long.MAX_VALUE;
+
     private final Clock mClock;
     private final EntryMetrics mMetrics;
     private final EventLog mLog;
@@ -44,7 +48,8 @@
     private final AtomicLong mFollowerBytes = new AtomicLong();
     private final AtomicLong mSlowestDeliveryMillis = new AtomicLong();
     private final AtomicLong mTrafficLateMillis = new AtomicLong();
-    private long mControlDueMillis;
+    private PeriodicTask mTelling;
+    private long mControlDueMillis = NOT_DUE;
     private boolean mChecking;
 
     VmLoad(Clock clock, EntryMetrics metrics, EventLog log) {
@@ -55,8 +60,9 @@
 
     @Override
     public CompletableFuture<Void> start(Kernel kernel) {
-        mControlDueMillis = mClock.millis() + PERIOD.toMillis();
-        kernel.find(ControlLoop.NAME, ControlLoop.class).every(PERIOD, this::tell);
+        ControlLoop loop = kernel.find(ControlLoop.NAME, ControlLoop.class);
+        mTelling = new PeriodicTask(loop, Duration.ZERO, this::tell);
+        mTelling.wake();
         return CompletableFuture.completedFuture(null);
     }
 
@@ -67,6 +73,7 @@
     void onRequest(ServerCall call) {
         mRequests.incrementAndGet();
         mInFlight.incrementAndGet();
+        mTelling.wake();
         if (!mChecking) {
             mChecking = true;
             planCheck(call.loop());
@@ -113,10 +120,11 @@
     /** Counts bytes of the copy of the store that were handed to a VM which follows this one. */
     void onCopied(long bytes) {
         mFollowerBytes.addAndGet(bytes);
+        mTelling.wake();
         mMetrics.onCopied(bytes);
     }
 
-    private void tell() {
+    private Optional<Duration> tell() {
         long now = mClock.millis();
         long control = Math.max(0, now - mControlDueMillis);
         mControlDueMillis = now + PERIOD.toMillis();
@@ -128,8 +136,10 @@
         mMetrics.onLate("control", control);
         mMetrics.onLate("traffic", traffic);
         boolean isLate = Math.max(control, traffic) >= LATE_MILLIS;
-        if (requests + mInFlight.get() + followerBytes == 0 && !isLate) {
-            return;
+        boolean isIdle = requests + mInFlight.get() + followerBytes == 0;
+        if (isIdle && !isLate) {
+            mControlDueMillis = NOT_DUE;
+            return Optional.empty();
         }
         mLog.write(
                 EventLog.Kind.LOAD,
@@ -142,5 +152,6 @@
                                 .put("slowest_delivery_ms", delivery)
                                 .put("control_late_ms", control)
                                 .put("traffic_late_ms", traffic));
+        return Optional.of(PERIOD);
     }
 }
--- a/gateway/src/main/java/org/dahliapass/gateway/WorkExchange.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/WorkExchange.java
@@ -25,6 +25,7 @@
 import org.dahliapass.kernel.ControlLoop;
 import org.dahliapass.kernel.Kernel;
 import org.dahliapass.kernel.KernelService;
+import org.dahliapass.kernel.PeriodicTask;
 import org.dahliapass.kernel.StepException;
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.model.ServiceId;
@@ -60,6 +61,9 @@
      */
     private static final double MILLIS_A_TAKER = 12.5;
 
+    /** Reports go on for a second after work, for requests that follow at some distance. */
+    private static final long SECOND_MILLIS = 1_000;
+
     /**
      * The longest datagram of the protocol, in bytes. What is longer than the receive buffer is cut
      * off without a sign to its sender, and a report grows with the work that a VM has.
@@ -72,7 +76,9 @@
     private StoreFollower mFollower;
     private ServicePools mPools;
     private ControlLoop mLoop;
+    private PeriodicTask mReports;
     private long mReportedMillis = Long.MIN_VALUE / 2;
+    private volatile long mWorkMillis = Long.MIN_VALUE / 2;
     private volatile Channel mChannel;
 
     WorkExchange(GatewaySettings settings, EventLoopGroup loops, EventLog log) {
@@ -87,7 +93,7 @@
         mPools = kernel.find(ServicePools.NAME, ServicePools.class);
         mPools.setNewsListener(this::tell);
         mLoop = kernel.find(ControlLoop.NAME, ControlLoop.class);
-        mLoop.every(REPORT_PERIOD, this::report);
+        mReports = new PeriodicTask(mLoop, REPORT_PERIOD, this::report);
         Endpoint peers = mSettings.self().peers();
         CompletableFuture<Void> started = new CompletableFuture<>();
         ChannelFuture bound =
@@ -117,6 +123,12 @@
         return started;
     }
 
+    /** Takes that this VM has work, of which the others are to hear; any thread may call this. */
+    void onWork() {
+        mWorkMillis = mLoop.nowMillis();
+        mReports.wake();
+    }
+
     /** Tells the other VMs how a piece of work ended; any thread may call this. */
     private void tell(ServiceId service, WorkNews ended) {
         Optional<TargetRegistration> registration =
@@ -139,24 +151,27 @@
     }
 
     /** Reports the work of this VM to the other VMs that take callers; control thread only. */
-    private void report() {
+    private Optional<Duration> report() {
         long now = mLoop.nowMillis();
         int takers = mFollower.view().plan().takers().size();
         // Half a step early, so that the step nearest to the report's time is taken.
         double dueMillis = takers * MILLIS_A_TAKER - REPORT_PERIOD.toMillis() / 2.0;
         if (now - mReportedMillis < dueMillis) {
-            return;
+            return Optional.of(REPORT_PERIOD);
         }
         mReportedMillis = now;
+        boolean hasWork = now - mWorkMillis < SECOND_MILLIS;
         for (String service : mPools.names()) {
-            mPools.find(service).ifPresent(pool -> report(service, pool));
+            hasWork |= mPools.find(service).map(pool -> report(service, pool)).orElse(false);
         }
+        return hasWork ? Optional.of(REPORT_PERIOD) : Optional.empty();
     }
 
-    private void report(String service, ServicePool pool) {
+    /** Reports the work on one service; returns whether there was any. */
+    private boolean report(String service, ServicePool pool) {
         List<TargetWork> work = pool.runtime().takeWorkReport();
         if (work.isEmpty()) {
-            return;
+            return false;
         }
         byte[] news =
                 TrustNews.newBuilder()
@@ -169,6 +184,7 @@
                         .build()
                         .toByteArray();
         sendToTakers(news);
+        return true;
     }
 
     private void sendToTakers(byte[] news) {
--- /dev/null
+++ b/kernel/src/test/java/org/dahliapass/kernel/PeriodicTaskTest.java
@@ -0,0 +1,70 @@
+package org.dahliapass.kernel;
+
+import static org.testng.Assert.assertEquals;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests of {@link PeriodicTask}. */
+public final class PeriodicTaskTest {
+    private static final Duration SOON = Duration.ofMillis(1);
+
+    private ControlLoop mLoop;
+
+    @BeforeMethod
+    public void start() {
+        mLoop = new ControlLoop(new ManualClock(Instant.EPOCH));
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() {
+        mLoop.stop().join();
+    }
+
+    @Test
+    public void taskComesAgainUntilItHasNothingToDo() throws InterruptedException {
+        AtomicInteger runs = new AtomicInteger();
+        CountDownLatch done = new CountDownLatch(1);
+        PeriodicTask task =
+                new PeriodicTask(
+                        mLoop,
+                        SOON,
+                        () -> {
+                            if (runs.incrementAndGet() < 3) {
+                                return Optional.of(SOON);
+                            }
+                            done.countDown();
+                            return Optional.empty();
+                        });
+        task.wake();
+        task.wake();
+        done.await();
+        assertEquals((int) mLoop.ask(runs::get).join(), 3);
+    }
+
+    /** News that comes while the task finds nothing to do must not wait for the next news. */
+    @Test
+    public void taskThatIsWokenDuringItsLastRoundComesAgain() throws InterruptedException {
+        CountDownLatch rounds = new CountDownLatch(2);
+        PeriodicTask[] task = new PeriodicTask[1];
+        task[0] =
+                new PeriodicTask(
+                        mLoop,
+                        SOON,
+                        () -> {
+                            if (rounds.getCount() == 2) {
+                                task[0].wake();
+                            }
+                            rounds.countDown();
+                            return Optional.empty();
+                        });
+        task[0].wake();
+        rounds.await();
+    }
+}
--- a/traffic/src/main/java/org/dahliapass/traffic/EntryMetrics.java
+++ b/traffic/src/main/java/org/dahliapass/traffic/EntryMetrics.java
@@ -10,7 +10,12 @@
 import java.io.UncheckedIOException;
 import org.dahliapass.kernel.KernelService;
 
-/** The Prometheus metrics of one entry VM. */
+/**
+ * The Prometheus metrics of one entry VM.
+ *
+ * <p>Without exemplars: no request carries a trace, and choosing them takes a thread of its own
+ * that wakes twice a second on a VM without work.
+ */
 public final class EntryMetrics implements KernelService {
     /** The name under which the kernel holds the metrics. */
     public static final String NAME = "metrics";
@@ -23,12 +28,14 @@
                     .name("dahliapass_answers_total")
                     .help("Answers given to callers, by customer, service, kind and outcome.")
                     .labelNames("customer", "service", "kind", "outcome")
+                    .withoutExemplars()
                     .register(mRegistry);
     private final Counter mTries =
             Counter.builder()
                     .name("dahliapass_tries_total")
                     .help("Tries at targets, by service and how they ended.")
                     .labelNames("service", "end")
+                    .withoutExemplars()
                     .register(mRegistry);
     private final Histogram mHeadSeconds =
             Histogram.builder()
@@ -36,12 +43,14 @@
                     .help("Seconds from sending to the head of a target's answer.")
                     .labelNames("service", "kind")
                     .classicOnly()
+                    .withoutExemplars()
                     .register(mRegistry);
     private final Histogram mDeliverySeconds =
             Histogram.builder()
                     .name("dahliapass_delivery_seconds")
                     .help("Seconds from an answer's first byte to its last one written.")
                     .classicOnly()
+                    .withoutExemplars()
                     .register(mRegistry);
     private final Gauge mLateSeconds =
             Gauge.builder()
@@ -53,12 +62,14 @@
             Counter.builder()
                     .name("dahliapass_copied_bytes_total")
                     .help("Bytes of the copy of the store handed to VMs that follow this one.")
+                    .withoutExemplars()
                     .register(mRegistry);
     private final Counter mActions =
             Counter.builder()
                     .name("dahliapass_actions_total")
                     .help("Automatic actions, by action.")
                     .labelNames("action")
+                    .withoutExemplars()
                     .register(mRegistry);
     private final Gauge mRevision =
             Gauge.builder()
