Make the store's calls independent of zones and VMs where they can be

By reading and the price list: two watchers a zone, each with a call in 1.5 s without news and three a second with them; a renewal a second of each VM; whole reads of each start at full price; two calls a second of each VM, refused ones included, while the store is away. Ruled out: the copies that VMs take from each other, which cost the store nothing. Change: three watchers a region, in different zones; a watch is held for 3 s (a silent store is noticed by the renewals, as before); the first read of a VM may be old, a tenth of the price, and the watch goes on from its oldest page; VMs that nobody uses renew every 3 s under a lease of 9 s; pauses that grow up to 1.5 s while the store gives no answers; a VM without a source looks for another for a second before it asks the store; a store that forgets all the time is read with a pause between. One change in several parts, as each answers the same price; the parts were not measured apart.

--- a/decisions/src/main/java/org/dahliapass/decisions/routing/AddressPlan.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/routing/AddressPlan.java
@@ -44,6 +44,13 @@
     /** How much of a VM callers may take at the expected load; bursts of 1.7 times it are known. */
     private static final double PLANNED_USE = 0.6;
 
+    /**
+     * VMs that hear of changes from the store itself. The store counts a waiting call like any
+     * other, so their number must not grow with VMs or zones; three in different zones are left
+     * with one after the loss of a VM and of a zone in the same moment.
+     */
+    private static final int WATCHERS_A_REGION = 3;
+
     private final int mLeastPerZone;
     private final double mRequestsPerZone;
     private final List<FleetVm> mByCapacity;
@@ -67,13 +74,13 @@
             mByZone.computeIfAbsent(vm.availabilityZone(), unused -> new ArrayList<>()).add(vm);
         }
         mRequestsPerZone = requestsPerSecond / Math.max(1, mByZone.size());
+        mByCapacity.stream().map(FleetVm::region).distinct().forEach(this::chooseWatchers);
         mByCapacity.forEach(vm -> mSharedByRegion.computeIfAbsent(vm.region(), this::shared));
         mByZone.forEach(
                 (zone, own) -> {
                     List<FleetVm> chosen = choose(zone, own.get(0).region());
                     mChosen.put(zone, chosen);
                     mTakers.addAll(chosen);
-                    mWatchers.addAll(own.subList(0, Math.min(mLeastPerZone, own.size())));
                 });
     }
 
@@ -99,6 +106,25 @@
         return mWatchers;
     }
 
+    /** Chooses who watches the store in a region: one VM of each zone in turn. */
+    private void chooseWatchers(String region) {
+        List<List<FleetVm>> zones =
+                mByZone.values().stream()
+                        .filter(vms -> vms.get(0).region().equals(region))
+                        .sorted(Comparator.comparing(vms -> vms.get(0).availabilityZone()))
+                        .toList();
+        long inRegion = zones.stream().mapToLong(List::size).sum();
+        Set<FleetVm> chosen = new HashSet<>();
+        for (int round = 0; chosen.size() < Math.min(WATCHERS_A_REGION, inRegion); round++) {
+            for (List<FleetVm> vms : zones) {
+                if (round < vms.size() && chosen.size() < WATCHERS_A_REGION) {
+                    chosen.add(vms.get(round));
+                }
+            }
+        }
+        mWatchers.addAll(chosen);
+    }
+
     private static List<FleetVm> sorted(Collection<FleetVm> vms) {
         List<FleetVm> sorted = new ArrayList<>(vms);
         sorted.sort(
--- a/decisions/src/main/java/org/dahliapass/decisions/routing/UpstreamPlan.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/routing/UpstreamPlan.java
@@ -1,9 +1,7 @@
 package org.dahliapass.decisions.routing;
 
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.dahliapass.model.routing.FleetVm;
@@ -11,57 +9,95 @@
 /**
  * Chooses from whom a VM hears of changes: the store itself, or a VM that watches it for others.
  *
- * <p>A few VMs of each availability zone, the same in every VM's eyes, watch the store; all others
- * follow one of them, one of their own zone first. So the store's calls don't grow with the fleet.
- * A source that failed is passed over for a while; the store is the last resort of each VM.
+ * <p>A few VMs of each region, the same in every VM's eyes, watch the store; all others follow one
+ * of them, one of their own zone first. So the store's calls don't grow with the fleet. A source
+ * that failed is passed over for a while; the store is the last resort of each VM.
  *
  * <p>Not safe for use by several threads.
  */
 public final class UpstreamPlan {
+    /** A VM that is silent may be frozen or without power, which takes seconds, in milliseconds. */
+    private static final long SILENT_PAUSE_MILLIS = 3_000;
+
+    /**
+     * A VM that refuses the connection or turns others away may serve again in a moment, once it
+     * has started or has found the store, in milliseconds.
+     */
+    private static final long REFUSED_PAUSE_MILLIS = 1_000;
+
+    /**
+     * How long a VM that heard something goes without any source before it asks the store itself,
+     * in milliseconds: half of the 2 seconds in which changes must be in force. After the loss of
+     * all who watch the store, or the start of a whole fleet, most VMs find a new source in that
+     * time, and the store is spared a call of each.
+     */
+    private static final long PATIENCE_MILLIS = 1_000;
+
+    /** How soon a VM without a source looks again, in milliseconds. */
+    private static final long LOOK_AGAIN_MILLIS = 300;
+
     private final FleetVm mSelf;
-    private final long mPauseMillis;
-    private final Map<String, Long> mFailedMillis = new HashMap<>();
+    private final Map<String, Long> mPassedOverUntil = new HashMap<>();
 
     /**
      * Creates a plan.
      *
      * @param self this VM
-     * @param pauseMillis how long a source that failed is passed over, in milliseconds
      */
-    public UpstreamPlan(FleetVm self, long pauseMillis) {
+    public UpstreamPlan(FleetVm self) {
         mSelf = self;
-        mPauseMillis = pauseMillis;
     }
 
-    /** Takes that a VM gave no answer, or none to rely on. */
-    public void onFailed(FleetVm source, long nowMillis) {
-        mFailedMillis.put(source.name(), nowMillis);
+    /** Takes that a VM gave no answer in time. */
+    public void onSilent(FleetVm source, long nowMillis) {
+        mPassedOverUntil.put(source.name(), nowMillis + SILENT_PAUSE_MILLIS);
+    }
+
+    /** Takes that a VM refused, or had nothing to rely on. */
+    public void onRefused(FleetVm source, long nowMillis) {
+        mPassedOverUntil.put(source.name(), nowMillis + REFUSED_PAUSE_MILLIS);
     }
 
     /**
-     * Returns the VM to follow; empty for the store itself.
+     * Returns where to wait for changes.
      *
      * @param plan names the VMs that watch the store
      * @param storeAnswers whether the store answered this VM when it was last asked
+     * @param heardMillis when this VM last heard from any source, in milliseconds
      * @param nowMillis the time, in milliseconds
      */
-    public Optional<FleetVm> source(AddressPlan plan, boolean storeAnswers, long nowMillis) {
-        List<FleetVm> watchers = new ArrayList<>(plan.watchers());
-        boolean watches = watchers.stream().anyMatch(vm -> vm.name().equals(mSelf.name()));
+    public Upstream choose(
+            AddressPlan plan, boolean storeAnswers, long heardMillis, long nowMillis) {
+        boolean watches = plan.watchers().stream().anyMatch(vm -> vm.name().equals(mSelf.name()));
         if (watches && storeAnswers) {
-            return Optional.empty();
+            return new Upstream.Store();
+        }
+        Optional<FleetVm> source =
+                plan.watchers().stream()
+                        .filter(vm -> !vm.name().equals(mSelf.name()))
+                        .filter(vm -> !isPassedOver(vm, nowMillis))
+                        .min(Comparator.comparingInt(this::distance).thenComparing(this::scatter));
+        if (source.isPresent()) {
+            return new Upstream.Vm(source.get());
+        }
+        boolean patient = !watches && nowMillis - heardMillis < PATIENCE_MILLIS;
+        return patient ? new Upstream.Later(LOOK_AGAIN_MILLIS) : new Upstream.Store();
+    }
+
+    private int distance(FleetVm vm) {
+        if (vm.availabilityZone().equals(mSelf.availabilityZone())) {
+            return 0;
         }
-        watchers.removeIf(vm -> vm.name().equals(mSelf.name()) || isPassedOver(vm, nowMillis));
-        watchers.sort(
-                Comparator.comparing(
-                                (FleetVm vm) ->
-                                        !vm.availabilityZone().equals(mSelf.availabilityZone()))
-                        .thenComparingInt(vm -> (vm.name() + mSelf.name()).hashCode()));
-        return watchers.stream().findFirst();
+        return vm.region().equals(mSelf.region()) ? 1 : 2;
+    }
+
+    /** Spreads the followers of other zones over the VMs that watch. */
+    private int scatter(FleetVm vm) {
+        return (vm.name() + mSelf.name()).hashCode();
     }
 
     private boolean isPassedOver(FleetVm vm, long nowMillis) {
-        Long failed = mFailedMillis.get(vm.name());
-        return failed != null && nowMillis - failed < mPauseMillis;
+        Long until = mPassedOverUntil.get(vm.name());
+        return until != null && nowMillis < until;
     }
 }
--- /dev/null
+++ b/decisions/src/test/java/org/dahliapass/decisions/routing/StoreBackoffTest.java
@@ -0,0 +1,52 @@
+package org.dahliapass.decisions.routing;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.SplittableRandom;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests of {@link StoreBackoff}. */
+public final class StoreBackoffTest {
+    private StoreBackoff mBackoff;
+
+    @BeforeMethod
+    public void start() {
+        mBackoff = new StoreBackoff(new SplittableRandom(7));
+    }
+
+    @Test
+    public void storeIsAskedAtOnceAtFirstAndAfterAnAnswer() {
+        assertEquals(mBackoff.remainingMillis(0), 0);
+        mBackoff.onFailure(0);
+        mBackoff.onAnswer();
+        assertEquals(mBackoff.remainingMillis(0), 0);
+    }
+
+    /**
+     * The users pay for each call of 143 VMs that ask a store which is away. Asked at one pace,
+     * each VM made 18 calls in 9 seconds.
+     */
+    @Test
+    public void callsOfAnOutageGetFewer() {
+        int calls = 0;
+        for (long now = 0; now < 9_000; now++) {
+            if (mBackoff.remainingMillis(now) == 0) {
+                calls++;
+                mBackoff.onFailure(now);
+            }
+        }
+        assertTrue(calls <= 11, "calls: " + calls);
+    }
+
+    /** Changes must be in force within seconds of the store's return. */
+    @Test
+    public void noPauseIsLongerThanASecondAndAHalf() {
+        for (int failures = 0; failures < 50; failures++) {
+            mBackoff.onFailure(0);
+            long remaining = mBackoff.remainingMillis(0);
+            assertTrue(remaining > 0 && remaining <= 1_500, "remaining: " + remaining);
+        }
+    }
+}
--- a/gateway/src/main/java/org/dahliapass/gateway/ChangeFeed.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ChangeFeed.java
@@ -8,9 +8,14 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
+import org.dahliapass.decisions.routing.AddressPlan;
+import org.dahliapass.decisions.routing.StoreBackoff;
+import org.dahliapass.decisions.routing.Upstream;
 import org.dahliapass.decisions.routing.UpstreamPlan;
 import org.dahliapass.http.HttpClient;
 import org.dahliapass.kernel.ControlLoop;
@@ -18,10 +23,12 @@
 import org.dahliapass.kernel.Kernel;
 import org.dahliapass.kernel.KernelService;
 import org.dahliapass.kernel.PeriodicTask;
+import org.dahliapass.kernel.StepException;
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.model.routing.FleetVm;
 import org.dahliapass.platform.HttpKeyValueStore;
 import org.dahliapass.platform.KeyValueStore;
+import org.dahliapass.platform.KeyValueStore.Freshness;
 import org.dahliapass.platform.RangePage;
 import org.dahliapass.platform.StoredItem;
 import org.dahliapass.platform.WatchAnswer;
@@ -38,11 +45,17 @@
     /** All keys: one watch instead of one for each kind of key. */
     private static final String EVERYTHING = "";
 
+    private static final String STORE = "store";
+
+    /** How soon a VM that waits for the store looks for another source, in milliseconds. */
+    private static final long LONGEST_LOOK_MILLIS = 500;
+
     /**
-     * How long the store holds a watch. A connection that went silent without a reset is noticed
-     * only after this time and the client's timeout, and news are as late.
+     * How long the store holds a watch; each costs a call. A connection that went silent while
+     * others work is noticed only after this time and the client's timeout, and news are as late. A
+     * store that is silent as a whole is noticed by the renewals of the lease.
      */
-    private static final Duration STORE_WATCH = Duration.ofMillis(1_500);
+    private static final Duration STORE_WATCH = Duration.ofSeconds(3);
 
     /**
      * The same for a VM that is followed: it may lose power, and news must come within 2 seconds.
@@ -52,8 +65,6 @@
     /** VMs answer within a few milliseconds; one that is busy or frozen is passed over. */
     private static final Duration PEER_TIMEOUT = Duration.ofMillis(400);
 
-    private static final long PEER_PAUSE_MILLIS = 3_000;
-
     /**
      * A store that gave no answer for this long is taken for silent: between two renewals of the
      * lease it has 0.6 s left to answer. Those that follow this VM have to hear of it well within
@@ -70,16 +81,12 @@
      */
     private static final Duration GATHER = Duration.ofMillis(300);
 
-    /**
-     * The pause after a failed call; with the jitter, 40 VMs ask a store that is away 80 times/s.
-     */
-    private static final Duration PAUSE = Duration.ofMillis(350);
-
-    private static final int PAUSE_JITTER_MILLIS = 300;
+    /** How soon a VM that knows of nobody who watches the store reads it again, for its peers. */
+    private static final Duration LOOK_FOR_FLEET = Duration.ofSeconds(1);
 
     private final KeyValueStore mStore;
     private final HttpClient mClient;
-    private final RandomGenerator mRandom;
+    private final StoreBackoff mBackoff;
     private final EventLog mLog;
     private final UpstreamPlan mPlan;
     private final StoreMirror mMirror = new StoreMirror();
@@ -92,6 +99,12 @@
     private boolean mCurrent;
     private String mSource = "";
 
+    /** When this VM last heard from the store or from a VM that watches it, in milliseconds. */
+    private long mHeardMillis = Long.MIN_VALUE / 2;
+
+    /** Whether nobody is known who watches the store. */
+    private boolean mLooksForFleet;
+
     /** The store's revision up to which everything was taken. */
     private long mRevision;
 
@@ -108,10 +121,10 @@
             EventLog log) {
         mStore = store;
         mClient = client;
-        mRandom = random;
+        mBackoff = new StoreBackoff(random);
         mLog = log;
         mSeeds = settings.seeds();
-        mPlan = new UpstreamPlan(settings.self(), PEER_PAUSE_MILLIS);
+        mPlan = new UpstreamPlan(settings.self());
     }
 
     /** Returns the copy of the store. */
@@ -138,8 +151,16 @@
         return CompletableFuture.completedFuture(null);
     }
 
+    /**
+     * Reads all of the store. The first read may be answered from an older state at a tenth of the
+     * price: what changed since is told by the watch that goes on from the revision of the read.
+     */
     private void readStore() {
-        readPage(new ArrayList<>(), -1, "");
+        Freshness freshness =
+                mMirror.isFilled() && mRevision > 0 && !mLooksForFleet
+                        ? Freshness.CURRENT
+                        : Freshness.PERHAPS_OLD;
+        readPage(new ArrayList<>(), Long.MAX_VALUE, "", freshness);
     }
 
     /**
@@ -153,7 +174,7 @@
         }
         Endpoint seed = mSeeds.get(mNextSeed++ % mSeeds.size());
         onControl(
-                clientOf(seed).range(EVERYTHING, ""),
+                clientOf(seed).range(EVERYTHING, "", Freshness.PERHAPS_OLD),
                 page -> {
                     mLog.write(
                             EventLog.Kind.DEPENDENCY,
@@ -166,35 +187,52 @@
                                 EventLog.Kind.DEPENDENCY,
                                 "seed_silent",
                                 line -> line.put("seed", seed.toString())),
-                Duration.ZERO,
+                this::backoff,
                 this::readStore);
     }
 
-    private void readPage(List<StoredItem> items, long firstRevision, String after) {
+    private void readPage(
+            List<StoredItem> items, long oldestRevision, String after, Freshness freshness) {
         onControl(
-                mStore.range(EVERYTHING, after),
-                page -> takePage(items, firstRevision, page),
+                mStore.range(EVERYTHING, after, freshness),
+                page -> takePage(items, oldestRevision, page, freshness),
                 this::onStoreFailed,
-                pause(),
+                this::backoff,
                 this::readSeed);
     }
 
     /**
-     * Pages aren't a snapshot, so the watch begins at the first page's revision: what changed while
-     * the later pages were read is told once more.
+     * Pages aren't a snapshot, and an older state may answer a later page than the first: the watch
+     * begins at the oldest revision of all, and what changed since is told once more.
      */
-    private void takePage(List<StoredItem> items, long firstRevision, RangePage page) {
-        mFollower.onAnswer();
-        long revision = firstRevision < 0 ? page.revision() : firstRevision;
+    private void takePage(
+            List<StoredItem> items, long oldestRevision, RangePage page, Freshness freshness) {
+        onStoreAnswered();
+        long revision = Math.min(oldestRevision, page.revision());
         items.addAll(page.items());
         if (page.hasMore() && !page.items().isEmpty()) {
-            readPage(items, revision, page.items().get(page.items().size() - 1).key());
+            readPage(items, revision, page.items().get(page.items().size() - 1).key(), freshness);
+            return;
+        }
+        if (revision < mRevision) {
+            // An older state than the one known here; what it lacks is known already.
+            follow(mRevision);
             return;
         }
         takeAll(items, revision);
     }
 
+    private void onStoreAnswered() {
+        mBackoff.onAnswer();
+        mFollower.onAnswer();
+    }
+
+    private Duration backoff() {
+        return Duration.ofMillis(mBackoff.remainingMillis(mLoop.nowMillis()));
+    }
+
     private void takeAll(List<StoredItem> items, long revision) {
+        mHeardMillis = mLoop.nowMillis();
         mMirror.reset(items, revision);
         mRevision = revision;
         mFollower.takeAll(items);
@@ -204,16 +242,34 @@
 
     /** Waits for the next changes, where the plan says. */
     private void follow(long revision) {
-        boolean storeAnswers = !mFollower.isAway() && !isStoreSilent();
-        Optional<FleetVm> source =
-                mPlan.source(mFollower.view().plan(), storeAnswers, mLoop.nowMillis());
-        noteSource(source);
+        long now = mLoop.nowMillis();
+        AddressPlan plan = mFollower.view().plan();
         mFollowNumber++;
-        if (source.isPresent()) {
-            followPeer(source.get(), revision);
-        } else {
-            followStore(revision);
+        mLooksForFleet = plan.watchers().isEmpty();
+        if (mLooksForFleet) {
+            // A whole fleet starts: the entries of the others are about to come.
+            mLoop.after(LOOK_FOR_FLEET, this::readStore);
+            return;
+        }
+        boolean storeAnswers = !mFollower.isAway() && !isStoreSilent();
+        Upstream upstream = mPlan.choose(plan, storeAnswers, mHeardMillis, now);
+        if (upstream instanceof Upstream.Vm source) {
+            noteSource(source.vm().name());
+            followPeer(source.vm(), revision);
+            return;
+        }
+        long pause =
+                upstream instanceof Upstream.Later later
+                        ? later.millis()
+                        : Math.min(LONGEST_LOOK_MILLIS, mBackoff.remainingMillis(now));
+        if (pause > 0) {
+            int number = mFollowNumber;
+            setNotCurrent();
+            mLoop.after(Duration.ofMillis(pause), () -> followAgain(number, revision));
+            return;
         }
+        noteSource(STORE);
+        followStore(revision);
     }
 
     private boolean isStoreSilent() {
@@ -247,8 +303,7 @@
         return mCurrent;
     }
 
-    private void noteSource(Optional<FleetVm> source) {
-        String name = source.map(FleetVm::name).orElse("store");
+    private void noteSource(String name) {
         if (name.equals(mSource)) {
             return;
         }
@@ -273,7 +328,7 @@
         onControl(
                 mStore.watch(EVERYTHING, revision, STORE_WATCH),
                 answer -> {
-                    mFollower.onAnswer();
+                    onStoreAnswered();
                     if (number == mFollowNumber) {
                         mCurrent = true;
                         mSilenceCheck.wake();
@@ -285,7 +340,7 @@
                         onStoreFailed(failure);
                     }
                 },
-                pause(),
+                this::backoff,
                 () -> followAgain(number, revision));
     }
 
@@ -300,7 +355,6 @@
         int number = mFollowNumber;
         setNotCurrent();
         KeyValueStore client = clientOf(peer.peers());
-        Consumer<Throwable> onFailure = failure -> mPlan.onFailed(peer, mLoop.nowMillis());
         onControl(
                 client.watch(EVERYTHING, revision, PEER_WATCH),
                 answer -> {
@@ -308,25 +362,36 @@
                         take(revision, answer, () -> readPeer(peer, revision), Duration.ZERO);
                     }
                 },
-                onFailure,
-                Duration.ZERO,
+                failure -> onPeerFailed(peer, failure),
+                () -> Duration.ZERO,
                 () -> followAgain(number, revision));
     }
 
+    private void onPeerFailed(FleetVm peer, Throwable failure) {
+        boolean silent =
+                Futures.cause(failure) instanceof StepException step
+                        && Futures.cause(step.getCause()) instanceof TimeoutException;
+        if (silent) {
+            mPlan.onSilent(peer, mLoop.nowMillis());
+        } else {
+            mPlan.onRefused(peer, mLoop.nowMillis());
+        }
+    }
+
     /** Reads the copy of a VM; one that is older than what is known here is of no use. */
     private void readPeer(FleetVm peer, long revision) {
         onControl(
-                clientOf(peer.peers()).range(EVERYTHING, ""),
+                clientOf(peer.peers()).range(EVERYTHING, "", Freshness.PERHAPS_OLD),
                 page -> {
                     if (page.revision() >= revision) {
                         takeAll(page.items(), page.revision());
                         return;
                     }
-                    mPlan.onFailed(peer, mLoop.nowMillis());
+                    mPlan.onRefused(peer, mLoop.nowMillis());
                     readStore();
                 },
-                failure -> mPlan.onFailed(peer, mLoop.nowMillis()),
-                Duration.ZERO,
+                failure -> onPeerFailed(peer, failure),
+                () -> Duration.ZERO,
                 this::readStore);
     }
 
@@ -336,6 +401,7 @@
     }
 
     private void take(long revision, WatchAnswer answer, Runnable readAgain, Duration pause) {
+        mHeardMillis = mLoop.nowMillis();
         if (answer instanceof WatchAnswer.Changes changes) {
             mMirror.apply(changes.events(), changes.revision());
             mFollower.takeEvents(changes.events());
@@ -354,10 +420,16 @@
                 EventLog.Kind.DEPENDENCY,
                 "history_lost",
                 line -> line.put("source", mSource).put("revision", revision));
-        readAgain.run();
+        if (pause.isZero()) {
+            readAgain.run();
+        } else {
+            // Guards against a store that forgets all the time: whole reads without a pause.
+            mLoop.after(pause, readAgain);
+        }
     }
 
     private void onStoreFailed(Throwable failure) {
+        mBackoff.onFailure(mLoop.nowMillis());
         mFollower.onFailure(failure);
         setNotCurrent();
     }
@@ -378,7 +450,7 @@
             CompletableFuture<T> call,
             Consumer<T> next,
             Consumer<Throwable> onFailure,
-            Duration pause,
+            Supplier<Duration> pause,
             Runnable again) {
         Futures.whenDone(
                 call,
@@ -390,11 +462,7 @@
                                         return;
                                     }
                                     onFailure.accept(failure);
-                                    mLoop.after(pause, again);
+                                    mLoop.after(pause.get(), again);
                                 }));
     }
-
-    private Duration pause() {
-        return PAUSE.plusMillis(mRandom.nextInt(PAUSE_JITTER_MILLIS));
-    }
 }
--- a/gateway/src/main/java/org/dahliapass/gateway/FleetEntry.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/FleetEntry.java
@@ -1,12 +1,16 @@
 package org.dahliapass.gateway;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
+import org.dahliapass.decisions.routing.AddressPlan;
 import org.dahliapass.kernel.ControlLoop;
 import org.dahliapass.kernel.Futures;
 import org.dahliapass.kernel.Kernel;
 import org.dahliapass.kernel.KernelService;
+import org.dahliapass.kernel.PeriodicTask;
 import org.dahliapass.model.routing.FleetVm;
 import org.dahliapass.platform.KeyValueStore;
 import org.dahliapass.platform.VmEntry;
@@ -21,10 +25,27 @@
     /** The name under which the kernel holds the entry. */
     public static final String NAME = "fleet-entry";
 
-    /** A VM that died is named in asks for this long at most; three renewals may be lost. */
-    private static final Duration TIME_TO_LIVE = Duration.ofSeconds(4);
+    /** How long the entry outlives its VM, and how often it is renewed for that. */
+    private enum Tenure {
+        /** Callers or other VMs use this VM: once dead it is named for 4 s at most. */
+        USED(Duration.ofSeconds(4), Duration.ofSeconds(1)),
+        /**
+         * Nobody uses it yet. Each renewal is a call to the store, and most VMs of a large fleet
+         * are such; one that died may be planned with for 9 s at most.
+         */
+        SPARE(Duration.ofSeconds(9), Duration.ofSeconds(3));
 
-    private static final Duration RENEWAL = Duration.ofSeconds(1);
+        private final Duration mTimeToLive;
+        private final Duration mRenewal;
+
+        Tenure(Duration timeToLive, Duration renewal) {
+            mTimeToLive = timeToLive;
+            mRenewal = renewal;
+        }
+    }
+
+    /** How often it is looked whether a renewal is due, on a VM that nobody follows. */
+    private static final Duration STEP = Duration.ofMillis(500);
 
     /**
      * A VM that others follow renews more often, at a tenth of the price of a read each: by the
@@ -41,6 +62,7 @@
     private ControlLoop mLoop;
     private StoreFollower mFollower;
     private long mLease = NONE;
+    private Tenure mTenure = Tenure.SPARE;
     private long mBegunMillis = Long.MIN_VALUE / 2;
     private boolean mBusy;
     private boolean mLeft;
@@ -63,7 +85,7 @@
         mLoop = kernel.find(ControlLoop.NAME, ControlLoop.class);
         mFollower = kernel.find(StoreFollower.NAME, StoreFollower.class);
         mLoop.execute(this::keepUp);
-        mLoop.every(RENEWAL_OF_FOLLOWED, this::keepUpIfDue);
+        new PeriodicTask(mLoop, STEP, this::keepUpIfDue).wake();
         return CompletableFuture.completedFuture(null);
     }
 
@@ -81,12 +103,28 @@
                                         : mStore.endLease(lease));
     }
 
-    private void keepUpIfDue() {
+    private Optional<Duration> keepUpIfDue() {
+        Duration step = mIsFollowed.getAsBoolean() ? RENEWAL_OF_FOLLOWED : STEP;
+        Duration renewal = mIsFollowed.getAsBoolean() ? RENEWAL_OF_FOLLOWED : tenure().mRenewal;
         // Half a step early, so that the step nearest to the renewal's time is taken.
-        long dueMillis = mBegunMillis + RENEWAL.toMillis() - RENEWAL_OF_FOLLOWED.toMillis() / 2;
-        if (mIsFollowed.getAsBoolean() || mLoop.nowMillis() >= dueMillis) {
+        long dueMillis = mBegunMillis + renewal.toMillis() - step.toMillis() / 2;
+        if (mLoop.nowMillis() >= dueMillis || isTooLong()) {
             keepUp();
         }
+        return mLeft ? Optional.empty() : Optional.of(step);
+    }
+
+    private Tenure tenure() {
+        AddressPlan plan = mFollower.view().plan();
+        boolean used =
+                Stream.concat(plan.takers().stream(), plan.watchers().stream())
+                        .anyMatch(vm -> vm.name().equals(mSelf.name()));
+        return used ? Tenure.USED : Tenure.SPARE;
+    }
+
+    /** Returns whether the entry would outlive its VM for longer than its use by now allows. */
+    private boolean isTooLong() {
+        return mLease != NONE && mTenure == Tenure.SPARE && tenure() == Tenure.USED;
     }
 
     /** Renews the lease, or begins one and writes the entry if there is none. */
@@ -96,7 +134,7 @@
         }
         mBusy = true;
         mBegunMillis = mLoop.nowMillis();
-        CompletableFuture<?> step = mLease == NONE ? enter() : renew();
+        CompletableFuture<?> step = mLease == NONE || isTooLong() ? enter() : renew();
         Futures.whenDone(
                 step,
                 (ignored, failure) ->
@@ -112,11 +150,12 @@
     }
 
     private CompletableFuture<?> enter() {
-        return mStore.grantLease(TIME_TO_LIVE)
+        Tenure tenure = tenure();
+        return mStore.grantLease(tenure.mTimeToLive)
                 .thenCompose(
                         lease ->
                                 mStore.put(VmEntry.key(mSelf.name()), VmEntry.encode(mSelf), lease)
-                                        .thenAccept(done -> setLease(done ? lease : NONE)));
+                                        .thenAccept(done -> setLease(done ? lease : NONE, tenure)));
     }
 
     private CompletableFuture<?> renew() {
@@ -125,19 +164,20 @@
                 .thenAccept(
                         alive -> {
                             if (!alive) {
-                                setLease(NONE);
+                                setLease(NONE, mTenure);
                             }
                         });
     }
 
-    private void setLease(long lease) {
+    private void setLease(long lease, Tenure tenure) {
         mLoop.execute(
                 () -> {
                     mLease = lease;
+                    mTenure = tenure;
                     mLog.write(
                             EventLog.Kind.BELIEF,
                             lease == NONE ? "own_entry_lost" : "own_entry_written",
-                            line -> line.put("lease", lease));
+                            line -> line.put("lease", lease).put("tenure", tenure.name()));
                 });
     }
 }
