Split reading the store from following it, and enter again at once

Ruled out: looking for the fleet by old reads after an outage, when all entries may have lapsed together; that is for the first start only now. Change: StoreReader reads whole copies, PeerCopies holds the clients of other VMs; a renewal that finds its lease ended begins a new one in the same step.

--- a/gateway/src/main/java/org/dahliapass/gateway/ChangeFeed.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ChangeFeed.java
@@ -2,15 +2,11 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeoutException;
-import java.util.function.Consumer;
-import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.dahliapass.decisions.routing.AddressPlan;
@@ -26,10 +22,8 @@
 import org.dahliapass.kernel.StepException;
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.model.routing.FleetVm;
-import org.dahliapass.platform.HttpKeyValueStore;
 import org.dahliapass.platform.KeyValueStore;
 import org.dahliapass.platform.KeyValueStore.Freshness;
-import org.dahliapass.platform.RangePage;
 import org.dahliapass.platform.StoredItem;
 import org.dahliapass.platform.WatchAnswer;
 
@@ -38,13 +32,10 @@
  *
  * <p>All state belongs to the control thread.
  */
-final class ChangeFeed implements KernelService {
+final class ChangeFeed implements KernelService, StoreReader.Listener {
     /** The name under which the kernel holds the feed. */
     static final String NAME = "change-feed";
 
-    /** All keys: one watch instead of one for each kind of key. */
-    private static final String EVERYTHING = "";
-
     private static final String STORE = "store";
 
     /** How soon a VM that waits for the store looks for another source, in milliseconds. */
@@ -62,9 +53,6 @@
      */
     private static final Duration PEER_WATCH = Duration.ofMillis(900);
 
-    /** VMs answer within a few milliseconds; one that is busy or frozen is passed over. */
-    private static final Duration PEER_TIMEOUT = Duration.ofMillis(400);
-
     /**
      * A store that gave no answer for this long is taken for silent: between two renewals of the
      * lease it has 0.6 s left to answer. Those that follow this VM have to hear of it well within
@@ -85,34 +73,29 @@
     private static final Duration LOOK_FOR_FLEET = Duration.ofSeconds(1);
 
     private final KeyValueStore mStore;
-    private final HttpClient mClient;
     private final StoreBackoff mBackoff;
     private final EventLog mLog;
     private final UpstreamPlan mPlan;
     private final StoreMirror mMirror = new StoreMirror();
-    private final Map<Endpoint, KeyValueStore> mPeers = new HashMap<>();
+    private final PeerCopies mPeers;
     private final List<Endpoint> mSeeds;
     private final List<Runnable> mListeners = new ArrayList<>();
     private ControlLoop mLoop;
     private PeriodicTask mSilenceCheck;
     private StoreFollower mFollower;
+    private StoreReader mReader;
     private boolean mCurrent;
     private String mSource = "";
 
     /** When this VM last heard from the store or from a VM that watches it, in milliseconds. */
     private long mHeardMillis = Long.MIN_VALUE / 2;
 
-    /** Whether nobody is known who watches the store. */
-    private boolean mLooksForFleet;
-
     /** The store's revision up to which everything was taken. */
     private long mRevision;
 
     /** Counts the calls that wait for changes: an answer to an abandoned one says nothing. */
     private int mFollowNumber;
 
-    private int mNextSeed;
-
     ChangeFeed(
             GatewaySettings settings,
             KeyValueStore store,
@@ -120,7 +103,7 @@
             RandomGenerator random,
             EventLog log) {
         mStore = store;
-        mClient = client;
+        mPeers = new PeerCopies(client);
         mBackoff = new StoreBackoff(random);
         mLog = log;
         mSeeds = settings.seeds();
@@ -146,6 +129,7 @@
     public CompletableFuture<Void> start(Kernel kernel) {
         mLoop = kernel.find(ControlLoop.NAME, ControlLoop.class);
         mFollower = kernel.find(StoreFollower.NAME, StoreFollower.class);
+        mReader = new StoreReader(mLoop, mStore, mPeers, mSeeds, mBackoff, mLog, this);
         mLoop.execute(this::readStore);
         mSilenceCheck = new PeriodicTask(mLoop, SILENCE_CHECK, this::leaveSilentStore);
         return CompletableFuture.completedFuture(null);
@@ -156,64 +140,11 @@
      * price: what changed since is told by the watch that goes on from the revision of the read.
      */
     private void readStore() {
-        Freshness freshness =
-                mMirror.isFilled() && mRevision > 0 && !mLooksForFleet
-                        ? Freshness.CURRENT
-                        : Freshness.PERHAPS_OLD;
-        readPage(new ArrayList<>(), Long.MAX_VALUE, "", freshness);
+        mReader.read(mSource.isEmpty() ? Freshness.PERHAPS_OLD : Freshness.CURRENT);
     }
 
-    /**
-     * Reads the copy of a VM that may be there, so that a VM which starts while the store is away
-     * serves by what the fleet knew last. The store is asked again if none answers.
-     */
-    private void readSeed() {
-        if (mMirror.isFilled() || mSeeds.isEmpty()) {
-            readStore();
-            return;
-        }
-        Endpoint seed = mSeeds.get(mNextSeed++ % mSeeds.size());
-        onControl(
-                clientOf(seed).range(EVERYTHING, "", Freshness.PERHAPS_OLD),
-                page -> {
-                    mLog.write(
-                            EventLog.Kind.DEPENDENCY,
-                            "copy_read",
-                            line -> line.put("seed", seed.toString()));
-                    takeAll(page.items(), page.revision());
-                },
-                failure ->
-                        mLog.write(
-                                EventLog.Kind.DEPENDENCY,
-                                "seed_silent",
-                                line -> line.put("seed", seed.toString())),
-                this::backoff,
-                this::readStore);
-    }
-
-    private void readPage(
-            List<StoredItem> items, long oldestRevision, String after, Freshness freshness) {
-        onControl(
-                mStore.range(EVERYTHING, after, freshness),
-                page -> takePage(items, oldestRevision, page, freshness),
-                this::onStoreFailed,
-                this::backoff,
-                this::readSeed);
-    }
-
-    /**
-     * Pages aren't a snapshot, and an older state may answer a later page than the first: the watch
-     * begins at the oldest revision of all, and what changed since is told once more.
-     */
-    private void takePage(
-            List<StoredItem> items, long oldestRevision, RangePage page, Freshness freshness) {
-        onStoreAnswered();
-        long revision = Math.min(oldestRevision, page.revision());
-        items.addAll(page.items());
-        if (page.hasMore() && !page.items().isEmpty()) {
-            readPage(items, revision, page.items().get(page.items().size() - 1).key(), freshness);
-            return;
-        }
+    @Override
+    public void onRead(List<StoredItem> items, long revision) {
         if (revision < mRevision) {
             // An older state than the one known here; what it lacks is known already.
             follow(mRevision);
@@ -222,13 +153,15 @@
         takeAll(items, revision);
     }
 
-    private void onStoreAnswered() {
-        mBackoff.onAnswer();
-        mFollower.onAnswer();
+    @Override
+    public boolean knowsStore() {
+        return mMirror.isFilled();
     }
 
-    private Duration backoff() {
-        return Duration.ofMillis(mBackoff.remainingMillis(mLoop.nowMillis()));
+    @Override
+    public void onStoreAnswered() {
+        mBackoff.onAnswer();
+        mFollower.onAnswer();
     }
 
     private void takeAll(List<StoredItem> items, long revision) {
@@ -245,8 +178,7 @@
         long now = mLoop.nowMillis();
         AddressPlan plan = mFollower.view().plan();
         mFollowNumber++;
-        mLooksForFleet = plan.watchers().isEmpty();
-        if (mLooksForFleet) {
+        if (plan.watchers().isEmpty() && mSource.isEmpty()) {
             // A whole fleet starts: the entries of the others are about to come.
             mLoop.after(LOOK_FOR_FLEET, this::readStore);
             return;
@@ -320,13 +252,14 @@
         Set<Endpoint> known =
                 mFollower.view().vms().stream().map(FleetVm::peers).collect(Collectors.toSet());
         known.addAll(mSeeds);
-        mPeers.keySet().retainAll(known);
+        mPeers.retain(known);
     }
 
     private void followStore(long revision) {
         int number = mFollowNumber;
-        onControl(
-                mStore.watch(EVERYTHING, revision, STORE_WATCH),
+        StoreReader.onControl(
+                mLoop,
+                mStore.watch(StoreReader.EVERYTHING, revision, STORE_WATCH),
                 answer -> {
                     onStoreAnswered();
                     if (number == mFollowNumber) {
@@ -338,10 +271,9 @@
                 failure -> {
                     if (number == mFollowNumber) {
                         onStoreFailed(failure);
+                        follow(revision);
                     }
-                },
-                this::backoff,
-                () -> followAgain(number, revision));
+                });
     }
 
     /** Goes on waiting for changes, unless that was begun anew meanwhile. */
@@ -354,17 +286,18 @@
     private void followPeer(FleetVm peer, long revision) {
         int number = mFollowNumber;
         setNotCurrent();
-        KeyValueStore client = clientOf(peer.peers());
-        onControl(
-                client.watch(EVERYTHING, revision, PEER_WATCH),
+        StoreReader.onControl(
+                mLoop,
+                mPeers.at(peer.peers()).watch(StoreReader.EVERYTHING, revision, PEER_WATCH),
                 answer -> {
                     if (number == mFollowNumber) {
                         take(revision, answer, () -> readPeer(peer, revision), Duration.ZERO);
                     }
                 },
-                failure -> onPeerFailed(peer, failure),
-                () -> Duration.ZERO,
-                () -> followAgain(number, revision));
+                failure -> {
+                    onPeerFailed(peer, failure);
+                    followAgain(number, revision);
+                });
     }
 
     private void onPeerFailed(FleetVm peer, Throwable failure) {
@@ -380,8 +313,9 @@
 
     /** Reads the copy of a VM; one that is older than what is known here is of no use. */
     private void readPeer(FleetVm peer, long revision) {
-        onControl(
-                clientOf(peer.peers()).range(EVERYTHING, "", Freshness.PERHAPS_OLD),
+        StoreReader.onControl(
+                mLoop,
+                mPeers.at(peer.peers()).range(StoreReader.EVERYTHING, "", Freshness.PERHAPS_OLD),
                 page -> {
                     if (page.revision() >= revision) {
                         takeAll(page.items(), page.revision());
@@ -390,14 +324,10 @@
                     mPlan.onRefused(peer, mLoop.nowMillis());
                     readStore();
                 },
-                failure -> onPeerFailed(peer, failure),
-                () -> Duration.ZERO,
-                this::readStore);
-    }
-
-    private KeyValueStore clientOf(Endpoint peer) {
-        return mPeers.computeIfAbsent(
-                peer, endpoint -> new HttpKeyValueStore(endpoint, PEER_TIMEOUT, mClient));
+                failure -> {
+                    onPeerFailed(peer, failure);
+                    readStore();
+                });
     }
 
     private void take(long revision, WatchAnswer answer, Runnable readAgain, Duration pause) {
@@ -428,7 +358,8 @@
         }
     }
 
-    private void onStoreFailed(Throwable failure) {
+    @Override
+    public void onStoreFailed(Throwable failure) {
         mBackoff.onFailure(mLoop.nowMillis());
         mFollower.onFailure(failure);
         setNotCurrent();
@@ -444,25 +375,4 @@
     private void step() {
         mListeners.forEach(Runnable::run);
     }
-
-    /** Goes on with an answer on the control thread; after a failure tries again after a pause. */
-    private <T> void onControl(
-            CompletableFuture<T> call,
-            Consumer<T> next,
-            Consumer<Throwable> onFailure,
-            Supplier<Duration> pause,
-            Runnable again) {
-        Futures.whenDone(
-                call,
-                (answer, failure) ->
-                        mLoop.execute(
-                                () -> {
-                                    if (failure == null) {
-                                        next.accept(answer);
-                                        return;
-                                    }
-                                    onFailure.accept(failure);
-                                    mLoop.after(pause.get(), again);
-                                }));
-    }
 }
--- a/gateway/src/main/java/org/dahliapass/gateway/FleetEntry.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/FleetEntry.java
@@ -159,14 +159,15 @@
     }
 
     private CompletableFuture<?> renew() {
-        long lease = mLease;
-        return mStore.renewLease(lease)
-                .thenAccept(
-                        alive -> {
-                            if (!alive) {
-                                setLease(NONE, mTenure);
-                            }
-                        });
+        return mStore.renewLease(mLease)
+                .thenCompose(
+                        alive -> alive ? CompletableFuture.completedFuture(null) : enterAgain());
+    }
+
+    /** The lease ended while the store was away; the others miss this VM until it is back. */
+    private CompletableFuture<?> enterAgain() {
+        setLease(NONE, Tenure.SPARE);
+        return enter();
     }
 
     private void setLease(long lease, Tenure tenure) {
--- /dev/null
+++ b/gateway/src/main/java/org/dahliapass/gateway/PeerCopies.java
@@ -0,0 +1,34 @@
+package org.dahliapass.gateway;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import org.dahliapass.http.HttpClient;
+import org.dahliapass.model.Endpoint;
+import org.dahliapass.platform.HttpKeyValueStore;
+import org.dahliapass.platform.KeyValueStore;
+
+/** The clients of other VMs' copies of the store; control thread only. */
+final class PeerCopies {
+    /** VMs answer within a few milliseconds; one that is busy or frozen is passed over. */
+    private static final Duration TIMEOUT = Duration.ofMillis(400);
+
+    private final HttpClient mClient;
+    private final Map<Endpoint, KeyValueStore> mCopies = new HashMap<>();
+
+    PeerCopies(HttpClient client) {
+        mClient = client;
+    }
+
+    /** Returns the client of one VM's copy. */
+    KeyValueStore at(Endpoint vm) {
+        return mCopies.computeIfAbsent(
+                vm, endpoint -> new HttpKeyValueStore(endpoint, TIMEOUT, mClient));
+    }
+
+    /** Forgets the clients of all other VMs. */
+    void retain(Set<Endpoint> vms) {
+        mCopies.keySet().retainAll(vms);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/dahliapass/gateway/StoreReader.java
@@ -0,0 +1,156 @@
+package org.dahliapass.gateway;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.dahliapass.decisions.routing.StoreBackoff;
+import org.dahliapass.kernel.ControlLoop;
+import org.dahliapass.kernel.Futures;
+import org.dahliapass.model.Endpoint;
+import org.dahliapass.platform.KeyValueStore;
+import org.dahliapass.platform.KeyValueStore.Freshness;
+import org.dahliapass.platform.RangePage;
+import org.dahliapass.platform.StoredItem;
+
+/**
+ * Reads the whole store, from itself or from a VM that has a copy, until one answers.
+ *
+ * <p>All state belongs to the control thread.
+ */
+final class StoreReader {
+    /** All keys. */
+    static final String EVERYTHING = "";
+
+    private final ControlLoop mLoop;
+    private final KeyValueStore mStore;
+    private final PeerCopies mPeers;
+    private final List<Endpoint> mSeeds;
+    private final StoreBackoff mBackoff;
+    private final EventLog mLog;
+    private final Listener mListener;
+    private int mNextSeed;
+
+    /** What the reader tells; on the control thread. */
+    interface Listener {
+        /** The store answered a call. */
+        void onStoreAnswered();
+
+        /** The store gave no answer to a call. */
+        void onStoreFailed(Throwable failure);
+
+        /** Returns whether anything was read before, so that a copy of a VM is of no use. */
+        boolean knowsStore();
+
+        /** All was read, as of a revision. */
+        void onRead(List<StoredItem> items, long revision);
+    }
+
+    /**
+     * Creates a reader.
+     *
+     * @param seeds VMs that may have a copy, for a VM that starts while the store is away
+     */
+    StoreReader(
+            ControlLoop loop,
+            KeyValueStore store,
+            PeerCopies peers,
+            List<Endpoint> seeds,
+            StoreBackoff backoff,
+            EventLog log,
+            Listener listener) {
+        mLoop = loop;
+        mStore = store;
+        mPeers = peers;
+        mSeeds = seeds;
+        mBackoff = backoff;
+        mLog = log;
+        mListener = listener;
+    }
+
+    /** Reads the store, or a copy while the store gives no answers. */
+    void read(Freshness freshness) {
+        readPage(new ArrayList<>(), Long.MAX_VALUE, "", freshness);
+    }
+
+    private void readPage(
+            List<StoredItem> items, long oldestRevision, String after, Freshness freshness) {
+        onControl(
+                mLoop,
+                mStore.range(EVERYTHING, after, freshness),
+                page -> takePage(items, oldestRevision, page, freshness),
+                failure -> {
+                    mListener.onStoreFailed(failure);
+                    mLoop.after(backoff(), () -> readSeed(freshness));
+                });
+    }
+
+    /**
+     * Pages aren't a snapshot, and an older state may answer a later page than the first: the watch
+     * begins at the oldest revision of all, and what changed since is told once more.
+     */
+    private void takePage(
+            List<StoredItem> items, long oldestRevision, RangePage page, Freshness freshness) {
+        mListener.onStoreAnswered();
+        long revision = Math.min(oldestRevision, page.revision());
+        items.addAll(page.items());
+        if (page.hasMore() && !page.items().isEmpty()) {
+            readPage(items, revision, page.items().get(page.items().size() - 1).key(), freshness);
+            return;
+        }
+        mListener.onRead(items, revision);
+    }
+
+    /**
+     * Reads the copy of a VM that may be there, so that a VM which starts while the store is away
+     * serves by what the fleet knew last. The store is asked again if none answers.
+     */
+    private void readSeed(Freshness freshness) {
+        if (mListener.knowsStore() || mSeeds.isEmpty()) {
+            read(freshness);
+            return;
+        }
+        Endpoint seed = mSeeds.get(mNextSeed++ % mSeeds.size());
+        onControl(
+                mLoop,
+                mPeers.at(seed).range(EVERYTHING, "", Freshness.PERHAPS_OLD),
+                page -> {
+                    mLog.write(
+                            EventLog.Kind.DEPENDENCY,
+                            "copy_read",
+                            line -> line.put("seed", seed.toString()));
+                    mListener.onRead(page.items(), page.revision());
+                },
+                failure -> {
+                    mLog.write(
+                            EventLog.Kind.DEPENDENCY,
+                            "seed_silent",
+                            line -> line.put("seed", seed.toString()));
+                    mLoop.after(backoff(), () -> read(freshness));
+                });
+    }
+
+    private Duration backoff() {
+        return Duration.ofMillis(mBackoff.remainingMillis(mLoop.nowMillis()));
+    }
+
+    /** Goes on with the end of a call on the control thread. */
+    static <T> void onControl(
+            ControlLoop loop,
+            CompletableFuture<T> call,
+            Consumer<T> onAnswer,
+            Consumer<Throwable> onFailure) {
+        Futures.whenDone(
+                call,
+                (answer, failure) ->
+                        loop.execute(
+                                () -> {
+                                    if (failure == null) {
+                                        onAnswer.accept(answer);
+                                    } else {
+                                        onFailure.accept(failure);
+                                    }
+                                }));
+    }
+}
