Ask the store at once when all sources turn a VM away

Cause: by reading: if the store is silent to all three watchers and to nobody else, their followers would wait for another source for a second after the second in which the watchers notice; changes must be in force within two. Ruled out: a shorter patience for all: it spares the store a call of each VM when a fleet starts. Change: a source that answers that it has nothing to rely on ends the patience.

--- a/decisions/src/main/java/org/dahliapass/decisions/routing/UpstreamPlan.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/routing/UpstreamPlan.java
@@ -38,6 +38,7 @@
 
     private final FleetVm mSelf;
     private final Map<String, Long> mPassedOverUntil = new HashMap<>();
+    private long mTurnedAwayMillis = Long.MIN_VALUE / 2;
 
     /**
      * Creates a plan.
@@ -53,11 +54,22 @@
         mPassedOverUntil.put(source.name(), nowMillis + SILENT_PAUSE_MILLIS);
     }
 
-    /** Takes that a VM refused, or had nothing to rely on. */
+    /** Takes that a VM refused the connection or broke it off. */
     public void onRefused(FleetVm source, long nowMillis) {
         mPassedOverUntil.put(source.name(), nowMillis + REFUSED_PAUSE_MILLIS);
     }
 
+    /**
+     * Takes that a VM answered that it has nothing to rely on.
+     *
+     * <p>Guards against changes that come too late when the store is silent to all who watch it,
+     * and to nobody else: they know it after a second, so their followers have none left to wait.
+     */
+    public void onTurnedAway(FleetVm source, long nowMillis) {
+        onRefused(source, nowMillis);
+        mTurnedAwayMillis = nowMillis;
+    }
+
     /**
      * Returns where to wait for changes.
      *
@@ -80,7 +92,10 @@
         if (source.isPresent()) {
             return new Upstream.Vm(source.get());
         }
-        boolean patient = !watches && nowMillis - heardMillis < PATIENCE_MILLIS;
+        boolean patient =
+                !watches
+                        && nowMillis - heardMillis < PATIENCE_MILLIS
+                        && nowMillis - mTurnedAwayMillis >= PATIENCE_MILLIS;
         return patient ? new Upstream.Later(LOOK_AGAIN_MILLIS) : new Upstream.Store();
     }
 
--- a/decisions/src/test/java/org/dahliapass/decisions/routing/UpstreamPlanTest.java
+++ b/decisions/src/test/java/org/dahliapass/decisions/routing/UpstreamPlanTest.java
@@ -94,6 +94,18 @@
         assertEquals(plan.choose(mPlan, true, 0, 1_000), STORE);
     }
 
+    /**
+     * Callers get 404 for a new route for longer than 2 seconds. The store falls silent towards all
+     * VMs that watch it; they turn their followers away after a second, and these must not wait for
+     * another one.
+     */
+    @Test
+    public void storeIsAskedAtOnceByThoseWhomAllSourcesTurnAway() {
+        UpstreamPlan plan = plan(follower());
+        mPlan.watchers().forEach(vm -> plan.onTurnedAway(vm, 100));
+        assertEquals(plan.choose(mPlan, true, 100, 100), STORE);
+    }
+
     /** The store turns some VMs away and serves the others, which still tell what they hear. */
     @Test
     public void watcherThatTheStoreTurnsAwayFollowsAnother() {
--- a/gateway/src/main/java/org/dahliapass/gateway/ChangeFeed.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ChangeFeed.java
@@ -19,7 +19,6 @@
 import org.dahliapass.kernel.Kernel;
 import org.dahliapass.kernel.KernelService;
 import org.dahliapass.kernel.PeriodicTask;
-import org.dahliapass.kernel.StepException;
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.model.routing.FleetVm;
 import org.dahliapass.platform.KeyValueStore;
@@ -301,11 +300,13 @@
     }
 
     private void onPeerFailed(FleetVm peer, Throwable failure) {
-        boolean silent =
-                Futures.cause(failure) instanceof StepException step
-                        && Futures.cause(step.getCause()) instanceof TimeoutException;
-        if (silent) {
+        Throwable step = Futures.cause(failure);
+        // Without a cause the VM answered, and refused.
+        Throwable cause = Futures.cause(step.getCause());
+        if (cause instanceof TimeoutException) {
             mPlan.onSilent(peer, mLoop.nowMillis());
+        } else if (cause == null) {
+            mPlan.onTurnedAway(peer, mLoop.nowMillis());
         } else {
             mPlan.onRefused(peer, mLoop.nowMillis());
         }
@@ -321,7 +322,7 @@
                         takeAll(page.items(), page.revision());
                         return;
                     }
-                    mPlan.onRefused(peer, mLoop.nowMillis());
+                    mPlan.onTurnedAway(peer, mLoop.nowMillis());
                     readStore();
                 },
                 failure -> {
