Count the calls to the store by kind

Cause: which calls cost what could only be worked out from the sources: no metric and no line told them. Ruled out: the store's own accounts; its operators have them, this fleet's don't. Change: CountedStore counts each call on the metrics address and in a line each ten seconds. Figures: none; one test on the metrics address.

--- /dev/null
+++ b/gateway/src/main/java/org/dahliapass/gateway/CountedStore.java
@@ -0,0 +1,110 @@
+package org.dahliapass.gateway;
+
+import java.time.Duration;
+import java.util.EnumMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.dahliapass.kernel.ControlLoop;
+import org.dahliapass.kernel.PeriodicTask;
+import org.dahliapass.platform.KeyValueStore;
+import org.dahliapass.platform.RangePage;
+import org.dahliapass.platform.WatchAnswer;
+import org.dahliapass.traffic.EntryMetrics;
+
+/**
+ * Counts the calls to the store by kind, which its operators pay for one by one.
+ *
+ * <p>Any thread may call the store; the counts are told from the control thread.
+ */
+final class CountedStore implements KeyValueStore {
+    /** A line for each VM that called; short enough to tell a burst from a steady pace. */
+    private static final Duration PERIOD = Duration.ofSeconds(10);
+
+    private final KeyValueStore mStore;
+    private final EntryMetrics mMetrics;
+    private final EventLog mLog;
+    private final PeriodicTask mTelling;
+
+    /** Calls since the last line; guarded by itself. */
+    private final Map<Call, Integer> mCalls = new EnumMap<>(Call.class);
+
+    /** The kinds of calls; the store charges an old read and a renewal a tenth of the others. */
+    private enum Call {
+        READ,
+        OLD_READ,
+        WATCH,
+        WRITE,
+        LEASE,
+        RENEWAL,
+        LEASE_END
+    }
+
+    CountedStore(KeyValueStore store, ControlLoop loop, EntryMetrics metrics, EventLog log) {
+        mStore = store;
+        mMetrics = metrics;
+        mLog = log;
+        mTelling = new PeriodicTask(loop, PERIOD, this::tell);
+    }
+
+    private void count(Call call) {
+        mMetrics.onStoreCall(call.name().toLowerCase(Locale.ROOT));
+        synchronized (mCalls) {
+            mCalls.merge(call, 1, Integer::sum);
+        }
+        mTelling.wake();
+    }
+
+    private Optional<Duration> tell() {
+        Map<Call, Integer> calls;
+        synchronized (mCalls) {
+            calls = new EnumMap<>(mCalls);
+            mCalls.clear();
+        }
+        mLog.write(
+                EventLog.Kind.LOAD,
+                "store_calls",
+                line ->
+                        calls.forEach(
+                                (call, count) ->
+                                        line.put(call.name().toLowerCase(Locale.ROOT), count)));
+        return Optional.empty();
+    }
+
+    @Override
+    public CompletableFuture<RangePage> range(String prefix, String after, Freshness freshness) {
+        count(freshness == Freshness.CURRENT ? Call.READ : Call.OLD_READ);
+        return mStore.range(prefix, after, freshness);
+    }
+
+    @Override
+    public CompletableFuture<WatchAnswer> watch(String prefix, long revision, Duration wait) {
+        count(Call.WATCH);
+        return mStore.watch(prefix, revision, wait);
+    }
+
+    @Override
+    public CompletableFuture<Boolean> put(String key, byte[] value, long lease) {
+        count(Call.WRITE);
+        return mStore.put(key, value, lease);
+    }
+
+    @Override
+    public CompletableFuture<Long> grantLease(Duration timeToLive) {
+        count(Call.LEASE);
+        return mStore.grantLease(timeToLive);
+    }
+
+    @Override
+    public CompletableFuture<Boolean> renewLease(long lease) {
+        count(Call.RENEWAL);
+        return mStore.renewLease(lease);
+    }
+
+    @Override
+    public CompletableFuture<Void> endLease(long lease) {
+        count(Call.LEASE_END);
+        return mStore.endLease(lease);
+    }
+}
--- a/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
@@ -61,8 +61,7 @@
         mLoop = new ControlLoop(clock);
         EntryMetrics metrics = new EntryMetrics();
         TargetConnections connections = new TargetConnections(clock);
-        KeyValueStore store =
-                new HttpKeyValueStore(settings.store(), STORE_TIMEOUT, connections.client());
+        KeyValueStore store = store(settings, connections, metrics, log);
         StoreFollower follower = new StoreFollower(settings.vmsPerZone(), log);
         ChangeFeed feed = new ChangeFeed(settings, store, connections.client(), random, log);
         ServicePools pools = new ServicePools(clock, random, settings, metrics, log);
@@ -113,6 +112,16 @@
                 .register(WorkExchange.NAME, work);
     }
 
+    private KeyValueStore store(
+            GatewaySettings settings,
+            TargetConnections connections,
+            EntryMetrics metrics,
+            EventLog log) {
+        KeyValueStore store =
+                new HttpKeyValueStore(settings.store(), STORE_TIMEOUT, connections.client());
+        return new CountedStore(store, mLoop, metrics, log);
+    }
+
     /** Starts all services; requests are served once configuration is there. */
     public CompletableFuture<Void> start() {
         return mKernel.start();
--- a/gateway/src/test/java/org/dahliapass/gateway/GatewayLifeTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/GatewayLifeTest.java
@@ -129,4 +129,13 @@
         assertTrue(copy.contains("op/config"), copy);
         assertTrue(copy.contains("servers/i-1"), copy);
     }
+
+    /** The store's operators pay for each call, and must see which kind of call grows. */
+    @Test
+    public void callsToTheStoreAreCountedByKind() {
+        PathFixture.await(
+                () ->
+                        CallerStandIn.read(mPath.mSettings.self().peers(), "/metrics")
+                                .contains("dahliapass_store_calls_total{call=\"watch\"}"));
+    }
 }
--- a/traffic/src/main/java/org/dahliapass/traffic/EntryMetrics.java
+++ b/traffic/src/main/java/org/dahliapass/traffic/EntryMetrics.java
@@ -64,6 +64,13 @@
                     .help("Bytes of the copy of the store handed to VMs that follow this one.")
                     .withoutExemplars()
                     .register(mRegistry);
+    private final Counter mStoreCalls =
+            Counter.builder()
+                    .name("dahliapass_store_calls_total")
+                    .help("Calls to the store, by kind; it charges each.")
+                    .labelNames("call")
+                    .withoutExemplars()
+                    .register(mRegistry);
     private final Counter mActions =
             Counter.builder()
                     .name("dahliapass_actions_total")
@@ -113,6 +120,11 @@
         mCopiedBytes.inc((double) bytes);
     }
 
+    /** Counts a call to the store. */
+    public void onStoreCall(String call) {
+        mStoreCalls.labelValues(call).inc();
+    }
+
     /** Counts an automatic action. */
     public void onAction(String action) {
         mActions.labelValues(action).inc();
