--- a/gateway/src/test/java/org/dahliapass/gateway/ChangeFeedTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/ChangeFeedTest.java
@@ -109,6 +109,33 @@
         assertEquals(mStore.mWatched, List.of(1L));
     }
 
+    /**
+     * Callers get 404 for a new route 4 seconds after its change was acknowledged. The store drops
+     * its history: it cuts all watches, and one that begins just then hears nothing until its wait
+     * is over and is told only then that the history is gone. So the first watch after trouble is
+     * short, and only a store that goes on answering is asked for long ones.
+     */
+    @Test
+    public void watchAfterTroubleIsShort() {
+        long longest = 0;
+        for (int number = 0; number < 5; number++) {
+            mStore.answerWatch(number, List.of());
+            int next = number + 2;
+            PathFixture.await(() -> mStore.mWatches.get() == next);
+            longest = mStore.mWaits.get(number + 1).toMillis();
+        }
+        assertTrue(mStore.mWaits.get(0).toMillis() <= 500, "first: " + mStore.mWaits);
+        assertTrue(longest >= 3_000, "steady: " + mStore.mWaits);
+        mStore.mWaiting.get(5).completeExceptionally(new IllegalStateException("cut"));
+        PathFixture.await(() -> passTime() && mStore.mWatches.get() == 7);
+        assertTrue(mStore.mWaits.get(6).toMillis() <= 500, "after trouble: " + mStore.mWaits);
+    }
+
+    private boolean passTime() {
+        mClock.advance(Duration.ofMillis(10));
+        return true;
+    }
+
     /** After a loss of history what was removed meanwhile is known from a current read only. */
     @Test
     public void readAfterALossOfHistoryIsCurrent() {
@@ -205,6 +232,7 @@
         private final List<CompletableFuture<WatchAnswer>> mWaiting = new CopyOnWriteArrayList<>();
         private final List<Freshness> mFreshness = new CopyOnWriteArrayList<>();
         private final List<Long> mWatched = new CopyOnWriteArrayList<>();
+        private final List<Duration> mWaits = new CopyOnWriteArrayList<>();
         private volatile StoredItem mSelf;
 
         private void answerWatch(int number, List<StoreEvent> events) {
@@ -227,6 +255,7 @@
         public CompletableFuture<WatchAnswer> watch(String prefix, long revision, Duration wait) {
             CompletableFuture<WatchAnswer> answer = new CompletableFuture<>();
             mWatched.add(revision);
+            mWaits.add(wait);
             mWaiting.add(answer);
             mWatches.incrementAndGet();
             return answer;
