Hold the first watch after trouble for a short time only

Change: a VM that turns to the store, or whose watch failed or lost its history, is held for 400 ms first; the time doubles with each answer up to 3 s.

--- a/gateway/src/main/java/org/dahliapass/gateway/ChangeFeed.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ChangeFeed.java
@@ -47,6 +47,13 @@
      */
     private static final Duration STORE_WATCH = Duration.ofSeconds(3);
 
+    /**
+     * The same for the first watch after trouble; it doubles with each answer. Guards against a
+     * store that drops its history and lets a watch wait that begins in that moment: the watch
+     * hears nothing until it is over, and changes must be in force within 2 seconds.
+     */
+    private static final Duration FIRST_WATCH = Duration.ofMillis(400);
+
     /**
      * The same for a VM that is followed: it may lose power, and news must come within 2 seconds.
      */
@@ -89,6 +96,9 @@
     /** When this VM last heard from the store or from a VM that watches it, in milliseconds. */
     private long mHeardMillis = Long.MIN_VALUE / 2;
 
+    /** How long the store holds the next watch. */
+    private Duration mWatch = FIRST_WATCH;
+
     /** The store's revision up to which everything was taken. */
     private long mRevision;
 
@@ -240,6 +250,7 @@
         }
         String before = mSource;
         mSource = name;
+        mWatch = FIRST_WATCH;
         forgetOldPeers();
         mLog.write(
                 EventLog.Kind.DEPENDENCY,
@@ -258,9 +269,10 @@
         int number = mFollowNumber;
         StoreReader.onControl(
                 mLoop,
-                mStore.watch(StoreReader.EVERYTHING, revision, STORE_WATCH),
+                mStore.watch(StoreReader.EVERYTHING, revision, mWatch),
                 answer -> {
                     onStoreAnswered();
+                    lengthenWatch(answer);
                     if (number == mFollowNumber) {
                         mCurrent = true;
                         mSilenceCheck.wake();
@@ -275,6 +287,15 @@
                 });
     }
 
+    private void lengthenWatch(WatchAnswer answer) {
+        if (answer instanceof WatchAnswer.HistoryLost) {
+            mWatch = FIRST_WATCH;
+            return;
+        }
+        Duration longer = mWatch.multipliedBy(2);
+        mWatch = longer.compareTo(STORE_WATCH) < 0 ? longer : STORE_WATCH;
+    }
+
     /** Goes on waiting for changes, unless that was begun anew meanwhile. */
     private void followAgain(int number, long revision) {
         if (number == mFollowNumber) {
@@ -361,6 +382,7 @@
 
     @Override
     public void onStoreFailed(Throwable failure) {
+        mWatch = FIRST_WATCH;
         mBackoff.onFailure(mLoop.nowMillis());
         mFollower.onFailure(failure);
         setNotCurrent();
