Keep the floor share of the sound targets in use

What callers saw: while a tenth to a half of a service's requests were lost for any reason, less than the floor share of its sound targets got work.

Cause: a target is chosen by the least chance of loss, and doubt grows with the age of the last proof. Targets with the newest work keep proving themselves; one that got nothing for two seconds costs 0.04 to 0.1 more, as much as two or three slots of load, and is never tried. The floor bound only the ejections (TargetHealth), not this second way to leave a target without work.

Change: UseFloor. While fewer targets than the floor share of the sound ones, with a reserve, got work of any VM within 1.4 s, a request goes to one of those that got none, the best of them first. As sound count all but the learned share in bouts, at most what the floor lets go; all while more than 0.08 of the work is lost, since lost answers look like unsound targets.

--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/Balancer.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/Balancer.java
@@ -56,24 +56,26 @@
      * @param random draws the targets
      */
     public Balancer(SlotTable slots, double bulkyShare, RandomGenerator random) {
-        this("", slots, bulkyShare, random, new WorkEvidence(new ServiceTimes(), slots));
+        this("", 0, slots, bulkyShare, random, new WorkEvidence(new ServiceTimes(), slots));
     }
 
     /**
      * Starts without targets.
      *
      * @param zone this VM's availability zone
+     * @param floorShare the share of the sound targets that must stay in use; 0 for none
      * @param evidence what the newest work shows of the targets
      */
     public Balancer(
             String zone,
+            double floorShare,
             SlotTable slots,
             double bulkyShare,
             RandomGenerator random,
             WorkEvidence evidence) {
         mSlots = slots;
         mBulkySlotsPerTarget = Math.max(1, (int) (slots.slotsPerTarget() * bulkyShare));
-        mPlacement = new Placement(zone, slots, evidence, random);
+        mPlacement = new Placement(zone, floorShare, slots, evidence, random);
         mRandom = random;
     }
 
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/Placement.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/Placement.java
@@ -11,7 +11,8 @@
  * Chooses one of the targets that have a free slot.
  *
  * <p>A request goes where the chance of its loss is least, and among near equals where the load is
- * less. A target that failed is left alone until waiting for better ones costs more than the doubt.
+ * less. A target that failed is left alone until waiting for better ones costs more than the doubt,
+ * or until too few targets are in use ({@link UseFloor}).
  *
  * <p>Not safe for use by several threads: the caller guards it by the lock of its slot table. A
  * choice costs O(targets x VMs that report).
@@ -66,14 +67,22 @@
     private final SlotTable mSlots;
     private final WorkEvidence mEvidence;
     private final RandomGenerator mRandom;
+    private final UseFloor mFloor;
 
     /**
      * Joins what a choice needs.
      *
      * @param zone this VM's availability zone
+     * @param floorShare the share of the sound targets that must stay in use; 0 for none
      */
-    Placement(String zone, SlotTable slots, WorkEvidence evidence, RandomGenerator random) {
+    Placement(
+            String zone,
+            double floorShare,
+            SlotTable slots,
+            WorkEvidence evidence,
+            RandomGenerator random) {
         mZone = zone;
+        mFloor = new UseFloor(floorShare, evidence);
         mSlots = slots;
         mEvidence = evidence;
         mRandom = random;
@@ -88,7 +97,9 @@
      */
     Optional<Endpoint> choose(
             RequestKind kind, List<WeightedTarget> free, List<WeightedTarget> all, long nowMillis) {
-        List<WeightedTarget> targets = nearest(kind, acceptable(free, all, nowMillis));
+        List<WeightedTarget> best = nearest(kind, acceptable(free, all, nowMillis));
+        List<WeightedTarget> targets =
+                mFloor.among(best, nearest(kind, free), nearest(kind, all), nowMillis);
         return draw(HedgePolicy.mayHedge(kind), targets, nowMillis);
     }
 
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/WorkEvidence.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/WorkEvidence.java
@@ -27,6 +27,9 @@
     /** The weight of the newest request in the mix of requests: about the last fifty count. */
     private static final double NEWEST_WEIGHT = 0.02;
 
+    /** The weight of the newest work in the share that is lost: about the last hundred count. */
+    private static final double LOST_WEIGHT = 0.01;
+
     /** The share of requests that must not repeat while none came yet: either may come first. */
     private static final double UNKNOWN_SHARE = 0.5;
 
@@ -43,6 +46,7 @@
     private final List<WorkNews> mNews = new ArrayList<>();
     private Set<Endpoint> mToldInFlight = Set.of();
     private double mShareThatMustNotRepeat = UNKNOWN_SHARE;
+    private double mLostShare;
 
     /** What one other VM told of its unanswered work at a target. */
     private record PeerSilence(double silence, long atMillis) {}
@@ -52,6 +56,11 @@
         private final UnansweredWork mWork = new UnansweredWork();
         private final Map<String, PeerSilence> mPeers = new HashMap<>();
         private long mRestUntilMillis = Long.MIN_VALUE;
+        private long mUsedMillis = Long.MIN_VALUE / 2;
+
+        private void use(long millis) {
+            mUsedMillis = Math.max(mUsedMillis, millis);
+        }
     }
 
     /**
@@ -72,7 +81,9 @@
      */
     public void onStarted(RequestKind kind, Endpoint target, Object work, long nowMillis) {
         long overdueMillis = nowMillis + mTimes.unusualMillis(kind);
-        signs(target).mWork.start(work, overdueMillis, nowMillis);
+        TargetSigns signs = signs(target);
+        signs.use(nowMillis);
+        signs.mWork.start(work, overdueMillis, nowMillis);
     }
 
     private TargetSigns signs(Endpoint target) {
@@ -93,6 +104,7 @@
             Outcome outcome,
             long nowMillis) {
         boolean unjudged = signs(target).mWork.end(work);
+        noteLost(outcome);
         boolean late = nowMillis - startedMillis >= mTimes.unusualMillis(kind);
         switch (outcome) {
             case SUCCESS -> {
@@ -116,6 +128,20 @@
         }
     }
 
+    /** Counts what ended; work that was given up or refused by a full target says nothing. */
+    private void noteLost(Outcome outcome) {
+        if (outcome == Outcome.CANCELLED || outcome == Outcome.REFUSED_SHED) {
+            return;
+        }
+        double lost = outcome == Outcome.SUCCESS ? 0 : 1;
+        mLostShare += (lost - mLostShare) * LOST_WEIGHT;
+    }
+
+    /** Returns the share of this VM's newest work that was lost. */
+    public double lostShare() {
+        return mLostShare;
+    }
+
     private void onAnswered(Endpoint target, long startedMillis, long nowMillis) {
         boolean doubted = mBeliefs.chance(target, nowMillis) > DOUBT;
         onOwnEnd(target, WorkSign.ANSWERED, startedMillis);
@@ -176,6 +202,7 @@
 
     /** Takes another VM's news. */
     public void onPeerNews(WorkNews news) {
+        signs(news.target()).use(news.sentMillis());
         onPeerEnd(news.target(), news.sign(), news.sentMillis());
     }
 
@@ -186,10 +213,15 @@
      */
     public void onPeerReport(String vm, List<TargetWork> report, long nowMillis) {
         for (TargetWork work : report) {
-            work.provenMillis()
-                    .ifPresent(sent -> onPeerEnd(work.target(), WorkSign.ANSWERED, sent));
             TargetSigns signs = signs(work.target());
+            work.provenMillis()
+                    .ifPresent(
+                            sent -> {
+                                signs.use(sent);
+                                onPeerEnd(work.target(), WorkSign.ANSWERED, sent);
+                            });
             if (work.inFlight() > 0) {
+                signs.use(nowMillis);
                 signs.mPeers.put(vm, new PeerSilence(work.silence(), nowMillis));
             } else {
                 signs.mPeers.remove(vm);
@@ -245,6 +277,12 @@
         return mBeliefs.seenMillis(target);
     }
 
+    /** Returns when any VM last had work at a target, as far as this one knows. */
+    public long usedMillis(Endpoint target) {
+        TargetSigns signs = mTargets.get(target);
+        return signs == null ? Long.MIN_VALUE / 2 : signs.mUsedMillis;
+    }
+
     /** Returns whether the target was full a moment ago. */
     public boolean isResting(Endpoint target, long nowMillis) {
         TargetSigns signs = mTargets.get(target);
--- a/decisions/src/test/java/org/dahliapass/decisions/traffic/PlacementTest.java
+++ b/decisions/src/test/java/org/dahliapass/decisions/traffic/PlacementTest.java
@@ -30,7 +30,7 @@
     public void start() {
         mSlots = new SlotTable(SLOTS, 1_000);
         mEvidence = new WorkEvidence(new ServiceTimes(), mSlots);
-        mPlacement = new Placement(ZONE, mSlots, mEvidence, new SplittableRandom(3));
+        mPlacement = new Placement(ZONE, 0.7, mSlots, mEvidence, new SplittableRandom(3));
         for (int number = 0; number < TARGETS; number++) {
             for (int proof = 0; proof < 5; proof++) {
                 answered(number, NOW - 100 - 10L * proof);
--- a/decisions/src/test/java/org/dahliapass/decisions/traffic/RetryPolicyTest.java
+++ b/decisions/src/test/java/org/dahliapass/decisions/traffic/RetryPolicyTest.java
@@ -173,7 +173,7 @@
         mSlots = new SlotTable(10_000, 1_000);
         mTimes = new ServiceTimes();
         mEvidence = new WorkEvidence(mTimes, mSlots);
-        Balancer balancer = new Balancer("", mSlots, 0.5, new SplittableRandom(1), mEvidence);
+        Balancer balancer = new Balancer("", 0, mSlots, 0.5, new SplittableRandom(1), mEvidence);
         balancer.onTargets(Kinds.targets(3));
         mRetries = new RetryPolicy(retryBudget, balancer, mSlots, mTimes);
         mHedges = new HedgePolicy(hedgeBudget, balancer, mSlots, mTimes, mEvidence);
--- a/traffic/src/main/java/org/dahliapass/traffic/ServiceRuntime.java
+++ b/traffic/src/main/java/org/dahliapass/traffic/ServiceRuntime.java
@@ -87,7 +87,12 @@
         mEvidence = new WorkEvidence(mTimes, mSlots);
         mBalancer =
                 new Balancer(
-                        zone, mSlots, Balancer.bulkyShare(template.kinds()), random, mEvidence);
+                        zone,
+                        template.floorShare(),
+                        mSlots,
+                        Balancer.bulkyShare(template.kinds()),
+                        random,
+                        mEvidence);
         mQueue =
                 new AdmissionQueue<>(
                         QueueLimits.forService(template), mSlots, mBalancer, mTimes, random);
