Add failing tests: work after its end, and a route denied without news

What callers see: their request runs seconds after their time was over, and a proper request of a new route ends 404 at a VM that has no news.

--- a/gateway/src/test/java/org/dahliapass/gateway/GatewayCallerGoneTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/GatewayCallerGoneTest.java
@@ -134,6 +134,29 @@
         assertEquals(mPath.seen("/slow/queued"), 0);
     }
 
+    /**
+     * A target ran a sign-off ten seconds after its caller had left. A request that must not repeat
+     * goes on when its caller leaves, since stopping it midway would leave its effect unknown; but
+     * nothing ended it once its time was over, so what a cut link held back was still delivered.
+     */
+    @Test
+    public void lockWhoseCallerLeftEndsWithItsTime() throws IOException {
+        behave(Behaviour.HANG);
+        String lock =
+                request("/l/left", false)
+                        .replace("GET", "POST")
+                        .replace(": 60000\r\n", ": 300\r\nContent-Length: 0\r\n");
+        Socket caller = mPath.caller().open(lock);
+        PathFixture.await(() -> mPath.seen("/l/left") == 1);
+        caller.close();
+        // Idle connections end after a while, too; the one that carries the lock is the last.
+        PathFixture.await(() -> ended() == opened());
+    }
+
+    private int opened() {
+        return mPath.mTargets.stream().mapToInt(SealingTargetStandIn::connections).sum();
+    }
+
     private int ended() {
         return mPath.mTargets.stream().mapToInt(SealingTargetStandIn::endedConnections).sum();
     }
--- a/gateway/src/test/java/org/dahliapass/gateway/GatewayLifeTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/GatewayLifeTest.java
@@ -138,4 +138,20 @@
                         CallerStandIn.read(mPath.mSettings.self().peers(), "/metrics")
                                 .contains("dahliapass_store_calls_total{call=\"watch\"}"));
     }
+
+    /**
+     * Callers of a new route are told for good that there is none. The VM hears nothing from the
+     * store, so its newest version is old; on a fleet whose VMs were all short of processor, 772
+     * proper requests ended 404 within seconds of the acknowledgement of the route.
+     */
+    @Test
+    public void routeIsNotDeniedByAVmWithoutNews() {
+        try (PathFixture path = new PathFixture()) {
+            assertEquals(CallerStandIn.status(path.get("/new/")), 404);
+            path.mStore.setAway(true);
+            PathFixture.await(() -> CallerStandIn.status(path.get("/new/")) == 503);
+            path.mStore.setAway(false);
+            PathFixture.await(() -> CallerStandIn.status(path.get("/new/")) == 404);
+        }
+    }
 }
--- a/standins/src/main/java/org/dahliapass/standins/SealingTargetStandIn.java
+++ b/standins/src/main/java/org/dahliapass/standins/SealingTargetStandIn.java
@@ -219,6 +219,11 @@
         mEnded.incrementAndGet();
     }
 
+    /** Returns how many connections were opened to it. */
+    public int connections() {
+        return mConnections.size();
+    }
+
     /** Returns how many of its connections have ended, whoever closed them. */
     public int endedConnections() {
         return mEnded.get();
