Reset the connection of a request that is given up

What callers saw: their request ran 10.7 s after their time was over, at a target that had said 2.7 s before that it leaves.

Cause: the connection of an offer that was given up was closed in the ordinary way. The kernel then still holds what it could not deliver over a cut link, and delivers it once the link is back. Class: an end that is taken for done when it was only asked for. Ruled out: the VM sent it anew (one arrival at the target, from a VM whose caller's time had been over for 10 s).

Change: ConnectionEnd says how a connection closes; one that carries a request is reset, which drops what the kernel holds. The same for the store's client and for copies of other VMs, which use this client, and for a client that stops.

--- a/http/src/main/java/org/dahliapass/http/ClientConnection.java
+++ b/http/src/main/java/org/dahliapass/http/ClientConnection.java
@@ -1,7 +1,6 @@
 package org.dahliapass.http;
 
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.HttpContent;
@@ -74,8 +73,13 @@
         return mChannel.isActive();
     }
 
+    /** Closes the connection; a request that it carries must not reach the server any more. */
     void close() {
-        ChannelFuture unused = mChannel.close();
+        end().close(mChannel);
+    }
+
+    private ConnectionEnd end() {
+        return mCall == null ? ConnectionEnd.GRACEFUL : ConnectionEnd.ABORTIVE;
     }
 
     void setReading(boolean reading) {
@@ -223,9 +227,10 @@
 
     private void fail(Throwable failure) {
         ClientCall call = mCall;
+        ConnectionEnd end = end();
         mCall = null;
         mKeepsOpen = false;
-        close();
+        end.close(mChannel);
         if (call != null && !mEnded) {
             call.fail(failure);
         }
--- a/http/src/main/java/org/dahliapass/http/HttpClient.java
+++ b/http/src/main/java/org/dahliapass/http/HttpClient.java
@@ -2,7 +2,6 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -44,7 +43,7 @@
     /** Belongs to the event loop, as all below. */
     private final Map<Endpoint, Deque<ClientConnection>> mIdle = new HashMap<>();
 
-    private final Set<Channel> mOpen = new HashSet<>();
+    private final Set<ClientConnection> mOpen = new HashSet<>();
     private boolean mChecking;
 
     /**
@@ -187,9 +186,7 @@
         CompletableFuture<Void> stopped = new CompletableFuture<>();
         mLoop.execute(
                 () -> {
-                    for (Channel open : List.copyOf(mOpen)) {
-                        ChannelFuture unused = open.close();
-                    }
+                    List.copyOf(mOpen).forEach(ClientConnection::close);
                     mLoop.execute(() -> stopped.complete(null));
                 });
         return stopped;
@@ -213,8 +210,8 @@
                             mConnection.guard(),
                             new HttpClientCodec(config, false, false),
                             mConnection);
-            mOpen.add(channel);
-            channel.closeFuture().addListener(closed -> mOpen.remove(channel));
+            mOpen.add(mConnection);
+            channel.closeFuture().addListener(closed -> mOpen.remove(mConnection));
         }
     }
 }
