End a request whose caller left when its time is over

What callers saw: nothing; their request ran seconds after they had left.

Cause: a request that must not repeat goes on at its target when its caller leaves, and its deadline's timer was cancelled with the caller's answer. At a silent target, or over a cut link, nothing ended it any more; its slot stayed taken, too. Class: an end that was tied to the answer and not to the work.

Change: the timer stays while an offer runs, and stops it. Before and after: GatewayCallerGoneTest#lockWhoseCallerLeftEndsWithItsTime failed after 20 s of waiting, and passes; all 76 tests of the module pass.

--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
@@ -260,8 +260,13 @@
         finish(mAnswers.refused(wait), GatewayAnswers.UNAVAILABLE, reason);
     }
 
+    /**
+     * Guards against a request that runs long after its caller left: one that must not repeat goes
+     * on at its target then, but over a cut link it may not have arrived there yet.
+     */
     private void onDeadline() {
         if (mDone) {
+            stopOffers(FailureKind.TIMED_OUT);
             return;
         }
         boolean mayHaveRun = mMayHaveRun || !mRunning.isEmpty();
@@ -279,7 +284,8 @@
 
     /**
      * A request that may repeat is stopped at its target, which has better to do. One that must not
-     * repeat goes on once it was sent: stopping it midway would leave its effect unknown.
+     * repeat goes on once it was sent, until its time is over: stopping it midway would leave its
+     * effect unknown.
      */
     private void onCallerGone() {
         if (mDone) {
@@ -303,7 +309,6 @@
 
     private void finish(CallerAnswer answer, int status, String outcome) {
         mDone = true;
-        mDeadline.cancel(false);
         if (mHedge != null) {
             mHedge.cancel(false);
         }
@@ -315,6 +320,9 @@
         } else if (mWaiting != null) {
             mWaiting.cancel(false);
         }
+        if (mRunning.isEmpty()) {
+            mDeadline.cancel(false);
+        }
         mError.filter(error -> error.answer() != answer).ifPresent(error -> error.answer().drop());
         log(status, outcome);
     }
