Deny no route without recent news

What callers saw: proper requests of a new route ended 404, for good.

Cause: a VM whose news are late has an old version and doesn't know it. The recorded VMs had no work and failed their readiness checks, so they were short of processor, and answered 404 for a route of a version that had been acknowledged 2.6 s before. Class: a confident answer from stale state.

Change: a VM that heard of changes more than 1.5 s ago answers 503 with Retry-After where it knows no route.

--- a/gateway/src/main/java/org/dahliapass/gateway/ChangeFeed.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ChangeFeed.java
@@ -75,6 +75,12 @@
      */
     private static final Duration GATHER = Duration.ofMillis(300);
 
+    /**
+     * News that are older leave room for a version that this VM should have: versions must be in
+     * force within 2 seconds, and a VM that is well hears from its source about every second.
+     */
+    private static final long NEWS_KEPT_MILLIS = 1_500;
+
     /** How soon a VM that knows of nobody who watches the store reads it again, for its peers. */
     private static final Duration LOOK_FOR_FLEET = Duration.ofSeconds(1);
 
@@ -90,11 +96,11 @@
     private PeriodicTask mSilenceCheck;
     private StoreFollower mFollower;
     private StoreReader mReader;
-    private boolean mCurrent;
+    private volatile boolean mCurrent;
     private String mSource = "";
 
     /** When this VM last heard from the store or from a VM that watches it, in milliseconds. */
-    private long mHeardMillis = Long.MIN_VALUE / 2;
+    private volatile long mHeardMillis = Long.MIN_VALUE / 2;
 
     /** How long the store holds the next watch. */
     private Duration mWatch = FIRST_WATCH;
@@ -129,6 +135,15 @@
         return mCurrent;
     }
 
+    /**
+     * Returns whether this VM heard of changes so lately that a route which it doesn't know isn't
+     * in force anywhere; any thread may call this.
+     */
+    boolean isUpToDate() {
+        long heard = mCurrent ? Math.max(mHeardMillis, mFollower.heardMillis()) : mHeardMillis;
+        return mLoop.nowMillis() - heard <= NEWS_KEPT_MILLIS;
+    }
+
     /** Adds what is run when there may be something new for those that follow this VM. */
     void onStep(Runnable listener) {
         mListeners.add(listener);
--- a/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
@@ -80,6 +80,7 @@
                         log,
                         new GatewayAnswers(random),
                         mLoad,
+                        feed::isUpToDate,
                         () -> {
                             pools.onWork();
                             work.onWork();
--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyHandler.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyHandler.java
@@ -8,6 +8,7 @@
 import java.time.Clock;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import org.dahliapass.decisions.routing.RouteTable;
 import org.dahliapass.decisions.routing.ShareChooser;
 import org.dahliapass.http.RequestHandler;
@@ -43,6 +44,7 @@
     private final EventLog mLog;
     private final GatewayAnswers mAnswers;
     private final VmLoad mLoad;
+    private final BooleanSupplier mUpToDate;
     private final Runnable mOnWork;
     private RouteTable mRoutes;
 
@@ -57,6 +59,7 @@
             EventLog log,
             GatewayAnswers answers,
             VmLoad load,
+            BooleanSupplier upToDate,
             Runnable onWork) {
         mClock = clock;
         mSettings = settings;
@@ -68,6 +71,7 @@
         mLog = log;
         mAnswers = answers;
         mLoad = load;
+        mUpToDate = upToDate;
         mOnWork = onWork;
     }
 
@@ -95,7 +99,7 @@
         RequestTarget target = RequestTarget.of(head);
         Optional<RouteRule> route = routes.find(target.authority(), target.pathOnly());
         if (route.isEmpty()) {
-            mAnswers.noRoute().give(call);
+            denyOrPutOff(call, routes);
             return;
         }
         if (!head.headers().contains(TargetHeaders.ATTEMPT_ID)) {
@@ -119,6 +123,30 @@
                 () -> mAnswers.tooLarge().give(call));
     }
 
+    /**
+     * Says that there is no such route, or asks the caller to come back while that isn't sure.
+     *
+     * <p>Guards against a VM whose news are late, because it is short of processor or its source is
+     * silent: callers of a route that is new would be told for good that there is none.
+     */
+    private void denyOrPutOff(ServerCall call, RouteTable routes) {
+        if (mUpToDate.getAsBoolean()) {
+            mAnswers.noRoute().give(call);
+            return;
+        }
+        HttpHeaders headers = call.head().headers();
+        long wait = mAnswers.comeBackMillis(patience(headers, UNTOLD_PATIENCE_MILLIS));
+        mLog.write(
+                EventLog.Kind.REQUEST,
+                "route_unsure",
+                line ->
+                        line.put("id", headers.get(TargetHeaders.ATTEMPT_ID, ""))
+                                .put("version", routes.configuration().version())
+                                .put("come_back_ms", wait)
+                                .put("cause", "no news of changes for too long"));
+        mAnswers.refused(wait).give(call);
+    }
+
     /**
      * Refuses a request before any work is done on it, so that the caller may come back at another
      * VM while it has time, and this VM gets through what it has.
--- a/gateway/src/main/java/org/dahliapass/gateway/StoreFollower.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/StoreFollower.java
@@ -63,7 +63,7 @@
     private boolean mReadsAll;
 
     private long mAwaySinceMillis;
-    private long mHeardMillis = Long.MIN_VALUE / 2;
+    private volatile long mHeardMillis = Long.MIN_VALUE / 2;
     private double mDemand;
 
     /** The changes of targets and of VMs that the published view has. */
@@ -106,7 +106,7 @@
         return mAway;
     }
 
-    /** Returns when the store last answered a call of this VM, in milliseconds. */
+    /** Returns when the store last answered a call, in milliseconds; any thread may call this. */
     long heardMillis() {
         return mHeardMillis;
     }
