Refuse requests whose end or meaning can be told in two ways

What callers risk: a part of one request runs as another one that nobody asked for, since two readers of the same bytes find different requests.

Change: RequestRule holds what a head must keep to (RFC 9112, 2.3, 3, 6.1 and 6.3; RFC 9110, 7.2): version 1.0 or 1.1 (505), chunked alone and once (501, and 400 from an old client), one proper host, a visible path. A target's answer with another coding fails. A Connection header can't take out the attempt's id or the signature.

The test of a fold that was joined is replaced by a stricter one: it is refused, since the library behind joins it in silence and others don't.

Not done: an answer of a target with both a length and chunks is still read by its chunks; a second reader for the fuzz; limits on what each caller may hold.

--- a/gateway/src/main/java/org/dahliapass/gateway/TargetOffer.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/TargetOffer.java
@@ -6,7 +6,9 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.util.AsciiString;
 import java.time.Clock;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.dahliapass.decisions.health.Outcome;
@@ -37,6 +39,13 @@
 
     private static final int FIRST_BODY_BYTES = 1_024;
 
+    /**
+     * Guards against a caller, or a target, that has the proof of who asked and who answered taken
+     * out on its way by naming it among the headers of its connection.
+     */
+    private static final List<AsciiString> ALWAYS_PASSED_ON =
+            List.of(TargetHeaders.ATTEMPT_ID, TargetHeaders.SIGNATURE);
+
     private final double mChanceOfBout;
     private final ProxyRequest mRequest;
     private final Slot mSlot;
@@ -116,7 +125,7 @@
 
     private HttpHeaders headersFor(long remaining) {
         HttpHeaders headers = new DefaultHttpHeaders().set(mRequest.headers());
-        HopHeaders.strip(headers);
+        HopHeaders.strip(headers, ALWAYS_PASSED_ON);
         headers.set(TargetHeaders.TIME_LEFT_MILLIS, Long.toString(remaining));
         headers.remove(TargetHeaders.EXPECTED_INSTANCE);
         instance().ifPresent(found -> headers.set(TargetHeaders.EXPECTED_INSTANCE, found));
@@ -219,7 +228,7 @@
 
     private HttpHeaders forCaller() {
         HttpHeaders headers = mHead.headers();
-        HopHeaders.strip(headers);
+        HopHeaders.strip(headers, ALWAYS_PASSED_ON);
         return headers;
     }
 
--- a/http/src/main/java/org/dahliapass/http/ClientConnection.java
+++ b/http/src/main/java/org/dahliapass/http/ClientConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
@@ -15,6 +16,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.net.ProtocolException;
 import java.nio.channels.ClosedChannelException;
+import java.util.List;
 import java.util.function.Consumer;
 
 /** One connection to a server, which carries one request at a time. */
@@ -149,6 +151,11 @@
         if (mInformational) {
             return;
         }
+        List<String> codings = head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        if (!codings.isEmpty() && !RequestRule.isChunkedAlone(codings)) {
+            fail(new ProtocolException("The answer's end can't be told: " + codings));
+            return;
+        }
         mHeadCame = true;
         mKeepsOpen = HttpUtil.isKeepAlive(head) && isFramed(head);
         mKeptMillis = keptMillis(head.headers());
--- a/http/src/main/java/org/dahliapass/http/HopHeaders.java
+++ b/http/src/main/java/org/dahliapass/http/HopHeaders.java
@@ -20,11 +20,16 @@
 
     private HopHeaders() {}
 
-    /** Takes them out, and those that a Connection header names. */
-    public static void strip(HttpHeaders headers) {
+    /**
+     * Takes them out, and those that a Connection header names.
+     *
+     * @param kept headers that stay whatever a Connection header names, since this VM or the other
+     *     side can't do without them
+     */
+    public static void strip(HttpHeaders headers, List<AsciiString> kept) {
         for (String value : headers.getAll(HttpHeaderNames.CONNECTION)) {
             for (String name : value.split(",", -1)) {
-                removeNamed(headers, name.trim());
+                removeNamed(headers, name.trim(), kept);
             }
         }
         ALWAYS.forEach(headers::remove);
@@ -34,11 +39,12 @@
      * Guards against a peer that names a header of the message itself, its length for instance, and
      * so has it passed on as another message than it sent.
      */
-    private static void removeNamed(HttpHeaders headers, String name) {
+    private static void removeNamed(HttpHeaders headers, String name, List<AsciiString> kept) {
         boolean ofMessage =
                 HttpHeaderNames.HOST.contentEqualsIgnoreCase(name)
                         || HttpHeaderNames.CONTENT_LENGTH.contentEqualsIgnoreCase(name);
-        if (!name.isEmpty() && !ofMessage) {
+        boolean isKept = kept.stream().anyMatch(one -> one.contentEqualsIgnoreCase(name));
+        if (!name.isEmpty() && !ofMessage && !isKept) {
             headers.remove(name);
         }
     }
--- a/http/src/main/java/org/dahliapass/http/ServerConnection.java
+++ b/http/src/main/java/org/dahliapass/http/ServerConnection.java
@@ -8,13 +8,11 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
@@ -22,6 +20,7 @@
 import java.time.Clock;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 
 /**
  * One client's connection: its requests one after another, each answered before the next is taken.
@@ -30,9 +29,6 @@
     /** Pieces of pipelined requests that are held before no more is read from the client. */
     private static final int MOST_HELD = 64;
 
-    /** The first character behind those that a request's path may have. */
-    private static final char DELETE = 0x7f;
-
     private final RequestHandler mHandler;
     private final Clock mClock;
     private final ServerCodec mCodec = new ServerCodec(this::onBytes);
@@ -169,8 +165,9 @@
 
     private void begin(HttpRequest head) {
         mWriter.onRequest(head);
-        if (!isProper(head)) {
-            refuse(HttpResponseStatus.BAD_REQUEST);
+        Optional<HttpResponseStatus> refusal = RequestRule.firstRefusal(head);
+        if (refusal.isPresent()) {
+            refuse(refusal.get());
             return;
         }
         mAsksToContinue = HttpUtil.is100ContinueExpected(head);
@@ -179,18 +176,6 @@
         mHandler.onRequest(mCall);
     }
 
-    /**
-     * Guards against a request that another reader takes for another one: several hosts, or a path
-     * with bytes that change when they are written again.
-     */
-    private static boolean isProper(HttpRequest head) {
-        int hosts = head.headers().getAll(HttpHeaderNames.HOST).size();
-        boolean needsHost = head.protocolVersion().equals(HttpVersion.HTTP_1_1);
-        return hosts <= 1
-                && (hosts == 1 || !needsHost)
-                && head.uri().chars().allMatch(letter -> letter > ' ' && letter < DELETE);
-    }
-
     private void onContent(HttpContent content) {
         if (mCall == null) {
             return;
--- a/http/src/test/java/org/dahliapass/http/HopHeadersTest.java
+++ b/http/src/test/java/org/dahliapass/http/HopHeadersTest.java
@@ -8,6 +8,8 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.AsciiString;
+import java.util.List;
 import org.testng.annotations.Test;
 
 /** Tests of {@link HopHeaders} and {@link RequestTarget}. */
@@ -23,7 +25,7 @@
                         .add("Keep-Alive", "timeout=5")
                         .add("Transfer-Encoding", "chunked")
                         .add("X-Stays", "3");
-        HopHeaders.strip(headers);
+        HopHeaders.strip(headers, List.of());
         assertEquals(headers.entries().toString(), "[X-Stays=3]");
     }
 
@@ -35,10 +37,22 @@
                         .add("Connection", "Host, Content-Length")
                         .add("Host", "a")
                         .add("Content-Length", "2");
-        HopHeaders.strip(headers);
+        HopHeaders.strip(headers, List.of());
         assertEquals(headers.entries().toString(), "[Host=a, Content-Length=2]");
     }
 
+    /** A caller must not have the id of its request taken out, by which at most once is told. */
+    @Test
+    public void keptHeadersStayWhateverConnectionNames() {
+        HttpHeaders headers =
+                new DefaultHttpHeaders()
+                        .add("Connection", "X-Id, X-Other")
+                        .add("X-Id", "7")
+                        .add("X-Other", "8");
+        HopHeaders.strip(headers, List.of(AsciiString.of("x-id")));
+        assertEquals(headers.entries().toString(), "[X-Id=7]");
+    }
+
     @Test
     public void targetIsReadFromThePathOrFromAWholeAddress() {
         assertEquals(target("/a/b?c=/d"), new RequestTarget("h", "/a/b?c=/d"));
--- a/http/src/test/java/org/dahliapass/http/ServerConnectionTest.java
+++ b/http/src/test/java/org/dahliapass/http/ServerConnectionTest.java
@@ -136,15 +136,72 @@
                 "the request behind was taken");
     }
 
-    /**
-     * A line that begins with a space goes on with the header before it, whatever it looks like.
-     */
-    @Test
-    public void foldedLineIsNoHeaderOfItsOwn() {
+    /** Requests whose end or meaning can be told in two ways: section, status, request. */
+    @DataProvider
+    public Object[][] ambiguous() {
+        String post = "POST /outer HTTP/1.1\n" + HOST;
+        return new Object[][] {
+            {"RFC 9112, 6.1: an unknown coding", 501, post + "Transfer-Encoding: gzip\n\n"},
+            {"RFC 9112, 6.1: no coding", 501, post + "Transfer-Encoding: identity\n\n"},
+            {"RFC 9112, 6.3: not the last", 501, post + "Transfer-Encoding: chunked, gzip\n\n"},
+            {"RFC 9112, 6.3: not alone", 501, post + "Transfer-Encoding: gzip, chunked\n\n"},
+            {"RFC 9112, 7: quoted", 501, post + "Transfer-Encoding: \"chunked\"\n\n0\n\n"},
+            {
+                "RFC 9112, 6.1: twice",
+                501,
+                post + "Transfer-Encoding: chunked\nTransfer-Encoding: chunked\n\n0\n\n"
+            },
+            {
+                "RFC 9112, 6.1: beside a length",
+                501,
+                post + "Transfer-Encoding: gzip\nContent-Length: 2\n\nok"
+            },
+            {
+                "RFC 9112, 6.1: by an old client",
+                400,
+                "POST / HTTP/1.0\n" + HOST + "Transfer-Encoding: chunked\n\n0\n\n"
+            },
+            {"RFC 9112, 5.2: a fold", 400, post + "X-A: b\n Content-Length: 9\n\n"},
+            {"RFC 9112, 5.2: a fold by a tab", 400, post + "X-A: b\n\tc\n\n"},
+            {"RFC 9112, 5.2: before all headers", 400, "GET / HTTP/1.1\n X-A: b\n" + HOST + "\n"},
+            {"RFC 9112, 2.2: before the line", 400, " GET / HTTP/1.1\n" + HOST + "\n"},
+            {"RFC 9112, 3: two blanks", 400, "GET  / HTTP/1.1\n" + HOST + "\n"},
+            {"RFC 9112, 3: two blanks", 400, "GET /  HTTP/1.1\n" + HOST + "\n"},
+            {"RFC 9112, 3: a tab", 400, "GET\t/ HTTP/1.1\n" + HOST + "\n"},
+            {"RFC 9112, 2.3: version", 505, "GET / HTTP/2.0\n" + HOST + "\n"},
+            {"RFC 9112, 2.3: version", 505, "GET / HTTP/1.2\n" + HOST + "\n"},
+            {"RFC 9110, 7.2: a host with a blank", 400, "GET / HTTP/1.1\nHost: a b\n\n"},
+            {"RFC 9110, 7.2: an empty host", 400, "GET / HTTP/1.1\nHost:\n\n"},
+        };
+    }
+
+    /** Nothing runs that no caller asked for: the bytes behind such a request belong to nobody. */
+    @Test(dataProvider = "ambiguous")
+    public void ambiguousRequestIsRefusedAndNothingBehindItIsRead(
+            String section, int status, String request) {
         ServerFixture server = new ServerFixture();
-        server.send("GET /a HTTP/1.1\n" + HOST + "X-A: b\n Content-Length: 9\n\n");
-        assertEquals(server.mCalls.size(), 1);
-        assertFalse(server.mCalls.get(0).head().headers().contains("Content-Length"));
+        server.send(request);
+        server.send("GET /inner HTTP/1.1\n" + HOST + "\n");
+        String answer = server.received();
+        assertTrue(answer.startsWith("HTTP/1.1 " + status + " "), section + ": " + answer);
+        assertFalse(server.mChannel.isActive(), section);
+        assertEquals(server.mCalls.size(), 0, section);
+    }
+
+    /** The same however the network cuts the bytes, and behind a request that was served. */
+    @Test(dataProvider = "ambiguous")
+    public void ambiguousRequestBehindAnotherOneIsRefused(
+            String section, int status, String request) {
+        ServerFixture server =
+                new ServerFixture(call -> call.answer(Answer.of(HttpResponseStatus.OK)));
+        server.send("\nPOST /first HTTP/1.1\n" + HOST + "Content-Length: 2\n\n x");
+        for (int place = 0; place < request.length(); place++) {
+            server.send(request.substring(place, place + 1));
+        }
+        String answer = server.received();
+        assertTrue(answer.contains("HTTP/1.1 " + status + " "), section + ": " + answer);
+        assertFalse(server.mChannel.isActive(), section);
+        assertEquals(server.mCalls.size(), 1, section);
     }
 
     @Test
