Refuse answers whose end can be told in two ways

What callers risk: an answer that looks whole and isn't, or the rest of one taken for the next one on the same connection.

Cause: the library's client codec drops the length of an answer that has chunks as well, and reads on.

--- a/http/src/main/java/org/dahliapass/http/ClientConnection.java
+++ b/http/src/main/java/org/dahliapass/http/ClientConnection.java
@@ -27,6 +27,7 @@
     private static final long MILLIS_PER_SECOND = 1_000;
 
     private final Consumer<ClientConnection> mOnFree;
+    private final ClientCodec mCodec = new ClientCodec();
     private Channel mChannel;
     private ClientCall mCall;
     private boolean mInformational;
@@ -71,6 +72,11 @@
         };
     }
 
+    /** Returns the codec that stands before this handler. */
+    ClientCodec codec() {
+        return mCodec;
+    }
+
     boolean isOpen() {
         return mChannel.isActive();
     }
@@ -104,6 +110,7 @@
         mEnded = false;
         mWritten = false;
         call.attach(this);
+        mCodec.setBodiless(HttpMethod.HEAD.equals(call.method()));
         mChannel.writeAndFlush(call.message())
                 .addListener(
                         done -> {
--- a/http/src/main/java/org/dahliapass/http/HttpClient.java
+++ b/http/src/main/java/org/dahliapass/http/HttpClient.java
@@ -9,8 +9,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.util.concurrent.Future;
@@ -33,8 +31,6 @@
     /** How often idle connections are looked at, while there are any. */
     private static final long CHECK_MILLIS = 1_000;
 
-    private static final int MOST_HEAD_BYTES = 64 * 1024;
-
     private final EventLoop mLoop;
     private final Clock mClock;
     private final long mIdleMillis;
@@ -201,15 +197,7 @@
 
         @Override
         protected void initChannel(SocketChannel channel) {
-            HttpDecoderConfig config =
-                    new HttpDecoderConfig()
-                            .setMaxInitialLineLength(MOST_HEAD_BYTES)
-                            .setMaxHeaderSize(MOST_HEAD_BYTES);
-            channel.pipeline()
-                    .addLast(
-                            mConnection.guard(),
-                            new HttpClientCodec(config, false, false),
-                            mConnection);
+            channel.pipeline().addLast(mConnection.guard(), mConnection.codec(), mConnection);
             mOpen.add(mConnection);
             channel.closeFuture().addListener(closed -> mOpen.remove(mConnection));
         }
--- a/http/src/test/java/org/dahliapass/http/ClientConnectionTest.java
+++ b/http/src/test/java/org/dahliapass/http/ClientConnectionTest.java
@@ -8,7 +8,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
@@ -17,6 +16,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests of {@link ClientConnection}; the test is the server. */
@@ -34,7 +34,7 @@
         mFree = new ArrayList<>();
         mSeen = new ArrayList<>();
         mConnection = new ClientConnection(mFree::add);
-        mChannel = new EmbeddedChannel(mConnection.guard(), new HttpClientCodec(), mConnection);
+        mChannel = new EmbeddedChannel(mConnection.guard(), mConnection.codec(), mConnection);
         mCall =
                 new ClientCall(
                         HttpMethod.GET,
@@ -125,6 +125,27 @@
         assertEquals(mSeen, List.of("head 200", "hi", "failed"));
     }
 
+    /** Answers whose end can be told in two ways, or in none. */
+    @DataProvider
+    public Object[][] unframed() {
+        return new Object[][] {
+            {"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n"},
+            {"Content-Length: 2\r\nContent-Length: 3\r\n\r\nhi"},
+            {"Transfer-Encoding: gzip\r\n\r\nhi"},
+            {"Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n"},
+            {"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
+        };
+    }
+
+    /** Such an answer must not pass for a success, nor its rest for the next answer. */
+    @Test(dataProvider = "unframed")
+    public void answerWhoseEndCannotBeToldFails(String headersAndBody) {
+        answer("HTTP/1.1 200 OK\r\n" + headersAndBody);
+        assertEquals(mSeen, List.of("failed"));
+        assertEquals(mFree, List.of());
+        assertFalse(mChannel.isActive());
+    }
+
     @Test
     public void bytesThatAreNoAnswerFail() {
         answer("\u0001\u0002 nonsense\r\n\r\n");
