Reset a connection whose answer is broken off

What callers saw: an answer that ended early and looked whole, on a connection of HTTP/1.0.

Cause: an answer of unknown length ends with an old client's connection, and one that is broken off was closed in the same, ordinary way. Class: as with requests that are given up, an end of the connection that means two things.

Change: a connection whose answer is being written is reset when it closes early, whoever closes it.

--- a/http/src/main/java/org/dahliapass/http/ConnectionEnd.java
+++ b/http/src/main/java/org/dahliapass/http/ConnectionEnd.java
@@ -16,7 +16,7 @@
      *
      * <p>Guards against a request that reaches its server after it was given up: over a cut link
      * the kernel holds what was written, and after an ordinary close it delivers that once the link
-     * is back, seconds later.
+     * is back, seconds later. Also against an answer that ends early and looks whole.
      */
     ABORTIVE {
         @Override
--- a/http/src/main/java/org/dahliapass/http/ServerConnection.java
+++ b/http/src/main/java/org/dahliapass/http/ServerConnection.java
@@ -311,8 +311,15 @@
         }
     }
 
+    /**
+     * Closes the connection.
+     *
+     * <p>Guards against an answer without a length, as old clients get it, that is broken off: it
+     * ends with its connection, so after an ordinary close it looks whole.
+     */
     void close() {
-        ChannelFuture unused = mChannel.close();
+        ConnectionEnd end = mWriting ? ConnectionEnd.ABORTIVE : ConnectionEnd.GRACEFUL;
+        end.close(mChannel);
     }
 
     @Override
