--- a/decisions/src/main/java/org/dahliapass/decisions/routing/AddressPlan.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/routing/AddressPlan.java
@@ -29,19 +29,15 @@
     private static final int MOST_ADDRESSES = 64;
 
     /**
-     * Processor time of one request at a VM, in seconds on one core. Pressed VMs of 0.3 cores
-     * answered 90 to 130 requests a second, 2.3 to 3.3 ms each; VMs that had just started took 5.5
-     * ms.
+     * Processor time of one request at a VM, in seconds on one core; a VM that has just started
+     * takes more, one that is warm less.
      */
     private static final double CORE_SECONDS_A_REQUEST = 0.004;
 
-    /**
-     * What a request and its answer take of a VM's link in each direction, in Mbit: 0.08 by the
-     * sizes of a known mix with one answer of 90 KB in fourteen.
-     */
+    /** What a request and its answer take of a VM's link in each direction, in Mbit. */
     private static final double MEGABITS_A_REQUEST = 0.1;
 
-    /** How much of a VM callers may take at the expected load; bursts of 1.7 times it are known. */
+    /** How much of a VM callers may take at the expected load; the rest is for bursts. */
     private static final double PLANNED_USE = 0.6;
 
     /**
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/Balancer.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/Balancer.java
@@ -34,9 +34,9 @@
     private static final int WAITING_AT_TARGET = 1;
 
     /**
-     * The most targets that are compared for one request. The best of so many drawn at random is on
-     * average among the best fiftieth of all; comparing 372 targets for each request took most of a
-     * VM's processor time, which then grew with requests times targets.
+     * The most targets that are compared for one request, so that a VM's processor time doesn't
+     * grow with requests times targets. The best of so many drawn at random is on average among the
+     * best fiftieth of all.
      */
     private static final int MOST_COMPARED = 48;
 
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/HedgePolicy.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/HedgePolicy.java
@@ -19,9 +19,7 @@
 
     /**
      * A first try gets a hedge only from this chance on that it is lost. Without it, sound answers
-     * that just take long spend the further tries that failures need: in the experiment's scenario
-     * of reads and targets that answer errors, requests served rise from 0.975 to 0.990 and further
-     * tries fall from 0.18 to 0.04 a request.
+     * that just take long spend the further tries that failures need.
      */
     private static final double LEAST_DOUBT = 0.25;
 
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/Placement.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/Placement.java
@@ -20,9 +20,8 @@
 final class Placement {
     /**
      * A target that is rather in a bout than not gets nothing while enough others are left: waiting
-     * a while for another one costs less than a lost request. Of 0.4, 0.5, 0.6 and 0.7, this one
-     * earned most over the scenarios of the experiment: 0.950 of what is owed, against 0.936 for
-     * 0.4, which waits too long in a burst.
+     * a while for another one costs less than a lost request, but a lower limit waits too long in a
+     * burst.
      */
     private static final double MOST_CHANCE = 0.6;
 
@@ -35,8 +34,7 @@
 
     /**
      * What a target's last slot costs, as a chance of loss: some targets slow down when nearly
-     * full, and reports of what others use are a tenth of a second old. From 0.03 to 0.2 the mean
-     * earnings of the experiment's scenarios differ by less than 0.01, so any such figure will do.
+     * full, and reports of what others use are a tenth of a second old.
      */
     private static final double FULL_LOAD_COST = 0.1;
 
@@ -49,8 +47,7 @@
     /**
      * What remains of a chance of loss as the cost for a request that may repeat, at a service that
      * gets requests that must not repeat only otherwise: its loss is made good by a further try,
-     * and the best proven targets are left to those. With the value of news below, the experiment's
-     * scenario of many targets earns 0.978 in place of 0.968 (8 seeds).
+     * and the best proven targets are left to those.
      */
     private static final double LOSS_COST_OF_REPEATABLE = 0.3;
 
