Look at all lines that frame a request, and compare with a strict reader

What callers risk: as with requests that can be told in two ways.

The library's decoder skips control characters before and in the request line (POS<13> is POS), and takes a size of a chunk up to the first character that is no digit, so that a bare CR and a whole line behind a last chunk's size are dropped in silence.

Change: FramingLines takes the place of HeadLines. It follows the bytes that were decoded, line by line, through heads, sizes of chunks and trailers, and refuses what the sections allow nowhere (RFC 9112, 2.2, 3, 5.2, 7.1).

--- a/http/src/main/java/org/dahliapass/http/ServerCodec.java
+++ b/http/src/main/java/org/dahliapass/http/ServerCodec.java
@@ -4,15 +4,19 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.CombinedChannelDuplexHandler;
 import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 import java.util.List;
 
 /** Decodes requests and encodes answers of one connection, strictly. */
@@ -44,7 +48,7 @@
 
     private static final class Decoder extends HttpRequestDecoder {
         private final Runnable mOnBytes;
-        private final HeadLines mLines = new HeadLines();
+        private final FramingLines mLines = new FramingLines();
 
         private Decoder(Runnable onBytes) {
             super(
@@ -63,39 +67,31 @@
         @Override
         protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> parts)
                 throws Exception {
-            mLines.onBytes(bytes);
+            int from = bytes.readerIndex();
             int before = parts.size();
             super.decode(context, bytes, parts);
-            parts.subList(before, parts.size()).forEach(this::onPart);
+            mLines.onBytes(bytes, from, bytes.readerIndex());
+            for (int number = before; number < parts.size(); number++) {
+                parts.set(number, checked((HttpObject) parts.get(number)));
+            }
         }
 
-        private void onPart(Object part) {
-            if (part instanceof HttpRequest head && mLines.onHeadEnd()) {
-                head.setDecoderResult(
+        private HttpObject checked(HttpObject part) {
+            if (mLines.isMalformed()) {
+                ReferenceCountUtil.release(part);
+                HttpObject malformed = new DefaultLastHttpContent();
+                malformed.setDecoderResult(
                         DecoderResult.failure(
-                                new IllegalArgumentException("A line of the head is malformed.")));
+                                new IllegalArgumentException("A line that frames is malformed.")));
+                return malformed;
+            }
+            if (part instanceof HttpRequest head && HttpUtil.isTransferEncodingChunked(head)) {
+                mLines.onChunkedHead();
             }
             if (part instanceof LastHttpContent) {
                 mLines.onRequestEnd();
             }
-        }
-
-        @Override
-        protected String splitFirstWordInitialLine(byte[] line, int start, int length) {
-            mLines.onWord(line, start, length);
-            return super.splitFirstWordInitialLine(line, start, length);
-        }
-
-        @Override
-        protected String splitSecondWordInitialLine(byte[] line, int start, int length) {
-            mLines.onWord(line, start, length);
-            return super.splitSecondWordInitialLine(line, start, length);
-        }
-
-        @Override
-        protected String splitThirdWordInitialLine(byte[] line, int start, int length) {
-            mLines.onWord(line, start, length);
-            return super.splitThirdWordInitialLine(line, start, length);
+            return part;
         }
 
         /**
--- a/http/src/test/java/org/dahliapass/http/ServerFuzzTest.java
+++ b/http/src/test/java/org/dahliapass/http/ServerFuzzTest.java
@@ -57,6 +57,21 @@
         }
     }
 
+    /**
+     * Another reader of the same bytes must not find other requests in them: what one takes for a
+     * body the other would run.
+     */
+    @Test
+    public void requestsAreThoseThatAStrictReaderFinds() {
+        SplittableRandom seeds = new SplittableRandom(SEED);
+        for (int number = 0; number < CASES; number++) {
+            long seed = seeds.nextLong();
+            String bytes = spoiled(new SplittableRandom(seed));
+            List<String> strict = StrictReader.read(bytes, MOST_BODY);
+            assertEquals(taken(List.of(bytes)), strict, "seed " + seed + ": " + bytes);
+        }
+    }
+
     private static String chunked(String body) {
         return "POST /chunks HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" + body;
     }
