End a request at its malformed line, and free what came with it

What callers risk: none ran wrongly; a malformed line behind a chunk hid the chunk, so that a body over its limit ended 400 or 413 by how the network cut it, and HTTp/1.1 passed for a version.

Parts that are dropped are released, which a client could have used up memory by.

--- a/http/src/main/java/org/dahliapass/http/FramingLines.java
+++ b/http/src/main/java/org/dahliapass/http/FramingLines.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.util.ByteProcessor;
+import java.util.regex.Pattern;
 
 /**
  * Looks at the lines that frame requests, for what decoding hides: it takes blanks, control
@@ -14,6 +15,9 @@
     /** Longer sizes than this, in digits, are no sizes of a body that anybody sends. */
     private static final int MOST_SIZE_DIGITS = 7;
 
+    /** A method, a target and a version, whose letters are capitals. */
+    private static final Pattern REQUEST = Pattern.compile("[^ \\t]+ [^ \\t]+ HTTP/[0-9]\\.[0-9]");
+
     private static final int HEXADECIMAL = 16;
     private static final char DELETE = 0x7f;
 
@@ -24,12 +28,11 @@
 
     /** The parts of a request, and which lines they may have. */
     private enum Part {
-        /** RFC 9112, 2.2 and 3: empty lines, then words that single blanks part. */
+        /** RFC 9112, 2.2, 2.3 and 3: empty lines, then three words that single blanks part. */
         REQUEST_LINE {
             @Override
             boolean isProper(String line) {
-                long blanks = line.chars().filter(letter -> letter == ' ').count();
-                return line.isEmpty() || (blanks == 2 && line.indexOf('\t') < 0);
+                return line.isEmpty() || REQUEST.matcher(line).matches();
             }
         },
         /** RFC 9112, 5.2: no line that goes on with the one before it. */
@@ -143,6 +146,11 @@
         mPart = Part.REQUEST_LINE;
     }
 
+    /** Returns whether the malformed line stands behind a chunk, whose bytes are as they should. */
+    boolean isMalformedBehindChunk() {
+        return mMalformed && mPart == Part.CHUNK_END;
+    }
+
     /** Returns whether a line was malformed, behind which nothing can be told. */
     boolean isMalformed() {
         return mMalformed;
--- a/http/src/main/java/org/dahliapass/http/ServerCodec.java
+++ b/http/src/main/java/org/dahliapass/http/ServerCodec.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.util.Iterator;
 import java.util.List;
 
 /** Decodes requests and encodes answers of one connection, strictly. */
@@ -71,27 +72,44 @@
             int before = parts.size();
             super.decode(context, bytes, parts);
             mLines.onBytes(bytes, from, bytes.readerIndex());
-            for (int number = before; number < parts.size(); number++) {
-                parts.set(number, checked((HttpObject) parts.get(number)));
+            if (mLines.isMalformed()) {
+                dropMalformed(parts.subList(before, parts.size()));
+                parts.add(malformed());
+                return;
             }
+            parts.subList(before, parts.size()).forEach(this::onPart);
         }
 
-        private HttpObject checked(HttpObject part) {
-            if (mLines.isMalformed()) {
-                ReferenceCountUtil.release(part);
-                HttpObject malformed = new DefaultLastHttpContent();
-                malformed.setDecoderResult(
-                        DecoderResult.failure(
-                                new IllegalArgumentException("A line that frames is malformed.")));
-                return malformed;
+        /** Drops what would run a request, and a chunk whose size can't be told. */
+        private void dropMalformed(List<Object> parts) {
+            boolean keepsChunk = mLines.isMalformedBehindChunk();
+            Iterator<Object> each = parts.iterator();
+            while (each.hasNext()) {
+                Object part = each.next();
+                boolean runs = part instanceof HttpRequest || part instanceof LastHttpContent;
+                if (runs || !keepsChunk) {
+                    each.remove();
+                    ReferenceCountUtil.release(part);
+                }
             }
+        }
+
+        /** Returns what ends a request whose framing can't be told; nothing behind it is read. */
+        private static HttpObject malformed() {
+            HttpObject end = new DefaultLastHttpContent();
+            end.setDecoderResult(
+                    DecoderResult.failure(
+                            new IllegalArgumentException("A line that frames is malformed.")));
+            return end;
+        }
+
+        private void onPart(Object part) {
             if (part instanceof HttpRequest head && HttpUtil.isTransferEncodingChunked(head)) {
                 mLines.onChunkedHead();
             }
             if (part instanceof LastHttpContent) {
                 mLines.onRequestEnd();
             }
-            return part;
         }
 
         /**
