Take sizes of chunks that are filled up with zeros

What callers would have seen: a request whose client writes each size of a chunk with eight digits ended 400.

--- a/http/src/main/java/org/dahliapass/http/FramingLines.java
+++ b/http/src/main/java/org/dahliapass/http/FramingLines.java
@@ -12,8 +12,8 @@
  * <p>Sees the bytes that were decoded, in order, and costs O(1) for each.
  */
 final class FramingLines implements ByteProcessor {
-    /** Longer sizes than this, in digits, are no sizes of a body that anybody sends. */
-    private static final int MOST_SIZE_DIGITS = 7;
+    /** Some clients fill up their sizes of chunks with zeros to so many digits. */
+    private static final int MOST_SIZE_DIGITS = 8;
 
     /** A method, a target and a version, whose letters are capitals. */
     private static final Pattern REQUEST = Pattern.compile("[^ \\t]+ [^ \\t]+ HTTP/[0-9]\\.[0-9]");
@@ -24,7 +24,7 @@
     private final StringBuilder mLine = new StringBuilder();
     private Part mPart = Part.REQUEST_LINE;
     private boolean mMalformed;
-    private int mChunkLeft;
+    private long mChunkLeft;
 
     /** The parts of a request, and which lines they may have. */
     private enum Part {
@@ -50,7 +50,10 @@
             boolean isProper(String line) {
                 int digits = sizeDigits(line);
                 boolean ends = digits == line.length() || line.charAt(digits) == ';';
-                return digits > 0 && digits <= MOST_SIZE_DIGITS && ends;
+                return digits > 0
+                        && digits <= MOST_SIZE_DIGITS
+                        && ends
+                        && chunkSize(line) <= Integer.MAX_VALUE;
             }
         },
         /** The bytes of a chunk; nothing in them is a line. */
@@ -122,12 +125,16 @@
         return digits;
     }
 
+    private static long chunkSize(String line) {
+        return Long.parseLong(line, 0, sizeDigits(line), HEXADECIMAL);
+    }
+
     private Part next(String line) {
         return switch (mPart) {
             case REQUEST_LINE -> line.isEmpty() ? Part.REQUEST_LINE : Part.HEADERS;
             case HEADERS -> line.isEmpty() ? Part.BODY : Part.HEADERS;
             case CHUNK_SIZE -> {
-                mChunkLeft = Integer.parseInt(line, 0, sizeDigits(line), HEXADECIMAL);
+                mChunkLeft = chunkSize(line);
                 yield mChunkLeft == 0 ? Part.TRAILERS : Part.CHUNK;
             }
             case CHUNK_END -> Part.CHUNK_SIZE;
--- a/http/src/test/java/org/dahliapass/http/ServerConnectionTest.java
+++ b/http/src/test/java/org/dahliapass/http/ServerConnectionTest.java
@@ -59,6 +59,27 @@
         assertEquals(server.mCalls.size(), 100);
     }
 
+    /** Sizes of chunks that some clients send: filled up with zeros, in capitals, extended. */
+    @Test
+    public void sizesOfChunksMayBeWrittenInSeveralWays() {
+        List<String> bodies = new ArrayList<>();
+        ServerFixture server =
+                new ServerFixture(
+                        call ->
+                                call.readBody(
+                                        1_000,
+                                        body ->
+                                                bodies.add(
+                                                        body.toString(StandardCharsets.US_ASCII)),
+                                        () -> {}));
+        server.send(
+                "POST / HTTP/1.1\n"
+                        + HOST
+                        + "Transfer-Encoding: chunked\n\n00000002\nab\nA;x=y\n0123456789\n"
+                        + "0\nX-Trailer: z\n\n");
+        assertEquals(bodies, List.of("ab0123456789"));
+    }
+
     @Test
     public void bodyInChunksIsCollected() {
         List<String> bodies = new ArrayList<>();
