Log which requests are alike, and whether a target ended under one

Callers saw 502 while target after target ended. By the logs a connection that broke could mean an end of the target or of the connection alone, and nothing said which of the requests on it were alike: path and body aren't logged, and each attempt has an id of its own.

A request's line has its digest (method, host, path, credentials, body) once a connection broke under it. No decision depends on it yet.

Ruled out: logging path or body, which may be a caller's secret.

--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/FailureKind.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/FailureKind.java
@@ -35,6 +35,11 @@
         return mTargetFault;
     }
 
+    /** Returns whether the connection broke while the target had the request. */
+    public boolean brokeConnection() {
+        return this == CUT_SHORT || this == RESET_AFTER_SEND;
+    }
+
     /** Returns whether somebody still waits for an answer, so that another try makes sense. */
     public boolean isAnswerWanted() {
         return this != CANCELLED_BY_CALLER;
--- a/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
@@ -84,7 +84,8 @@
                         () -> {
                             pools.onWork();
                             work.onWork();
-                        });
+                        },
+                        new PoisonGuard(connections, log));
         follower.onChange(
                 () ->
                         follower.view()
--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.dahliapass.model.RequestDigest;
 import org.dahliapass.decisions.traffic.FailedTry;
 import org.dahliapass.decisions.traffic.FailureKind;
 import org.dahliapass.http.ServerCall;
@@ -51,6 +52,7 @@
     private final EventLoop mLoop;
     private final EventLog mLog;
     private final GatewayAnswers mAnswers;
+    private final PoisonGuard mGuard;
     private final List<TargetOffer> mRunning = new ArrayList<>();
     private final List<JsonObject> mHistory = new ArrayList<>();
     private final Set<Endpoint> mTried = new HashSet<>();
@@ -58,6 +60,7 @@
     private ScheduledFuture<?> mDeadline;
     private ScheduledFuture<?> mHedge;
     private Optional<OfferResult.Answered> mError = Optional.empty();
+    private Optional<RequestDigest> mDigest = Optional.empty();
     private int mReached;
     private int mOffers;
     private boolean mMayHaveRun;
@@ -70,7 +73,8 @@
             TargetConnections connections,
             Clock clock,
             EventLog log,
-            GatewayAnswers answers) {
+            GatewayAnswers answers,
+            PoisonGuard guard) {
         mCall = call;
         mRequest = request;
         mPool = pool;
@@ -79,6 +83,7 @@
         mLoop = call.loop();
         mLog = log;
         mAnswers = answers;
+        mGuard = guard;
     }
 
     /**
@@ -156,10 +161,25 @@
             onAnswered(answered);
         } else if (result instanceof OfferResult.Failed failed) {
             note(offer, failed.kind() + ": " + failed.cause());
+            noteBroken(offer, failed.kind());
             onFailed(failed);
         }
     }
 
+    private void noteBroken(TargetOffer offer, FailureKind kind) {
+        if (kind.brokeConnection()) {
+            offer.registration().ifPresent(target -> mGuard.onBroken(target, digest()));
+        }
+    }
+
+    /** Digests the request once; most requests never need it. */
+    private RequestDigest digest() {
+        if (mDigest.isEmpty()) {
+            mDigest = Optional.of(mRequest.digest());
+        }
+        return mDigest.get();
+    }
+
     private void onAnswered(OfferResult.Answered answered) {
         mMayHaveRun = true;
         mReached++;
@@ -360,6 +380,7 @@
                             .put("status", status)
                             .put("outcome", outcome)
                             .putList("offers", mHistory);
+                    mDigest.ifPresent(digest -> line.put("digest", digest.hex()));
                 });
     }
 }
--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyHandler.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyHandler.java
@@ -46,6 +46,7 @@
     private final VmLoad mLoad;
     private final BooleanSupplier mUpToDate;
     private final Runnable mOnWork;
+    private final PoisonGuard mGuard;
     private RouteTable mRoutes;
 
     ProxyHandler(
@@ -60,7 +61,8 @@
             GatewayAnswers answers,
             VmLoad load,
             BooleanSupplier upToDate,
-            Runnable onWork) {
+            Runnable onWork,
+            PoisonGuard guard) {
         mClock = clock;
         mSettings = settings;
         mState = state;
@@ -73,6 +75,7 @@
         mLoad = load;
         mUpToDate = upToDate;
         mOnWork = onWork;
+        mGuard = guard;
     }
 
     @Override
@@ -204,7 +207,8 @@
                         body,
                         arrivalMillis,
                         arrivalMillis + Math.min(timeoutMillis, patience(headers, timeoutMillis)));
-        new ProxyExchange(call, matched, pool.get(), mConnections, mClock, mLog, mAnswers).start();
+        new ProxyExchange(call, matched, pool.get(), mConnections, mClock, mLog, mAnswers, mGuard)
+                .start();
     }
 
     /**
--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyRequest.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyRequest.java
@@ -1,8 +1,10 @@
 package org.dahliapass.gateway;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import org.dahliapass.model.RequestDigest;
 import org.dahliapass.model.RequestKind;
 import org.dahliapass.model.routing.RouteRule;
 import org.dahliapass.traffic.SlotRequest;
@@ -41,6 +43,16 @@
         return route.host();
     }
 
+    /** Returns what this request has in common with others like it. */
+    RequestDigest digest() {
+        return RequestDigest.of(
+                method.name(),
+                headers.get(HttpHeaderNames.HOST, ""),
+                path,
+                headers.get(HttpHeaderNames.AUTHORIZATION, ""),
+                body.nioBuffer());
+    }
+
     /** Returns the milliseconds that are left, 0 at least. */
     long remainingMillis(long nowMillis) {
         return Math.max(0, deadlineMillis - nowMillis);
--- a/gateway/src/main/java/org/dahliapass/gateway/TargetOffer.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/TargetOffer.java
@@ -96,9 +96,14 @@
         return mSlot.target();
     }
 
+    /** Returns who is registered at the target's address; empty if nobody is. */
+    Optional<TargetRegistration> registration() {
+        return mPool.at(target());
+    }
+
     /** Returns the instance that is expected at the target's address; empty if unknown. */
     Optional<String> instance() {
-        return mPool.at(target()).map(TargetRegistration::instance);
+        return registration().map(TargetRegistration::instance);
     }
 
     /** Returns the chance that the target was in a bout of failure, when it was chosen. */
--- a/http/src/main/java/org/dahliapass/http/HttpClient.java
+++ b/http/src/main/java/org/dahliapass/http/HttpClient.java
@@ -109,21 +109,43 @@
 
     private void connect(Endpoint server, ClientCall call) {
         ClientConnection connection = new ClientConnection(free -> keep(server, free));
-        ChannelFuture opened =
-                mBootstrap
-                        .clone()
-                        .handler(new Initializer(connection))
-                        .connect(new InetSocketAddress(server.host(), server.port()));
-        opened.addListener(
-                done -> {
-                    if (!done.isSuccess()) {
-                        call.fail(new NotSentException("No connection.", done.cause()));
-                    } else if (call.isOver()) {
-                        keep(server, connection);
-                    } else {
-                        connection.send(call);
-                    }
-                });
+        open(server, connection)
+                .addListener(
+                        done -> {
+                            if (!done.isSuccess()) {
+                                call.fail(new NotSentException("No connection.", done.cause()));
+                            } else if (call.isOver()) {
+                                keep(server, connection);
+                            } else {
+                                connection.send(call);
+                            }
+                        });
+    }
+
+    /**
+     * Opens a connection to find out whether anything listens at an address; it is kept for use.
+     *
+     * @return false if none could be opened in time; completes on the event loop
+     */
+    public CompletableFuture<Boolean> isListening(Endpoint server) {
+        CompletableFuture<Boolean> listening = new CompletableFuture<>();
+        ClientConnection connection = new ClientConnection(free -> keep(server, free));
+        open(server, connection)
+                .addListener(
+                        done -> {
+                            if (done.isSuccess()) {
+                                keep(server, connection);
+                            }
+                            listening.complete(done.isSuccess());
+                        });
+        return listening;
+    }
+
+    private ChannelFuture open(Endpoint server, ClientConnection connection) {
+        return mBootstrap
+                .clone()
+                .handler(new Initializer(connection))
+                .connect(new InetSocketAddress(server.host(), server.port()));
     }
 
     private void keep(Endpoint server, ClientConnection connection) {
