--- a/standins/src/main/java/org/dahliapass/standins/SealingTargetStandIn.java
+++ b/standins/src/main/java/org/dahliapass/standins/SealingTargetStandIn.java
@@ -106,6 +106,13 @@
                 connection.setSoLinger(true, 0);
                 connection.close();
             }
+        },
+        /** Begins to run the request and ends with its whole process. */
+        END_PROCESS {
+            @Override
+            void act(Socket connection, Seen seen) throws IOException {
+                throw new ProcessEndedException();
+            }
         };
 
         abstract void act(Socket connection, Seen seen) throws IOException;
@@ -135,6 +142,11 @@
         }
     }
 
+    /** Ends the stand-in as the end of a process would. */
+    private static final class ProcessEndedException extends IOException {
+        private static final long serialVersionUID = 1L;
+    }
+
     /**
      * A request as it came.
      *
@@ -211,6 +223,8 @@
                 mBehaviour.apply(seen).act(connection, seen);
                 line = reader.readLine();
             }
+        } catch (ProcessEndedException ended) {
+            endProcess();
         } catch (IOException closed) {
             // Either side closed the connection, which ends its thread.
             mEnded.incrementAndGet();
@@ -219,6 +233,26 @@
         mEnded.incrementAndGet();
     }
 
+    /** Resets all connections and listens no more, as the kernel does for a process that ended. */
+    private void endProcess() {
+        try {
+            mSocket.close();
+            for (Socket connection : mConnections) {
+                if (!connection.isClosed()) {
+                    connection.setSoLinger(true, 0);
+                    connection.close();
+                }
+            }
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+    }
+
+    /** Returns whether the process has ended or the stand-in was closed. */
+    public boolean hasEnded() {
+        return mSocket.isClosed();
+    }
+
     /** Returns how many connections were opened to it. */
     public int connections() {
         return mConnections.size();
