Keep requests from targets that end each target which runs them

Cause: nothing remembered under which request a target ended. A further try treats the end of a target like a broken connection, which another target makes good, and each VM began anew. The class: a failure is blamed on where it shows, the target, and never on what was sent.

Change: what requests that are alike have in common is digested once a target ended under one. After one end a VM sends one of them at a time and to one target only; after three ends in turn, none; refused at once with 503 and Retry-After. Ends at one moment count once, so that a rack that is lost proves nothing, and an answer from any target clears. VMs tell each other by datagrams, three times; the store keeps what is quarantined for VMs that start later. Memory, datagrams, checks and writes are bounded.

--- /dev/null
+++ b/decisions/src/main/java/org/dahliapass/decisions/poison/TargetEnd.java
@@ -0,0 +1,10 @@
+package org.dahliapass.decisions.poison;
+
+/**
+ * The end of a target while it had a request.
+ *
+ * @param incarnation the start of the target that ended
+ * @param sentMillis when the request was sent to it, in milliseconds
+ * @param endedMillis when the connection to it broke, in milliseconds
+ */
+public record TargetEnd(String incarnation, long sentMillis, long endedMillis) {}
--- a/gateway/src/main/java/org/dahliapass/gateway/GatewayAnswers.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewayAnswers.java
@@ -41,6 +41,15 @@
                 "The request was not run. Come back after the time in Retry-After.");
     }
 
+    /** Refuses a request that has not run, as targets end under requests like it. */
+    CallerAnswer quarantined(long comeBackMillis) {
+        return answer(
+                HttpResponseStatus.SERVICE_UNAVAILABLE,
+                comeBackMillis,
+                "The request was not run: targets ended under requests like it. Come back after"
+                        + " the time in Retry-After.");
+    }
+
     /** Ends a request that may have run and got no answer. */
     CallerAnswer failed() {
         return answer(
--- a/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
@@ -68,6 +68,8 @@
         mEntry = new FleetEntry(store, settings.self(), feed::followsStore, log);
         mLoad = new VmLoad(clock, metrics, log);
         WorkExchange work = new WorkExchange(settings, connections.loops(), log);
+        PoisonGuard guard =
+                new PoisonGuard(settings, clock, connections, store, follower, work, metrics, log);
         ProxyHandler proxy =
                 new ProxyHandler(
                         clock,
@@ -85,7 +87,7 @@
                             pools.onWork();
                             work.onWork();
                         },
-                        new PoisonGuard(connections, log));
+                        guard);
         follower.onChange(
                 () ->
                         follower.view()
--- a/gateway/src/main/java/org/dahliapass/gateway/OfferResult.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/OfferResult.java
@@ -15,7 +15,12 @@
      * @param status its status
      * @param answer the answer for the caller
      */
-    record Answered(Endpoint target, int status, CallerAnswer answer) implements OfferResult {}
+    record Answered(Endpoint target, int status, CallerAnswer answer) implements OfferResult {
+        /** Returns whether the target has sent all of it. */
+        boolean isWhole() {
+            return answer instanceof CallerAnswer.Whole;
+        }
+    }
 
     /**
      * No answer that may be passed on.
--- a/gateway/src/main/java/org/dahliapass/gateway/PoisonGuard.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/PoisonGuard.java
@@ -1,33 +1,121 @@
 package org.dahliapass.gateway;
 
+import io.netty.channel.EventLoop;
+import java.time.Clock;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.Supplier;
+import org.dahliapass.decisions.poison.PoisonRegister;
+import org.dahliapass.decisions.poison.SuspectNews;
+import org.dahliapass.decisions.poison.TargetEnd;
+import org.dahliapass.decisions.poison.Treatment;
+import org.dahliapass.decisions.poison.Turns;
 import org.dahliapass.model.RequestDigest;
 import org.dahliapass.model.routing.TargetRegistration;
+import org.dahliapass.platform.KeyValueStore;
+import org.dahliapass.traffic.EntryMetrics;
 
 /**
- * Tells which requests targets ended under.
+ * Keeps requests from the targets that end each target which runs them.
  *
- * <p>All state belongs to the traffic thread.
+ * <p>VMs tell each other of ends by datagrams, and the store keeps what is quarantined. All state
+ * belongs to the traffic thread.
  */
 final class PoisonGuard {
-    private final TargetEndCheck mCheck;
+    /**
+     * A VM that only heard of a quarantine leaves its entry to the one that saw the last end,
+     * unless there is none after this time.
+     */
+    private static final long LATE_ENTRY_MILLIS = 2_000;
+
+    private final Clock mClock;
     private final EventLog mLog;
+    private final EntryMetrics mMetrics;
+    private final EventLoop mLoop;
+    private final TargetEndCheck mCheck;
+    private final QuarantineStore mStore;
+    private final PoisonRegister mRegister = new PoisonRegister();
+    private final Turns mTurns = new Turns();
+    private final PoisonNews mNews;
 
-    PoisonGuard(TargetConnections connections, EventLog log) {
-        mCheck = new TargetEndCheck(connections);
+    PoisonGuard(
+            GatewaySettings settings,
+            Clock clock,
+            TargetConnections connections,
+            KeyValueStore store,
+            StoreFollower follower,
+            WorkExchange exchange,
+            EntryMetrics metrics,
+            EventLog log) {
+        mClock = clock;
         mLog = log;
+        mMetrics = metrics;
+        mLoop = connections.loop();
+        mCheck = new TargetEndCheck(connections);
+        mStore = new QuarantineStore(store, mLoop, clock, settings.self().name(), log);
+        mNews =
+                new PoisonNews(
+                        mLoop,
+                        digests ->
+                                exchange.tellSuspects(
+                                        digests.stream()
+                                                .map(one -> mRegister.news(one, mClock.millis()))
+                                                .toList()));
+        exchange.setSuspectListener(news -> mLoop.execute(() -> onNews(news)));
+        follower.onQuarantine(digest -> mLoop.execute(() -> onEntry(digest)));
+    }
+
+    /**
+     * Returns what may be done with a request.
+     *
+     * @param digest digests the request, which is saved while none is suspected
+     */
+    Treatment treatment(Supplier<RequestDigest> digest) {
+        return mRegister.isEmpty()
+                ? Treatment.USUAL
+                : mRegister.treatment(digest.get(), mClock.millis());
+    }
+
+    /** Returns whose turn it is among suspected requests that are alike. */
+    Turns turns() {
+        return mTurns;
+    }
+
+    /** Takes that a quarantined request was refused; returns when it may come back. */
+    long onRefused(RequestDigest digest) {
+        mMetrics.onPoison("refused");
+        long now = mClock.millis();
+        long left = mRegister.quarantineLeftMillis(digest, now);
+        if (left < PoisonRegister.MEMORY.toMillis() - LATE_ENTRY_MILLIS) {
+            writeEntry(digest);
+        }
+        return left;
     }
 
     /**
      * Takes that the connection to a target broke while it had a request.
      *
      * @param target who had it
-     * @param request what it had
+     * @param digest the request
+     * @param sentMillis when it was sent, in milliseconds
+     * @param whenChecked runs once it is known whether the target has ended
      */
-    void onBroken(TargetRegistration target, RequestDigest request) {
-        mCheck.check(target.endpoint(), ended -> onChecked(target, request, ended));
+    void onBroken(
+            TargetRegistration target,
+            RequestDigest digest,
+            long sentMillis,
+            Runnable whenChecked) {
+        TargetEnd end = new TargetEnd(target.incarnation(), sentMillis, mClock.millis());
+        mCheck.check(
+                target.endpoint(),
+                ended -> {
+                    onChecked(target, digest, end, ended);
+                    whenChecked.run();
+                });
     }
 
-    private void onChecked(TargetRegistration target, RequestDigest request, boolean ended) {
+    private void onChecked(
+            TargetRegistration target, RequestDigest digest, TargetEnd end, boolean ended) {
         mLog.write(
                 EventLog.Kind.BELIEF,
                 "connection_broken",
@@ -35,6 +123,87 @@
                         line.put("instance", target.instance())
                                 .put("target", target.endpoint().toString())
                                 .put("target_ended", ended)
-                                .put("digest", request.hex()));
+                                .put("leaving", target.draining())
+                                .put("digest", digest.hex()));
+        // A target that said that it leaves ends by itself.
+        if (!ended || target.draining()) {
+            return;
+        }
+        mMetrics.onPoison("target_ended");
+        long now = mClock.millis();
+        Treatment before = mRegister.treatment(digest, now);
+        if (!mRegister.onEnd(digest, end, now)) {
+            return;
+        }
+        mNews.changed(digest);
+        tellOfChange(digest, before, "this VM");
+        if (mRegister.treatment(digest, now) == Treatment.QUARANTINED) {
+            writeEntry(digest);
+        }
+    }
+
+    private void writeEntry(RequestDigest digest) {
+        mStore.ensure(digest, mRegister.news(digest, mClock.millis()).ends().size());
+    }
+
+    /**
+     * Takes that a target answered a request.
+     *
+     * @param digest digests the request, which is saved while none is suspected
+     */
+    void onAnswered(Supplier<RequestDigest> digest) {
+        if (mRegister.isEmpty()) {
+            return;
+        }
+        Treatment before = mRegister.treatment(digest.get(), mClock.millis());
+        if (mRegister.onAnswered(digest.get(), mClock.millis())) {
+            mStore.withdraw(digest.get());
+            mNews.changed(digest.get());
+            tellOfChange(digest.get(), before, "this VM");
+        }
+    }
+
+    private void onNews(List<SuspectNews> news) {
+        long now = mClock.millis();
+        for (SuspectNews one : news) {
+            Treatment before = mRegister.treatment(one.digest(), now);
+            if (mRegister.onNews(one, now)) {
+                mNews.remind(one.digest());
+            }
+            if (one.answered()) {
+                mStore.withdraw(one.digest());
+            }
+            tellOfChange(one.digest(), before, "another VM");
+        }
+    }
+
+    private void onEntry(RequestDigest digest) {
+        long now = mClock.millis();
+        Treatment before = mRegister.treatment(digest, now);
+        mStore.onEntry(digest);
+        mRegister.onQuarantined(digest, now);
+        tellOfChange(digest, before, "the store");
+    }
+
+    private void tellOfChange(RequestDigest digest, Treatment before, String source) {
+        long now = mClock.millis();
+        Treatment after = mRegister.treatment(digest, now);
+        if (after == before) {
+            return;
+        }
+        mMetrics.onPoison(after.name().toLowerCase(Locale.ROOT));
+        mLog.write(
+                EventLog.Kind.BELIEF,
+                "request_treatment",
+                line ->
+                        line.put("digest", digest.hex())
+                                .put("treatment", after.name())
+                                .put("before", before.name())
+                                .put("known_by", source)
+                                .putList(
+                                        "targets_ended",
+                                        mRegister.news(digest, now).ends().stream()
+                                                .map(TargetEnd::incarnation)
+                                                .toList()));
     }
 }
--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
@@ -11,13 +11,15 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import org.dahliapass.model.RequestDigest;
+import org.dahliapass.decisions.poison.Treatment;
 import org.dahliapass.decisions.traffic.FailedTry;
 import org.dahliapass.decisions.traffic.FailureKind;
 import org.dahliapass.http.ServerCall;
 import org.dahliapass.kernel.Futures;
 import org.dahliapass.kernel.JsonObject;
 import org.dahliapass.model.Endpoint;
+import org.dahliapass.model.RequestDigest;
+import org.dahliapass.model.routing.TargetRegistration;
 import org.dahliapass.traffic.RefusedException;
 import org.dahliapass.traffic.Slot;
 
@@ -63,6 +65,7 @@
     private Optional<RequestDigest> mDigest = Optional.empty();
     private int mReached;
     private int mOffers;
+    private boolean mHasTurn;
     private boolean mMayHaveRun;
     private boolean mDone;
 
@@ -97,9 +100,50 @@
         long remaining = mRequest.remainingMillis(mClock.millis());
         mDeadline = mLoop.schedule(this::onDeadline, remaining, TimeUnit.MILLISECONDS);
         mCall.onGone(this::onCallerGone);
-        if (!mDone) {
-            await(mPool.runtime().acquire(mRequest, Set.of()));
+        admit();
+    }
+
+    /** Asks for a slot, waits for the turn of a suspected request, or refuses one for good. */
+    private void admit() {
+        if (mDone || isHeldBack()) {
+            return;
+        }
+        await(mPool.runtime().acquire(mRequest, Set.of()));
+    }
+
+    /**
+     * Refuses the request, or lets it wait, if targets ended under others like it and it may not be
+     * offered now.
+     */
+    private boolean isHeldBack() {
+        Treatment treatment = treatment();
+        if (!treatment.mayRun()) {
+            refuseQuarantined();
+            return true;
+        }
+        if (treatment == Treatment.USUAL || !mGuard.turns().isTaken(digest())) {
+            return false;
+        }
+        if (mOffers > 0 || !mGuard.turns().await(digest(), this::admit)) {
+            finishUnlessRunning();
+        }
+        return true;
+    }
+
+    private Treatment treatment() {
+        return mGuard.treatment(this::digest);
+    }
+
+    private void refuseQuarantined() {
+        long wait = mGuard.onRefused(digest());
+        if (mMayHaveRun) {
+            finishUnlessRunning();
+            return;
         }
+        finish(
+                mAnswers.quarantined(wait),
+                GatewayAnswers.UNAVAILABLE,
+                "targets ended under requests like it");
     }
 
     private void await(CompletableFuture<Slot> slot) {
@@ -128,11 +172,19 @@
             offer.abort(FailureKind.CANCELLED_BY_CALLER);
             return;
         }
+        if (isHeldBack()) {
+            offer.abort(FailureKind.CANCELLED_BY_CALLER);
+            return;
+        }
         offer(offer);
     }
 
     private void offer(TargetOffer offer) {
         planHedge();
+        if (treatment() == Treatment.ALONE) {
+            mGuard.turns().take(digest());
+            mHasTurn = true;
+        }
         mOffers++;
         mTried.add(offer.target());
         mRunning.add(offer);
@@ -152,6 +204,10 @@
             discard(result);
             return;
         }
+        boolean checked = result instanceof OfferResult.Failed failed && noteBroken(offer, failed);
+        if (!checked) {
+            giveTurnBack();
+        }
         if (failure != null) {
             note(offer, "failed: " + failure);
             mMayHaveRun = true;
@@ -161,14 +217,24 @@
             onAnswered(answered);
         } else if (result instanceof OfferResult.Failed failed) {
             note(offer, failed.kind() + ": " + failed.cause());
-            noteBroken(offer, failed.kind());
             onFailed(failed);
         }
     }
 
-    private void noteBroken(TargetOffer offer, FailureKind kind) {
-        if (kind.brokeConnection()) {
-            offer.registration().ifPresent(target -> mGuard.onBroken(target, digest()));
+    /** Has it checked whether the target ended; returns whether it is. */
+    private boolean noteBroken(TargetOffer offer, OfferResult.Failed failed) {
+        Optional<TargetRegistration> target = offer.registration();
+        if (!failed.kind().brokeConnection() || target.isEmpty()) {
+            return false;
+        }
+        mGuard.onBroken(target.get(), digest(), offer.sentMillis(), this::giveTurnBack);
+        return true;
+    }
+
+    private void giveTurnBack() {
+        if (mHasTurn) {
+            mHasTurn = false;
+            mGuard.turns().giveBack(digest());
         }
     }
 
@@ -183,6 +249,9 @@
     private void onAnswered(OfferResult.Answered answered) {
         mMayHaveRun = true;
         mReached++;
+        if (answered.isWhole()) {
+            mGuard.onAnswered(this::digest);
+        }
         if (mDone) {
             // The caller left while a request that must not repeat was still at its target.
             answered.answer().drop();
@@ -225,6 +294,9 @@
         if (mReached >= mRequest.route().mostTargets() || mOffers >= MOST_OFFERS) {
             return false;
         }
+        if (kind.brokeConnection() && !treatment().mayRunAgain()) {
+            return false;
+        }
         FailedTry failed =
                 new FailedTry(
                         mRequest.kind(),
@@ -242,7 +314,7 @@
         if (mDone || mRunning.size() != 1 || mWaiting != null) {
             return;
         }
-        if (mReached + 1 >= mRequest.route().mostTargets()) {
+        if (mReached + 1 >= mRequest.route().mostTargets() || !treatment().mayRunAgain()) {
             return;
         }
         Optional<Slot> slot = mPool.runtime().hedge(mRequest, Set.copyOf(mTried));
@@ -321,6 +393,7 @@
         // Taken out first: an offer that is stopped ends at once, and would be noted twice.
         List<TargetOffer> stopped = List.copyOf(mRunning);
         mRunning.clear();
+        giveTurnBack();
         for (TargetOffer offer : stopped) {
             note(offer, "stopped: " + kind);
             offer.abort(kind);
--- a/gateway/src/main/java/org/dahliapass/gateway/StoreFollower.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/StoreFollower.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import org.dahliapass.decisions.routing.AddressPlan;
 import org.dahliapass.decisions.routing.Believed;
 import org.dahliapass.decisions.routing.CallerDemand;
@@ -16,10 +17,12 @@
 import org.dahliapass.kernel.ControlLoop;
 import org.dahliapass.kernel.Kernel;
 import org.dahliapass.kernel.KernelService;
+import org.dahliapass.model.RequestDigest;
 import org.dahliapass.model.routing.FleetVm;
 import org.dahliapass.model.routing.RoutingConfiguration;
 import org.dahliapass.model.routing.TargetRegistration;
 import org.dahliapass.platform.ConfigurationDocument;
+import org.dahliapass.platform.QuarantineEntry;
 import org.dahliapass.platform.RegistrationDocument;
 import org.dahliapass.platform.StoreEvent;
 import org.dahliapass.platform.StoredItem;
@@ -71,6 +74,7 @@
 
     private long mPublishedVms;
     private volatile RoutingView mView;
+    private volatile Consumer<RequestDigest> mQuarantineListener = digest -> {};
 
     /**
      * Starts with nothing known.
@@ -101,6 +105,11 @@
         mListeners.add(listener);
     }
 
+    /** Sets who takes requests that the fleet has quarantined; before the start of the feed. */
+    void onQuarantine(Consumer<RequestDigest> listener) {
+        mQuarantineListener = listener;
+    }
+
     /** Returns whether the store gave no answer when last asked; control thread only. */
     boolean isAway() {
         return mAway;
@@ -218,6 +227,8 @@
             } else if (item.key().startsWith(VmEntry.PREFIX)) {
                 FleetVm vm = VmEntry.decode(item);
                 mVms.put(vm.name(), vm);
+            } else if (item.key().startsWith(QuarantineEntry.PREFIX)) {
+                mQuarantineListener.accept(QuarantineEntry.decode(item));
             }
         } catch (RuntimeException failure) {
             refuse(item, failure);
--- a/gateway/src/main/java/org/dahliapass/gateway/TargetEndCheck.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/TargetEndCheck.java
@@ -28,7 +28,7 @@
     /**
      * Checks a target.
      *
-     * @param onChecked gets whether the target has ended; never called while too many are checked
+     * @param onChecked gets whether the target has ended; false while too many are checked
      */
     void check(Endpoint target, Consumer<Boolean> onChecked) {
         List<Consumer<Boolean>> asking = mAsking.get(target);
@@ -37,6 +37,7 @@
             return;
         }
         if (mAsking.size() >= MOST_AT_ONCE) {
+            onChecked.accept(false);
             return;
         }
         mAsking.put(target, new ArrayList<>(List.of(onChecked)));
--- a/gateway/src/main/java/org/dahliapass/gateway/WorkExchange.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/WorkExchange.java
@@ -19,6 +19,8 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.dahliapass.decisions.poison.SuspectNews;
 import org.dahliapass.decisions.traffic.TargetWork;
 import org.dahliapass.decisions.traffic.WorkNews;
 import org.dahliapass.decisions.traffic.WorkSign;
@@ -80,6 +82,7 @@
     private long mReportedMillis = Long.MIN_VALUE / 2;
     private volatile long mWorkMillis = Long.MIN_VALUE / 2;
     private volatile Channel mChannel;
+    private volatile Consumer<List<SuspectNews>> mSuspectListener = news -> {};
 
     WorkExchange(GatewaySettings settings, EventLoopGroup loops, EventLog log) {
         mSettings = settings;
@@ -150,6 +153,24 @@
         sendToTakers(news);
     }
 
+    /** Sets who takes what other VMs tell of suspected requests; before the start. */
+    void setSuspectListener(Consumer<List<SuspectNews>> listener) {
+        mSuspectListener = listener;
+    }
+
+    /** Tells the other VMs that take callers of suspected requests; any thread may call this. */
+    void tellSuspects(List<SuspectNews> news) {
+        long now = mLoop.nowMillis();
+        sendToTakers(
+                TrustNews.newBuilder()
+                        .setVersion(VERSION)
+                        .setSender(mSettings.self().name())
+                        .addAllSuspects(
+                                news.stream().map(one -> SuspectCodec.encode(one, now)).toList())
+                        .build()
+                        .toByteArray());
+    }
+
     /** Reports the work of this VM to the other VMs that take callers; control thread only. */
     private Optional<Duration> report() {
         long now = mLoop.nowMillis();
@@ -202,6 +223,13 @@
     }
 
     private void onNews(TrustNews news) {
+        if (news.getSuspectsCount() > 0) {
+            long now = mLoop.nowMillis();
+            mSuspectListener.accept(
+                    news.getSuspectsList().stream()
+                            .map(one -> SuspectCodec.decode(one, now))
+                            .toList());
+        }
         Optional<ServicePool> pool = mPools.find(news.getService());
         if (pool.isEmpty()) {
             return;
--- a/gateway/src/test/java/org/dahliapass/gateway/GatewayPoisonTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/GatewayPoisonTest.java
@@ -4,6 +4,8 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.Locale;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.dahliapass.platform.QuarantineEntry;
 import org.dahliapass.standins.CallerStandIn;
 import org.dahliapass.standins.SealingTargetStandIn.Behaviour;
 import org.testng.annotations.Test;
@@ -62,6 +64,53 @@
         }
     }
 
+    /** Guards against a VM that starts later and ends three targets of its own. */
+    @Test
+    public void vmThatStartsLaterKnowsWhatIsQuarantined() {
+        try (FleetFixture fleet = new FleetFixture(1)) {
+            poison(fleet, "/l/poison");
+            for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
+                fleet.post(0, "/l/poison", "body");
+            }
+            long ended = fleet.ended();
+            PathFixture.await(() -> fleet.mStore.keys(QuarantineEntry.PREFIX).size() == 1);
+            fleet.startVm();
+            assertRefused(fleet.post(1, "/l/poison", "body"));
+            assertEquals(fleet.ended(), ended);
+        }
+    }
+
+    /** Guards against a read that is refused because another request ended the target it was at. */
+    @Test
+    public void requestBesideOneThatEndsItsTargetIsServed() {
+        try (FleetFixture fleet = new FleetFixture(1)) {
+            AtomicInteger ends = new AtomicInteger();
+            fleet.behave(
+                    seen ->
+                            seen.line().contains("/r/beside") && ends.getAndIncrement() < 1
+                                    ? Behaviour.END_PROCESS
+                                    : Behaviour.ANSWER);
+            for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
+                assertEquals(CallerStandIn.status(fleet.get(0, "/r/beside")), 200);
+            }
+            assertEquals(fleet.ended(), 1);
+        }
+    }
+
+    /** Guards against a target that is blamed on a request whose connection alone was closed. */
+    @Test
+    public void connectionsThatBreakDoNotQuarantine() {
+        try (FleetFixture fleet = new FleetFixture(1)) {
+            fleet.behave(
+                    seen -> seen.line().contains("/r/reset") ? Behaviour.CLOSE : Behaviour.ANSWER);
+            for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
+                assertEquals(CallerStandIn.status(fleet.get(0, "/r/reset")), 502);
+            }
+            fleet.behave(seen -> Behaviour.ANSWER);
+            assertEquals(CallerStandIn.status(fleet.get(0, "/r/reset")), 200);
+        }
+    }
+
     private static void poison(FleetFixture fleet, String path) {
         fleet.behave(
                 seen ->
--- a/lab/src/main/java/org/dahliapass/lab/fleet/FleetMain.java
+++ b/lab/src/main/java/org/dahliapass/lab/fleet/FleetMain.java
@@ -25,6 +25,8 @@
                     "hundreds-of-targets",
                     "confirmations",
                     "lost-answers",
+                    "poison",
+                    "rack-lost",
                     "calm");
 
     private static final int DEFAULT_RUNS = 8;
--- a/lab/src/main/java/org/dahliapass/lab/fleet/FleetRun.java
+++ b/lab/src/main/java/org/dahliapass/lab/fleet/FleetRun.java
@@ -9,12 +9,14 @@
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import org.dahliapass.decisions.health.Outcome;
+import org.dahliapass.decisions.poison.SuspectNews;
 import org.dahliapass.decisions.traffic.FailureKind;
 import org.dahliapass.decisions.traffic.TargetWork;
 import org.dahliapass.decisions.traffic.WeightedTarget;
 import org.dahliapass.decisions.traffic.WorkNews;
 import org.dahliapass.model.DetectionPolicy;
 import org.dahliapass.model.Endpoint;
+import org.dahliapass.model.RequestDigest;
 import org.dahliapass.model.ServiceId;
 import org.dahliapass.model.ServiceTemplate;
 import org.dahliapass.model.VmIdentity;
@@ -38,12 +40,21 @@
     private final Set<String> mCutPaths = new HashSet<>();
     private final EntryMetrics mMetrics = new EntryMetrics();
 
+    /** Of their own, so that scenarios without such requests are the same with and without them. */
+    private final SplittableRandom mDigestRandom;
+
+    private final SplittableRandom mNewsRandom;
+    private long mRequestNumber;
+
     private FleetRun(Scenario scenario, long seed) {
         mScenario = scenario;
         mRandom = new SplittableRandom(seed);
+        mDigestRandom = new SplittableRandom(~seed);
+        mNewsRandom = mDigestRandom.split();
         for (int number = 0; number < scenario.targets(); number++) {
             Endpoint endpoint = new Endpoint("10.0.0.1", FIRST_PORT + number);
-            FleetTarget target = new FleetTarget(scenario, mTimeline, mRandom.split(), endpoint);
+            FleetTarget target =
+                    new FleetTarget(scenario, mTimeline, mRandom.split(), endpoint, mTally);
             mTargets.add(target);
             mByEndpoint.put(endpoint, target);
         }
@@ -72,7 +83,9 @@
                             ? BaselinePlacer.allKnowing(mTargets, inFlight, mRandom.split())
                             : BaselinePlacer.powerOfTwo(mTargets, mRandom.split()));
         }
-        startLoads(placers);
+        List<FleetGuard> guards = new ArrayList<>();
+        placers.forEach(placer -> guards.add(new FleetGuard()));
+        startLoads(placers, guards);
     }
 
     private void startProduction() {
@@ -91,7 +104,7 @@
             mTimeline.every(UPKEEP_MILLIS, runtime::upkeep);
             placers.add(new RuntimePlacer(runtime));
         }
-        startLoads(placers);
+        startLoads(placers, productionGuards());
     }
 
     private ServiceRuntime newRuntime() {
@@ -151,7 +164,37 @@
         }
     }
 
-    private <S> void startLoads(List<Placer<S>> placers) {
+    /** Lets the VMs tell each other of requests that end their targets. */
+    private List<FleetGuard> productionGuards() {
+        List<FleetGuard.Production> guards = new ArrayList<>();
+        for (int number = 0; number < mScenario.vms(); number++) {
+            guards.add(new FleetGuard.Production(mTimeline));
+        }
+        for (FleetGuard.Production guard : guards) {
+            guard.setTeller(news -> tellOthers(guards, guard, news));
+        }
+        return List.copyOf(guards);
+    }
+
+    private void tellOthers(
+            List<FleetGuard.Production> guards, FleetGuard.Production self, SuspectNews news) {
+        for (FleetGuard.Production other : guards) {
+            if (other != self && mNewsRandom.nextDouble() >= mScenario.newsLoss()) {
+                mTimeline.after(mScenario.newsDelayMillis(), () -> other.onNews(news));
+            }
+        }
+    }
+
+    private void endRack() {
+        mTargets.stream()
+                .limit(Math.round(mScenario.rackShare() * mTargets.size()))
+                .forEach(FleetTarget::end);
+    }
+
+    private <S> void startLoads(List<Placer<S>> placers, List<FleetGuard> guards) {
+        if (mScenario.rackShare() > 0) {
+            mTimeline.after(mScenario.length().toMillis() / 3, this::endRack);
+        }
         for (int vm = 0; vm < placers.size(); vm++) {
             for (FleetTarget target : mTargets) {
                 if (mRandom.nextDouble() < mScenario.cutShare()) {
@@ -160,11 +203,15 @@
             }
         }
         for (RequestLoad load : mScenario.loads()) {
-            arrive(load, placers, mRandom.split());
+            arrive(load, placers, guards, mRandom.split());
         }
     }
 
-    private <S> void arrive(RequestLoad load, List<Placer<S>> placers, SplittableRandom random) {
+    private <S> void arrive(
+            RequestLoad load,
+            List<Placer<S>> placers,
+            List<FleetGuard> guards,
+            SplittableRandom random) {
         double factor = mScenario.isMiddle(mTimeline.elapsedMillis()) ? mScenario.burst() : 1;
         double meanMillis = 1_000 / (load.perSecond() * factor);
         mTimeline.after(
@@ -174,21 +221,52 @@
                     new Attempt<>(
                                     load,
                                     placers.get(vm),
-                                    (target, sent, end) -> send(vm, target, sent, end),
+                                    new Paths(vm),
                                     mTimeline,
-                                    mTally)
+                                    mTally,
+                                    guards.get(vm),
+                                    digest(load))
                             .start();
-                    arrive(load, placers, random);
+                    arrive(load, placers, guards, random);
                 });
     }
 
-    private void send(int vm, Endpoint target, RequestLoad load, Consumer<FailureKind> end) {
-        if (mScenario.isMiddle(mTimeline.elapsedMillis())
-                && mCutPaths.contains(vm + "/" + target)) {
-            return;
+    private RequestDigest digest(RequestLoad load) {
+        long number = load.alike() == 0 ? mRequestNumber++ : mDigestRandom.nextInt(load.alike());
+        return new RequestDigest(load.kind().name().hashCode(), number);
+    }
+
+    /** The ways of one VM to all targets. */
+    private final class Paths implements Attempt.TargetPaths {
+        private final int mVm;
+
+        private Paths(int vm) {
+            mVm = vm;
+        }
+
+        @Override
+        public void send(
+                Endpoint target,
+                RequestLoad load,
+                RequestDigest digest,
+                Consumer<FailureKind> end) {
+            if (mScenario.isMiddle(mTimeline.elapsedMillis())
+                    && mCutPaths.contains(mVm + "/" + target)) {
+                return;
+            }
+            FleetTarget reached = at(target);
+            if (load.endsTarget() && !reached.isDown()) {
+                mTally.onPoisonReached(mTimeline.elapsedMillis());
+            } else {
+                mTally.onReached(target, mTimeline.elapsedMillis());
+            }
+            reached.take(load, end);
+        }
+
+        @Override
+        public FleetTarget at(Endpoint target) {
+            return mByEndpoint.get(target);
         }
-        mTally.onReached(target, mTimeline.elapsedMillis());
-        mByEndpoint.get(target).take(load, end);
     }
 
     /** Takes outcomes that the health part would weigh, which these runs leave out. */
--- a/lab/src/main/java/org/dahliapass/lab/fleet/FleetTarget.java
+++ b/lab/src/main/java/org/dahliapass/lab/fleet/FleetTarget.java
@@ -17,13 +17,23 @@
     private final Timeline mTimeline;
     private final SplittableRandom mRandom;
     private final Endpoint mEndpoint;
+    private final FleetTally mTally;
     private final Deque<Runnable> mQueue = new ArrayDeque<>();
     private final List<SpreadTally.Bout> mBouts = new ArrayList<>();
     private boolean mInBout;
     private long mBoutFromMillis;
+    private final List<Consumer<FailureKind>> mAtWork = new ArrayList<>();
     private int mRunning;
+    private int mStarts = 1;
+    private boolean mDown;
 
-    FleetTarget(Scenario scenario, Timeline timeline, SplittableRandom random, Endpoint endpoint) {
+    FleetTarget(
+            Scenario scenario,
+            Timeline timeline,
+            SplittableRandom random,
+            Endpoint endpoint,
+            FleetTally tally) {
+        mTally = tally;
         mScenario = scenario;
         mTimeline = timeline;
         mRandom = random;
@@ -70,13 +80,19 @@
      * @param end gets null for a whole answer, else how the work failed; never called if it hangs
      */
     void take(RequestLoad load, Consumer<FailureKind> end) {
+        if (mDown) {
+            mTimeline.after(1, () -> end.accept(FailureKind.CONNECT_FAILED));
+            return;
+        }
         if (mInBout && mScenario.bout() != BoutKind.SLOW && fails(mScenario.boutShare())) {
             failInBout(end);
             return;
         }
         if (mRunning < mScenario.slots()) {
+            mAtWork.add(end);
             run(load, end);
         } else if (mQueue.size() < mScenario.queue()) {
+            mAtWork.add(end);
             mQueue.add(() -> run(load, end));
         } else {
             mTimeline.after(1, () -> end.accept(FailureKind.REFUSED_NOT_PROCESSED));
@@ -91,11 +107,48 @@
         }
     }
 
+    boolean isDown() {
+        return mDown;
+    }
+
+    /** Returns a name of this start of the target. */
+    String incarnation() {
+        return mEndpoint + "@" + mStarts;
+    }
+
+    /** Ends the target's process with all that it has; it is back after a while. */
+    void end() {
+        if (mDown) {
+            return;
+        }
+        mDown = true;
+        mRunning = 0;
+        mQueue.clear();
+        List<Consumer<FailureKind>> atWork = List.copyOf(mAtWork);
+        mAtWork.clear();
+        atWork.forEach(end -> mTimeline.after(1, () -> end.accept(FailureKind.RESET_AFTER_SEND)));
+        mTimeline.after(
+                mScenario.restart().toMillis(),
+                () -> {
+                    mDown = false;
+                    mStarts++;
+                });
+    }
+
     private void run(RequestLoad load, Consumer<FailureKind> end) {
         mRunning++;
         mTimeline.after(
                 workMillis(load),
                 () -> {
+                    if (!mAtWork.remove(end)) {
+                        return;
+                    }
+                    if (load.endsTarget()) {
+                        mTally.onPoisonEnd(mTimeline.elapsedMillis());
+                        mAtWork.add(end);
+                        end();
+                        return;
+                    }
                     mRunning--;
                     if (!mQueue.isEmpty()) {
                         mQueue.remove().run();
--- a/lab/src/main/java/org/dahliapass/lab/fleet/RequestLoad.java
+++ b/lab/src/main/java/org/dahliapass/lab/fleet/RequestLoad.java
@@ -14,6 +14,8 @@
  * @param spread the logarithmic standard deviation of the time of work
  * @param payoff what an answer within the objective is worth
  * @param latePayoff what a later one is worth
+ * @param alike how many different requests there are of this kind; 0 if no two are alike
+ * @param endsTarget whether the target ends that runs such a request
  */
 record RequestLoad(
         RequestKind kind,
@@ -21,7 +23,9 @@
         double workMillis,
         double spread,
         double payoff,
-        double latePayoff) {
+        double latePayoff,
+        int alike,
+        boolean endsTarget) {
     private static final Duration LONGEST = Duration.ofMinutes(1);
     private static final double PATIENCE_SHARE = 0.6;
     private static final double HEDGE_AFTER_SHARE = 0.6;
@@ -54,7 +58,9 @@
                 section.decimal("work-ms", 0.1, 100_000),
                 section.decimal("spread", 0, 2, 0.5),
                 section.decimal("payoff", 0, 100, 1),
-                section.decimal("late-payoff", 0, 100, 0.5));
+                section.decimal("late-payoff", 0, 100, 0.5),
+                (int) section.number("alike", 0, 1_000_000, 0),
+                section.yesNo("ends-target", false));
     }
 
     private static Duration scaled(Duration duration, double share) {
--- a/lab/src/main/java/org/dahliapass/lab/fleet/Scenario.java
+++ b/lab/src/main/java/org/dahliapass/lab/fleet/Scenario.java
@@ -27,6 +27,8 @@
  * @param soundLength the mean time between bouts
  * @param cutShare the share of pairs of a VM and a target whose path loses all, for the middle
  *     third
+ * @param restart how long a target that ended takes to be back
+ * @param rackShare the share of the targets that end at once at the begin of the middle third
  * @param burst the load in the middle third, as a multiple
  * @param loads its kinds of request
  */
@@ -45,10 +47,13 @@
         Duration boutLength,
         Duration soundLength,
         double cutShare,
+        Duration restart,
+        double rackShare,
         double burst,
         List<RequestLoad> loads) {
     private static final Duration LONGEST = Duration.ofHours(1);
     private static final Duration SHORTEST = Duration.ofMillis(1);
+    private static final Duration DEFAULT_RESTART = Duration.ofSeconds(4);
     private static final double RETRY_SHARE = 0.18;
 
     Scenario {
@@ -97,6 +102,8 @@
                         targets.duration("bout-length", SHORTEST, LONGEST),
                         targets.duration("sound-length", SHORTEST, LONGEST),
                         targets.share("cut-share", 0),
+                        targets.duration("restart", SHORTEST, LONGEST, DEFAULT_RESTART),
+                        targets.share("rack-share", 0),
                         fleet.decimal("burst", 0.1, 100, 1),
                         loads);
         file.check();
--- a/lab/src/test/java/org/dahliapass/lab/fleet/FleetRunTest.java
+++ b/lab/src/test/java/org/dahliapass/lab/fleet/FleetRunTest.java
@@ -73,6 +73,24 @@
         assertEquals(below, 0.0, "windows in which less than the floor was in use");
     }
 
+    /** Guards against a read that takes a service down target by target, at any VM. */
+    @Test
+    public void requestThatEndsItsTargetsIsKeptFromThem() {
+        double ended = mean("poison", PlacementChoice.PRODUCTION, FleetFigures::poisonEnds);
+        assertTrue(ended <= 6, "targets ended: " + ended);
+        double late = mean("poison", PlacementChoice.PRODUCTION, FleetFigures::poisonLate);
+        assertEquals(late, 0.0, "sent later than 3 s after the third end");
+        double without = mean("poison", PlacementChoice.POWER_OF_TWO, FleetFigures::poisonEnds);
+        assertTrue(without > 30, "targets ended without it: " + without);
+    }
+
+    /** Guards against reads that are refused since a rack was lost under many of them. */
+    @Test
+    public void readsThatAreAlikeAreServedAfterARackIsLost() {
+        double held = mean("rack-lost", PlacementChoice.PRODUCTION, FleetFigures::heldBack);
+        assertEquals(held, 0.0, "held back");
+    }
+
     @DataProvider
     public Object[][] scenarios() {
         return FleetMain.SCENARIOS.stream()
--- a/traffic/src/main/java/org/dahliapass/traffic/EntryMetrics.java
+++ b/traffic/src/main/java/org/dahliapass/traffic/EntryMetrics.java
@@ -71,6 +71,15 @@
                     .labelNames("call")
                     .withoutExemplars()
                     .register(mRegistry);
+    private final Counter mPoison =
+            Counter.builder()
+                    .name("dahliapass_poison_requests_total")
+                    .help(
+                            "Targets that ended under a request, requests refused for it, and"
+                                    + " changes of how requests are treated.")
+                    .labelNames("event")
+                    .withoutExemplars()
+                    .register(mRegistry);
     private final Counter mActions =
             Counter.builder()
                     .name("dahliapass_actions_total")
@@ -100,6 +109,11 @@
         mTries.labelValues(service, end).inc();
     }
 
+    /** Counts what became of requests that end their targets. */
+    public void onPoison(String event) {
+        mPoison.labelValues(event).inc();
+    }
+
     /** Observes the time to the head of a target's answer. */
     public void onHead(String service, String kind, long latencyMillis) {
         mHeadSeconds.labelValues(service, kind).observe(latencyMillis / MILLIS_PER_SECOND);
