--- a/standins/src/main/java/org/dahliapass/standins/SealingTargetStandIn.java
+++ b/standins/src/main/java/org/dahliapass/standins/SealingTargetStandIn.java
@@ -32,6 +32,7 @@
     private final List<Seen> mSeen = new CopyOnWriteArrayList<>();
     private final List<Socket> mConnections = new CopyOnWriteArrayList<>();
     private final AtomicInteger mEnded = new AtomicInteger();
+    private final AtomicInteger mMisdirected = new AtomicInteger();
     private volatile Function<Seen, Behaviour> mBehaviour = seen -> Behaviour.ANSWER;
 
     /** What the target does with a request. */
@@ -58,6 +59,13 @@
                 write(connection, head(seen, 503, "X-Dahliapass-Not-Executed: 1\r\n") + body(seen));
             }
         },
+        /** States that another target was meant, so that it didn't run the request. */
+        MISDIRECTED {
+            @Override
+            void act(Socket connection, Seen seen) throws IOException {
+                write(connection, head(seen, 421, "X-Dahliapass-Not-Executed: 1\r\n") + body(seen));
+            }
+        },
         /** Runs the request and fails. */
         FAIL {
             @Override
@@ -219,8 +227,13 @@
             String line = reader.readLine();
             while (line != null) {
                 Seen seen = read(line, reader);
-                mSeen.add(seen);
-                mBehaviour.apply(seen).act(connection, seen);
+                if (isMeant(seen)) {
+                    mSeen.add(seen);
+                    mBehaviour.apply(seen).act(connection, seen);
+                } else {
+                    mMisdirected.incrementAndGet();
+                    Behaviour.MISDIRECTED.act(connection, seen);
+                }
                 line = reader.readLine();
             }
         } catch (ProcessEndedException ended) {
@@ -233,6 +246,17 @@
         mEnded.incrementAndGet();
     }
 
+    /** Runs also what names nobody, whichever service it was for. */
+    private boolean isMeant(Seen seen) {
+        String expected = seen.headers().get("x-dahliapass-expect-instance");
+        return expected == null || expected.equals(mInstance);
+    }
+
+    /** Returns how many requests came that named another instance. */
+    public int misdirected() {
+        return mMisdirected.get();
+    }
+
     /** Resets all connections and listens no more, as the kernel does for a process that ended. */
     private void endProcess() {
         try {
