Choose a target and its name together, so that no foreign service runs a request

Callers' requests could run at another service: an exchange kept the registrations of its arrival while the choice of targets moved on. A further try, a hedge or a request that waited was given a target that had joined since, found no name for it, and sent none; whoever has the address then runs it.

Cause: what names a target and what chooses it came from two states of different age. Class: identity looked up after the choice.

Ruled out: that the name is checked too late; targets refuse with 421 as soon as they read it. A kept connection to the one before needs no check of its own, as each request on it names its target.

Change: a slot holds a TargetInstance, address and name in one type that can't be built without a name, taken under the lock under which the target is chosen; each offer sends it. The same hole elsewhere: the end of work at a target that was replaced was blamed on its successor, and told to the other VMs by the successor's name; it says nothing now.

--- a/decisions/src/test/java/org/dahliapass/decisions/traffic/BalancerTest.java
+++ b/decisions/src/test/java/org/dahliapass/decisions/traffic/BalancerTest.java
@@ -12,6 +12,7 @@
 import java.util.random.RandomGenerator;
 import java.util.stream.IntStream;
 import org.dahliapass.model.Endpoint;
+import org.dahliapass.model.TargetInstance;
 import org.dahliapass.model.VmIdentity;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -58,7 +59,8 @@
 
     @Test
     public void guardedRequestGoesOnlyWhereItMay() {
-        WeightedTarget forbidden = new WeightedTarget(Kinds.endpoint(1), "a", 1, false);
+        WeightedTarget forbidden =
+                new WeightedTarget(TargetInstance.atFixedAddress(Kinds.endpoint(1)), "a", 1, false);
         mBalancer.onTargets(List.of(forbidden));
         assertFalse(mBalancer.hasTargetFor(Kinds.SIGN_OFF, Set.of()));
         assertTrue(mBalancer.pick(Kinds.SIGN_OFF, Set.of(), 0).isEmpty());
--- a/decisions/src/test/java/org/dahliapass/decisions/traffic/Kinds.java
+++ b/decisions/src/test/java/org/dahliapass/decisions/traffic/Kinds.java
@@ -6,6 +6,7 @@
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.model.Idempotency;
 import org.dahliapass.model.RequestKind;
+import org.dahliapass.model.TargetInstance;
 
 /** Request kinds and targets for the tests of this package. */
 final class Kinds {
@@ -46,7 +47,8 @@
     }
 
     static WeightedTarget target(int number, double weight) {
-        return new WeightedTarget(endpoint(number), "a", weight, true);
+        return new WeightedTarget(
+                TargetInstance.atFixedAddress(endpoint(number)), "a", weight, true);
     }
 
     static List<WeightedTarget> targets(int count) {
--- a/decisions/src/test/java/org/dahliapass/decisions/traffic/PlacementTest.java
+++ b/decisions/src/test/java/org/dahliapass/decisions/traffic/PlacementTest.java
@@ -10,6 +10,7 @@
 import org.dahliapass.decisions.health.Outcome;
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.model.RequestKind;
+import org.dahliapass.model.TargetInstance;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -160,8 +161,11 @@
 
     @Test
     public void largeAnswersStayWithinTheZoneWhileATargetThereIsFree() {
-        WeightedTarget near = new WeightedTarget(Kinds.endpoint(0), ZONE, 1, true);
-        WeightedTarget far = new WeightedTarget(Kinds.endpoint(1), "far", 1, true);
+        WeightedTarget near =
+                new WeightedTarget(TargetInstance.atFixedAddress(Kinds.endpoint(0)), ZONE, 1, true);
+        WeightedTarget far =
+                new WeightedTarget(
+                        TargetInstance.atFixedAddress(Kinds.endpoint(1)), "far", 1, true);
         List<WeightedTarget> both = List.of(near, far);
         for (int draw = 0; draw < DRAWS; draw++) {
             assertEquals(
--- a/decisions/src/test/java/org/dahliapass/decisions/traffic/QueueRun.java
+++ b/decisions/src/test/java/org/dahliapass/decisions/traffic/QueueRun.java
@@ -14,6 +14,7 @@
 import java.util.stream.IntStream;
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.model.RequestKind;
+import org.dahliapass.model.TargetInstance;
 import org.dahliapass.model.VmIdentity;
 
 /** Drives a queue by random events and checks each answer against a simple record of the past. */
@@ -92,7 +93,8 @@
                         .mapToObj(
                                 number ->
                                         new WeightedTarget(
-                                                Kinds.endpoint(number),
+                                                TargetInstance.atFixedAddress(
+                                                        Kinds.endpoint(number)),
                                                 "a",
                                                 mRandom.nextInt(3) / 2.0,
                                                 mRandom.nextBoolean()))
--- a/entry/src/main/java/org/dahliapass/entry/ServiceTable.java
+++ b/entry/src/main/java/org/dahliapass/entry/ServiceTable.java
@@ -25,6 +25,7 @@
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.model.ServiceId;
 import org.dahliapass.model.ServiceTemplate;
+import org.dahliapass.model.TargetInstance;
 import org.dahliapass.model.Vm;
 import org.dahliapass.model.VmIdentity;
 import org.dahliapass.traffic.EntryMetrics;
@@ -237,7 +238,7 @@
             double weight = status.state().getsWork() ? status.weight() : 0;
             targets.add(
                     new WeightedTarget(
-                            status.target().endpoint(),
+                            TargetInstance.atFixedAddress(status.target().endpoint()),
                             status.target().availabilityZone(),
                             weight,
                             status.mayCarryGuarded()));
--- a/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
@@ -83,10 +83,7 @@
                         new GatewayAnswers(random),
                         mLoad,
                         feed::isUpToDate,
-                        () -> {
-                            pools.onWork();
-                            work.onWork();
-                        },
+                        () -> onWork(pools, work),
                         guard);
         follower.onChange(
                 () ->
@@ -116,6 +113,11 @@
                 .register(WorkExchange.NAME, work);
     }
 
+    private static void onWork(ServicePools pools, WorkExchange work) {
+        pools.onWork();
+        work.onWork();
+    }
+
     private KeyValueStore store(
             GatewaySettings settings,
             TargetConnections connections,
--- a/gateway/src/main/java/org/dahliapass/gateway/PoisonGuard.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/PoisonGuard.java
@@ -11,7 +11,6 @@
 import org.dahliapass.decisions.poison.Treatment;
 import org.dahliapass.decisions.poison.Turns;
 import org.dahliapass.model.RequestDigest;
-import org.dahliapass.model.routing.TargetRegistration;
 import org.dahliapass.platform.KeyValueStore;
 import org.dahliapass.traffic.EntryMetrics;
 
@@ -95,38 +94,33 @@
     /**
      * Takes that the connection to a target broke while it had a request.
      *
-     * @param target who had it
+     * @param offer by which the target had it
      * @param digest the request
-     * @param sentMillis when it was sent, in milliseconds
      * @param whenChecked runs once it is known whether the target has ended
      */
-    void onBroken(
-            TargetRegistration target,
-            RequestDigest digest,
-            long sentMillis,
-            Runnable whenChecked) {
-        TargetEnd end = new TargetEnd(target.incarnation(), sentMillis, mClock.millis());
+    void onBroken(TargetOffer offer, RequestDigest digest, Runnable whenChecked) {
+        TargetEnd end =
+                new TargetEnd(offer.instance().incarnation(), offer.sentMillis(), mClock.millis());
         mCheck.check(
-                target.endpoint(),
+                offer.target(),
                 ended -> {
-                    onChecked(target, digest, end, ended);
+                    onChecked(offer, digest, end, ended);
                     whenChecked.run();
                 });
     }
 
-    private void onChecked(
-            TargetRegistration target, RequestDigest digest, TargetEnd end, boolean ended) {
+    private void onChecked(TargetOffer offer, RequestDigest digest, TargetEnd end, boolean ended) {
         mLog.write(
                 EventLog.Kind.BELIEF,
                 "connection_broken",
                 line ->
-                        line.put("instance", target.instance())
-                                .put("target", target.endpoint().toString())
+                        line.put("instance", offer.instance().name())
+                                .put("target", offer.target().toString())
                                 .put("target_ended", ended)
-                                .put("leaving", target.draining())
+                                .put("leaving", offer.isLeaving())
                                 .put("digest", digest.hex()));
         // A target that said that it leaves ends by itself.
-        if (!ended || target.draining()) {
+        if (!ended || offer.isLeaving()) {
             return;
         }
         mMetrics.onPoison("target_ended");
--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
@@ -19,7 +19,6 @@
 import org.dahliapass.kernel.JsonObject;
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.model.RequestDigest;
-import org.dahliapass.model.routing.TargetRegistration;
 import org.dahliapass.traffic.RefusedException;
 import org.dahliapass.traffic.Slot;
 
@@ -223,11 +222,10 @@
 
     /** Has it checked whether the target ended; returns whether it is. */
     private boolean noteBroken(TargetOffer offer, OfferResult.Failed failed) {
-        Optional<TargetRegistration> target = offer.registration();
-        if (!failed.kind().brokeConnection() || target.isEmpty()) {
+        if (!failed.kind().brokeConnection()) {
             return false;
         }
-        mGuard.onBroken(target.get(), digest(), offer.sentMillis(), this::giveTurnBack);
+        mGuard.onBroken(offer, digest(), this::giveTurnBack);
         return true;
     }
 
@@ -429,7 +427,7 @@
     private void note(TargetOffer offer, String end) {
         JsonObject entry = new JsonObject();
         entry.put("target", offer.target().toString())
-                .put("instance", offer.instance().orElse("unknown"))
+                .put("instance", offer.instance().name())
                 .put("bout_chance", Math.round(offer.chanceOfBout() * PERCENT) / PERCENT)
                 .put("sent_after_ms", offer.sentMillis() - mRequest.arrivalMillis())
                 .put("took_ms", mClock.millis() - offer.sentMillis())
--- a/gateway/src/main/java/org/dahliapass/gateway/ServicePools.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ServicePools.java
@@ -354,9 +354,13 @@
         health.takeExplanations().forEach(explanation -> explain(service, explanation));
         List<WeightedTarget> targets = new ArrayList<>();
         for (TargetStatus status : health.view().targets().values()) {
+            Optional<TargetRegistration> registered = pool.at(status.target().endpoint());
+            if (registered.isEmpty()) {
+                continue;
+            }
             targets.add(
                     new WeightedTarget(
-                            status.target().endpoint(),
+                            registered.get().target(),
                             status.target().availabilityZone(),
                             status.state().getsWork() ? status.weight() : 0,
                             status.mayCarryGuarded()));
--- a/gateway/src/main/java/org/dahliapass/gateway/TargetOffer.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/TargetOffer.java
@@ -9,7 +9,6 @@
 import io.netty.util.AsciiString;
 import java.time.Clock;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.dahliapass.decisions.health.Outcome;
 import org.dahliapass.decisions.traffic.FailureKind;
@@ -20,6 +19,7 @@
 import org.dahliapass.http.NotSentException;
 import org.dahliapass.kernel.Futures;
 import org.dahliapass.model.Endpoint;
+import org.dahliapass.model.TargetInstance;
 import org.dahliapass.model.routing.TargetRegistration;
 import org.dahliapass.platform.TargetHeaders;
 import org.dahliapass.traffic.Slot;
@@ -96,14 +96,14 @@
         return mSlot.target();
     }
 
-    /** Returns who is registered at the target's address; empty if nobody is. */
-    Optional<TargetRegistration> registration() {
-        return mPool.at(target());
+    /** Returns the target, which the request names, so that no other one runs it. */
+    TargetInstance instance() {
+        return mSlot.instance();
     }
 
-    /** Returns the instance that is expected at the target's address; empty if unknown. */
-    Optional<String> instance() {
-        return registration().map(TargetRegistration::instance);
+    /** Returns whether the target said that it leaves, as far as known when the request came. */
+    boolean isLeaving() {
+        return mPool.at(target()).map(TargetRegistration::draining).orElse(false);
     }
 
     /** Returns the chance that the target was in a bout of failure, when it was chosen. */
@@ -132,8 +132,7 @@
         HttpHeaders headers = new DefaultHttpHeaders().set(mRequest.headers());
         HopHeaders.strip(headers, ALWAYS_PASSED_ON);
         headers.set(TargetHeaders.TIME_LEFT_MILLIS, Long.toString(remaining));
-        headers.remove(TargetHeaders.EXPECTED_INSTANCE);
-        instance().ifPresent(found -> headers.set(TargetHeaders.EXPECTED_INSTANCE, found));
+        headers.set(TargetHeaders.EXPECTED_INSTANCE, instance().name());
         return headers;
     }
 
--- a/lab/src/main/java/org/dahliapass/lab/fleet/FleetFigures.java
+++ b/lab/src/main/java/org/dahliapass/lab/fleet/FleetFigures.java
@@ -63,7 +63,8 @@
         double error = Math.sqrt(squares / Math.max(1, runs.size() - 1) / runs.size());
         return String.format(
                 Locale.ROOT,
-                "%-18s %-10s %.4f ± %.4f %7.4f %7.4f %7.4f %7.4f %7.4f %7.4f %7.4f %7.2f %7.2f %7.2f %7.5f",
+                "%-18s %-10s %.4f ± %.4f %7.4f %7.4f %7.4f %7.4f %7.4f %7.4f %7.4f %7.2f"
+                        + " %7.2f %7.2f %7.5f",
                 scenario,
                 placement,
                 mean,
--- a/lab/src/main/java/org/dahliapass/lab/fleet/FleetRun.java
+++ b/lab/src/main/java/org/dahliapass/lab/fleet/FleetRun.java
@@ -19,6 +19,7 @@
 import org.dahliapass.model.RequestDigest;
 import org.dahliapass.model.ServiceId;
 import org.dahliapass.model.ServiceTemplate;
+import org.dahliapass.model.TargetInstance;
 import org.dahliapass.model.VmIdentity;
 import org.dahliapass.traffic.EntryMetrics;
 import org.dahliapass.traffic.EvidenceSink;
@@ -137,7 +138,13 @@
         runtime.onTemplate(template);
         runtime.onTargets(
                 mTargets.stream()
-                        .map(target -> new WeightedTarget(target.endpoint(), ZONE, 1, true))
+                        .map(
+                                target ->
+                                        new WeightedTarget(
+                                                TargetInstance.atFixedAddress(target.endpoint()),
+                                                ZONE,
+                                                1,
+                                                true))
                         .toList());
         return runtime;
     }
--- a/model/src/main/java/org/dahliapass/model/routing/TargetRegistration.java
+++ b/model/src/main/java/org/dahliapass/model/routing/TargetRegistration.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import org.dahliapass.model.Endpoint;
+import org.dahliapass.model.TargetInstance;
 
 /**
  * What a target says of itself in the platform's store.
@@ -26,6 +27,11 @@
         boolean draining,
         Duration warmupLeft,
         long startedMillis) {
+    /** Returns this start of the target and where it is reached. */
+    public TargetInstance target() {
+        return new TargetInstance(endpoint, instance, incarnation());
+    }
+
     /**
      * Returns what identifies this start of the target among all starts of all targets: what was
      * learned of an earlier start says nothing of this one.
--- a/traffic/src/main/java/org/dahliapass/traffic/ServiceRuntime.java
+++ b/traffic/src/main/java/org/dahliapass/traffic/ServiceRuntime.java
@@ -11,13 +11,13 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
+import java.util.function.Function;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.dahliapass.decisions.health.Outcome;
 import org.dahliapass.decisions.traffic.Admission;
 import org.dahliapass.decisions.traffic.AdmissionQueue;
 import org.dahliapass.decisions.traffic.Balancer;
-import org.dahliapass.decisions.traffic.Dispatched;
 import org.dahliapass.decisions.traffic.Expired;
 import org.dahliapass.decisions.traffic.FailedTry;
 import org.dahliapass.decisions.traffic.HedgePolicy;
@@ -40,6 +40,7 @@
 import org.dahliapass.model.RequestKind;
 import org.dahliapass.model.ServiceId;
 import org.dahliapass.model.ServiceTemplate;
+import org.dahliapass.model.TargetInstance;
 import org.dahliapass.model.VmIdentity;
 
 /**
@@ -64,6 +65,10 @@
     private final RetryPolicy mRetries;
     private final HedgePolicy mHedges;
     private volatile BiConsumer<ServiceId, WorkNews> mNewsListener = (service, change) -> {};
+
+    /** Who is at each target's address, as the newest view of the targets has it. */
+    private Map<Endpoint, TargetInstance> mInstances = Map.of();
+
     private final RateLimiter mRates = new RateLimiter(RATE_BUCKETS);
 
     /**
@@ -176,16 +181,19 @@
     private void offer(QueueEntry<SlotWaiter> entry, boolean firstTry) {
         long now = mClock.millis();
         Admission admission;
+        Optional<Slot> slot = Optional.empty();
         synchronized (this) {
             admission = mQueue.offer(entry, now);
             if (firstTry) {
                 mEvidence.onFirstTry(entry.kind());
                 mBudget.onFirstTry(entry.kind(), now);
             }
+            if (admission instanceof Admission.Dispatch dispatch) {
+                slot = Optional.of(take(entry, dispatch.target(), now, false));
+            }
         }
-        if (admission instanceof Admission.Dispatch dispatch) {
-            give(entry, dispatch.target(), now);
-        } else if (admission instanceof Admission.Refused refused) {
+        slot.ifPresent(this::give);
+        if (admission instanceof Admission.Refused refused) {
             entry.request().slot().completeExceptionally(RefusedException.of(refused));
         }
     }
@@ -193,15 +201,15 @@
     /** Gets a slot for a retry if policy and budget allow one. */
     public Optional<Slot> retry(SlotRequest request, FailedTry failed) {
         long now = mClock.millis();
-        RetryDecision decision;
+        Optional<Slot> slot = Optional.empty();
         synchronized (this) {
-            decision = mRetries.decide(failed, mQueue.isOverloaded(), now);
-        }
-        if (decision instanceof RetryDecision.Go go) {
-            mMetrics.onTry(mId.name(), "retry");
-            return Optional.of(extraSlot(request, go.target(), now));
+            if (mRetries.decide(failed, mQueue.isOverloaded(), now)
+                    instanceof RetryDecision.Go go) {
+                slot = Optional.of(take(newEntry(request, Set.of()), go.target(), now, true));
+            }
         }
-        return Optional.empty();
+        slot.ifPresent(ignored -> mMetrics.onTry(mId.name(), "retry"));
+        return slot;
     }
 
     /** Returns how long after the first try a hedge is worth asking for; empty for never. */
@@ -212,28 +220,31 @@
     /** Gets a slot for a hedge if policy and budget allow one. */
     public Optional<Slot> hedge(SlotRequest request, Set<Endpoint> tried) {
         long now = mClock.millis();
-        Optional<Endpoint> target;
+        Optional<Slot> slot;
         synchronized (this) {
-            target =
+            slot =
                     mHedges.start(
-                            request.kind(),
-                            tried,
-                            request.deadlineMillis(),
-                            mQueue.isOverloaded(),
-                            now);
+                                    request.kind(),
+                                    tried,
+                                    request.deadlineMillis(),
+                                    mQueue.isOverloaded(),
+                                    now)
+                            .map(target -> take(newEntry(request, Set.of()), target, now, true));
         }
-        target.ifPresent(ignored -> mMetrics.onTry(mId.name(), "hedge"));
-        return target.map(endpoint -> extraSlot(request, endpoint, now));
-    }
-
-    private Slot extraSlot(SlotRequest request, Endpoint target, long now) {
-        Slot slot = new Slot(newEntry(request, Set.of()), target, now, true);
-        noteStarted(slot, now);
+        slot.ifPresent(ignored -> mMetrics.onTry(mId.name(), "hedge"));
         return slot;
     }
 
-    private synchronized void noteStarted(Slot slot, long now) {
-        mEvidence.onStarted(slot.entry().kind(), slot.target(), slot, now);
+    /**
+     * Takes the slot of a target that was chosen, with the name of who is at its address.
+     *
+     * <p>Guards against a request that names nobody, or the one before, and is run by whoever has
+     * the address by then: the lock under which the target was chosen is still held.
+     */
+    private Slot take(QueueEntry<SlotWaiter> entry, Endpoint target, long now, boolean extra) {
+        Slot slot = new Slot(entry, mInstances.get(target), now, extra);
+        mEvidence.onStarted(entry.kind(), target, slot, now);
+        return slot;
     }
 
     /**
@@ -264,15 +275,15 @@
     /** Takes another VM's report, and gives the slots that it frees to those who wait. */
     public void onPeerReport(VmIdentity vm, List<TargetWork> report) {
         long now = mClock.millis();
-        QueueStep<SlotWaiter> step;
+        Handout handout;
         synchronized (this) {
             mEvidence.onPeerReport(vm.name(), report, now);
             Map<Endpoint, Integer> inFlight = new HashMap<>();
             report.forEach(work -> inFlight.put(work.target(), work.inFlight()));
             mSlots.onPeerReport(vm, inFlight, now);
-            step = mQueue.onSlotFreed(now);
+            handout = handOut(mQueue.onSlotFreed(now), now);
         }
-        carryOut(step, now);
+        carryOut(handout);
     }
 
     /** Returns the chance that a target is in a bout of failure, by the newest work. */
@@ -288,19 +299,28 @@
     /**
      * Gives a slot back and hands it to whoever waits.
      *
+     * <p>An end at a target that isn't at its address any more says nothing of the one that is.
+     *
      * @param outcome what the try says of the target's health
      * @param latencyMillis from sending to the answer's head, or to the failure
      */
     public void release(Slot slot, Outcome outcome, long latencyMillis) {
         long now = mClock.millis();
         boolean answered = outcome == Outcome.SUCCESS;
-        QueueStep<SlotWaiter> step;
+        Handout handout;
         List<WorkNews> news;
+        boolean replaced;
         synchronized (this) {
+            replaced = !slot.instance().equals(mInstances.get(slot.target()));
             mEvidence.onEnded(
-                    slot.entry().kind(), slot.target(), slot, slot.startedMillis(), outcome, now);
+                    slot.entry().kind(),
+                    slot.target(),
+                    slot,
+                    slot.startedMillis(),
+                    replaced ? Outcome.CANCELLED : outcome,
+                    now);
             news = mEvidence.takeNews();
-            step =
+            QueueStep<SlotWaiter> step =
                     slot.extra()
                             ? mQueue.onExtraTryEnded(
                                     slot.entry(),
@@ -314,11 +334,15 @@
                                     slot.startedMillis(),
                                     answered,
                                     now);
+            handout = handOut(step, now);
         }
         news.forEach(one -> mNewsListener.accept(mId, one));
         mMetrics.onTry(mId.name(), outcome.name().toLowerCase(Locale.ROOT));
-        mOutcomes.onOutcome(mId, slot.target(), slot.entry().kind().name(), outcome, latencyMillis);
-        carryOut(step, now);
+        if (!replaced) {
+            mOutcomes.onOutcome(
+                    mId, slot.target(), slot.entry().kind().name(), outcome, latencyMillis);
+        }
+        carryOut(handout);
     }
 
     /** Takes a target's own word that it is leaving. */
@@ -329,15 +353,21 @@
     /** Takes a new view of the targets, and gives the slots that it opens to those who wait. */
     public void onTargets(List<WeightedTarget> targets) {
         long now = mClock.millis();
-        QueueStep<SlotWaiter> step;
+        Handout handout;
         synchronized (this) {
+            mInstances =
+                    targets.stream()
+                            .map(WeightedTarget::instance)
+                            .collect(
+                                    Collectors.toUnmodifiableMap(
+                                            TargetInstance::endpoint, Function.identity()));
             mSlots.retainTargets(targets);
             mEvidence.retain(
                     targets.stream().map(WeightedTarget::endpoint).collect(Collectors.toSet()));
             mBalancer.onTargets(targets);
-            step = mQueue.onSlotFreed(now);
+            handout = handOut(mQueue.onSlotFreed(now), now);
         }
-        carryOut(step, now);
+        carryOut(handout);
     }
 
     /**
@@ -367,15 +397,15 @@
     /** Refuses those who waited as long as they may; called often by the control thread. */
     public void upkeep() {
         long now = mClock.millis();
-        QueueStep<SlotWaiter> step;
+        Handout handout;
         List<WorkNews> news;
         synchronized (this) {
             mEvidence.giveUpOnLost(now);
             news = mEvidence.takeNews();
-            step = mQueue.onSlotFreed(now);
+            handout = handOut(mQueue.onSlotFreed(now), now);
         }
         news.forEach(one -> mNewsListener.accept(mId, one));
-        carryOut(step, now);
+        carryOut(handout);
     }
 
     /** Returns how many requests wait for slots. */
@@ -389,26 +419,33 @@
         }
     }
 
-    private void carryOut(QueueStep<SlotWaiter> step, long now) {
-        for (Expired<SlotWaiter> expired : step.expired()) {
+    /** What a step of the queue comes to, to be told once the lock is given back. */
+    private record Handout(List<Expired<SlotWaiter>> expired, List<Slot> slots) {}
+
+    private Handout handOut(QueueStep<SlotWaiter> step, long now) {
+        List<Slot> slots =
+                step.dispatched().stream()
+                        .map(given -> take(given.entry(), given.target(), now, false))
+                        .toList();
+        return new Handout(step.expired(), slots);
+    }
+
+    private void carryOut(Handout handout) {
+        for (Expired<SlotWaiter> expired : handout.expired()) {
             expired.entry()
                     .request()
                     .slot()
                     .completeExceptionally(RefusedException.of(expired.refusal()));
         }
-        for (Dispatched<SlotWaiter> dispatched : step.dispatched()) {
-            give(dispatched.entry(), dispatched.target(), now);
-        }
+        handout.slots().forEach(this::give);
     }
 
     /**
      * Guards against a slot given to a caller that went away in the same moment: it would stay
      * taken for ever. The future is completed once, so who loses the race gives the slot back.
      */
-    private void give(QueueEntry<SlotWaiter> entry, Endpoint target, long now) {
-        Slot slot = new Slot(entry, target, now, false);
-        noteStarted(slot, now);
-        if (!entry.request().slot().complete(slot)) {
+    private void give(Slot slot) {
+        if (!slot.entry().request().slot().complete(slot)) {
             release(slot, Outcome.CANCELLED, 0);
         }
     }
