Add a failing test: a target that left is kept beyond the grace

What callers see: a request reaches a target 2,111 ms after it was acknowledged as leaving; 2,000 are allowed. The entry vanished while lapsed entries were kept for 2.1 s after the store's return, and was looked at again 2.1 s after it had vanished, not when that time was over. Seen: the target is still there.

--- /dev/null
+++ b/gateway/src/test/java/org/dahliapass/gateway/StoreFollowerTest.java
@@ -0,0 +1,89 @@
+package org.dahliapass.gateway;
+
+import static org.testng.Assert.assertEquals;
+
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.dahliapass.kernel.ControlLoop;
+import org.dahliapass.kernel.Kernel;
+import org.dahliapass.kernel.ManualClock;
+import org.dahliapass.platform.StoreEvent;
+import org.dahliapass.platform.StoredItem;
+import org.dahliapass.standins.SealingTargetStandIn;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests of {@link StoreFollower}. */
+public final class StoreFollowerTest {
+    private static final Duration GRACE = Duration.ofMillis(2_100);
+
+    private ManualClock mClock;
+    private Kernel mKernel;
+    private ControlLoop mLoop;
+    private StoreFollower mFollower;
+
+    @BeforeMethod
+    public void start() {
+        mClock = new ManualClock(Instant.ofEpochSecond(1_000));
+        mLoop = new ControlLoop(mClock);
+        EventLog log = new EventLog(mClock, "vm", new PrintStream(OutputStream.nullOutputStream()));
+        mFollower = new StoreFollower(2, log);
+        mKernel = new Kernel();
+        mKernel.register(ControlLoop.NAME, mLoop).register(StoreFollower.NAME, mFollower);
+        mKernel.start().join();
+        run(() -> mFollower.takeAll(List.of(item("i-1"), item("i-2"))));
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() {
+        mKernel.stop().join();
+    }
+
+    /**
+     * Guards against work that is sent to a target which has left: its entry vanished while lapsed
+     * entries were kept, and was looked at again a whole grace later.
+     */
+    @Test
+    public void entryThatIsKeptIsDroppedWhenItsGraceEnds() {
+        run(
+                () -> {
+                    mFollower.onFailure(new IllegalStateException("away"));
+                    mFollower.onAnswer();
+                });
+        Duration left = Duration.ofMillis(300);
+        mClock.advance(GRACE.minus(left));
+        run(() -> mFollower.takeEvents(List.of(new StoreEvent.Removed("servers/i-1", 9))));
+        mClock.advance(left);
+        // The loop runs what is due earlier first, however late it is.
+        assertEquals(targetsAfter(GRACE.minus(left)), Set.of("i-2"));
+    }
+
+    private Set<String> targetsAfter(Duration delay) {
+        CompletableFuture<Set<String>> targets = new CompletableFuture<>();
+        mLoop.after(delay, () -> targets.complete(Set.copyOf(mFollower.targets().keySet())));
+        return targets.join();
+    }
+
+    private void run(Runnable step) {
+        mLoop.ask(
+                        () -> {
+                            step.run();
+                            return null;
+                        })
+                .join();
+    }
+
+    private static StoredItem item(String instance) {
+        try (SealingTargetStandIn target = new SealingTargetStandIn(instance)) {
+            byte[] entry = target.registration("x", "ready").getBytes(StandardCharsets.UTF_8);
+            return StoredItem.of(target.key(), entry, 1);
+        }
+    }
+}
