Drop the entry of a target that left when its grace ends, not a grace later

Callers' requests reached a target 2,111 ms after it was acknowledged as leaving. The store had turned that VM away; it was back for it 1.5 s before.

Class: a timer that runs from the event in place of the time that it is for.

Change: the look is planned for the moment at which the first entry is overdue. And a VM that heard of all changes without a gap, while the store turned it away, keeps nothing: no entry lapsed with a store that others reached.

--- a/decisions/src/main/java/org/dahliapass/decisions/routing/Believed.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/routing/Believed.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /**
@@ -101,6 +102,11 @@
         return overdue;
     }
 
+    /** Returns when the next entry is overdue, in milliseconds; empty if none is kept. */
+    public OptionalLong nextDropMillis() {
+        return mDropAtMillis.values().stream().mapToLong(Long::longValue).min();
+    }
+
     /**
      * Returns a number that grows whenever an entry comes, goes or says something new, so that what
      * follows from the entries is worked out only then: most writes only say that who wrote lives.
--- a/gateway/src/main/java/org/dahliapass/gateway/ChangeFeed.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ChangeFeed.java
@@ -102,6 +102,9 @@
     /** When this VM last heard from the store or from a VM that watches it, in milliseconds. */
     private volatile long mHeardMillis = Long.MIN_VALUE / 2;
 
+    /** Since when it has heard without a gap, in milliseconds; control thread only. */
+    private long mNewsSinceMillis;
+
     /** How long the store holds the next watch. */
     private Duration mWatch = FIRST_WATCH;
 
@@ -153,6 +156,7 @@
     public CompletableFuture<Void> start(Kernel kernel) {
         mLoop = kernel.find(ControlLoop.NAME, ControlLoop.class);
         mFollower = kernel.find(StoreFollower.NAME, StoreFollower.class);
+        mFollower.setNewsSince(this::newsSinceMillis);
         mReader = new StoreReader(mLoop, mStore, mPeers, mSeeds, mBackoff, mLog, this);
         mLoop.execute(this::readStore);
         mSilenceCheck = new PeriodicTask(mLoop, SILENCE_CHECK, this::leaveSilentStore);
@@ -189,7 +193,7 @@
     }
 
     private void takeAll(List<StoredItem> items, long revision) {
-        mHeardMillis = mLoop.nowMillis();
+        noteNews();
         mMirror.reset(items, revision);
         mRevision = revision;
         mFollower.takeAll(items);
@@ -367,8 +371,25 @@
                 });
     }
 
+    private void noteNews() {
+        long now = mLoop.nowMillis();
+        if (now - mHeardMillis > NEWS_KEPT_MILLIS) {
+            mNewsSinceMillis = now;
+        }
+        mHeardMillis = now;
+    }
+
+    /**
+     * Returns since when this VM has heard of changes without a gap, in milliseconds; the greatest
+     * number if it hasn't heard lately.
+     */
+    private long newsSinceMillis() {
+        boolean recent = mLoop.nowMillis() - mHeardMillis <= NEWS_KEPT_MILLIS;
+        return recent ? mNewsSinceMillis : Long.MAX_VALUE;
+    }
+
     private void take(long revision, WatchAnswer answer, Runnable readAgain, Duration pause) {
-        mHeardMillis = mLoop.nowMillis();
+        noteNews();
         if (answer instanceof WatchAnswer.Changes changes) {
             mMirror.apply(changes.events(), changes.revision());
             mFollower.takeEvents(changes.events());
--- a/gateway/src/main/java/org/dahliapass/gateway/StoreFollower.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/StoreFollower.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.dahliapass.decisions.routing.AddressPlan;
 import org.dahliapass.decisions.routing.Believed;
 import org.dahliapass.decisions.routing.CallerDemand;
@@ -66,6 +67,11 @@
     private boolean mReadsAll;
 
     private long mAwaySinceMillis;
+
+    /** When overdue entries are looked for; the greatest number for never. */
+    private long mDropPlannedMillis = Long.MAX_VALUE;
+
+    private LongSupplier mNewsSince = () -> Long.MAX_VALUE;
     private volatile long mHeardMillis = Long.MIN_VALUE / 2;
     private double mDemand;
 
@@ -105,6 +111,14 @@
         mListeners.add(listener);
     }
 
+    /**
+     * Sets what tells since when this VM has heard of all changes without a gap, in milliseconds;
+     * the greatest number if it hasn't. Asked on the control thread.
+     */
+    void setNewsSince(LongSupplier newsSince) {
+        mNewsSince = newsSince;
+    }
+
     /** Sets who takes requests that the fleet has quarantined; before the start of the feed. */
     void onQuarantine(Consumer<RequestDigest> listener) {
         mQuarantineListener = listener;
@@ -143,12 +157,18 @@
             return;
         }
         mAway = false;
-        mTargets.onStoreBack(now);
-        mVms.onStoreBack(now);
+        // A store that only this VM did not reach let no entries lapse: the others told of it.
+        boolean heardAll = mNewsSince.getAsLong() <= mAwaySinceMillis;
+        if (!heardAll) {
+            mTargets.onStoreBack(now);
+            mVms.onStoreBack(now);
+        }
         mLog.write(
                 EventLog.Kind.DEPENDENCY,
                 "store_back",
-                line -> line.put("away_ms", now - mAwaySinceMillis));
+                line ->
+                        line.put("away_ms", now - mAwaySinceMillis)
+                                .put("heard_all_meanwhile", heardAll));
     }
 
     @Override
@@ -309,7 +329,7 @@
         if (targets.isEmpty() && vms.isEmpty()) {
             return;
         }
-        mLoop.after(Duration.ofMillis(LAPSE_GRACE_MILLIS), this::dropOverdue);
+        planDrop();
         mLog.write(
                 EventLog.Kind.BELIEF,
                 "entries_removed",
@@ -322,10 +342,26 @@
         return Math.max(OUTAGE_LEAST, (int) Math.ceil(OUTAGE_SHARE * entries));
     }
 
+    /** Looks for overdue entries when the first of them is, however long ago it vanished. */
+    private void planDrop() {
+        long next =
+                Math.min(
+                        mTargets.nextDropMillis().orElse(Long.MAX_VALUE),
+                        mVms.nextDropMillis().orElse(Long.MAX_VALUE));
+        if (next >= mDropPlannedMillis) {
+            return;
+        }
+        mDropPlannedMillis = next;
+        long delayMillis = Math.max(0, next - mLoop.nowMillis());
+        mLoop.after(Duration.ofMillis(delayMillis), this::dropOverdue);
+    }
+
     private void dropOverdue() {
         long now = mLoop.nowMillis();
+        mDropPlannedMillis = Long.MAX_VALUE;
         List<String> targets = mTargets.dropOverdue(now);
         List<String> vms = mVms.dropOverdue(now);
+        planDrop();
         if (targets.isEmpty() && vms.isEmpty()) {
             return;
         }
--- a/gateway/src/test/java/org/dahliapass/gateway/StoreFollowerTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/StoreFollowerTest.java
@@ -65,6 +65,34 @@
         assertEquals(targetsAfter(GRACE.minus(left)), Set.of("i-2"));
     }
 
+    /** Guards against a target that is kept since the store turned away this VM only. */
+    @Test
+    public void vmThatHeardOfAllChangesKeepsNothing() {
+        run(() -> mFollower.onFailure(new IllegalStateException("turned away")));
+        mClock.advance(GRACE);
+        mFollower.setNewsSince(() -> 0);
+        run(
+                () -> {
+                    mFollower.onAnswer();
+                    mFollower.takeEvents(List.of(new StoreEvent.Removed("servers/i-1", 9)));
+                });
+        assertEquals(targetsAfter(Duration.ZERO), Set.of("i-2"));
+    }
+
+    /** Guards against a service without targets, after an outage of which news had a gap. */
+    @Test
+    public void vmWhoseNewsHadAGapKeepsWhatLapsed() {
+        run(() -> mFollower.onFailure(new IllegalStateException("away")));
+        mClock.advance(GRACE);
+        mFollower.setNewsSince(mClock::millis);
+        run(
+                () -> {
+                    mFollower.onAnswer();
+                    mFollower.takeEvents(List.of(new StoreEvent.Removed("servers/i-1", 9)));
+                });
+        assertEquals(targetsAfter(Duration.ZERO), Set.of("i-1", "i-2"));
+    }
+
     private Set<String> targetsAfter(Duration delay) {
         CompletableFuture<Set<String>> targets = new CompletableFuture<>();
         mLoop.after(delay, () -> targets.complete(Set.copyOf(mFollower.targets().keySet())));
