Take a target for ended only if its port refuses, and promise nothing while an offer runs

A check of a target that this VM could not make at all, for want of descriptors or of a way, counted as the target's end; three of them in turn would have quarantined requests of callers who did nothing wrong. Such a check says nothing now: only a refused connection, or one that took too long, does.

A request that is found quarantined while an offer of its own still runs would have been refused with "not run". By reading no path leads there today, as second offers are asked for on the same thread as they are given; the guard costs nothing.

--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
@@ -135,7 +135,7 @@
 
     private void refuseQuarantined() {
         long wait = mGuard.onRefused(digest());
-        if (mMayHaveRun) {
+        if (mMayHaveRun || !mRunning.isEmpty()) {
             finishUnlessRunning();
             return;
         }
@@ -220,7 +220,11 @@
         }
     }
 
-    /** Has it checked whether the target ended; returns whether it is. */
+    /**
+     * Has it checked whether the target ended, if the connection broke.
+     *
+     * @return whether it is checked, after which the turn is given back
+     */
     private boolean noteBroken(TargetOffer offer, OfferResult.Failed failed) {
         if (!failed.kind().brokeConnection()) {
             return false;
--- a/http/src/main/java/org/dahliapass/http/HttpClient.java
+++ b/http/src/main/java/org/dahliapass/http/HttpClient.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.util.concurrent.Future;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.time.Clock;
 import java.time.Duration;
@@ -125,7 +126,8 @@
     /**
      * Opens a connection to find out whether anything listens at an address; it is kept for use.
      *
-     * @return false if none could be opened in time; completes on the event loop
+     * @return false if it was refused or took too long; fails if this VM could not try, for want of
+     *     descriptors or of a way; completes on the event loop
      */
     public CompletableFuture<Boolean> isListening(Endpoint server) {
         CompletableFuture<Boolean> listening = new CompletableFuture<>();
@@ -135,8 +137,12 @@
                         done -> {
                             if (done.isSuccess()) {
                                 keep(server, connection);
+                                listening.complete(true);
+                            } else if (done.cause() instanceof ConnectException) {
+                                listening.complete(false);
+                            } else {
+                                listening.completeExceptionally(done.cause());
                             }
-                            listening.complete(done.isSuccess());
                         });
         return listening;
     }
