--- a/http/src/test/java/org/dahliapass/http/ListeningCheckTest.java
+++ b/http/src/test/java/org/dahliapass/http/ListeningCheckTest.java
@@ -8,6 +8,7 @@
 import java.net.ServerSocket;
 import java.time.Clock;
 import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 import org.dahliapass.model.Endpoint;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -29,7 +30,7 @@
     @AfterMethod(alwaysRun = true)
     public void stop() {
         mClient.stop().join();
-        mLoops.shutdownGracefully();
+        mLoops.shutdownGracefully(0, 0, TimeUnit.SECONDS).syncUninterruptibly();
     }
 
     @Test
