--- a/lab/src/main/java/org/dahliapass/lab/fleet/FleetRun.java
+++ b/lab/src/main/java/org/dahliapass/lab/fleet/FleetRun.java
@@ -8,7 +8,6 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
-import org.dahliapass.decisions.health.Outcome;
 import org.dahliapass.decisions.poison.SuspectNews;
 import org.dahliapass.decisions.traffic.FailureKind;
 import org.dahliapass.decisions.traffic.TargetWork;
@@ -17,12 +16,10 @@
 import org.dahliapass.model.DetectionPolicy;
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.model.RequestDigest;
-import org.dahliapass.model.ServiceId;
 import org.dahliapass.model.ServiceTemplate;
 import org.dahliapass.model.TargetInstance;
 import org.dahliapass.model.VmIdentity;
 import org.dahliapass.traffic.EntryMetrics;
-import org.dahliapass.traffic.EvidenceSink;
 import org.dahliapass.traffic.ServiceRuntime;
 
 /** One run of a scenario with one seed and one way to place work. */
@@ -275,14 +272,4 @@
             return mByEndpoint.get(target);
         }
     }
-
-    /** Takes outcomes that the health part would weigh, which these runs leave out. */
-    private static final class NoSink implements EvidenceSink {
-        @Override
-        public void onOutcome(
-                ServiceId service, Endpoint target, String kind, Outcome outcome, long latency) {}
-
-        @Override
-        public void onDraining(ServiceId service, Endpoint target) {}
-    }
 }
--- /dev/null
+++ b/lab/src/main/java/org/dahliapass/lab/fleet/NoSink.java
@@ -0,0 +1,16 @@
+package org.dahliapass.lab.fleet;
+
+import org.dahliapass.decisions.health.Outcome;
+import org.dahliapass.model.Endpoint;
+import org.dahliapass.model.ServiceId;
+import org.dahliapass.traffic.EvidenceSink;
+
+/** Takes outcomes that the health part would weigh, which these runs leave out. */
+final class NoSink implements EvidenceSink {
+    @Override
+    public void onOutcome(
+            ServiceId service, Endpoint target, String kind, Outcome outcome, long latency) {}
+
+    @Override
+    public void onDraining(ServiceId service, Endpoint target) {}
+}
--- a/lab/src/test/java/org/dahliapass/lab/fleet/IdentityFuzzTest.java
+++ b/lab/src/test/java/org/dahliapass/lab/fleet/IdentityFuzzTest.java
@@ -20,11 +20,9 @@
 import org.dahliapass.model.DetectionPolicy;
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.model.RequestKind;
-import org.dahliapass.model.ServiceId;
 import org.dahliapass.model.ServiceTemplate;
 import org.dahliapass.model.TargetInstance;
 import org.dahliapass.traffic.EntryMetrics;
-import org.dahliapass.traffic.EvidenceSink;
 import org.dahliapass.traffic.ServiceRuntime;
 import org.dahliapass.traffic.Slot;
 import org.dahliapass.traffic.SlotRequest;
@@ -212,13 +210,4 @@
             }
         }
     }
-
-    private static final class NoSink implements EvidenceSink {
-        @Override
-        public void onOutcome(
-                ServiceId service, Endpoint target, String kind, Outcome outcome, long latency) {}
-
-        @Override
-        public void onDraining(ServiceId service, Endpoint target) {}
-    }
 }
