Close the port of an ended stand-in before its connections

Traced: a port still takes connections after its close for as long as another thread waits in accept, so the check took a target for alive that had ended. A process that ends has no such thread, so the fault is the stand-in's: it waits for its thread before it resets its connections. The check and its bound are as they were.

--- a/standins/src/main/java/org/dahliapass/standins/SealingTargetStandIn.java
+++ b/standins/src/main/java/org/dahliapass/standins/SealingTargetStandIn.java
@@ -33,6 +33,7 @@
     private final List<Socket> mConnections = new CopyOnWriteArrayList<>();
     private final AtomicInteger mEnded = new AtomicInteger();
     private final AtomicInteger mMisdirected = new AtomicInteger();
+    private Thread mAcceptor;
     private volatile Function<Seen, Behaviour> mBehaviour = seen -> Behaviour.ANSWER;
 
     /** What the target does with a request. */
@@ -202,7 +203,7 @@
 
     @Override
     public void start() {
-        startThread("target-" + mInstance, this::acceptAll);
+        mAcceptor = startThread("target-" + mInstance, this::acceptAll);
     }
 
     private void acceptAll() {
@@ -210,7 +211,7 @@
             try {
                 Socket connection = mSocket.accept();
                 mConnections.add(connection);
-                startThread("connection-" + mInstance, () -> serveAll(connection));
+                Thread unused = startThread("connection-" + mInstance, () -> serveAll(connection));
             } catch (IOException closed) {
                 // The socket was closed, which ends the loop.
                 return;
@@ -257,10 +258,15 @@
         return mMisdirected.get();
     }
 
-    /** Resets all connections and listens no more, as the kernel does for a process that ended. */
+    /**
+     * Listens no more and resets all connections, as the kernel does for a process that ended.
+     *
+     * <p>The port takes connections for as long as a thread waits for one, also after the close.
+     */
     private void endProcess() {
         try {
             mSocket.close();
+            mAcceptor.join();
             for (Socket connection : mConnections) {
                 if (!connection.isClosed()) {
                     connection.setSoLinger(true, 0);
@@ -269,6 +275,8 @@
             }
         } catch (IOException failure) {
             throw new UncheckedIOException(failure);
+        } catch (InterruptedException ended) {
+            Thread.currentThread().interrupt();
         }
     }
 
@@ -309,10 +317,11 @@
         return new Seen(line, headers, new String(body));
     }
 
-    private static void startThread(String name, Runnable work) {
+    private static Thread startThread(String name, Runnable work) {
         Thread thread = new Thread(work, name);
         thread.setDaemon(true);
         thread.start();
+        return thread;
     }
 
     @Override
