--- a/gateway/src/test/java/org/dahliapass/gateway/FleetFixture.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/FleetFixture.java
@@ -8,6 +8,7 @@
 import java.util.stream.IntStream;
 import org.dahliapass.kernel.IniFile;
 import org.dahliapass.kernel.MonotonicClock;
+import org.dahliapass.platform.AskCalls;
 import org.dahliapass.standins.CallerStandIn;
 import org.dahliapass.standins.GatewaySample;
 import org.dahliapass.standins.MetadataStoreStandIn;
@@ -66,7 +67,8 @@
                 () ->
                         CallerStandIn.read(
                                                 mSettings.get(asked).asks(),
-                                                "/api/resolve?name=a.example&region=r&zone=zone-a")
+                                                AskCalls.ASK_PATH
+                                                        + "?name=a.example&region=r&zone=zone-a")
                                         .split("127.0.0.1")
                                         .length
                                 > vms);
