Authenticate callers by customers' keys and name the customer to targets

Cause: the gateway knew no customers. It passed the caller's key on to targets, went on to serve removed keys and never answered 401.

Change: the configuration's customers and their keys (as digests only) are decoded in platform; Authenticator alone creates a CallerIdentity, without which no head of a request to a target can be built. A request is authenticated on arrival, before its body is read, and again before each send if the configuration has changed. An unknown key at a VM whose changes are late is refused with 503 instead of 401. With strict revocation a VM accepts no key once its configuration is older than the limit. Digests of quarantined requests use the customer's name instead of the key.

--- a/decisions/src/test/java/org/dahliapass/decisions/routing/DemandEstimatorTest.java
+++ b/decisions/src/test/java/org/dahliapass/decisions/routing/DemandEstimatorTest.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.stream.IntStream;
 import org.dahliapass.model.Endpoint;
+import org.dahliapass.model.routing.CustomerKeys;
 import org.dahliapass.model.routing.RequestClass;
 import org.dahliapass.model.routing.RequestLimits;
 import org.dahliapass.model.routing.RouteRule;
@@ -69,9 +70,14 @@
                         Duration.ofMillis(objectiveMillis),
                         1,
                         2,
+                        true,
                         List.of(new ServiceShare(service, 1)));
         return new RoutingConfiguration(
-                1, List.of(route), Map.of(), new RequestLimits(1, 1, Duration.ZERO, Duration.ZERO));
+                1,
+                List.of(route),
+                Map.of(),
+                CustomerKeys.notRequired(),
+                new RequestLimits(1, 1, Duration.ZERO, Duration.ZERO));
     }
 
     private static List<TargetRegistration> targets(int count) {
--- a/decisions/src/test/java/org/dahliapass/decisions/routing/RouteTableTest.java
+++ b/decisions/src/test/java/org/dahliapass/decisions/routing/RouteTableTest.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import org.dahliapass.model.routing.CustomerKeys;
 import org.dahliapass.model.routing.RequestClass;
 import org.dahliapass.model.routing.RequestLimits;
 import org.dahliapass.model.routing.RouteRule;
@@ -27,6 +28,7 @@
                                     route("long", "a.example", "/x/y/"),
                                     route("other", "b.example", "/")),
                             Map.of(),
+                            CustomerKeys.notRequired(),
                             LIMITS));
 
     @Test
@@ -64,6 +66,7 @@
                 Duration.ofSeconds(1),
                 0,
                 1,
+                true,
                 List.of(new ServiceShare("s", 1)));
     }
 }
--- a/decisions/src/test/java/org/dahliapass/decisions/routing/WeightedRoundRobinTest.java
+++ b/decisions/src/test/java/org/dahliapass/decisions/routing/WeightedRoundRobinTest.java
@@ -58,6 +58,7 @@
                 Duration.ofSeconds(1),
                 0,
                 1,
+                true,
                 List.of(shares));
     }
 }
--- a/gateway/src/main/java/org/dahliapass/gateway/ChangeFeed.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ChangeFeed.java
@@ -149,11 +149,19 @@
      * nowhere; any thread may call this.
      */
     boolean isUpToDate() {
+        return configurationAgeMillis() <= MAX_UPDATE_AGE_MILLIS;
+    }
+
+    /**
+     * Returns the time since the source of changes last responded, in milliseconds; any thread may
+     * call this.
+     */
+    long configurationAgeMillis() {
         long lastUpdateMillis =
                 mFollowsStore
                         ? Math.max(mLastUpdateMillis, mFollower.lastResponseMillis())
                         : mLastUpdateMillis;
-        return mLoop.nowMillis() - lastUpdateMillis <= MAX_UPDATE_AGE_MILLIS;
+        return mLoop.nowMillis() - lastUpdateMillis;
     }
 
     /** Registers a listener that runs when there may be changes for the followers of this VM. */
--- a/gateway/src/main/java/org/dahliapass/gateway/GatewayResponses.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewayResponses.java
@@ -8,6 +8,7 @@
 
 /** The responses that a gateway VM creates itself instead of forwarding those of targets. */
 final class GatewayResponses {
+    static final int UNAUTHENTICATED = 401;
     static final int BAD_GATEWAY = 502;
     static final int UNAVAILABLE = 503;
     static final int TIMEOUT = 504;
@@ -75,6 +76,18 @@
         return response(HttpResponseStatus.NOT_FOUND, 0, "No route takes this host and path.");
     }
 
+    /** Returns the 401 response to a request without a key of a customer. */
+    CallerResponse unauthenticated() {
+        ServerResponse response =
+                ServerResponse.json(
+                        HttpResponseStatus.UNAUTHORIZED,
+                        new JsonObject()
+                                .put("message", "The request has no key of a customer.")
+                                .toString());
+        response.headers().set(HttpHeaderNames.WWW_AUTHENTICATE, "Bearer");
+        return CallerResponse.buffered(response);
+    }
+
     /** Returns the 400 response to a request without an attempt id. */
     CallerResponse missingAttemptId() {
         return response(HttpResponseStatus.BAD_REQUEST, 0, "The request has no attempt id.");
--- a/gateway/src/main/java/org/dahliapass/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewaySettings.java
@@ -29,6 +29,8 @@
  * @param vmsPerZone the minimum number of VMs that serve the callers of one availability zone
  * @param floorShare the share of a service's targets that is never ejected
  * @param retryShare the retry budget, as a share of first attempts
+ * @param revocationLimit the time after which a VM that receives no changes accepts no key; empty
+ *     if it accepts the keys that it knows
  * @param detection the thresholds for ejecting a target
  */
 public record GatewaySettings(
@@ -44,6 +46,7 @@
         int vmsPerZone,
         double floorShare,
         double retryShare,
+        Optional<Duration> revocationLimit,
         DetectionPolicy detection) {
     /** Copies the list of seeds. */
     public GatewaySettings {
@@ -97,6 +100,9 @@
                         (int) policy.number("vms-per-zone", 1, MAX_VMS_PER_ZONE),
                         policy.fraction("floor"),
                         policy.fraction("retries"),
+                        policy.has("revocation-limit-seconds")
+                                ? Optional.of(seconds(policy, "revocation-limit-seconds"))
+                                : Optional.empty(),
                         detection(policy));
         file.throwIfInvalid();
         return settings;
--- a/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
@@ -73,6 +73,9 @@
         PoisonGuard guard =
                 new PoisonGuard(
                         settings, clock, connections, store, follower, exchange, metrics, log);
+        RequestAuthenticator authenticator =
+                new RequestAuthenticator(
+                        follower, settings.revocationLimit(), feed::configurationAgeMillis);
         ProxyHandler proxy =
                 new ProxyHandler(
                         clock,
@@ -87,12 +90,9 @@
                         mLoadReporter,
                         feed::isUpToDate,
                         () -> onRequest(pools, exchange),
-                        guard);
-        follower.addChangeListener(
-                () ->
-                        follower.view()
-                                .routes()
-                                .ifPresent(routes -> mState.advance(GatewayState.Phase.SERVING)));
+                        guard,
+                        authenticator);
+        follower.addChangeListener(() -> serveOnceConfigured(follower));
         mKernel.register(ControlLoop.NAME, mLoop)
                 .register(EntryMetrics.NAME, metrics)
                 .register(TargetConnections.NAME, connections)
@@ -116,6 +116,10 @@
                 .register(PeerExchange.NAME, exchange);
     }
 
+    private void serveOnceConfigured(StoreFollower follower) {
+        follower.view().routes().ifPresent(routes -> mState.advance(GatewayState.Phase.SERVING));
+    }
+
     private static void onRequest(ServicePools pools, PeerExchange exchange) {
         pools.onRequest();
         exchange.onRequest();
--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
@@ -11,6 +11,9 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.dahliapass.decisions.access.Authentication;
+import org.dahliapass.decisions.access.CallerIdentity;
+import org.dahliapass.decisions.access.RejectionReason;
 import org.dahliapass.decisions.poison.Treatment;
 import org.dahliapass.decisions.traffic.FailedAttempt;
 import org.dahliapass.decisions.traffic.FailureKind;
@@ -53,6 +56,7 @@
     private final EventLog mLog;
     private final GatewayResponses mResponses;
     private final PoisonGuard mGuard;
+    private final RequestAuthenticator mAuthenticator;
     private final List<TargetAttempt> mRunningAttempts = new ArrayList<>();
     private final List<JsonObject> mAttemptLog = new ArrayList<>();
     private final Set<Endpoint> mTriedTargets = new HashSet<>();
@@ -75,7 +79,8 @@
             Clock clock,
             EventLog log,
             GatewayResponses responses,
-            PoisonGuard guard) {
+            PoisonGuard guard,
+            RequestAuthenticator authenticator) {
         mCall = call;
         mRequest = request;
         mPool = pool;
@@ -85,6 +90,7 @@
         mLog = log;
         mResponses = responses;
         mGuard = guard;
+        mAuthenticator = authenticator;
     }
 
     /**
@@ -173,10 +179,31 @@
             attempt.abort(FailureKind.CANCELLED_BY_CALLER);
             return;
         }
-        start(attempt);
+        Authentication authentication = mAuthenticator.reauthenticate(mRequest);
+        if (authentication instanceof Authentication.Accepted accepted) {
+            start(attempt, accepted.identity());
+        } else if (authentication instanceof Authentication.Rejected rejected) {
+            attempt.abort(FailureKind.CANCELLED_BY_CALLER);
+            rejectUnauthenticated(rejected.reason());
+        }
+    }
+
+    private void rejectUnauthenticated(RejectionReason reason) {
+        if (mMayHaveExecuted || !mRunningAttempts.isEmpty()) {
+            finishIfIdle();
+            return;
+        }
+        if (reason.isDefinite()) {
+            finish(
+                    mResponses.unauthenticated(),
+                    GatewayResponses.UNAUTHENTICATED,
+                    reason.description());
+        } else {
+            refuse(reason.description());
+        }
     }
 
-    private void start(TargetAttempt attempt) {
+    private void start(TargetAttempt attempt, CallerIdentity identity) {
         scheduleHedge();
         if (treatment() == Treatment.ALONE) {
             mGuard.digestLocks().acquire(digest());
@@ -185,7 +212,8 @@
         mAttempts++;
         mTriedTargets.add(attempt.target());
         mRunningAttempts.add(attempt);
-        Futures.whenDone(attempt.send(), (result, failure) -> onResult(attempt, result, failure));
+        Futures.whenDone(
+                attempt.send(identity), (result, failure) -> onResult(attempt, result, failure));
     }
 
     private void scheduleHedge() {
@@ -341,24 +369,22 @@
         } else if (mMayHaveExecuted) {
             finish(mResponses.failed(), GatewayResponses.BAD_GATEWAY, "may have run");
         } else {
-            long retryAfter =
-                    mResponses.retryAfterMillis(mRequest.remainingMillis(mClock.millis()));
-            finish(
-                    mResponses.refused(retryAfter),
-                    GatewayResponses.UNAVAILABLE,
-                    "no target took it");
+            refuse("no target took it");
         }
     }
 
+    private void refuse(String outcome) {
+        long retryAfter = mResponses.retryAfterMillis(mRequest.remainingMillis(mClock.millis()));
+        finish(mResponses.refused(retryAfter), GatewayResponses.UNAVAILABLE, outcome);
+    }
+
     private void reject(Throwable failure) {
         if (mMayHaveExecuted) {
             finishIfIdle();
             return;
         }
         Throwable cause = Futures.unwrap(failure);
-        String reason = cause instanceof RefusedException ? cause.getMessage() : cause.toString();
-        long retryAfter = mResponses.retryAfterMillis(mRequest.remainingMillis(mClock.millis()));
-        finish(mResponses.refused(retryAfter), GatewayResponses.UNAVAILABLE, reason);
+        refuse(cause instanceof RefusedException ? cause.getMessage() : cause.toString());
     }
 
     /**
@@ -465,6 +491,7 @@
                     line.put("id", mRequest.id())
                             .put("route", mRequest.route().name())
                             .put("version", mRequest.version())
+                            .put("customer", mRequest.customer())
                             .put("kind", mRequest.kind().name())
                             .put("service", mRequest.service())
                             .put("took_ms", now - mRequest.arrivalMillis())
--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyHandler.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyHandler.java
@@ -9,6 +9,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
+import org.dahliapass.decisions.access.Authentication;
+import org.dahliapass.decisions.access.CallerIdentity;
+import org.dahliapass.decisions.access.Credentials;
+import org.dahliapass.decisions.access.RejectionReason;
 import org.dahliapass.decisions.routing.RouteTable;
 import org.dahliapass.decisions.routing.WeightedRoundRobin;
 import org.dahliapass.http.RequestHandler;
@@ -47,6 +51,7 @@
     private final BooleanSupplier mIsUpToDate;
     private final Runnable mOnRequest;
     private final PoisonGuard mGuard;
+    private final RequestAuthenticator mAuthenticator;
     private RouteTable mRoutes;
 
     ProxyHandler(
@@ -62,7 +67,8 @@
             LoadReporter loadReporter,
             BooleanSupplier isUpToDate,
             Runnable onRequestRead,
-            PoisonGuard guard) {
+            PoisonGuard guard,
+            RequestAuthenticator authenticator) {
         mClock = clock;
         mSettings = settings;
         mState = state;
@@ -76,6 +82,7 @@
         mIsUpToDate = isUpToDate;
         mOnRequest = onRequestRead;
         mGuard = guard;
+        mAuthenticator = authenticator;
     }
 
     @Override
@@ -114,6 +121,19 @@
             mResponses.headTooLarge().send(call);
             return;
         }
+        Credentials credentials =
+                Credentials.parse(head.headers().getAll(HttpHeaderNames.AUTHORIZATION));
+        Authentication authentication =
+                mAuthenticator.authenticate(routes, route.get(), credentials);
+        if (authentication instanceof Authentication.Rejected rejected) {
+            rejectUnauthenticated(call, routes, rejected.reason());
+        } else if (authentication instanceof Authentication.Accepted accepted) {
+            read(call, routes, new Match(target, route.get(), credentials, accepted.identity()));
+        }
+    }
+
+    private void read(ServerCall call, RouteTable routes, Match match) {
+        RequestLimits limits = routes.configuration().limits();
         long arrivalMillis = mClock.millis();
         call.readBody(
                 limits.bodyBytes(),
@@ -121,14 +141,7 @@
                     mOnRequest.run();
                     mPools.runWhenCurrent(
                             call.loop(),
-                            () ->
-                                    startExchange(
-                                            call,
-                                            target,
-                                            body,
-                                            routes,
-                                            route.get(),
-                                            arrivalMillis));
+                            () -> startExchange(call, match, body, routes, arrivalMillis));
                 },
                 () -> mResponses.bodyTooLarge().send(call));
     }
@@ -144,17 +157,41 @@
             mResponses.noRoute().send(call);
             return;
         }
+        refuseUnsure(call, routes, "route_unsure", "no recent update of the configuration");
+    }
+
+    /**
+     * Responds with 401, or asks the caller to retry if this VM may not know the newest keys.
+     *
+     * <p>Guards against a final 401 for a new key from a VM whose updates are late.
+     */
+    private void rejectUnauthenticated(ServerCall call, RouteTable routes, RejectionReason reason) {
+        if (!reason.isDefinite() || !mIsUpToDate.getAsBoolean()) {
+            refuseUnsure(call, routes, "key_unsure", reason.description());
+            return;
+        }
+        mLog.write(
+                EventLog.Kind.REQUEST,
+                "request_unauthenticated",
+                line ->
+                        line.put("id", call.head().headers().get(TargetHeaders.ATTEMPT_ID, ""))
+                                .put("version", routes.configuration().version())
+                                .put("cause", reason.description()));
+        mResponses.unauthenticated().send(call);
+    }
+
+    private void refuseUnsure(ServerCall call, RouteTable routes, String event, String cause) {
         HttpHeaders headers = call.head().headers();
         long retryAfter =
                 mResponses.retryAfterMillis(callerTimeout(headers, DEFAULT_TIMEOUT_MILLIS));
         mLog.write(
                 EventLog.Kind.REQUEST,
-                "route_unsure",
+                event,
                 line ->
                         line.put("id", headers.get(TargetHeaders.ATTEMPT_ID, ""))
                                 .put("version", routes.configuration().version())
                                 .put("come_back_ms", retryAfter)
-                                .put("cause", "no recent update of the configuration"));
+                                .put("cause", cause));
         mResponses.refused(retryAfter).send(call);
     }
 
@@ -186,12 +223,8 @@
     }
 
     private void startExchange(
-            ServerCall call,
-            RequestTarget target,
-            ByteBuf body,
-            RouteTable routes,
-            RouteRule route,
-            long arrivalMillis) {
+            ServerCall call, Match match, ByteBuf body, RouteTable routes, long arrivalMillis) {
+        RouteRule route = match.route();
         String service = mServiceChooser.next(route);
         Optional<ServicePool> pool = mPools.find(service);
         if (pool.isEmpty()) {
@@ -199,7 +232,7 @@
             return;
         }
         HttpHeaders headers = new DefaultHttpHeaders().set(call.head().headers());
-        headers.set(HttpHeaderNames.HOST, target.authority());
+        headers.set(HttpHeaderNames.HOST, match.target().authority());
         long timeoutMillis = route.timeout().toMillis();
         ProxyRequest request =
                 new ProxyRequest(
@@ -207,19 +240,44 @@
                         routes.configuration().version(),
                         route,
                         service,
+                        match.credentials(),
+                        match.identity(),
                         RequestKinds.of(
                                 route, routes.configuration().limits(), mSettings.retryShare()),
-                        target.path(),
+                        match.target().path(),
                         call.head().method(),
                         headers,
                         body,
                         arrivalMillis,
                         arrivalMillis
                                 + Math.min(timeoutMillis, callerTimeout(headers, timeoutMillis)));
-        new ProxyExchange(call, request, pool.get(), mConnections, mClock, mLog, mResponses, mGuard)
+        new ProxyExchange(
+                        call,
+                        request,
+                        pool.get(),
+                        mConnections,
+                        mClock,
+                        mLog,
+                        mResponses,
+                        mGuard,
+                        mAuthenticator)
                 .start();
     }
 
+    /**
+     * A request whose route and caller are known and whose body is not read yet.
+     *
+     * @param target the host and path
+     * @param route the matching route
+     * @param credentials the caller's credentials
+     * @param identity for whom the request is executed
+     */
+    private record Match(
+            RequestTarget target,
+            RouteRule route,
+            Credentials credentials,
+            CallerIdentity identity) {}
+
     /** Returns the approximate size of the request head on the wire, in bytes. */
     private static long headBytes(HttpRequest head) {
         long bytes = head.uri().length();
--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyRequest.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyRequest.java
@@ -4,8 +4,11 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import org.dahliapass.decisions.access.CallerIdentity;
+import org.dahliapass.decisions.access.Credentials;
 import org.dahliapass.model.RequestDigest;
 import org.dahliapass.model.RequestKind;
+import org.dahliapass.model.routing.Customer;
 import org.dahliapass.model.routing.RouteRule;
 import org.dahliapass.traffic.SlotRequest;
 
@@ -16,6 +19,8 @@
  * @param version the configuration version of the route
  * @param route the matching route
  * @param service the selected service of the route
+ * @param credentials the caller's credentials
+ * @param identity for whom the request is executed, by the configuration on its arrival
  * @param kind the request kind for the traffic decisions
  * @param path the path and query as received
  * @param method the HTTP method
@@ -30,6 +35,8 @@
         long version,
         RouteRule route,
         String service,
+        Credentials credentials,
+        CallerIdentity identity,
         RequestKind kind,
         String path,
         HttpMethod method,
@@ -40,16 +47,29 @@
         implements SlotRequest {
     @Override
     public String customer() {
-        return route.host();
+        return identity.customer().map(Customer::name).orElse(route.host());
+    }
+
+    /** Returns the host that the request is for. */
+    String authority() {
+        return headers.get(HttpHeaderNames.HOST, "");
+    }
+
+    /** Returns the path as received, without the query. */
+    String pathWithoutQuery() {
+        int query = path.indexOf('?');
+        return query < 0 ? path : path.substring(0, query);
     }
 
     /** Returns the digest that this request shares with all requests of the same content. */
     RequestDigest digest() {
         return RequestDigest.of(
                 method.name(),
-                headers.get(HttpHeaderNames.HOST, ""),
+                authority(),
                 path,
-                headers.get(HttpHeaderNames.AUTHORIZATION, ""),
+                identity.forwardsCredentials()
+                        ? headers.get(HttpHeaderNames.AUTHORIZATION, "")
+                        : customer(),
                 body.nioBuffer());
     }
 
--- a/gateway/src/main/java/org/dahliapass/gateway/TargetAttempt.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/TargetAttempt.java
@@ -2,14 +2,12 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.util.AsciiString;
 import java.time.Clock;
-import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import org.dahliapass.decisions.access.CallerIdentity;
 import org.dahliapass.decisions.health.Outcome;
 import org.dahliapass.decisions.traffic.FailureKind;
 import org.dahliapass.http.ClientCall;
@@ -21,7 +19,6 @@
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.model.TargetInstance;
 import org.dahliapass.model.routing.TargetRegistration;
-import org.dahliapass.platform.TargetHeaders;
 import org.dahliapass.traffic.Slot;
 
 /**
@@ -39,13 +36,6 @@
 
     private static final int DEFAULT_BODY_BYTES = 1_024;
 
-    /**
-     * Guards against a caller or target that lists these headers in its Connection header, which
-     * would remove the proof of the request's and the response's origin.
-     */
-    private static final List<AsciiString> ALWAYS_FORWARDED =
-            List.of(TargetHeaders.ATTEMPT_ID, TargetHeaders.SIGNATURE);
-
     private final double mFailureProbability;
     private final ProxyRequest mRequest;
     private final Slot mSlot;
@@ -76,10 +66,10 @@
     }
 
     /**
-     * Sends the request. The future completes when the response is complete or the attempt has
-     * failed.
+     * Sends the request for a caller. The future completes when the response is complete or the
+     * attempt has failed.
      */
-    CompletableFuture<AttemptResult> send() {
+    CompletableFuture<AttemptResult> send(CallerIdentity identity) {
         mSentMillis = mClock.millis();
         mCall =
                 mConnections
@@ -88,7 +78,11 @@
                                 target(),
                                 mRequest.method(),
                                 mRequest.path(),
-                                targetHeaders(mRequest.remainingMillis(mSentMillis)),
+                                TargetRequestHead.of(
+                                        mRequest.headers(),
+                                        identity,
+                                        instance(),
+                                        mRequest.remainingMillis(mSentMillis)),
                                 mRequest.body(),
                                 this);
         return mResult;
@@ -133,14 +127,6 @@
         }
     }
 
-    private HttpHeaders targetHeaders(long remaining) {
-        HttpHeaders headers = new DefaultHttpHeaders().set(mRequest.headers());
-        HopByHopHeaders.strip(headers, ALWAYS_FORWARDED);
-        headers.set(TargetHeaders.REMAINING_MILLIS, Long.toString(remaining));
-        headers.set(TargetHeaders.EXPECTED_INSTANCE, instance().name());
-        return headers;
-    }
-
     @Override
     public void onHead(HttpResponse head) {
         mHeadMillis = mClock.millis();
@@ -239,7 +225,7 @@
 
     private HttpHeaders callerHeaders() {
         HttpHeaders headers = mHead.headers();
-        HopByHopHeaders.strip(headers, ALWAYS_FORWARDED);
+        HopByHopHeaders.strip(headers, TargetRequestHead.ALWAYS_FORWARDED);
         return headers;
     }
 
--- /dev/null
+++ b/gateway/src/test/java/org/dahliapass/gateway/GatewayCustomerTest.java
@@ -0,0 +1,123 @@
+package org.dahliapass.gateway;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Locale;
+import org.dahliapass.platform.TargetHeaders;
+import org.dahliapass.standins.CallerStandIn;
+import org.dahliapass.standins.GatewayFixtures;
+import org.dahliapass.standins.SigningTargetStandIn.Behaviour;
+import org.dahliapass.standins.SigningTargetStandIn.ReceivedRequest;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** End-to-end tests of customers' keys through a gateway VM. */
+public final class GatewayCustomerTest {
+    private static final String KEY = "k3y-of-c";
+    private static final String CUSTOMERS = "[[\"c\",[\"" + KEY + "\",\"new\"],1,0,0]]";
+
+    private GatewayFixture mFixture;
+
+    @BeforeMethod
+    public void start() {
+        mFixture = new GatewayFixture();
+        configure(2, CUSTOMERS);
+        GatewayFixture.await(() -> status("Authorization: Bearer unknown", "/r/probe") == 401);
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() {
+        mFixture.close();
+    }
+
+    /** A target that is told another customer, or the key itself, acts for the wrong caller. */
+    @Test
+    public void targetIsToldTheCustomerAndNotTheKey() {
+        String headers =
+                "Authorization: Bearer "
+                        + KEY
+                        + "\r\nx-DAHLIAPASS-tenant: other\r\nX_Dahliapass_Tenant: other"
+                        + "\r\nConnection: X-Dahliapass-Tenant, close";
+        assertEquals(status(headers, "/r/told"), 200);
+        ReceivedRequest received = received("/r/told").get(0);
+        assertEquals(received.headers().get(TargetHeaders.CUSTOMER.toString()), "c");
+        assertFalse(received.toString().contains(KEY), received.toString());
+        assertFalse(received.toString().contains("other"), received.toString());
+    }
+
+    @Test
+    public void requestWithoutKnownKeyIsRejectedBeforeItsBodyIsRead() {
+        String response =
+                mFixture.caller()
+                        .sendRaw(
+                                "POST /l/none HTTP/1.1\r\nHost: a.example\r\n"
+                                        + TargetHeaders.ATTEMPT_ID
+                                        + ": x\r\nContent-Length: 900\r\n\r\n");
+        assertEquals(CallerStandIn.status(response), 401);
+        assertTrue(response.toLowerCase(Locale.ROOT).contains("www-authenticate: bearer"));
+        assertEquals(mFixture.seen("/l/none"), 0);
+    }
+
+    @Test
+    public void twoKeysAreRejected() {
+        String twice = "Authorization: Bearer " + KEY + "\r\nAuthorization: Bearer " + KEY;
+        assertEquals(status(twice, "/r/twice"), 401);
+    }
+
+    /** A key that is removed while a request waits must not be used for a later attempt. */
+    @Test
+    public void requestIsAuthenticatedAgainBeforeItIsSentAgain() {
+        mFixture.mTargets.forEach(
+                target ->
+                        target.setBehaviour(
+                                seen -> {
+                                    if (seen.requestLine().contains("/r/waits")) {
+                                        removeKey();
+                                    }
+                                    return Behaviour.SHED;
+                                }));
+        assertEquals(status("Authorization: Bearer " + KEY, "/r/waits"), 401);
+        assertEquals(mFixture.seen("/r/waits"), 1);
+    }
+
+    private void removeKey() {
+        configure(3, "[[\"c\",[\"new\"],1,0,0]]");
+        GatewayFixture.await(() -> status("Authorization: Bearer " + KEY, "/r/probe") == 401);
+    }
+
+    @Test
+    public void addedKeyIsAccepted() {
+        configure(3, "[[\"c\",[\"added\"],1,0,0]]");
+        GatewayFixture.await(() -> status("Authorization: Bearer added", "/r/added") == 200);
+        assertEquals(status("Authorization: Bearer " + KEY, "/r/removed"), 401);
+    }
+
+    private void configure(long version, String customers) {
+        mFixture.mStore.put(
+                "op/config", GatewayFixtures.configurationWithCustomers(version, customers));
+    }
+
+    private int status(String headers, String path) {
+        return CallerStandIn.status(
+                mFixture.caller()
+                        .sendRaw(
+                                "GET "
+                                        + path
+                                        + " HTTP/1.1\r\nHost: a.example\r\n"
+                                        + TargetHeaders.ATTEMPT_ID
+                                        + ": x\r\n"
+                                        + headers
+                                        + "\r\n\r\n"));
+    }
+
+    private List<ReceivedRequest> received(String path) {
+        return mFixture.mTargets.stream()
+                .flatMap(target -> target.receivedRequests().stream())
+                .filter(request -> request.requestLine().contains(" " + path + " "))
+                .toList();
+    }
+}
--- a/model/src/main/java/org/dahliapass/model/routing/RouteRule.java
+++ b/model/src/main/java/org/dahliapass/model/routing/RouteRule.java
@@ -14,6 +14,7 @@
  * @param objective the latency objective
  * @param priority the priority relative to other routes; 0 is the highest
  * @param maxTargets the maximum number of targets that one client request may be sent to
+ * @param keyRequired whether requests need a customer's key, if the configuration has customers
  * @param shares the services that handle the requests; at least one
  */
 public record RouteRule(
@@ -25,6 +26,7 @@
         Duration objective,
         int priority,
         int maxTargets,
+        boolean keyRequired,
         List<ServiceShare> shares) {
     /** Creates a route with an immutable copy of the shares. */
     public RouteRule {
--- a/model/src/main/java/org/dahliapass/model/routing/RoutingConfiguration.java
+++ b/model/src/main/java/org/dahliapass/model/routing/RoutingConfiguration.java
@@ -9,12 +9,14 @@
  * @param version the version number, which increases with each change
  * @param routes all routes
  * @param services all services by name
+ * @param keys the keys of the customers
  * @param limits the limits on client requests and connections
  */
 public record RoutingConfiguration(
         long version,
         List<RouteRule> routes,
         Map<String, RoutedService> services,
+        CustomerKeys keys,
         RequestLimits limits) {
     /** Creates a configuration with immutable copies of the collections. */
     public RoutingConfiguration {
--- a/standins/src/main/java/org/dahliapass/standins/GatewayFixtures.java
+++ b/standins/src/main/java/org/dahliapass/standins/GatewayFixtures.java
@@ -33,6 +33,20 @@
                 + "\"idle_timeout_s\":15}}";
     }
 
+    /**
+     * Returns the configuration with customers, whose keys are required.
+     *
+     * @param customers rows of name, list of keys, priority, requests per second and burst, as JSON
+     */
+    public static String configurationWithCustomers(long version, String customers) {
+        String configuration = configuration(version, "/r/");
+        return configuration.substring(0, configuration.length() - 1)
+                + ",\"tenants\":{\"columns\":[\"name\",\"api_keys\",\"priority\",\"rate_per_s\","
+                + "\"burst\"],\"rows\":"
+                + customers
+                + "}}";
+    }
+
     /** Returns settings with free local ports. */
     public static String settings(Endpoint store) {
         List<Integer> ports = freePorts();
