Hold customers' rate limits and the retry allowance over the whole fleet

Change: FleetRateLimiter holds a limit for the sum of all VMs. Each VM admits its even share from its own bucket; customers that need more at some VM are reported between the VMs that take callers, and while a VM knows the use of all of them it takes from a common count. A VM that starts has only what it would have saved since; one that is cut off uses a part of its share. What is over gets 429 at once with a Retry-After from the bucket. The slack of the retry budget is divided among the VMs that take callers.

The test of the fleet's retries fails with two extra attempts a VM.

--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/RetryBudget.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/RetryBudget.java
@@ -13,16 +13,22 @@
     private static final int BUCKETS = 10;
     private static final long BUCKET_MILLIS = 1_000;
 
-    /** Allows retries at low traffic. */
-    private static final double MIN_EXTRA_ATTEMPTS = 2;
+    /** The allowance of a VM that is not told one. */
+    private static final double DEFAULT_ALLOWANCE = 2;
 
     /** The share of the budget available to requests that may be repeated; the rest is reserved. */
     private static final double REPEATABLE_SHARE = 0.7;
 
     private final double[] mEarned = new double[BUCKETS];
     private final int[] mSpent = new int[BUCKETS];
+    private double mAllowance = DEFAULT_ALLOWANCE;
     private long mNewestBucket = Long.MIN_VALUE;
 
+    /** Sets the retries and hedges that are allowed beside the share, for low traffic. */
+    public void setAllowance(double allowance) {
+        mAllowance = allowance;
+    }
+
     /** Records a first attempt, which adds its kind's retry share to the budget. */
     public void onFirstAttempt(RequestKind kind, long nowMillis) {
         mEarned[bucketAt(nowMillis)] += kind.retryShare();
@@ -43,7 +49,7 @@
             spent += mSpent[index];
         }
         double available = kind.idempotency().isRepeatable() ? earned * REPEATABLE_SHARE : earned;
-        return spent + 1 <= MIN_EXTRA_ATTEMPTS + available;
+        return spent + 1 <= mAllowance + available;
     }
 
     /** Charges a retry or hedge to the budget. */
--- a/decisions/src/test/java/org/dahliapass/decisions/traffic/RetryBudgetTest.java
+++ b/decisions/src/test/java/org/dahliapass/decisions/traffic/RetryBudgetTest.java
@@ -4,8 +4,10 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import org.dahliapass.decisions.limits.RetryAllowance;
 import org.dahliapass.model.RequestKind;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests of {@link RetryBudget}. */
@@ -64,4 +66,24 @@
         }
         return spent;
     }
+
+    @DataProvider
+    public Object[][] fleets() {
+        return new Object[][] {{18, 24}, {102, 176}, {3_700, 700}};
+    }
+
+    /** The retries of all VMs together must not grow with the number of VMs. */
+    @Test(dataProvider = "fleets")
+    public void allowanceIsSharedByTheFleet(int vms, int fleetRetries) {
+        int spent = 0;
+        for (int vm = 0; vm < vms; vm++) {
+            RetryBudget budget = new RetryBudget();
+            budget.setAllowance(RetryAllowance.perVm(fleetRetries, vms, true));
+            while (budget.hasRemaining(Kinds.LOOKUP, 0)) {
+                budget.onExtraAttempt(0);
+                spent++;
+            }
+        }
+        assertTrue(spent <= fleetRetries, spent + " retries");
+    }
 }
--- /dev/null
+++ b/gateway/src/main/java/org/dahliapass/gateway/CustomerLimits.java
@@ -0,0 +1,160 @@
+package org.dahliapass.gateway;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+import org.dahliapass.decisions.limits.FleetRateLimiter;
+import org.dahliapass.decisions.limits.LimitMessage;
+import org.dahliapass.decisions.routing.AddressPlan;
+import org.dahliapass.kernel.ControlLoop;
+import org.dahliapass.kernel.Kernel;
+import org.dahliapass.kernel.KernelService;
+import org.dahliapass.kernel.PeriodicTask;
+import org.dahliapass.model.routing.Customer;
+import org.dahliapass.model.routing.FleetVm;
+
+/**
+ * Holds the rate limits of customers together with the other VMs that serve callers; any thread may
+ * use it.
+ */
+final class CustomerLimits implements KernelService {
+    /** The service name in the kernel. */
+    static final String NAME = "customer-limits";
+
+    private static final Duration REPORT_PERIOD = Duration.ofMillis(100);
+
+    /**
+     * The age of the configuration after which the other VMs may have dropped this one, whose
+     * registration they remove after a few seconds without renewal.
+     */
+    private static final long ISOLATION_MILLIS = 2_500;
+
+    private final GatewaySettings mSettings;
+    private final LongSupplier mConfigurationAge;
+    private final RandomGenerator mRandom;
+    private final PeerExchange mExchange;
+    private FleetRateLimiter mLimiter;
+    private StoreFollower mFollower;
+    private ControlLoop mLoop;
+    private PeriodicTask mReportTask;
+    private AddressPlan mPlan;
+    private boolean mIsIsolated;
+
+    /**
+     * Creates the limits of a VM.
+     *
+     * @param configurationAge returns the time since the configuration was last confirmed, in
+     *     milliseconds
+     */
+    CustomerLimits(
+            GatewaySettings settings,
+            LongSupplier configurationAge,
+            PeerExchange exchange,
+            RandomGenerator random) {
+        mSettings = settings;
+        mConfigurationAge = configurationAge;
+        mExchange = exchange;
+        mRandom = random;
+    }
+
+    @Override
+    public CompletableFuture<Void> start(Kernel kernel) {
+        mFollower = kernel.find(StoreFollower.NAME, StoreFollower.class);
+        mLoop = kernel.find(ControlLoop.NAME, ControlLoop.class);
+        mLimiter =
+                new FleetRateLimiter(
+                        mSettings.self().name(),
+                        mSettings.limits().sharing(),
+                        mSettings.limits().tolerance(),
+                        mLoop.nowMillis(),
+                        mRandom);
+        mReportTask = new PeriodicTask(mLoop, REPORT_PERIOD, this::report);
+        mExchange.setLimitListener(this::onMessage);
+        return CompletableFuture.completedFuture(null);
+    }
+
+    /**
+     * Takes a token for a request of a customer if its limit allows one.
+     *
+     * @return empty if a token was taken; otherwise the time until one is available, in
+     *     milliseconds
+     */
+    OptionalLong tryAcquire(Customer customer) {
+        if (!customer.limit().isLimited()) {
+            return OptionalLong.empty();
+        }
+        OptionalLong wait;
+        List<LimitMessage> messages = List.of();
+        synchronized (this) {
+            long now = mLoop.nowMillis();
+            updateVms(now);
+            boolean wasActive = mLimiter.isActive();
+            wait = mLimiter.tryAcquire(customer.name(), customer.limit(), now);
+            if (!wasActive && mLimiter.isActive()) {
+                messages = mLimiter.poll(now);
+                mReportTask.wake();
+            }
+        }
+        send(messages);
+        return wait;
+    }
+
+    /** Returns the token of a request that was not sent to any target. */
+    synchronized void release(Customer customer) {
+        mLimiter.release(customer.name());
+    }
+
+    private Optional<Duration> report() {
+        List<LimitMessage> messages;
+        boolean isActive;
+        synchronized (this) {
+            updateVms(mLoop.nowMillis());
+            messages = mLimiter.poll(mLoop.nowMillis());
+            isActive = mLimiter.isActive();
+        }
+        send(messages);
+        return isActive ? Optional.of(REPORT_PERIOD) : Optional.empty();
+    }
+
+    private void onMessage(LimitMessage message) {
+        List<LimitMessage> replies;
+        synchronized (this) {
+            updateVms(mLoop.nowMillis());
+            replies = mLimiter.onMessage(message, mLoop.nowMillis());
+            if (mLimiter.isActive()) {
+                mReportTask.wake();
+            }
+        }
+        send(replies);
+    }
+
+    private void updateVms(long nowMillis) {
+        AddressPlan plan = mFollower.view().plan();
+        boolean isIsolated = mConfigurationAge.getAsLong() > ISOLATION_MILLIS;
+        if (plan == mPlan && isIsolated == mIsIsolated) {
+            return;
+        }
+        mPlan = plan;
+        mIsIsolated = isIsolated;
+        List<String> vms = plan.advertisedVms().stream().map(FleetVm::name).toList();
+        mLimiter.onVms(vms, isIsolated, nowMillis);
+    }
+
+    /** Sends all messages for one VM together. */
+    private void send(List<LimitMessage> messages) {
+        Map<String, List<LimitMessage>> byReceiver = new LinkedHashMap<>();
+        for (LimitMessage message : messages) {
+            byReceiver
+                    .computeIfAbsent(message.receiver(), unused -> new ArrayList<>())
+                    .add(message);
+        }
+        byReceiver.forEach(mExchange::sendLimits);
+    }
+}
--- a/gateway/src/main/java/org/dahliapass/gateway/GatewayResponses.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewayResponses.java
@@ -9,6 +9,7 @@
 /** The responses that a gateway VM creates itself instead of forwarding those of targets. */
 final class GatewayResponses {
     static final int UNAUTHENTICATED = 401;
+    static final int TOO_MANY_REQUESTS = 429;
     static final int BAD_GATEWAY = 502;
     static final int UNAVAILABLE = 503;
     static final int TIMEOUT = 504;
@@ -46,6 +47,20 @@
                 "The request was not run. Come back after the time in Retry-After.");
     }
 
+    /**
+     * Returns the 429 response to a request beyond its customer's rate limit, which has not run.
+     *
+     * @param waitMillis the time until the limit allows a request, in milliseconds; callers are
+     *     told up to twice as long, so that they don't all return at once
+     */
+    CallerResponse rateLimited(long waitMillis) {
+        return response(
+                HttpResponseStatus.TOO_MANY_REQUESTS,
+                Math.round(waitMillis * (1 + mRandom.nextDouble())),
+                "The request was not run: the customer's rate limit is used up. Come back after the"
+                        + " time in Retry-After.");
+    }
+
     /** Returns the 503 response to a quarantined request, which has not run. */
     CallerResponse quarantined(long retryAfterMillis) {
         return response(
--- a/gateway/src/main/java/org/dahliapass/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewaySettings.java
@@ -4,7 +4,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
+import org.dahliapass.decisions.limits.LimitSharing;
+import org.dahliapass.decisions.limits.LimitTolerance;
 import org.dahliapass.kernel.IniFile;
 import org.dahliapass.kernel.IniSection;
 import org.dahliapass.kernel.SettingsException;
@@ -31,6 +34,7 @@
  * @param retryShare the retry budget, as a share of first attempts
  * @param revocationLimit the time after which a VM that receives no changes accepts no key; empty
  *     if it accepts the keys that it knows
+ * @param limits how the VMs hold the limits that apply to all of them together
  * @param detection the thresholds for ejecting a target
  */
 public record GatewaySettings(
@@ -47,6 +51,7 @@
         double floorShare,
         double retryShare,
         Optional<Duration> revocationLimit,
+        LimitSettings limits,
         DetectionPolicy detection) {
     /** Copies the list of seeds. */
     public GatewaySettings {
@@ -62,6 +67,14 @@
 
     private static final double MAX_PROCESSORS = 1_000;
     private static final double MAX_LINK_MEGABITS = 1_000_000;
+    private static final double MAX_SLACK = 1_000_000;
+    private static final double DEFAULT_RETRIES = 20;
+    private static final double MIN_WINDOW = 0.1;
+    private static final double MAX_WINDOW = 3_600;
+
+    /** The ways of sharing for which the VMs have messages. */
+    private static final List<LimitSharing> SHARINGS =
+            List.of(LimitSharing.EVEN, LimitSharing.COUNTED);
 
     /**
      * Reads a settings file.
@@ -103,6 +116,7 @@
                         policy.has("revocation-limit-seconds")
                                 ? Optional.of(seconds(policy, "revocation-limit-seconds"))
                                 : Optional.empty(),
+                        limits(policy),
                         detection(policy));
         file.throwIfInvalid();
         return settings;
@@ -121,6 +135,24 @@
         return new VmCapacity(processors * share, link);
     }
 
+    private static LimitSettings limits(IniSection policy) {
+        String sharing = policy.text("rate-limit-sharing", "counted");
+        Optional<LimitSharing> known =
+                SHARINGS.stream()
+                        .filter(value -> value.name().toLowerCase(Locale.ROOT).equals(sharing))
+                        .findFirst();
+        if (known.isEmpty()) {
+            policy.reportProblem("rate-limit-sharing", "'" + sharing + "'", "even or counted");
+        }
+        return new LimitSettings(
+                known.orElse(LimitSharing.COUNTED),
+                new LimitTolerance(
+                        policy.decimal("rate-limit-excess", 0, 1, 0),
+                        policy.decimal("rate-limit-slack", 0, MAX_SLACK, 0),
+                        policy.decimal("rate-limit-window-seconds", MIN_WINDOW, MAX_WINDOW, 1)),
+                policy.decimal("retry-slack", 0, MAX_SLACK, DEFAULT_RETRIES));
+    }
+
     private static DetectionPolicy detection(IniSection policy) {
         return new DetectionPolicy(
                 policy.decimal("false-ejections-per-hour", 1e-9, 100),
--- a/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
@@ -73,9 +73,8 @@
         PoisonGuard guard =
                 new PoisonGuard(
                         settings, clock, connections, store, follower, exchange, metrics, log);
-        RequestAuthenticator authenticator =
-                new RequestAuthenticator(
-                        follower, settings.revocationLimit(), feed::configurationAgeMillis);
+        CustomerLimits limits =
+                new CustomerLimits(settings, feed::configurationAgeMillis, exchange, random);
         ProxyHandler proxy =
                 new ProxyHandler(
                         clock,
@@ -91,29 +90,37 @@
                         feed::isUpToDate,
                         () -> onRequest(pools, exchange),
                         guard,
-                        authenticator);
+                        authenticator(settings, follower, feed),
+                        limits);
+        GatewayServers servers =
+                new GatewayServers(
+                        settings,
+                        mState,
+                        metrics,
+                        proxy,
+                        new DiscoveryHandler(settings, mState, follower),
+                        new MirrorService(mLoop, feed, mLoadReporter),
+                        connections.loops(),
+                        clock,
+                        follower);
         follower.addChangeListener(() -> serveOnceConfigured(follower));
         mKernel.register(ControlLoop.NAME, mLoop)
                 .register(EntryMetrics.NAME, metrics)
                 .register(TargetConnections.NAME, connections)
-                .register(
-                        GatewayServers.NAME,
-                        new GatewayServers(
-                                settings,
-                                mState,
-                                metrics,
-                                proxy,
-                                new DiscoveryHandler(settings, mState, follower),
-                                new MirrorService(mLoop, feed, mLoadReporter),
-                                connections.loops(),
-                                clock,
-                                follower))
+                .register(GatewayServers.NAME, servers)
                 .register(StoreFollower.NAME, follower)
                 .register(ChangeFeed.NAME, feed)
                 .register(SelfRegistration.NAME, mRegistration)
                 .register(ServicePools.NAME, pools)
                 .register(LoadReporter.NAME, mLoadReporter)
-                .register(PeerExchange.NAME, exchange);
+                .register(PeerExchange.NAME, exchange)
+                .register(CustomerLimits.NAME, limits);
+    }
+
+    private static RequestAuthenticator authenticator(
+            GatewaySettings settings, StoreFollower follower, ChangeFeed feed) {
+        return new RequestAuthenticator(
+                follower, settings.revocationLimit(), feed::configurationAgeMillis);
     }
 
     private void serveOnceConfigured(StoreFollower follower) {
--- a/gateway/src/main/java/org/dahliapass/gateway/PeerExchange.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/PeerExchange.java
@@ -20,6 +20,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import org.dahliapass.decisions.limits.LimitMessage;
 import org.dahliapass.decisions.poison.SuspectReport;
 import org.dahliapass.decisions.traffic.Observation;
 import org.dahliapass.decisions.traffic.TargetObservation;
@@ -34,6 +35,7 @@
 import org.dahliapass.model.VmIdentity;
 import org.dahliapass.model.routing.FleetVm;
 import org.dahliapass.model.routing.TargetRegistration;
+import org.dahliapass.wire.message.LimitUse;
 import org.dahliapass.wire.message.TrustNews;
 
 /**
@@ -80,6 +82,7 @@
     private volatile long mLastRequestMillis = Long.MIN_VALUE / 2;
     private volatile Channel mChannel;
     private volatile Consumer<List<SuspectReport>> mSuspectListener = reports -> {};
+    private volatile Consumer<LimitMessage> mLimitListener = message -> {};
 
     PeerExchange(GatewaySettings settings, EventLoopGroup loops, EventLog log) {
         mSettings = settings;
@@ -176,6 +179,26 @@
                         .toByteArray());
     }
 
+    /** Sets the listener for the use of limits at other VMs; to be called during the start. */
+    void setLimitListener(Consumer<LimitMessage> listener) {
+        mLimitListener = listener;
+    }
+
+    /** Sends this VM's use of limits to another VM; any thread may call this. */
+    void sendLimits(String receiver, List<LimitMessage> messages) {
+        TrustNews.Builder news =
+                TrustNews.newBuilder().setVersion(VERSION).setSender(mSettings.self().name());
+        for (LimitMessage message : messages) {
+            if (message.content() instanceof LimitMessage.Use use) {
+                news.addLimits(LimitCodec.encode(message.customer(), use));
+            }
+        }
+        byte[] datagram = news.build().toByteArray();
+        mFollower.view().plan().advertisedVms().stream()
+                .filter(vm -> vm.name().equals(receiver))
+                .forEach(vm -> send(datagram, vm.peerEndpoint()));
+    }
+
     /** Reports the in-flight requests to the other VMs that serve callers; control thread only. */
     private Optional<Duration> report() {
         long now = mLoop.nowMillis();
@@ -236,6 +259,10 @@
                             .map(suspect -> SuspectCodec.decode(suspect, now))
                             .toList());
         }
+        for (LimitUse use : message.getLimitsList()) {
+            mLimitListener.accept(
+                    LimitCodec.decode(message.getSender(), mSettings.self().name(), use));
+        }
         Optional<ServicePool> pool = mPools.find(message.getService());
         if (pool.isEmpty()) {
             return;
--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
@@ -57,6 +57,7 @@
     private final GatewayResponses mResponses;
     private final PoisonGuard mGuard;
     private final RequestAuthenticator mAuthenticator;
+    private final CustomerLimits mLimits;
     private final List<TargetAttempt> mRunningAttempts = new ArrayList<>();
     private final List<JsonObject> mAttemptLog = new ArrayList<>();
     private final Set<Endpoint> mTriedTargets = new HashSet<>();
@@ -80,7 +81,8 @@
             EventLog log,
             GatewayResponses responses,
             PoisonGuard guard,
-            RequestAuthenticator authenticator) {
+            RequestAuthenticator authenticator,
+            CustomerLimits limits) {
         mCall = call;
         mRequest = request;
         mPool = pool;
@@ -91,6 +93,7 @@
         mResponses = responses;
         mGuard = guard;
         mAuthenticator = authenticator;
+        mLimits = limits;
     }
 
     /**
@@ -396,7 +399,7 @@
             abortAttempts(FailureKind.TIMED_OUT);
             return;
         }
-        boolean mayHaveExecuted = mMayHaveExecuted || !mRunningAttempts.isEmpty();
+        mMayHaveExecuted |= !mRunningAttempts.isEmpty();
         // Set first: aborting an attempt completes it at once, which must not start another one.
         mFinished = true;
         abortAttempts(FailureKind.TIMED_OUT);
@@ -405,7 +408,7 @@
                     mErrorResponse.get().response(),
                     mErrorResponse.get().status(),
                     "the target's own failure");
-        } else if (mayHaveExecuted) {
+        } else if (mMayHaveExecuted) {
             finish(mResponses.timedOut(), GatewayResponses.TIMEOUT, "the time is over");
         } else {
             finish(
@@ -443,6 +446,9 @@
 
     private void finish(CallerResponse response, int status, String outcome) {
         mFinished = true;
+        if (!mMayHaveExecuted && mRunningAttempts.isEmpty()) {
+            mRequest.identity().customer().ifPresent(mLimits::release);
+        }
         if (mHedgeTimer != null) {
             mHedgeTimer.cancel(false);
         }
--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyHandler.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyHandler.java
@@ -8,6 +8,7 @@
 import java.time.Clock;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.BooleanSupplier;
 import org.dahliapass.decisions.access.Authentication;
 import org.dahliapass.decisions.access.CallerIdentity;
@@ -18,6 +19,7 @@
 import org.dahliapass.http.RequestHandler;
 import org.dahliapass.http.RequestTarget;
 import org.dahliapass.http.ServerCall;
+import org.dahliapass.model.routing.Customer;
 import org.dahliapass.model.routing.RequestLimits;
 import org.dahliapass.model.routing.RouteRule;
 import org.dahliapass.platform.TargetHeaders;
@@ -52,6 +54,7 @@
     private final Runnable mOnRequest;
     private final PoisonGuard mGuard;
     private final RequestAuthenticator mAuthenticator;
+    private final CustomerLimits mLimits;
     private RouteTable mRoutes;
 
     ProxyHandler(
@@ -68,7 +71,8 @@
             BooleanSupplier isUpToDate,
             Runnable onRequestRead,
             PoisonGuard guard,
-            RequestAuthenticator authenticator) {
+            RequestAuthenticator authenticator,
+            CustomerLimits limits) {
         mClock = clock;
         mSettings = settings;
         mState = state;
@@ -83,6 +87,7 @@
         mOnRequest = onRequestRead;
         mGuard = guard;
         mAuthenticator = authenticator;
+        mLimits = limits;
     }
 
     @Override
@@ -128,10 +133,37 @@
         if (authentication instanceof Authentication.Rejected rejected) {
             rejectUnauthenticated(call, routes, rejected.reason());
         } else if (authentication instanceof Authentication.Accepted accepted) {
-            read(call, routes, new Match(target, route.get(), credentials, accepted.identity()));
+            Match match = new Match(target, route.get(), credentials, accepted.identity());
+            if (isWithinLimit(call, routes, match)) {
+                read(call, routes, match);
+            }
         }
     }
 
+    /** Takes a token of the customer's rate limit, or refuses the request. */
+    private boolean isWithinLimit(ServerCall call, RouteTable routes, Match match) {
+        if (match.identity().customer().isEmpty()) {
+            return true;
+        }
+        Customer customer = match.identity().customer().get();
+        OptionalLong wait = mLimits.tryAcquire(customer);
+        if (wait.isEmpty()) {
+            return true;
+        }
+        mLog.write(
+                EventLog.Kind.REQUEST,
+                "request_rate_limited",
+                line ->
+                        line.put("id", call.head().headers().get(TargetHeaders.ATTEMPT_ID, ""))
+                                .put("customer", customer.name())
+                                .put("requests_per_second", customer.limit().requestsPerSecond())
+                                .put("burst", customer.limit().burst())
+                                .put("version", routes.configuration().version())
+                                .put("wait_ms", wait.getAsLong()));
+        mResponses.rateLimited(wait.getAsLong()).send(call);
+        return false;
+    }
+
     private void read(ServerCall call, RouteTable routes, Match match) {
         RequestLimits limits = routes.configuration().limits();
         long arrivalMillis = mClock.millis();
@@ -143,7 +175,10 @@
                             call.loop(),
                             () -> startExchange(call, match, body, routes, arrivalMillis));
                 },
-                () -> mResponses.bodyTooLarge().send(call));
+                () -> {
+                    match.identity().customer().ifPresent(mLimits::release);
+                    mResponses.bodyTooLarge().send(call);
+                });
     }
 
     /**
@@ -228,6 +263,7 @@
         String service = mServiceChooser.next(route);
         Optional<ServicePool> pool = mPools.find(service);
         if (pool.isEmpty()) {
+            match.identity().customer().ifPresent(mLimits::release);
             mResponses.refused(STARTUP_RETRY_MILLIS).send(call);
             return;
         }
@@ -260,7 +296,8 @@
                         mLog,
                         mResponses,
                         mGuard,
-                        mAuthenticator)
+                        mAuthenticator,
+                        mLimits)
                 .start();
     }
 
--- a/gateway/src/main/java/org/dahliapass/gateway/ServicePools.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ServicePools.java
@@ -17,6 +17,7 @@
 import org.dahliapass.decisions.health.Outcome;
 import org.dahliapass.decisions.health.TargetHealth;
 import org.dahliapass.decisions.health.TargetStatus;
+import org.dahliapass.decisions.limits.RetryAllowance;
 import org.dahliapass.decisions.traffic.TargetObservation;
 import org.dahliapass.decisions.traffic.WeightedTarget;
 import org.dahliapass.kernel.ControlLoop;
@@ -30,6 +31,7 @@
 import org.dahliapass.model.Target;
 import org.dahliapass.model.VmIdentity;
 import org.dahliapass.model.explain.Explanation;
+import org.dahliapass.model.routing.FleetVm;
 import org.dahliapass.model.routing.RouteRule;
 import org.dahliapass.model.routing.RoutingConfiguration;
 import org.dahliapass.model.routing.TargetRegistration;
@@ -376,6 +378,14 @@
                             status.acceptsAtMostOnce()));
         }
         pool.runtime().onTargets(targets);
+        pool.runtime().setRetryAllowance(retryAllowance());
+    }
+
+    private double retryAllowance() {
+        Set<FleetVm> vms = mFollower.view().plan().advertisedVms();
+        boolean takesCallers =
+                vms.stream().anyMatch(vm -> vm.name().equals(mSettings.self().name()));
+        return RetryAllowance.perVm(mSettings.limits().retries(), vms.size(), takesCallers);
     }
 
     private void logExplanation(String service, Explanation explanation) {
--- a/gateway/src/test/java/org/dahliapass/gateway/GatewayCustomerTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/GatewayCustomerTest.java
@@ -96,22 +96,36 @@
         assertEquals(status("Authorization: Bearer " + KEY, "/r/removed"), 401);
     }
 
+    /** A refusal by a rate limit must be final, immediate and limited to its customer. */
+    @Test
+    public void requestBeyondTheRateLimitIsRefusedWithRetryAfter() {
+        configure(3, "[[\"c\",[\"" + KEY + "\"],1,0.001,1],[\"d\",[\"other\"],1,null,null]]");
+        GatewayFixture.await(() -> status("Authorization: Bearer other", "/r/other") == 200);
+        String response = send("Authorization: Bearer " + KEY, "/r/limited");
+        assertEquals(CallerStandIn.status(response), 429);
+        assertTrue(response.toLowerCase(Locale.ROOT).contains("retry-after: "), response);
+        assertEquals(mFixture.seen("/r/limited"), 0);
+    }
+
     private void configure(long version, String customers) {
         mFixture.mStore.put(
                 "op/config", GatewayFixtures.configurationWithCustomers(version, customers));
     }
 
     private int status(String headers, String path) {
-        return CallerStandIn.status(
-                mFixture.caller()
-                        .sendRaw(
-                                "GET "
-                                        + path
-                                        + " HTTP/1.1\r\nHost: a.example\r\n"
-                                        + TargetHeaders.ATTEMPT_ID
-                                        + ": x\r\n"
-                                        + headers
-                                        + "\r\n\r\n"));
+        return CallerStandIn.status(send(headers, path));
+    }
+
+    private String send(String headers, String path) {
+        return mFixture.caller()
+                .sendRaw(
+                        "GET "
+                                + path
+                                + " HTTP/1.1\r\nHost: a.example\r\n"
+                                + TargetHeaders.ATTEMPT_ID
+                                + ": x\r\n"
+                                + headers
+                                + "\r\n\r\n");
     }
 
     private List<ReceivedRequest> received(String path) {
--- a/lab/src/main/java/org/dahliapass/lab/policy/EventQueue.java
+++ b/lab/src/main/java/org/dahliapass/lab/policy/EventQueue.java
@@ -4,27 +4,31 @@
 import java.util.PriorityQueue;
 
 /** A discrete-event queue with a virtual clock. Not thread-safe. */
-final class EventQueue {
+public final class EventQueue {
     private final PriorityQueue<Entry> mEntries =
             new PriorityQueue<>(
                     Comparator.comparingLong(Entry::atMicros).thenComparingLong(Entry::sequence));
     private long mNowMicros;
     private long mSequence;
 
-    long nowMicros() {
+    /** Returns the current virtual time, in microseconds. */
+    public long nowMicros() {
         return mNowMicros;
     }
 
-    long nowMillis() {
+    /** Returns the current virtual time, in milliseconds. */
+    public long nowMillis() {
         return mNowMicros / 1_000;
     }
 
-    void schedule(long micros, Runnable action) {
+    /** Schedules an action after a delay in microseconds. */
+    public void schedule(long micros, Runnable action) {
         mSequence++;
         mEntries.add(new Entry(mNowMicros + micros, mSequence, action));
     }
 
-    void runUntil(long endMicros) {
+    /** Runs all actions up to a time, in microseconds. */
+    public void runUntil(long endMicros) {
         while (!mEntries.isEmpty() && mEntries.peek().atMicros() <= endMicros) {
             Entry entry = mEntries.remove();
             mNowMicros = entry.atMicros();
--- a/traffic/src/main/java/org/dahliapass/traffic/ServiceRuntime.java
+++ b/traffic/src/main/java/org/dahliapass/traffic/ServiceRuntime.java
@@ -269,6 +269,11 @@
         mQueue.setLimits(QueueLimits.forService(template));
     }
 
+    /** Sets this VM's retries and hedges that are allowed beside the share of first attempts. */
+    public synchronized void setRetryAllowance(double allowance) {
+        mBudget.setAllowance(allowance);
+    }
+
     /**
      * Sets the listener that reports observations to the other VMs; call it before the first
      * request.
