Give VMs outside the plan a bounded part of retries and limits

Cause: a VM that doesn't know its own registration yet has an empty plan. It had no retries at all, and held a customer's limit as if it were alone, so that a fleet that starts without its store could admit several times a limit.

Change: such a VM assumes ten VMs with callers. The allowance of retries is read from the plan at each use instead of from the last evaluation.

--- a/decisions/src/main/java/org/dahliapass/decisions/limits/FleetRateLimiter.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/limits/FleetRateLimiter.java
@@ -15,6 +15,9 @@
     /** The part of its share that a VM uses whose share the others may use already. */
     private static final double UNCERTAIN_PART = 0.4;
 
+    /** The VMs that a VM assumes, at least, while it is not one of the known ones. */
+    private static final int ASSUMED_VMS = 10;
+
     /** A smaller bucket would refuse every request. */
     private static final double MIN_CAPACITY = 1;
 
@@ -53,8 +56,9 @@
      *     dropped it from the VMs that divide the limits
      */
     public void onVms(List<String> vms, boolean isolated, long nowMillis) {
-        boolean isCertain = vms.contains(mSelf) && !isolated;
-        mLimits.onVms(vms, isCertain ? 1 : UNCERTAIN_PART, nowMillis);
+        boolean isKnown = vms.contains(mSelf);
+        double part = isKnown ? 1 : Math.min(1, Math.max(1, vms.size()) / (double) ASSUMED_VMS);
+        mLimits.onVms(vms, isKnown && !isolated ? 1 : UNCERTAIN_PART * part, nowMillis);
     }
 
     /**
--- a/decisions/src/main/java/org/dahliapass/decisions/limits/RetryAllowance.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/limits/RetryAllowance.java
@@ -12,6 +12,12 @@
      */
     private static final double DIVIDED_PART = 0.5;
 
+    /** The part for VMs that take no callers by the current plan but may still have some. */
+    private static final double OTHER_PART = 0.25;
+
+    /** The VMs with callers that a VM assumes, at least, while it is not one of the known ones. */
+    private static final int ASSUMED_VMS = 10;
+
     private RetryAllowance() {}
 
     /**
@@ -19,9 +25,11 @@
      *
      * @param fleetRetries the retries of all VMs together
      * @param vms the number of VMs that take callers
-     * @param takesCallers whether the VM is one of them; other VMs have no allowance
+     * @param takesCallers whether the VM is one of them
      */
     public static double perVm(double fleetRetries, int vms, boolean takesCallers) {
-        return takesCallers ? DIVIDED_PART * fleetRetries / Math.max(1, vms) : 0;
+        return takesCallers
+                ? DIVIDED_PART * fleetRetries / Math.max(1, vms)
+                : OTHER_PART * fleetRetries / Math.max(ASSUMED_VMS, vms);
     }
 }
--- a/decisions/src/main/java/org/dahliapass/decisions/routing/AddressPlan.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/routing/AddressPlan.java
@@ -94,6 +94,11 @@
         return mAdvertisedVms;
     }
 
+    /** Returns whether the address of the VM with this name is advertised. */
+    public boolean isAdvertised(String name) {
+        return mAdvertisedVms.stream().anyMatch(vm -> vm.name().equals(name));
+    }
+
     /** Returns the VMs that watch the store and forward its changes to the other VMs. */
     public Set<FleetVm> watchers() {
         return mWatchers;
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/RetryBudget.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/RetryBudget.java
@@ -1,5 +1,6 @@
 package org.dahliapass.decisions.traffic;
 
+import java.util.function.DoubleSupplier;
 import org.dahliapass.model.RequestKind;
 
 /**
@@ -21,11 +22,11 @@
 
     private final double[] mEarned = new double[BUCKETS];
     private final int[] mSpent = new int[BUCKETS];
-    private double mAllowance = DEFAULT_ALLOWANCE;
+    private DoubleSupplier mAllowance = () -> DEFAULT_ALLOWANCE;
     private long mNewestBucket = Long.MIN_VALUE;
 
     /** Sets the retries and hedges that are allowed beside the share, for low traffic. */
-    public void setAllowance(double allowance) {
+    public void setAllowance(DoubleSupplier allowance) {
         mAllowance = allowance;
     }
 
@@ -49,7 +50,7 @@
             spent += mSpent[index];
         }
         double available = kind.idempotency().isRepeatable() ? earned * REPEATABLE_SHARE : earned;
-        return spent + 1 <= mAllowance + available;
+        return spent + 1 <= mAllowance.getAsDouble() + available;
     }
 
     /** Charges a retry or hedge to the budget. */
--- a/decisions/src/test/java/org/dahliapass/decisions/traffic/RetryBudgetTest.java
+++ b/decisions/src/test/java/org/dahliapass/decisions/traffic/RetryBudgetTest.java
@@ -78,7 +78,7 @@
         int spent = 0;
         for (int vm = 0; vm < vms; vm++) {
             RetryBudget budget = new RetryBudget();
-            budget.setAllowance(RetryAllowance.perVm(fleetRetries, vms, true));
+            budget.setAllowance(() -> RetryAllowance.perVm(fleetRetries, vms, true));
             while (budget.hasRemaining(Kinds.LOOKUP, 0)) {
                 budget.onExtraAttempt(0);
                 spent++;
--- a/gateway/src/main/java/org/dahliapass/gateway/ServicePools.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ServicePools.java
@@ -18,6 +18,7 @@
 import org.dahliapass.decisions.health.TargetHealth;
 import org.dahliapass.decisions.health.TargetStatus;
 import org.dahliapass.decisions.limits.RetryAllowance;
+import org.dahliapass.decisions.routing.AddressPlan;
 import org.dahliapass.decisions.traffic.TargetObservation;
 import org.dahliapass.decisions.traffic.WeightedTarget;
 import org.dahliapass.kernel.ControlLoop;
@@ -31,7 +32,6 @@
 import org.dahliapass.model.Target;
 import org.dahliapass.model.VmIdentity;
 import org.dahliapass.model.explain.Explanation;
-import org.dahliapass.model.routing.FleetVm;
 import org.dahliapass.model.routing.RouteRule;
 import org.dahliapass.model.routing.RoutingConfiguration;
 import org.dahliapass.model.routing.TargetRegistration;
@@ -274,6 +274,7 @@
                         mRandom,
                         this,
                         mMetrics);
+        runtime.setRetryAllowance(this::retryAllowance);
         runtime.setObservationListener(
                 (service, observation) -> mObservationListener.accept(service, observation));
         return runtime;
@@ -378,14 +379,14 @@
                             status.acceptsAtMostOnce()));
         }
         pool.runtime().onTargets(targets);
-        pool.runtime().setRetryAllowance(retryAllowance());
     }
 
     private double retryAllowance() {
-        Set<FleetVm> vms = mFollower.view().plan().advertisedVms();
-        boolean takesCallers =
-                vms.stream().anyMatch(vm -> vm.name().equals(mSettings.self().name()));
-        return RetryAllowance.perVm(mSettings.limits().retries(), vms.size(), takesCallers);
+        AddressPlan plan = mFollower.view().plan();
+        return RetryAllowance.perVm(
+                mSettings.limits().retries(),
+                plan.advertisedVms().size(),
+                plan.isAdvertised(mSettings.self().name()));
     }
 
     private void logExplanation(String service, Explanation explanation) {
--- a/traffic/src/main/java/org/dahliapass/traffic/ServiceRuntime.java
+++ b/traffic/src/main/java/org/dahliapass/traffic/ServiceRuntime.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
+import java.util.function.DoubleSupplier;
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
@@ -270,7 +271,7 @@
     }
 
     /** Sets this VM's retries and hedges that are allowed beside the share of first attempts. */
-    public synchronized void setRetryAllowance(double allowance) {
+    public synchronized void setRetryAllowance(DoubleSupplier allowance) {
         mBudget.setAllowance(allowance);
     }
 
