Keep the crashes that prove a poison request

Cause: a suspect kept its first eight crashes and dropped later ones. Copies that are sent before the first crash fill the eight places and prove nothing, so that a request that crashes its targets slowly was sent for ever.

Change: a suspect keeps the four earliest crashes and those of the four requests that were sent last, which merge in any order to the same. The scenarios poison-slow and poison-slow-crowd join the simulations.

The new test of the decision fails before (ALONE in place of QUARANTINED).

--- a/decisions/src/main/java/org/dahliapass/decisions/poison/Suspect.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/poison/Suspect.java
@@ -3,11 +3,19 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Set;
 
 /** The state of one suspected request digest. Not thread-safe; confined to the traffic thread. */
 final class Suspect {
-    /** More crashes would not change the treatment. */
-    private static final int MAX_CRASHES = 8;
+    /** The number of crashes that are kept from each end. */
+    private static final int MAX_CRASHES_PER_END = 4;
+
+    private static final Comparator<TargetCrash> BY_CRASH =
+            Comparator.comparingLong(TargetCrash::crashedMillis)
+                    .thenComparing(TargetCrash::incarnation);
+    private static final Comparator<TargetCrash> BY_SENDING =
+            Comparator.comparingLong(TargetCrash::sentMillis)
+                    .thenComparing(TargetCrash::incarnation);
 
     /** Sequential crashes after which a request is quarantined. */
     private static final int MIN_SEQUENTIAL_CRASHES = 3;
@@ -34,26 +42,44 @@
     }
 
     /**
-     * Records a crash.
+     * Records a crash. Keeps the earliest crashes and those of the requests that were sent last.
+     *
+     * <p>Guards against copies that were sent before the first crash, which prove nothing, and
+     * would fill the memory before the crashes that prove the cause. The crashes that are kept
+     * don't depend on the order of the reports.
      *
-     * @return whether it was new
+     * @return whether it was new and is kept
      */
     boolean onCrash(TargetCrash crash, long nowMillis) {
         boolean known =
                 mCrashes.stream()
                         .anyMatch(other -> other.incarnation().equals(crash.incarnation()));
-        if (known
-                || crash.crashedMillis() <= mLastAnsweredMillis
-                || mCrashes.size() >= MAX_CRASHES) {
+        if (known || crash.crashedMillis() <= mLastAnsweredMillis) {
             return false;
         }
         mCrashes.add(crash);
-        mCrashes.sort(Comparator.comparingLong(TargetCrash::crashedMillis));
+        evictFromTheMiddle();
+        if (!mCrashes.contains(crash)) {
+            return false;
+        }
         mLastUpdatedMillis = nowMillis;
         mQuarantined |= isPoison();
         return true;
     }
 
+    private void evictFromTheMiddle() {
+        mCrashes.sort(BY_SENDING);
+        Set<TargetCrash> latest =
+                Set.copyOf(
+                        mCrashes.subList(
+                                Math.max(0, mCrashes.size() - MAX_CRASHES_PER_END),
+                                mCrashes.size()));
+        mCrashes.sort(BY_CRASH);
+        Set<TargetCrash> earliest =
+                Set.copyOf(mCrashes.subList(0, Math.min(MAX_CRASHES_PER_END, mCrashes.size())));
+        mCrashes.removeIf(crash -> !latest.contains(crash) && !earliest.contains(crash));
+    }
+
     /** Clears the suspicion, since a poisoned target doesn't respond. */
     void onAnswered(long nowMillis) {
         mCrashes.clear();
--- a/decisions/src/test/java/org/dahliapass/decisions/poison/PoisonDetectorTest.java
+++ b/decisions/src/test/java/org/dahliapass/decisions/poison/PoisonDetectorTest.java
@@ -50,6 +50,19 @@
         assertEquals(detector.treatment(DIGEST, NOW), Treatment.QUARANTINED);
     }
 
+    /** Copies sent before the first crash must not hide the crashes that follow in turn. */
+    @Test
+    public void manyConcurrentCrashesDoNotHideSequentialOnes() {
+        PoisonDetector detector = new PoisonDetector();
+        for (int target = 0; target < 20; target++) {
+            detector.onCrash(DIGEST, crash(target, 10L * target, 900 + 10L * target), NOW);
+        }
+        assertEquals(detector.treatment(DIGEST, NOW), Treatment.ALONE);
+        detector.onCrash(DIGEST, crash(20, 1_200, 2_100), NOW);
+        assertEquals(detector.treatment(DIGEST, NOW), Treatment.QUARANTINED);
+        assertTrue(detector.report(DIGEST, NOW).crashes().size() <= 8);
+    }
+
     @Test
     public void responseClearsDespiteLateReportsOfEarlierCrashes() {
         PoisonDetector detector = quarantined();
@@ -68,7 +81,7 @@
         for (int seed = 0; seed < SEEDS; seed++) {
             Random random = new Random(seed);
             List<TargetCrash> crashes = new ArrayList<>();
-            int count = 1 + random.nextInt(6);
+            int count = 1 + random.nextInt(20);
             for (int target = 0; target < count; target++) {
                 long sent = random.nextInt(400);
                 crashes.add(crash(target, sent, sent + 20 + random.nextInt(300)));
--- a/lab/src/main/java/org/dahliapass/lab/fleet/FleetMain.java
+++ b/lab/src/main/java/org/dahliapass/lab/fleet/FleetMain.java
@@ -27,6 +27,8 @@
                     "lost-answers",
                     "poison",
                     "rack-lost",
+                    "poison-slow",
+                    "poison-slow-crowd",
                     "calm");
 
     private static final int DEFAULT_RUNS = 8;
--- a/lab/src/test/java/org/dahliapass/lab/fleet/FleetSimulationTest.java
+++ b/lab/src/test/java/org/dahliapass/lab/fleet/FleetSimulationTest.java
@@ -77,6 +77,22 @@
         assertTrue(powerOfTwo > 30, "targets crashed with power of two: " + powerOfTwo);
     }
 
+    @DataProvider
+    public Object[][] slowPoison() {
+        return new Object[][] {{"poison-slow"}, {"poison-slow-crowd"}};
+    }
+
+    /** A request that crashes its targets slowly must not stay unnoticed behind its copies. */
+    @Test(dataProvider = "slowPoison")
+    public void slowPoisonRequestIsQuarantined(String scenario) {
+        double lateDeliveries =
+                mean(scenario, PlacementStrategy.PRODUCTION, FleetResult::latePoisonDeliveries);
+        assertEquals(
+                lateDeliveries,
+                0.0,
+                "poison requests delivered more than 3 s after the third crash");
+    }
+
     /** Guards against a rack failure being taken for poison requests. */
     @Test
     public void identicalReadsAreNotQuarantinedAfterRackFailure() {
