Start the buckets of rate limits with what a restart leaves

Change: a bucket begins with one token and with what 0.8 s without requests would have saved. A VM that starts assumes at least six VMs instead of using an uncertain part.

--- a/decisions/src/main/java/org/dahliapass/decisions/limits/CountedLimits.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/limits/CountedLimits.java
@@ -48,7 +48,9 @@
 
     @Override
     public void onVms(List<String> vms, double part, long nowMillis) {
-        mVms = new HashSet<>(vms);
+        if (vms.size() != mVms.size() || !mVms.containsAll(vms)) {
+            mVms = new HashSet<>(vms);
+        }
         mPart = part;
     }
 
@@ -172,10 +174,11 @@
         private final DemandMeter mDemand = new DemandMeter();
 
         /** The tokens of this VM's even share. */
-        private final TokenBucket mOwn = new TokenBucket(mStartMillis);
+        private final TokenBucket mOwn =
+                new TokenBucket(FleetRateLimiter.INITIAL_TOKENS, mStartMillis);
 
         /** The estimated tokens of all VMs together. */
-        private final TokenBucket mPool = new TokenBucket(mStartMillis);
+        private final TokenBucket mPool = new TokenBucket(0, mStartMillis);
 
         private final Map<String, Peer> mPeers = new HashMap<>();
         private long mWantedMillis = Long.MIN_VALUE / 2;
--- a/decisions/src/main/java/org/dahliapass/decisions/limits/FleetRateLimiter.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/limits/FleetRateLimiter.java
@@ -15,8 +15,17 @@
     /** The part of its share that a VM uses whose share the others may use already. */
     private static final double UNCERTAIN_PART = 0.4;
 
-    /** The VMs that a VM assumes, at least, while it is not one of the known ones. */
-    private static final int ASSUMED_VMS = 10;
+    /** The VMs that a VM assumes, at least, until the others have registered. */
+    private static final int ASSUMED_VMS = 6;
+
+    /** The time after a start in which other VMs may not have registered yet. */
+    private static final long REGISTRATION_MILLIS = 3_000;
+
+    /** The time for which a VM that restarts has admitted no requests, at least. */
+    private static final long RESTART_MILLIS = 800;
+
+    /** Serves the first request of a customer below its limit after a start. */
+    static final double INITIAL_TOKENS = 1;
 
     /** A smaller bucket would refuse every request. */
     private static final double MIN_CAPACITY = 1;
@@ -26,6 +35,7 @@
     private final LimitTolerance mTolerance;
     private final String mSelf;
     private final SharedLimits mLimits;
+    private final long mStartMillis;
     private int mAcquired;
 
     /**
@@ -44,7 +54,8 @@
             long nowMillis,
             RandomGenerator random) {
         mSelf = self;
-        mLimits = sharing.create(self, nowMillis, random);
+        mStartMillis = nowMillis;
+        mLimits = sharing.create(self, nowMillis - RESTART_MILLIS, random);
         mTolerance = tolerance;
     }
 
@@ -56,9 +67,11 @@
      *     dropped it from the VMs that divide the limits
      */
     public void onVms(List<String> vms, boolean isolated, long nowMillis) {
-        boolean isKnown = vms.contains(mSelf);
-        double part = isKnown ? 1 : Math.min(1, Math.max(1, vms.size()) / (double) ASSUMED_VMS);
-        mLimits.onVms(vms, isKnown && !isolated ? 1 : UNCERTAIN_PART * part, nowMillis);
+        boolean isStarting = nowMillis - mStartMillis < REGISTRATION_MILLIS;
+        boolean isCertain = isStarting || (vms.contains(mSelf) && !isolated);
+        double part = isCertain ? 1 : UNCERTAIN_PART;
+        double registered = Math.min(1, Math.max(1, vms.size()) / (double) ASSUMED_VMS);
+        mLimits.onVms(vms, isStarting || vms.isEmpty() ? part * registered : part, nowMillis);
     }
 
     /**
--- a/decisions/src/main/java/org/dahliapass/decisions/limits/ShareLimits.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/limits/ShareLimits.java
@@ -84,7 +84,7 @@
         private final DemandMeter mDemand = new DemandMeter();
 
         private Entry(long startMillis) {
-            mBucket = new TokenBucket(startMillis);
+            mBucket = new TokenBucket(FleetRateLimiter.INITIAL_TOKENS, startMillis);
         }
     }
 }
--- a/decisions/src/main/java/org/dahliapass/decisions/limits/TokenBucket.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/limits/TokenBucket.java
@@ -9,9 +9,15 @@
     private double mTokensPerMilli;
     private long mUpdatedMillis;
 
-    /** Creates a bucket that is empty at a time, which may have passed. */
-    TokenBucket(long emptyMillis) {
-        mUpdatedMillis = emptyMillis;
+    /**
+     * Creates a bucket.
+     *
+     * @param tokens the tokens at the time of its start
+     * @param startMillis the time of its start, which may have passed, in milliseconds
+     */
+    TokenBucket(double tokens, long startMillis) {
+        mTokens = tokens;
+        mUpdatedMillis = startMillis;
     }
 
     /** Adds the tokens since the last call at a new rate, up to a new capacity. */
--- a/gateway/src/main/java/org/dahliapass/gateway/CustomerLimits.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/CustomerLimits.java
@@ -45,7 +45,7 @@
     private ControlLoop mLoop;
     private PeriodicTask mReportTask;
     private AddressPlan mPlan;
-    private boolean mIsIsolated;
+    private List<String> mVms = List.of();
 
     /**
      * Creates the limits of a VM.
@@ -137,14 +137,12 @@
 
     private void updateVms(long nowMillis) {
         AddressPlan plan = mFollower.view().plan();
-        boolean isIsolated = mConfigurationAge.getAsLong() > ISOLATION_MILLIS;
-        if (plan == mPlan && isIsolated == mIsIsolated) {
-            return;
+        if (plan != mPlan) {
+            mPlan = plan;
+            mVms = plan.advertisedVms().stream().map(FleetVm::name).toList();
         }
-        mPlan = plan;
-        mIsIsolated = isIsolated;
-        List<String> vms = plan.advertisedVms().stream().map(FleetVm::name).toList();
-        mLimiter.onVms(vms, isIsolated, nowMillis);
+        boolean isIsolated = mConfigurationAge.getAsLong() > ISOLATION_MILLIS;
+        mLimiter.onVms(mVms, isIsolated, nowMillis);
     }
 
     /** Sends all messages for one VM together. */
--- a/gateway/src/test/java/org/dahliapass/gateway/GatewayCustomerTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/GatewayCustomerTest.java
@@ -101,6 +101,7 @@
     public void requestBeyondTheRateLimitIsRefusedWithRetryAfter() {
         configure(3, "[[\"c\",[\"" + KEY + "\"],1,0.001,1],[\"d\",[\"other\"],1,null,null]]");
         GatewayFixture.await(() -> status("Authorization: Bearer other", "/r/other") == 200);
+        assertEquals(status("Authorization: Bearer " + KEY, "/r/first"), 200);
         String response = send("Authorization: Bearer " + KEY, "/r/limited");
         assertEquals(CallerStandIn.status(response), 429);
         assertTrue(response.toLowerCase(Locale.ROOT).contains("retry-after: "), response);
