--- a/gateway/src/test/java/org/dahliapass/gateway/GatewayCustomerTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/GatewayCustomerTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Locale;
 import org.dahliapass.platform.TargetHeaders;
@@ -108,6 +109,28 @@
         assertEquals(mFixture.seen("/r/limited"), 0);
     }
 
+    /** A key in a log line or a metric lets its readers act for the customer. */
+    @Test
+    public void logsAndMetricsHoldNoKey() {
+        String unknown = "unknown-k3y";
+        assertEquals(status("Authorization: Bearer " + KEY, "/r/logged"), 200);
+        assertEquals(status("Authorization: Bearer " + unknown, "/r/logged"), 401);
+        mFixture.mTargets.forEach(target -> target.setBehaviour(seen -> Behaviour.CLOSE));
+        assertEquals(status("Authorization: Bearer " + KEY, "/r/broken"), 502);
+        GatewayFixture.await(() -> log().contains("request_unauthenticated"));
+        GatewayFixture.await(() -> log().contains("connection_broken"));
+        String metrics = CallerStandIn.get(mFixture.mSettings.control(), "/metrics");
+        assertEquals(CallerStandIn.status(metrics), 200);
+        for (String key : List.of(KEY, unknown)) {
+            assertFalse(log().contains(key), log());
+            assertFalse(metrics.contains(key), metrics);
+        }
+    }
+
+    private String log() {
+        return mFixture.mLogOutput.toString(StandardCharsets.UTF_8);
+    }
+
     private void configure(long version, String customers) {
         mFixture.mStore.put(
                 "op/config", GatewayFixtures.configurationWithCustomers(version, customers));
--- a/gateway/src/test/java/org/dahliapass/gateway/GatewayFixture.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/GatewayFixture.java
@@ -1,7 +1,8 @@
 package org.dahliapass.gateway;
 
-import java.io.OutputStream;
+import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import org.dahliapass.kernel.IniFile;
@@ -19,6 +20,7 @@
     final MetadataStoreStandIn mStore = new MetadataStoreStandIn(0, new MonotonicClock());
     final List<SigningTargetStandIn> mTargets =
             List.of(new SigningTargetStandIn("i-1"), new SigningTargetStandIn("i-2"));
+    final ByteArrayOutputStream mLogOutput = new ByteArrayOutputStream();
     final GatewaySettings mSettings;
     final GatewayVm mVm;
 
@@ -42,7 +44,7 @@
                 new EventLog(
                         new MonotonicClock(),
                         "vm",
-                        new PrintStream(OutputStream.nullOutputStream()));
+                        new PrintStream(mLogOutput, true, StandardCharsets.UTF_8));
         mVm = new GatewayVm(mSettings, new MonotonicClock(), log);
         mVm.start().join();
     }
