--- a/gateway/src/main/java/org/dahliapass/gateway/GatewayServers.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewayServers.java
@@ -41,7 +41,7 @@
     private final EventLoopGroup mLoops;
     private final Clock mClock;
     private final StoreFollower mFollower;
-    private volatile HttpServer mCallerServer;
+    private HttpServer mCallerServer;
     private HttpServer mDiscoveryServer;
     private HttpServer mInternalServer;
 
@@ -83,7 +83,7 @@
                                 .add(StoreCalls.WATCH_PATH, mMirror::watch)
                                 .add("/metrics", call -> call.respond(metrics())));
         List<CompletableFuture<Void>> started = new ArrayList<>();
-        started.add(mCallerServer.listenWithoutAccepting(mSettings.self().callerEndpoint()));
+        started.add(mCallerServer.listen(mSettings.self().callerEndpoint()));
         started.add(mDiscoveryServer.listen(mSettings.discovery()));
         started.add(mDiscoveryServer.listen(mSettings.readiness()));
         started.add(mInternalServer.listen(mSettings.self().peerEndpoint()));
@@ -92,13 +92,6 @@
         return CompletableFuture.allOf(started.toArray(CompletableFuture<?>[]::new));
     }
 
-    /** Accepts the connections of callers; has no effect before the start. */
-    void acceptCallers() {
-        if (mCallerServer != null) {
-            mCallerServer.acceptConnections();
-        }
-    }
-
     private HttpServer server(RequestHandler handler) {
         return new HttpServer(mLoops, handler, mClock, () -> DEFAULT_TIMEOUTS);
     }
--- a/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
@@ -17,12 +17,6 @@
  * A gateway VM: creates the services and connects them. A process runs one VM; tests run several.
  */
 public final class GatewayVm {
-    /**
-     * The time for which connections of callers wait for the first configuration. Longer than the
-     * first read of the store; afterwards requests are refused at once.
-     */
-    private static final Duration START_HOLD = Duration.ofMillis(400);
-
     /** Exceeds the latency of a slow store, which is 60 times the usual 4 ms. */
     private static final Duration STORE_TIMEOUT = Duration.ofMillis(1_200);
 
@@ -53,7 +47,6 @@
     private final ControlLoop mLoop;
     private final SelfRegistration mRegistration;
     private final LoadReporter mLoadReporter;
-    private final Runnable mAcceptCallers;
     private final Kernel mKernel = new Kernel();
 
     /**
@@ -110,8 +103,7 @@
                         connections.loops(),
                         clock,
                         follower);
-        mAcceptCallers = servers::acceptCallers;
-        follower.addChangeListener(() -> serveOnceConfigured(follower, servers));
+        follower.addChangeListener(() -> serveOnceConfigured(follower));
         mKernel.register(ControlLoop.NAME, mLoop)
                 .register(EntryMetrics.NAME, metrics)
                 .register(TargetConnections.NAME, connections)
@@ -131,11 +123,8 @@
                 follower, settings.revocationLimit(), feed::configurationAgeMillis);
     }
 
-    private void serveOnceConfigured(StoreFollower follower, GatewayServers servers) {
-        if (follower.view().routes().isPresent()) {
-            mState.advance(GatewayState.Phase.SERVING);
-            servers.acceptCallers();
-        }
+    private void serveOnceConfigured(StoreFollower follower) {
+        follower.view().routes().ifPresent(routes -> mState.advance(GatewayState.Phase.SERVING));
     }
 
     private static void onRequest(ServicePools pools, PeerExchange exchange) {
@@ -155,7 +144,7 @@
 
     /** Starts all services. Requests are served once a configuration is loaded. */
     public CompletableFuture<Void> start() {
-        return mKernel.start().thenRun(() -> mLoop.schedule(START_HOLD, mAcceptCallers));
+        return mKernel.start();
     }
 
     /**
--- a/http/src/main/java/org/dahliapass/http/HttpServer.java
+++ b/http/src/main/java/org/dahliapass/http/HttpServer.java
@@ -13,11 +13,11 @@
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.time.Clock;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.dahliapass.kernel.ComponentLog;
@@ -38,7 +38,7 @@
     private final RequestHandler mHandler;
     private final Clock mClock;
     private final Supplier<ServerTimeouts> mTimeouts;
-    private final List<Channel> mListeners = new CopyOnWriteArrayList<>();
+    private final List<Channel> mListeners = new ArrayList<>();
 
     // Used only on the event loop, as is the field below.
     private final Set<ServerConnection> mConnections = new HashSet<>();
@@ -70,25 +70,6 @@
      * @return fails with an {@link OperationException} if the address can't be bound
      */
     public CompletableFuture<Void> listen(Endpoint endpoint) {
-        return listen(endpoint, true);
-    }
-
-    /**
-     * Listens at an address and lets connections wait in the kernel until {@link
-     * #acceptConnections}, so that requests during a short start are neither refused nor lost.
-     *
-     * @return fails with an {@link OperationException} if the address can't be bound
-     */
-    public CompletableFuture<Void> listenWithoutAccepting(Endpoint endpoint) {
-        return listen(endpoint, false);
-    }
-
-    /** Accepts the connections to all addresses; has no effect if they are accepted already. */
-    public void acceptConnections() {
-        mListeners.forEach(listener -> listener.config().setAutoRead(true));
-    }
-
-    private CompletableFuture<Void> listen(Endpoint endpoint, boolean accepting) {
         CompletableFuture<Void> started = new CompletableFuture<>();
         ChannelFuture bound =
                 new ServerBootstrap()
@@ -96,7 +77,6 @@
                         .channel(NioServerSocketChannel.class)
                         .option(ChannelOption.SO_BACKLOG, BACKLOG)
                         .option(ChannelOption.SO_REUSEADDR, true)
-                        .option(ChannelOption.AUTO_READ, accepting)
                         .childOption(ChannelOption.TCP_NODELAY, true)
                         .childHandler(new Initializer())
                         .bind(new InetSocketAddress(endpoint.host(), endpoint.port()));
