--- a/decisions/src/main/java/org/dahliapass/decisions/limits/CountedLimits.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/limits/CountedLimits.java
@@ -268,6 +268,7 @@
                     tokens >= expected || (tokens > 0 && mRandom.nextDouble() * expected < tokens);
             if (isAdmitted) {
                 mPool.remove(1);
+                // Keeps the customer contended while the pool is low.
                 mOwn.setTokens(Math.min(mOwn.tokens(), Math.max(0, mPool.tokens())));
                 return OptionalLong.empty();
             }
