Log and count the request limits that targets name

Cause: logs and metrics couldn't tell whether a target had named a limit, which VM had seen it, or whether an attempt was a first try, a retry or a hedge, so the incident's hypotheses could not be told apart.

Change: the limit of a response is read in one place and checked (LimitStatement); the request's log line names it and the cause of each attempt; dahliapass_stated_limits_total counts such responses. No decision uses the limit yet.

--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -17,6 +18,7 @@
 import org.dahliapass.decisions.poison.Treatment;
 import org.dahliapass.decisions.traffic.FailedAttempt;
 import org.dahliapass.decisions.traffic.FailureKind;
+import org.dahliapass.decisions.traffic.LimitStatement;
 import org.dahliapass.http.ServerCall;
 import org.dahliapass.kernel.Futures;
 import org.dahliapass.kernel.JsonObject;
@@ -173,7 +175,8 @@
             }
             return;
         }
-        TargetAttempt attempt = new TargetAttempt(mRequest, slot, mPool, mConnections, mClock);
+        TargetAttempt attempt =
+                new TargetAttempt(mRequest, slot, mPool, mConnections, mClock, nextCause());
         if (mFinished) {
             attempt.abort(FailureKind.CANCELLED_BY_CALLER);
             return;
@@ -191,6 +194,13 @@
         }
     }
 
+    private AttemptCause nextCause() {
+        if (mAttempts == 0) {
+            return AttemptCause.FIRST;
+        }
+        return mRunningAttempts.isEmpty() ? AttemptCause.RETRY : AttemptCause.HEDGE;
+    }
+
     private void rejectUnauthenticated(RejectionReason reason) {
         if (mMayHaveExecuted || !mRunningAttempts.isEmpty()) {
             finishIfIdle();
@@ -484,7 +494,11 @@
                         Math.round(attempt.failureProbability() * HUNDREDTHS) / HUNDREDTHS)
                 .put("sent_after_ms", attempt.sentMillis() - mRequest.arrivalMillis())
                 .put("took_ms", mClock.millis() - attempt.sentMillis())
+                .put("cause", attempt.cause().name().toLowerCase(Locale.ROOT))
                 .put("end", result);
+        if (!attempt.limit().equals(LimitStatement.UNLIMITED)) {
+            entry.put("limit", attempt.limit().toString());
+        }
         mAttemptLog.add(entry);
     }
 
--- a/gateway/src/main/java/org/dahliapass/gateway/ResponseCheck.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ResponseCheck.java
@@ -42,6 +42,11 @@
         return mFailure;
     }
 
+    /** Returns whether the response is from the target instance that the request names. */
+    boolean isFromExpectedTarget(int status) {
+        return this == VALID || (this == NOT_EXECUTED && status != MISDIRECTED_REQUEST);
+    }
+
     /** Returns the reason if the response is not valid. */
     String cause() {
         return mCause;
--- a/gateway/src/main/java/org/dahliapass/gateway/TargetAttempt.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/TargetAttempt.java
@@ -10,6 +10,7 @@
 import org.dahliapass.decisions.access.CallerIdentity;
 import org.dahliapass.decisions.health.Outcome;
 import org.dahliapass.decisions.traffic.FailureKind;
+import org.dahliapass.decisions.traffic.LimitStatement;
 import org.dahliapass.http.ClientCall;
 import org.dahliapass.http.HopByHopHeaders;
 import org.dahliapass.http.NotSentException;
@@ -19,6 +20,7 @@
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.model.TargetInstance;
 import org.dahliapass.model.routing.TargetRegistration;
+import org.dahliapass.platform.TargetHeaders;
 import org.dahliapass.traffic.Slot;
 
 /**
@@ -36,6 +38,7 @@
 
     private static final int DEFAULT_BODY_BYTES = 1_024;
 
+    private final AttemptCause mCause;
     private final double mFailureProbability;
     private final ProxyRequest mRequest;
     private final Slot mSlot;
@@ -49,6 +52,7 @@
     private StreamedResponse mStream;
     private long mSentMillis;
     private long mHeadMillis;
+    private LimitStatement mLimit = LimitStatement.UNLIMITED;
     private boolean mReleased;
 
     TargetAttempt(
@@ -56,7 +60,9 @@
             Slot slot,
             ServicePool pool,
             TargetConnections connections,
-            Clock clock) {
+            Clock clock,
+            AttemptCause cause) {
+        mCause = cause;
         mRequest = request;
         mSlot = slot;
         mPool = pool;
@@ -110,6 +116,16 @@
         return mFailureProbability;
     }
 
+    /** Returns the request limit that the response names. */
+    LimitStatement limit() {
+        return mLimit;
+    }
+
+    /** Returns why the request is sent. */
+    AttemptCause cause() {
+        return mCause;
+    }
+
     /** Returns the time at which the request was sent, in milliseconds. */
     long sentMillis() {
         return mSentMillis;
@@ -133,6 +149,10 @@
         mHead = head;
         int status = head.status().code();
         ResponseCheck check = ResponseCheck.of(status, head.headers(), mRequest.id());
+        if (check.isFromExpectedTarget(status)) {
+            mLimit = LimitStatement.parse(TargetHeaders.requestLimits(head.headers()));
+            mPool.runtime().onLimitStatement(mSlot, mLimit);
+        }
         if (check == ResponseCheck.VALID) {
             mBuffer = Unpooled.buffer(initialCapacity());
             return;
--- a/standins/src/main/java/org/dahliapass/standins/SigningTargetStandIn.java
+++ b/standins/src/main/java/org/dahliapass/standins/SigningTargetStandIn.java
@@ -45,6 +45,20 @@
                 write(connection, head(request, 200, "") + body(request));
             }
         },
+        /** Sends a complete response that names a limit of one request per 4 s. */
+        RESPOND_LIMITED {
+            @Override
+            void act(Socket connection, ReceivedRequest request) throws IOException {
+                write(connection, head(request, 200, "Server-Limit: 0.25\r\n") + body(request));
+            }
+        },
+        /** Sends a complete response that names a limit that isn't a number. */
+        RESPOND_MALFORMED_LIMIT {
+            @Override
+            void act(Socket connection, ReceivedRequest request) throws IOException {
+                write(connection, head(request, 200, "Server-Limit: few\r\n") + body(request));
+            }
+        },
         /** Sends the complete response twice. */
         RESPOND_TWICE {
             @Override
--- a/traffic/src/main/java/org/dahliapass/traffic/EntryMetrics.java
+++ b/traffic/src/main/java/org/dahliapass/traffic/EntryMetrics.java
@@ -37,6 +37,13 @@
                     .labelNames("service", "end")
                     .withoutExemplars()
                     .register(mRegistry);
+    private final Counter mStatedLimits =
+            Counter.builder()
+                    .name("dahliapass_stated_limits_total")
+                    .help("Answers in which a target named a request limit, by service.")
+                    .labelNames("service")
+                    .withoutExemplars()
+                    .register(mRegistry);
     private final Histogram mResponseHeadSeconds =
             Histogram.builder()
                     .name("dahliapass_target_head_seconds")
@@ -109,6 +116,11 @@
         mAttempts.labelValues(service, end).inc();
     }
 
+    /** Counts a response in which a target names a request limit. */
+    public void onLimitStated(String service) {
+        mStatedLimits.labelValues(service).inc();
+    }
+
     /** Counts an event of the poison message detection. */
     public void onPoisonEvent(String event) {
         mPoisonEvents.labelValues(event).inc();
--- a/traffic/src/main/java/org/dahliapass/traffic/ServiceRuntime.java
+++ b/traffic/src/main/java/org/dahliapass/traffic/ServiceRuntime.java
@@ -22,6 +22,7 @@
 import org.dahliapass.decisions.traffic.ExpiredEntry;
 import org.dahliapass.decisions.traffic.FailedAttempt;
 import org.dahliapass.decisions.traffic.HedgePolicy;
+import org.dahliapass.decisions.traffic.LimitStatement;
 import org.dahliapass.decisions.traffic.LoadBalancer;
 import org.dahliapass.decisions.traffic.PassiveFailureDetector;
 import org.dahliapass.decisions.traffic.QueueEntry;
@@ -312,6 +313,13 @@
         return mFailureDetector.failingProbability(target, mClock.millis());
     }
 
+    /** Records what a response says of the request limit of its target. */
+    public void onLimitStatement(Slot slot, LimitStatement statement) {
+        if (!statement.equals(LimitStatement.UNLIMITED)) {
+            mMetrics.onLimitStated(mId.name());
+        }
+    }
+
     /** Records the time to the head of a response, in milliseconds. */
     public void onResponseHead(RequestKind kind, long latencyMillis) {
         mMetrics.onResponseHead(mId.name(), kind.name(), latencyMillis);
