Add failing tests: a target gets more requests than the limit it named

What callers see: nothing yet; the target gets more than it has room for. Stand-ins and the experiment tool learn to name a limit; the tool counts the requests of VMs that have seen the limit, as the rule does.

--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/FailureKind.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/FailureKind.java
@@ -42,6 +42,11 @@
         return this == CUT_SHORT || this == RESET_AFTER_SEND;
     }
 
+    /** Returns whether the target sent a response that says so. */
+    public boolean isResponse() {
+        return this == REFUSED_NOT_PROCESSED || this == SERVER_ERROR;
+    }
+
     /** Returns whether the caller still waits for a response, so that a retry is useful. */
     public boolean isCallerWaiting() {
         return this != CANCELLED_BY_CALLER;
--- a/gateway/src/test/java/org/dahliapass/gateway/GatewayFixture.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/GatewayFixture.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.time.Clock;
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import org.dahliapass.kernel.IniFile;
@@ -26,11 +27,16 @@
 
     /** Starts the VM and waits until it has served a read. */
     GatewayFixture() {
-        this(true);
+        this(new MonotonicClock());
+    }
+
+    /** Starts the VM with a clock for all its decisions and waits until it has served a read. */
+    GatewayFixture(Clock clock) {
+        this(true, clock);
         await(() -> CallerStandIn.status(get("/r/warm")) == 200);
     }
 
-    private GatewayFixture(boolean registered) {
+    private GatewayFixture(boolean registered, Clock clock) {
         mStore.start();
         mTargets.forEach(SigningTargetStandIn::start);
         if (registered) {
@@ -45,13 +51,13 @@
                         new MonotonicClock(),
                         "vm",
                         new PrintStream(mLogOutput, true, StandardCharsets.UTF_8));
-        mVm = new GatewayVm(mSettings, new MonotonicClock(), log);
+        mVm = new GatewayVm(mSettings, clock, log);
         mVm.start().join();
     }
 
     /** Starts a VM with routes and without targets. */
     static GatewayFixture withoutTargets() {
-        GatewayFixture fixture = new GatewayFixture(false);
+        GatewayFixture fixture = new GatewayFixture(false, new MonotonicClock());
         await(() -> CallerStandIn.status(fixture.get("/other/")) == 404);
         return fixture;
     }
--- a/lab/src/main/java/org/dahliapass/lab/fleet/FleetMain.java
+++ b/lab/src/main/java/org/dahliapass/lab/fleet/FleetMain.java
@@ -29,6 +29,7 @@
                     "rack-lost",
                     "poison-slow",
                     "poison-slow-crowd",
+                    "limited-targets",
                     "calm");
 
     private static final int DEFAULT_RUNS = 8;
--- a/lab/src/main/java/org/dahliapass/lab/fleet/FleetResult.java
+++ b/lab/src/main/java/org/dahliapass/lab/fleet/FleetResult.java
@@ -21,6 +21,9 @@
  * @param latePoisonDeliveries the number of poison requests that reached a target more than 3 s
  *     after the third crash
  * @param quarantined harmless requests that were quarantined, per harmless request
+ * @param limitWorstUse the most requests that a target with a request limit got in 4 s, as a share
+ *     of what the limit tolerates
+ * @param limitMeanUse the requests that targets with a request limit got, as a share of the limit
  */
 record FleetResult(
         double payoffRatio,
@@ -34,12 +37,14 @@
         double windowsBelowFloor,
         double poisonCrashes,
         double latePoisonDeliveries,
-        double quarantined) {
+        double quarantined,
+        double limitWorstUse,
+        double limitMeanUse) {
     /** The header of the lines that {@link #line} formats. */
     static final String HEADER =
             String.format(
                     Locale.ROOT,
-                    "%-18s %-10s %15s %7s %7s %7s %7s %7s %7s %7s %7s %7s %7s %7s",
+                    "%-18s %-10s %15s %7s %7s %7s %7s %7s %7s %7s %7s %7s %7s %7s %7s %7s",
                     "scenario",
                     "placement",
                     "worth",
@@ -53,7 +58,9 @@
                     "floor",
                     "ended",
                     "late",
-                    "held");
+                    "held",
+                    "limit",
+                    "taken");
 
     private static final double Z_95 = 1.96;
 
@@ -67,7 +74,7 @@
         return String.format(
                 Locale.ROOT,
                 "%-18s %-10s %.4f ± %.4f %7.4f %7.4f %7.4f %7.4f %7.4f %7.4f %7.4f %7.2f"
-                        + " %7.2f %7.2f %7.5f",
+                        + " %7.2f %7.2f %7.5f %7.2f %7.2f",
                 scenario,
                 placement,
                 mean,
@@ -82,7 +89,9 @@
                 mean(runs, FleetResult::windowsBelowFloor),
                 mean(runs, FleetResult::poisonCrashes),
                 mean(runs, FleetResult::latePoisonDeliveries),
-                mean(runs, FleetResult::quarantined));
+                mean(runs, FleetResult::quarantined),
+                runs.stream().mapToDouble(FleetResult::limitWorstUse).max().orElse(0),
+                mean(runs, FleetResult::limitMeanUse));
     }
 
     private static double mean(List<FleetResult> runs, ToDoubleFunction<FleetResult> metric) {
--- a/lab/src/main/java/org/dahliapass/lab/fleet/FleetSimulation.java
+++ b/lab/src/main/java/org/dahliapass/lab/fleet/FleetSimulation.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import org.dahliapass.decisions.poison.SuspectReport;
 import org.dahliapass.decisions.traffic.FailureKind;
+import org.dahliapass.decisions.traffic.LimitStatement;
 import org.dahliapass.decisions.traffic.TargetObservation;
 import org.dahliapass.decisions.traffic.TargetReport;
 import org.dahliapass.decisions.traffic.WeightedTarget;
@@ -53,6 +54,9 @@
             Endpoint endpoint = new Endpoint("10.0.0.1", FIRST_PORT + number);
             FleetTarget target =
                     new FleetTarget(scenario, mScheduler, mRandom.split(), endpoint, mStatistics);
+            if (number < Math.round(scenario.limitedShare() * scenario.targets())) {
+                target.setLimited();
+            }
             mTargets.add(target);
             mTargetsByEndpoint.put(endpoint, target);
         }
@@ -276,6 +280,9 @@
                 return;
             }
             FleetTarget receiver = target(target);
+            if (!receiver.limitStatement().equals(LimitStatement.UNLIMITED)) {
+                mStatistics.onDeliveredToLimited(mVm, target, mScheduler.elapsedMillis());
+            }
             if (load.crashesTarget() && !receiver.isDown()) {
                 mStatistics.onPoisonDelivered(mScheduler.elapsedMillis());
             } else {
@@ -288,5 +295,15 @@
         public FleetTarget target(Endpoint target) {
             return mTargetsByEndpoint.get(target);
         }
+
+        @Override
+        public LimitStatement readLimit(Endpoint target) {
+            LimitStatement statement = target(target).limitStatement();
+            if (statement instanceof LimitStatement.Limited limited) {
+                mStatistics.onLimitNamed(
+                        mVm, target, limited.requestsPerSecond(), mScheduler.elapsedMillis());
+            }
+            return statement;
+        }
     }
 }
--- a/lab/src/main/java/org/dahliapass/lab/fleet/FleetStatistics.java
+++ b/lab/src/main/java/org/dahliapass/lab/fleet/FleetStatistics.java
@@ -9,6 +9,8 @@
 final class FleetStatistics {
     private static final long WINDOW_MILLIS = 2_000;
 
+    private static final double MILLIS_PER_SECOND = 1_000;
+
     /** The share of healthy targets that must stay in use. */
     static final double FLOOR_SHARE = 0.7;
 
@@ -19,6 +21,7 @@
     private static final long QUARANTINE_DELAY_MILLIS = 3_000;
 
     private final TargetUsageTracker mUsageTracker = new TargetUsageTracker(FLOOR_SHARE);
+    private final RequestLimitTracker mLimitTracker = new RequestLimitTracker();
     private final List<double[]> mWindows = new ArrayList<>();
     private double mMaxPayoff;
     private double mEarnedPayoff;
@@ -62,6 +65,16 @@
         mUsageTracker.onDelivered(target, elapsedMillis);
     }
 
+    /** Records that a target named its request limit in a response to a VM. */
+    void onLimitNamed(int vm, Endpoint target, double limit, long elapsedMillis) {
+        mLimitTracker.onNamed(vm, target, limit, elapsedMillis);
+    }
+
+    /** Records the delivery of a VM's request to a target that is limited now. */
+    void onDeliveredToLimited(int vm, Endpoint target, long elapsedMillis) {
+        mLimitTracker.onDelivered(vm, target, elapsedMillis);
+    }
+
     /** Records the refusal of a request that arrived at the given time. */
     void onRefused(RequestLoad load, long arrivalMillis) {
         if (load.crashesTarget()) {
@@ -152,6 +165,8 @@
                 usage.windowsBelowFloor(),
                 mPoisonCrashes,
                 mLatePoisonDeliveries,
-                mQuarantined / requests);
+                mQuarantined / requests,
+                mLimitTracker.worstUse(),
+                mLimitTracker.meanUse(lengthMillis / (3 * MILLIS_PER_SECOND)));
     }
 }
--- a/lab/src/main/java/org/dahliapass/lab/fleet/FleetTarget.java
+++ b/lab/src/main/java/org/dahliapass/lab/fleet/FleetTarget.java
@@ -7,6 +7,7 @@
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import org.dahliapass.decisions.traffic.FailureKind;
+import org.dahliapass.decisions.traffic.LimitStatement;
 import org.dahliapass.model.Endpoint;
 
 /** A simulated target with slots, a bounded queue and periods in which it fails some requests. */
@@ -26,6 +27,7 @@
     private int mRunning;
     private int mStarts = 1;
     private boolean mDown;
+    private boolean mLimited;
 
     FleetTarget(
             Scenario scenario,
@@ -50,6 +52,18 @@
         return mEndpoint;
     }
 
+    /** Makes the target name a request limit during the middle third. */
+    void setLimited() {
+        mLimited = true;
+    }
+
+    /** Returns what the target's responses say of its request limit now. */
+    LimitStatement limitStatement() {
+        return mLimited && mScenario.isMiddleThird(mScheduler.elapsedMillis())
+                ? new LimitStatement.Limited(mScenario.requestLimit())
+                : LimitStatement.UNLIMITED;
+    }
+
     boolean isFailing() {
         return mFailing;
     }
--- a/lab/src/main/java/org/dahliapass/lab/fleet/Placer.java
+++ b/lab/src/main/java/org/dahliapass/lab/fleet/Placer.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.dahliapass.decisions.health.Outcome;
 import org.dahliapass.decisions.traffic.FailedAttempt;
+import org.dahliapass.decisions.traffic.LimitStatement;
 import org.dahliapass.model.Endpoint;
 
 /**
@@ -28,6 +29,9 @@
     /** Returns the target of a slot. */
     Endpoint target(S slot);
 
+    /** Records what the response to an attempt says of its target's request limit. */
+    default void onLimitStatement(S slot, LimitStatement statement) {}
+
     /** Releases a slot and records the outcome of its attempt. */
     void release(S slot, Outcome outcome, long latencyMillis);
 }
--- a/lab/src/main/java/org/dahliapass/lab/fleet/RuntimePlacer.java
+++ b/lab/src/main/java/org/dahliapass/lab/fleet/RuntimePlacer.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.dahliapass.decisions.health.Outcome;
 import org.dahliapass.decisions.traffic.FailedAttempt;
+import org.dahliapass.decisions.traffic.LimitStatement;
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.traffic.ServiceRuntime;
 import org.dahliapass.traffic.Slot;
@@ -38,6 +39,11 @@
         return slot.target();
     }
 
+    @Override
+    public void onLimitStatement(Slot slot, LimitStatement statement) {
+        runtime.onLimitStatement(slot, statement);
+    }
+
     @Override
     public void release(Slot slot, Outcome outcome, long latencyMillis) {
         runtime.release(slot, outcome, latencyMillis);
--- a/lab/src/main/java/org/dahliapass/lab/fleet/Scenario.java
+++ b/lab/src/main/java/org/dahliapass/lab/fleet/Scenario.java
@@ -27,6 +27,8 @@
  * @param lossyPathShare the share of paths between a VM and a target that drop all requests during
  *     the middle third
  * @param restartDelay the time that a crashed target takes to restart
+ * @param limitedShare the share of targets that name a request limit in the middle third
+ * @param requestLimit the limit that they name, in requests per second
  * @param rackShare the share of targets that crash together at the start of the middle third
  * @param burstFactor the factor by which the load changes in the middle third
  * @param loads the load of each request kind
@@ -47,6 +49,8 @@
         Duration meanHealthyPeriod,
         double lossyPathShare,
         Duration restartDelay,
+        double limitedShare,
+        double requestLimit,
         double rackShare,
         double burstFactor,
         List<RequestLoad> loads) {
@@ -109,6 +113,8 @@
                         targets.fraction("cut-share", 0),
                         targets.duration(
                                 "restart", MIN_DURATION, MAX_DURATION, DEFAULT_RESTART_DELAY),
+                        targets.fraction("limited-share", 0),
+                        targets.decimal("limit-per-second", 0, 1_000, 0),
                         targets.fraction("rack-share", 0),
                         fleet.decimal("burst", 0.1, 100, 1),
                         loads);
--- a/lab/src/main/java/org/dahliapass/lab/fleet/SimulatedRequest.java
+++ b/lab/src/main/java/org/dahliapass/lab/fleet/SimulatedRequest.java
@@ -12,6 +12,7 @@
 import org.dahliapass.decisions.poison.Treatment;
 import org.dahliapass.decisions.traffic.FailedAttempt;
 import org.dahliapass.decisions.traffic.FailureKind;
+import org.dahliapass.decisions.traffic.LimitStatement;
 import org.dahliapass.kernel.Futures;
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.model.RequestDigest;
@@ -59,6 +60,9 @@
 
         /** Returns the target at an endpoint. */
         FleetTarget target(Endpoint target);
+
+        /** Returns what a response of a target to this VM says of its request limit. */
+        LimitStatement readLimit(Endpoint target);
     }
 
     SimulatedRequest(
@@ -200,6 +204,9 @@
         if (sent == null) {
             return;
         }
+        if (failure == null || failure.isResponse()) {
+            mPlacer.onLimitStatement(slot, mNetwork.readLimit(mPlacer.target(slot)));
+        }
         if (failure != null && failure.isTargetFault()) {
             mStatistics.onFailedAttempt();
         }
--- a/lab/src/test/java/org/dahliapass/lab/fleet/FleetSimulationTest.java
+++ b/lab/src/test/java/org/dahliapass/lab/fleet/FleetSimulationTest.java
@@ -101,6 +101,20 @@
         assertEquals(quarantined, 0.0, "harmless requests quarantined");
     }
 
+    /** Guards against a target that gets more requests than the limit in its responses allows. */
+    @Test
+    public void limitedTargetsGetNoMoreThanTheyNamed() {
+        for (long seed = 1; seed <= RUNS; seed++) {
+            double use =
+                    FleetSimulation.simulate(
+                                    Scenario.ofName("limited-targets"),
+                                    PlacementStrategy.PRODUCTION,
+                                    seed)
+                            .limitWorstUse();
+            assertTrue(use <= 1, "seed " + seed + ", share of what is tolerated: " + use);
+        }
+    }
+
     @DataProvider
     public Object[][] scenarios() {
         return FleetMain.SCENARIOS.stream()
