Hold the request limits that targets name over the whole fleet

What was seen: a target that named a limit of 2.6 requests a second got 21 and 23 in 4 s from VMs that had seen it, 21 allowed.

Cause: nothing read the limit. Targets were chosen by slots, load and failures, so a limited target kept its share: 6.1 requests a second before it named its limit, 5.8 after. The class: a bound on the sum over all VMs that no VM holds, as with retries and customers' rates.

Change: TargetLimits holds this VM's part for every attempt (first tries, retries, hedges, trials). A limited target gets requests from few VMs, which all VMs find alike by rendezvous hashing from its address and the VMs that take callers; no message divides the limit. Reports that are sent anyway tell the others what a target says now. What doesn't fit goes to other targets, or is rejected at once. A limit lapses with the first success without it; one that nobody confirms is tried now and then.

--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/LimitStatement.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/limits/LimitStatement.java
@@ -1,4 +1,4 @@
-package org.dahliapass.decisions.traffic;
+package org.dahliapass.decisions.limits;
 
 import java.util.List;
 import java.util.regex.Pattern;
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/AdmissionQueue.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/AdmissionQueue.java
@@ -73,6 +73,9 @@
         if (!mBalancer.hasTargetFor(entry.kind(), entry.excluded())) {
             return refuse(RefusalReason.NO_TARGET, 0);
         }
+        if (!mBalancer.isWithinLimits(entry.kind(), entry.excluded(), nowMillis)) {
+            return refuse(RefusalReason.TARGETS_LIMITED, 0);
+        }
         if (nowMillis >= entry.deadlineMillis()) {
             return refuse(RefusalReason.TOO_LATE, 0);
         }
@@ -227,7 +230,7 @@
 
     private void acquireSlot(QueueEntry<T> entry, Endpoint target, long nowMillis) {
         mTimes.onAttemptStarted(nowMillis);
-        mSlots.acquire(target, entry.kind().bulky());
+        mBalancer.acquire(target, entry.kind().bulky(), nowMillis);
         if (entry.kind().bulky()) {
             mBulkyByCustomer.increment(entry.customer());
         }
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/HedgePolicy.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/HedgePolicy.java
@@ -21,7 +21,6 @@
 
     private final RetryBudget mBudget;
     private final LoadBalancer mBalancer;
-    private final SlotTable mSlots;
     private final ServiceTimeEstimator mTimes;
     private final PassiveFailureDetector mFailureDetector;
 
@@ -30,19 +29,16 @@
      *
      * @param budget the service's retry budget, shared with the retries
      * @param balancer picks the targets
-     * @param slots the slots of the service
      * @param times estimates response times
      * @param failureDetector estimates the loss probability of targets
      */
     public HedgePolicy(
             RetryBudget budget,
             LoadBalancer balancer,
-            SlotTable slots,
             ServiceTimeEstimator times,
             PassiveFailureDetector failureDetector) {
         mBudget = budget;
         mBalancer = balancer;
-        mSlots = slots;
         mTimes = times;
         mFailureDetector = failureDetector;
     }
@@ -102,7 +98,7 @@
         target.ifPresent(
                 endpoint -> {
                     mBudget.onExtraAttempt(nowMillis);
-                    mSlots.acquire(endpoint, kind.bulky());
+                    mBalancer.acquire(endpoint, kind.bulky(), nowMillis);
                 });
         return target;
     }
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/LoadBalancer.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/LoadBalancer.java
@@ -5,6 +5,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import org.dahliapass.decisions.limits.TargetLimitSharing;
+import org.dahliapass.decisions.limits.TargetLimits;
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.model.Idempotency;
 import org.dahliapass.model.RequestKind;
@@ -37,6 +39,7 @@
     private final SlotTable mSlots;
     private final int mBulkySlotsPerTarget;
     private final TargetSelector mSelector;
+    private final TargetLimits mLimits;
     private final RandomGenerator mRandom;
     private List<WeightedTarget> mTargets = List.of();
     private double mMaxWeight;
@@ -56,7 +59,8 @@
                 slots,
                 bulkyShare,
                 random,
-                new PassiveFailureDetector(new ServiceTimeEstimator(), slots));
+                new PassiveFailureDetector(new ServiceTimeEstimator(), slots),
+                new TargetLimits(TargetLimitSharing.FEW_VMS, random));
     }
 
     /**
@@ -65,6 +69,7 @@
      * @param zone this VM's availability zone
      * @param floorShare the share of the healthy targets that must stay in use; 0 for none
      * @param failureDetector estimates the state of the targets
+     * @param limits the request limits of the targets
      */
     public LoadBalancer(
             String zone,
@@ -72,8 +77,10 @@
             SlotTable slots,
             double bulkyShare,
             RandomGenerator random,
-            PassiveFailureDetector failureDetector) {
+            PassiveFailureDetector failureDetector,
+            TargetLimits limits) {
         mSlots = slots;
+        mLimits = limits;
         mBulkySlotsPerTarget = Math.max(1, (int) (slots.slotsPerTarget() * bulkyShare));
         mSelector = new TargetSelector(zone, floorShare, slots, failureDetector, random);
         mRandom = random;
@@ -164,7 +171,7 @@
         if (kind.bulky() && mSlots.ownBulkyInFlightTotal() >= bulkyLimit()) {
             return List.of();
         }
-        List<WeightedTarget> ownTargets = withOwnFreeSlot(targets, kind, excluded);
+        List<WeightedTarget> ownTargets = withOwnFreeSlot(targets, kind, excluded, nowMillis);
         if (mSlots.cellSize() == 1) {
             return withUnusedSlot(ownTargets, nowMillis);
         }
@@ -194,23 +201,40 @@
     }
 
     private List<WeightedTarget> withOwnFreeSlot(
-            List<WeightedTarget> targets, RequestKind kind, Set<Endpoint> excluded) {
+            List<WeightedTarget> targets,
+            RequestKind kind,
+            Set<Endpoint> excluded,
+            long nowMillis) {
         List<WeightedTarget> ownTargets = new ArrayList<>();
         for (WeightedTarget target : targets) {
             if (isUsable(target, kind, excluded)
                     && mSlots.ownFreeSlots(target.endpoint(), usableSlots(target)) > 0
-                    && hasBulkyRoom(target, kind)) {
+                    && hasBulkyRoom(target, kind)
+                    && mLimits.allows(target.endpoint(), nowMillis)) {
                 ownTargets.add(target);
             }
         }
         return ownTargets;
     }
 
-    /** Returns whether any target accepts this kind, regardless of free slots. */
+    /** Returns whether any target accepts this kind, regardless of free slots and limits. */
     public boolean hasTargetFor(RequestKind kind, Set<Endpoint> excluded) {
         return mTargets.stream().anyMatch(target -> isUsable(target, kind, excluded));
     }
 
+    /** Returns whether this VM may send a request to any of the targets that accept this kind. */
+    boolean isWithinLimits(RequestKind kind, Set<Endpoint> excluded, long nowMillis) {
+        return mTargets.stream()
+                .filter(target -> isUsable(target, kind, excluded))
+                .anyMatch(target -> mLimits.allows(target.endpoint(), nowMillis));
+    }
+
+    /** Acquires a slot at a picked target for one attempt. */
+    void acquire(Endpoint target, boolean bulky, long nowMillis) {
+        mSlots.acquire(target, bulky);
+        mLimits.onSent(target, nowMillis);
+    }
+
     private List<WeightedTarget> borrowable(
             List<WeightedTarget> targets,
             RequestKind kind,
@@ -220,7 +244,8 @@
         for (WeightedTarget target : targets) {
             if (isUsable(target, kind, excluded)
                     && hasBulkyRoom(target, kind)
-                    && mSlots.unusedSlots(target.endpoint(), usableSlots(target), nowMillis) > 0) {
+                    && mSlots.unusedSlots(target.endpoint(), usableSlots(target), nowMillis) > 0
+                    && mLimits.allows(target.endpoint(), nowMillis)) {
                 unused.add(target);
             }
         }
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/RetryPolicy.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/RetryPolicy.java
@@ -16,7 +16,6 @@
 
     private final RetryBudget mBudget;
     private final LoadBalancer mBalancer;
-    private final SlotTable mSlots;
     private final ServiceTimeEstimator mTimes;
 
     /**
@@ -24,17 +23,11 @@
      *
      * @param budget the service's retry budget
      * @param balancer picks the targets
-     * @param slots the slots of the service
      * @param times estimates response times
      */
-    public RetryPolicy(
-            RetryBudget budget,
-            LoadBalancer balancer,
-            SlotTable slots,
-            ServiceTimeEstimator times) {
+    public RetryPolicy(RetryBudget budget, LoadBalancer balancer, ServiceTimeEstimator times) {
         mBudget = budget;
         mBalancer = balancer;
-        mSlots = slots;
         mTimes = times;
     }
 
@@ -66,7 +59,7 @@
             return new Stop(StopReason.NO_TARGET);
         }
         mBudget.onExtraAttempt(nowMillis);
-        mSlots.acquire(target.get(), failed.kind().bulky());
+        mBalancer.acquire(target.get(), failed.kind().bulky(), nowMillis);
         return new Retry(target.get());
     }
 
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/TargetReport.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/TargetReport.java
@@ -1,6 +1,8 @@
 package org.dahliapass.decisions.traffic;
 
+import java.util.Optional;
 import java.util.OptionalLong;
+import org.dahliapass.decisions.limits.LimitReport;
 import org.dahliapass.model.Endpoint;
 
 /**
@@ -12,6 +14,22 @@
  *     target
  * @param lastAnsweredMillis when the latest request with a response was sent, in milliseconds;
  *     empty if there is none
+ * @param limit what the target's responses said of its request limit; empty for nothing new
  */
 public record TargetReport(
-        Endpoint target, int inFlight, double silenceRatio, OptionalLong lastAnsweredMillis) {}
+        Endpoint target,
+        int inFlight,
+        double silenceRatio,
+        OptionalLong lastAnsweredMillis,
+        Optional<LimitReport> limit) {
+    /** Creates a report without a limit. */
+    public TargetReport(
+            Endpoint target, int inFlight, double silenceRatio, OptionalLong lastAnsweredMillis) {
+        this(target, inFlight, silenceRatio, lastAnsweredMillis, Optional.empty());
+    }
+
+    /** Returns this report with what the target's responses said of its request limit. */
+    public TargetReport withLimit(Optional<LimitReport> newLimit) {
+        return new TargetReport(target, inFlight, silenceRatio, lastAnsweredMillis, newLimit);
+    }
+}
--- a/decisions/src/test/java/org/dahliapass/decisions/traffic/LimitStatementTest.java
+++ b/decisions/src/test/java/org/dahliapass/decisions/limits/LimitStatementTest.java
@@ -1,4 +1,4 @@
-package org.dahliapass.decisions.traffic;
+package org.dahliapass.decisions.limits;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
--- /dev/null
+++ b/decisions/src/test/java/org/dahliapass/decisions/limits/TargetLimitsTest.java
@@ -0,0 +1,184 @@
+package org.dahliapass.decisions.limits;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+import org.dahliapass.model.Endpoint;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests that targets get no more requests than the limits in their responses allow. */
+public final class TargetLimitsTest {
+    private static final Endpoint TARGET = new Endpoint("10.0.0.1", 8_000);
+    private static final int VMS = 6;
+    private static final long WINDOW_MILLIS = 4_000;
+    private static final long STEP_MILLIS = 10;
+    private static final LimitStatement LIMIT = new LimitStatement.Limited(2.6);
+
+    private final List<TargetLimits> mVms = new ArrayList<>();
+
+    private void createVms(int count) {
+        mVms.clear();
+        List<String> names = IntStream.range(0, count).mapToObj(number -> "vm-" + number).toList();
+        for (String name : names) {
+            TargetLimits limits =
+                    new TargetLimits(TargetLimitSharing.FEW_VMS, new SplittableRandom(mVms.size()));
+            limits.setVms(() -> new LimitingVms(name, names, count, false));
+            mVms.add(limits);
+        }
+    }
+
+    /** Returns the requests that all VMs send if each sends whatever it may. */
+    private int sendAll(long fromMillis, long toMillis) {
+        int sent = 0;
+        for (long now = fromMillis; now < toMillis; now += STEP_MILLIS) {
+            for (TargetLimits vm : mVms) {
+                if (vm.allows(TARGET, now)) {
+                    vm.onSent(TARGET, now);
+                    sent++;
+                }
+            }
+        }
+        return sent;
+    }
+
+    private void state(LimitStatement statement, long nowMillis) {
+        mVms.forEach(vm -> vm.onResponse(TARGET, statement, nowMillis, nowMillis));
+    }
+
+    @DataProvider
+    public Object[][] limits() {
+        return new Object[][] {
+            {6, 2.6}, {64, 2.6}, {6, 0.0}, {64, 0.0}, {1, 5.0}, {24, 40.0}, {64, 300.0}, {6, 300.0}
+        };
+    }
+
+    /** Guards against VMs that each keep a limit which their sum exceeds. */
+    @Test(dataProvider = "limits")
+    public void sumOfAllVmsKeepsTheLimit(int vms, double limit) {
+        createVms(vms);
+        state(new LimitStatement.Limited(limit), 0);
+        double tolerated = 1.5 * limit * WINDOW_MILLIS / 1_000 + 5;
+        int sent = sendAll(0, WINDOW_MILLIS);
+        assertTrue(sent <= tolerated, sent + " of " + tolerated);
+        double expected = Math.floor(limit * (WINDOW_MILLIS - 1_000) / 1_000);
+        assertTrue(sent >= expected, sent + " of " + expected + " that the target takes");
+    }
+
+    /** Guards against a target that nobody tries, so that nobody learns of the lifted limit. */
+    @Test
+    public void limitOfZeroAllowsATrial() {
+        createVms(VMS);
+        state(new LimitStatement.Limited(0), 0);
+        assertTrue(sendAll(0, 5_000) > 0);
+    }
+
+    /** Guards against VMs that all try a target at once when its limit is no longer confirmed. */
+    @Test
+    public void unconfirmedLimitIsTriedInTurn() {
+        createVms(64);
+        state(LIMIT, 0);
+        long from = TargetLimits.CONFIRMATION_MILLIS;
+        for (long start = from; start < from + 200_000; start += WINDOW_MILLIS) {
+            int sent = sendAll(start, start + WINDOW_MILLIS);
+            assertTrue(sent <= 1.5 * 2.6 * WINDOW_MILLIS / 1_000 + 5, sent + " at " + start);
+        }
+    }
+
+    @Test
+    public void successWithoutLimitLiftsIt() {
+        createVms(1);
+        state(LIMIT, 0);
+        assertFalse(mVms.get(0).allows(TARGET, 1));
+        Optional<LimitChange> change =
+                mVms.get(0).onResponse(TARGET, LimitStatement.UNLIMITED, 100, 200);
+        assertEquals(change, Optional.of(new LimitChange(LIMIT, LimitStatement.UNLIMITED)));
+        assertTrue(mVms.get(0).allows(TARGET, 200));
+    }
+
+    /** Guards against a slow response, created before the limit, that lifts it. */
+    @Test
+    public void responseToAnEarlierRequestLiftsNothing() {
+        createVms(1);
+        mVms.get(0).onResponse(TARGET, LIMIT, 0, 100);
+        mVms.get(0).onResponse(TARGET, LimitStatement.UNLIMITED, 50, 150);
+        assertFalse(mVms.get(0).allows(TARGET, 160));
+    }
+
+    /** Guards against a slow response, created before the limit was lowered, that raises it. */
+    @Test
+    public void responseToAnEarlierRequestRaisesNothing() {
+        createVms(1);
+        mVms.get(0).onResponse(TARGET, new LimitStatement.Limited(1), 0, 100);
+        mVms.get(0).onResponse(TARGET, new LimitStatement.Limited(1_000), 50, 150);
+        assertEquals(sendAll(150, 1_150), 1);
+    }
+
+    @Test
+    public void malformedLimitChangesNothing() {
+        createVms(1);
+        LimitStatement malformed = new LimitStatement.Malformed("few");
+        state(malformed, 0);
+        assertTrue(mVms.get(0).allows(TARGET, 0));
+        state(LIMIT, 10);
+        state(malformed, 20);
+        assertFalse(mVms.get(0).allows(TARGET, 30));
+    }
+
+    /** Guards against a VM that ignores a limit until it has read it itself. */
+    @Test
+    public void limitReadByAnotherVmHolds() {
+        createVms(VMS);
+        mVms.get(0).onResponse(TARGET, LIMIT, 0, 10);
+        LimitReport report = mVms.get(0).drainReports(20).get(TARGET);
+        mVms.get(1).onPeerReport(TARGET, report, 30);
+        assertFalse(mVms.get(1).allows(TARGET, 30));
+        mVms.get(0).onResponse(TARGET, LimitStatement.UNLIMITED, 100, 200);
+        mVms.get(1).onPeerReport(TARGET, mVms.get(0).drainReports(210).get(TARGET), 220);
+        assertTrue(mVms.get(1).allows(TARGET, 220));
+    }
+
+    /** Guards against a late report that brings back a limit which was lifted since. */
+    @Test
+    public void olderReportChangesNothing() {
+        createVms(1);
+        mVms.get(0).onResponse(TARGET, LIMIT, 0, 10);
+        mVms.get(0).onResponse(TARGET, LimitStatement.UNLIMITED, 100, 200);
+        mVms.get(0).onPeerReport(TARGET, new LimitReport(LIMIT, 50), 210);
+        assertTrue(mVms.get(0).allows(TARGET, 210));
+    }
+
+    /** Guards against a limit that outlives its target and holds for the one that follows it. */
+    @Test
+    public void replacedTargetHasNoLimit() {
+        createVms(1);
+        state(LIMIT, 0);
+        mVms.get(0).forget(Set.of(TARGET));
+        assertTrue(mVms.get(0).allows(TARGET, 1));
+    }
+
+    /** Guards against a VM that is cut off and uses a share which another VM has taken over. */
+    @Test
+    public void isolatedVmUsesAPartOfItsShare() {
+        createVms(1);
+        mVms.get(0).setVms(() -> new LimitingVms("vm-0", List.of("vm-0"), 1, true));
+        mVms.get(0).onResponse(TARGET, new LimitStatement.Limited(10), 0, 0);
+        assertTrue(sendAll(0, WINDOW_MILLIS) <= 0.5 * 10 * WINDOW_MILLIS / 1_000);
+    }
+
+    /** Guards against a VM that takes no callers and adds to the shares of those that do. */
+    @Test
+    public void vmOutsideTheGroupUsesOtherTargets() {
+        createVms(VMS);
+        mVms.get(0).setVms(() -> new LimitingVms("other", List.of("vm-1", "vm-2"), VMS, false));
+        mVms.get(0).onResponse(TARGET, new LimitStatement.Limited(100), 0, 0);
+        assertFalse(mVms.get(0).allows(TARGET, WINDOW_MILLIS));
+    }
+}
--- a/decisions/src/test/java/org/dahliapass/decisions/traffic/RetryPolicyTest.java
+++ b/decisions/src/test/java/org/dahliapass/decisions/traffic/RetryPolicyTest.java
@@ -10,6 +10,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import org.dahliapass.decisions.limits.TargetLimitSharing;
+import org.dahliapass.decisions.limits.TargetLimits;
 import org.dahliapass.decisions.traffic.RetryDecision.Retry;
 import org.dahliapass.decisions.traffic.RetryDecision.Stop;
 import org.dahliapass.decisions.traffic.RetryDecision.StopReason;
@@ -173,10 +175,17 @@
         mTimes = new ServiceTimeEstimator();
         mDetector = new PassiveFailureDetector(mTimes, mSlots);
         LoadBalancer balancer =
-                new LoadBalancer("", 0, mSlots, 0.5, new SplittableRandom(1), mDetector);
+                new LoadBalancer(
+                        "",
+                        0,
+                        mSlots,
+                        0.5,
+                        new SplittableRandom(1),
+                        mDetector,
+                        new TargetLimits(TargetLimitSharing.FEW_VMS, new SplittableRandom(1)));
         balancer.onTargets(Kinds.targets(3));
-        mRetryPolicy = new RetryPolicy(retryBudget, balancer, mSlots, mTimes);
-        mHedgePolicy = new HedgePolicy(hedgeBudget, balancer, mSlots, mTimes, mDetector);
+        mRetryPolicy = new RetryPolicy(retryBudget, balancer, mTimes);
+        mHedgePolicy = new HedgePolicy(hedgeBudget, balancer, mTimes, mDetector);
     }
 
     private RetryDecision decide(RequestKind kind, FailureKind failure) {
--- a/gateway/src/main/java/org/dahliapass/gateway/CustomerLimits.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/CustomerLimits.java
@@ -8,17 +8,16 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.dahliapass.decisions.limits.FleetRateLimiter;
 import org.dahliapass.decisions.limits.LimitMessage;
-import org.dahliapass.decisions.routing.AddressPlan;
+import org.dahliapass.decisions.limits.LimitingVms;
 import org.dahliapass.kernel.ControlLoop;
 import org.dahliapass.kernel.Kernel;
 import org.dahliapass.kernel.KernelService;
 import org.dahliapass.kernel.PeriodicTask;
 import org.dahliapass.model.routing.Customer;
-import org.dahliapass.model.routing.FleetVm;
 
 /**
  * Holds the rate limits of customers together with the other VMs that serve callers; any thread may
@@ -30,43 +29,32 @@
 
     private static final Duration REPORT_PERIOD = Duration.ofMillis(100);
 
-    /**
-     * The age of the configuration after which the other VMs may have dropped this one, whose
-     * registration they remove after a few seconds without renewal.
-     */
-    private static final long ISOLATION_MILLIS = 2_500;
-
     private final GatewaySettings mSettings;
-    private final LongSupplier mConfigurationAge;
+    private final Supplier<LimitingVms> mVms;
     private final RandomGenerator mRandom;
     private final PeerExchange mExchange;
     private FleetRateLimiter mLimiter;
-    private StoreFollower mFollower;
     private ControlLoop mLoop;
     private PeriodicTask mReportTask;
-    private AddressPlan mPlan;
-    private List<String> mVms = List.of();
 
     /**
      * Creates the limits of a VM.
      *
-     * @param configurationAge returns the time since the configuration was last confirmed, in
-     *     milliseconds
+     * @param vms the VMs that divide the limits
      */
     CustomerLimits(
             GatewaySettings settings,
-            LongSupplier configurationAge,
+            Supplier<LimitingVms> vms,
             PeerExchange exchange,
             RandomGenerator random) {
         mSettings = settings;
-        mConfigurationAge = configurationAge;
+        mVms = vms;
         mExchange = exchange;
         mRandom = random;
     }
 
     @Override
     public CompletableFuture<Void> start(Kernel kernel) {
-        mFollower = kernel.find(StoreFollower.NAME, StoreFollower.class);
         mLoop = kernel.find(ControlLoop.NAME, ControlLoop.class);
         mLimiter =
                 new FleetRateLimiter(
@@ -136,13 +124,8 @@
     }
 
     private void updateVms(long nowMillis) {
-        AddressPlan plan = mFollower.view().plan();
-        if (plan != mPlan) {
-            mPlan = plan;
-            mVms = plan.advertisedVms().stream().map(FleetVm::name).toList();
-        }
-        boolean isIsolated = mConfigurationAge.getAsLong() > ISOLATION_MILLIS;
-        mLimiter.onVms(mVms, isIsolated, nowMillis);
+        LimitingVms vms = mVms.get();
+        mLimiter.onVms(vms.vms(), vms.isolated(), nowMillis);
     }
 
     /** Sends all messages for one VM together. */
--- a/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
@@ -66,15 +66,15 @@
         KeyValueStore store = store(settings, connections, metrics, log);
         StoreFollower follower = new StoreFollower(settings.vmsPerZone(), log);
         ChangeFeed feed = new ChangeFeed(settings, store, connections.client(), random, log);
-        ServicePools pools = new ServicePools(clock, random, settings, metrics, log);
+        LimitingVmsSource limitingVms = new LimitingVmsSource(settings, follower, feed);
+        ServicePools pools = new ServicePools(clock, random, settings, metrics, log, limitingVms);
         mRegistration = new SelfRegistration(store, settings.self(), feed::followsStore, log);
         mLoadReporter = new LoadReporter(clock, metrics, log);
         PeerExchange exchange = new PeerExchange(settings, connections.loops(), log);
         PoisonGuard guard =
                 new PoisonGuard(
                         settings, clock, connections, store, follower, exchange, metrics, log);
-        CustomerLimits limits =
-                new CustomerLimits(settings, feed::configurationAgeMillis, exchange, random);
+        CustomerLimits limits = new CustomerLimits(settings, limitingVms, exchange, random);
         ProxyHandler proxy =
                 new ProxyHandler(
                         clock,
--- a/gateway/src/main/java/org/dahliapass/gateway/ServicePools.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ServicePools.java
@@ -13,10 +13,13 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.dahliapass.decisions.health.Outcome;
 import org.dahliapass.decisions.health.TargetHealth;
 import org.dahliapass.decisions.health.TargetStatus;
+import org.dahliapass.decisions.limits.LimitChange;
+import org.dahliapass.decisions.limits.LimitingVms;
 import org.dahliapass.decisions.limits.RetryAllowance;
 import org.dahliapass.decisions.routing.AddressPlan;
 import org.dahliapass.decisions.traffic.TargetObservation;
@@ -76,6 +79,7 @@
     private final GatewaySettings mSettings;
     private final EntryMetrics mMetrics;
     private final EventLog mLog;
+    private final Supplier<LimitingVms> mLimitingVms;
     private final Map<String, TargetHealth> mHealth = new HashMap<>();
     private final Map<String, ServiceTemplate> mTemplates = new HashMap<>();
     private ControlLoop mLoop;
@@ -101,7 +105,9 @@
             RandomGenerator random,
             GatewaySettings settings,
             EntryMetrics metrics,
-            EventLog log) {
+            EventLog log,
+            Supplier<LimitingVms> limitingVms) {
+        mLimitingVms = limitingVms;
         mClock = clock;
         mRandom = random;
         mSettings = settings;
@@ -166,6 +172,27 @@
                 });
     }
 
+    @Override
+    public void onLimitChanged(
+            ServiceId service, Endpoint target, LimitChange change, String reporter) {
+        Optional<TargetRegistration> registration =
+                find(service.name()).flatMap(pool -> pool.registrationAt(target));
+        mLog.write(
+                EventLog.Kind.BELIEF,
+                "target_limit_changed",
+                line ->
+                        line.put("service", service.name())
+                                .put("target", target.toString())
+                                .put(
+                                        "instance",
+                                        registration.map(TargetRegistration::instance).orElse(""))
+                                .put("before", change.before().toString())
+                                .put("limit", change.after().toString())
+                                .put(
+                                        "seen_by",
+                                        reporter.isEmpty() ? mSettings.self().name() : reporter));
+    }
+
     /** Records that this VM serves requests; any thread may call this. */
     void onRequest() {
         mLastRequestMillis = mClock.millis();
@@ -275,6 +302,7 @@
                         this,
                         mMetrics);
         runtime.setRetryAllowance(this::retryAllowance);
+        runtime.setLimitingVms(mLimitingVms);
         runtime.setObservationListener(
                 (service, observation) -> mObservationListener.accept(service, observation));
         return runtime;
--- a/gateway/src/main/java/org/dahliapass/gateway/TargetAttempt.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/TargetAttempt.java
@@ -9,8 +9,8 @@
 import java.util.concurrent.CompletableFuture;
 import org.dahliapass.decisions.access.CallerIdentity;
 import org.dahliapass.decisions.health.Outcome;
+import org.dahliapass.decisions.limits.LimitStatement;
 import org.dahliapass.decisions.traffic.FailureKind;
-import org.dahliapass.decisions.traffic.LimitStatement;
 import org.dahliapass.http.ClientCall;
 import org.dahliapass.http.HopByHopHeaders;
 import org.dahliapass.http.NotSentException;
@@ -34,6 +34,8 @@
     /** The maximum size of a buffered response body, in bytes. */
     private static final int MAX_BUFFERED_BYTES = 2 * 1024 * 1024;
 
+    private static final int CLIENT_ERROR = 400;
+
     private static final int SERVER_ERROR = 500;
 
     private static final int DEFAULT_BODY_BYTES = 1_024;
@@ -151,7 +153,10 @@
         ResponseCheck check = ResponseCheck.of(status, head.headers(), mRequest.id());
         if (check.isFromExpectedTarget(status)) {
             mLimit = LimitStatement.parse(TargetHeaders.requestLimits(head.headers()));
-            mPool.runtime().onLimitStatement(mSlot, mLimit);
+            // Only a success proves that a limit is lifted.
+            if (!mLimit.equals(LimitStatement.UNLIMITED) || status < CLIENT_ERROR) {
+                mPool.runtime().onLimitStatement(mSlot, mLimit);
+            }
         }
         if (check == ResponseCheck.VALID) {
             mBuffer = Unpooled.buffer(initialCapacity());
--- a/gateway/src/main/java/org/dahliapass/gateway/WorkReportCodec.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/WorkReportCodec.java
@@ -5,6 +5,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.dahliapass.decisions.limits.LimitReport;
+import org.dahliapass.decisions.limits.LimitStatement;
 import org.dahliapass.decisions.traffic.Observation;
 import org.dahliapass.decisions.traffic.TargetReport;
 import org.dahliapass.model.Endpoint;
@@ -72,9 +74,18 @@
                         lastAnswered ->
                                 encoded.setProvenAgeMillis(
                                         (int) Math.max(0, nowMillis - lastAnswered)));
+        targetReport.limit().ifPresent(limit -> encodeLimit(encoded, limit, nowMillis));
         return encoded.build();
     }
 
+    private static void encodeLimit(
+            WorkAtTarget.Builder encoded, LimitReport limit, long nowMillis) {
+        encoded.setLimitAgeMillis((int) Math.max(0, nowMillis - limit.statedMillis()));
+        if (limit.statement() instanceof LimitStatement.Limited limited) {
+            encoded.setRequestLimit(limited.requestsPerSecond());
+        }
+    }
+
     /** Decodes reports on registered targets; reports on other targets are omitted. */
     static List<TargetReport> decode(
             List<WorkAtTarget> reports,
@@ -97,6 +108,26 @@
                         : OptionalLong.empty();
         // A malformed report must not hide a silent target.
         double silenceRatio = Math.max(MIN_SILENCE_RATIO, targetReport.getSilence());
-        return new TargetReport(target, targetReport.getInFlight(), silenceRatio, lastAnswered);
+        return new TargetReport(
+                target,
+                targetReport.getInFlight(),
+                silenceRatio,
+                lastAnswered,
+                decodeLimit(targetReport, nowMillis));
+    }
+
+    /** Decodes a limit; empty if there is none or its value isn't possible. */
+    private static Optional<LimitReport> decodeLimit(WorkAtTarget targetReport, long nowMillis) {
+        if (!targetReport.hasLimitAgeMillis() || targetReport.getLimitAgeMillis() < 0) {
+            return Optional.empty();
+        }
+        long statedMillis = nowMillis - targetReport.getLimitAgeMillis();
+        if (!targetReport.hasRequestLimit()) {
+            return Optional.of(new LimitReport(LimitStatement.UNLIMITED, statedMillis));
+        }
+        double limit = targetReport.getRequestLimit();
+        return Double.isFinite(limit) && limit >= 0
+                ? Optional.of(new LimitReport(new LimitStatement.Limited(limit), statedMillis))
+                : Optional.empty();
     }
 }
--- a/lab/src/main/java/org/dahliapass/lab/fleet/FleetMain.java
+++ b/lab/src/main/java/org/dahliapass/lab/fleet/FleetMain.java
@@ -1,12 +1,16 @@
 package org.dahliapass.lab.fleet;
 
+import java.io.IOException;
 import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.IntStream;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
 import org.dahliapass.kernel.ExitCode;
+import org.dahliapass.kernel.OperationException;
 import org.dahliapass.kernel.Program;
 
 /** Compares production request placement with baselines in simulated scenarios. */
@@ -58,16 +62,21 @@
                 .ofType(Integer.class)
                 .defaultsTo(DEFAULT_RUNS);
         parser.accepts("scenario", "Runs only this scenario; may be repeated.").withRequiredArg();
+        parser.accepts("file", "Runs only the scenario in this file; may be repeated.")
+                .withRequiredArg();
         parser.accepts("production-only", "Omits the baselines.");
     }
 
     @Override
     protected ExitCode run(OptionSet options) {
-        List<String> scenarios = new ArrayList<>();
-        options.valuesOf("scenario").forEach(name -> scenarios.add((String) name));
+        List<Scenario> scenarios = new ArrayList<>();
+        options.valuesOf("scenario").forEach(name -> scenarios.add(Scenario.ofName((String) name)));
+        options.valuesOf("file").forEach(path -> scenarios.add(readFile(Path.of((String) path))));
+        if (scenarios.isEmpty()) {
+            SCENARIOS.forEach(name -> scenarios.add(Scenario.ofName(name)));
+        }
         mOutput.println(FleetResult.HEADER);
-        for (String name : scenarios.isEmpty() ? SCENARIOS : scenarios) {
-            Scenario scenario = Scenario.ofName(name);
+        for (Scenario scenario : scenarios) {
             for (PlacementStrategy strategy : PlacementStrategy.values()) {
                 if (strategy == PlacementStrategy.PRODUCTION || !options.has("production-only")) {
                     mOutput.println(line(scenario, strategy, options));
@@ -77,6 +86,16 @@
         return ExitCode.OK;
     }
 
+    private static Scenario readFile(Path file) {
+        try {
+            String name = file.getFileName().toString().replaceFirst("\\.ini$", "");
+            return Scenario.read(name, Files.readString(file));
+        } catch (IOException failure) {
+            throw new OperationException(
+                    "read the scenario", file.toString(), failure.getMessage(), failure);
+        }
+    }
+
     private static String line(Scenario scenario, PlacementStrategy strategy, OptionSet options) {
         int firstSeed = (Integer) options.valueOf("seed");
         int runs = (Integer) options.valueOf("runs");
--- a/lab/src/main/java/org/dahliapass/lab/fleet/FleetSimulation.java
+++ b/lab/src/main/java/org/dahliapass/lab/fleet/FleetSimulation.java
@@ -8,9 +8,11 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
+import org.dahliapass.decisions.limits.LimitStatement;
+import org.dahliapass.decisions.limits.LimitingVms;
 import org.dahliapass.decisions.poison.SuspectReport;
 import org.dahliapass.decisions.traffic.FailureKind;
-import org.dahliapass.decisions.traffic.LimitStatement;
 import org.dahliapass.decisions.traffic.TargetObservation;
 import org.dahliapass.decisions.traffic.TargetReport;
 import org.dahliapass.decisions.traffic.WeightedTarget;
@@ -94,7 +96,7 @@
     private void startProduction() {
         List<ServiceRuntime> runtimes = new ArrayList<>();
         for (int number = 0; number < mScenario.vms(); number++) {
-            runtimes.add(newRuntime());
+            runtimes.add(newRuntime(vmName(number)));
         }
         List<Placer<org.dahliapass.traffic.Slot>> placers = new ArrayList<>();
         for (int number = 0; number < runtimes.size(); number++) {
@@ -113,7 +115,11 @@
         startLoads(placers, productionPolicies());
     }
 
-    private ServiceRuntime newRuntime() {
+    private static String vmName(int number) {
+        return "vm-" + number;
+    }
+
+    private ServiceRuntime newRuntime(String self) {
         ServiceTemplate template =
                 new ServiceTemplate(
                         "x",
@@ -144,7 +150,11 @@
                         mScheduler.clock(),
                         mRandom.split(),
                         new NoOpTargetEventListener(),
-                        mMetrics);
+                        mMetrics,
+                        mScenario.limitSharing());
+        List<String> vms =
+                IntStream.range(0, mScenario.vms()).mapToObj(FleetSimulation::vmName).toList();
+        runtime.setLimitingVms(() -> new LimitingVms(self, vms, vms.size(), false));
         runtime.onTemplate(template);
         runtime.onTargets(
                 mTargets.stream()
@@ -167,7 +177,7 @@
     private void broadcastReports(List<ServiceRuntime> runtimes, int self) {
         List<TargetReport> reports = runtimes.get(self).drainReport();
         if (!reports.isEmpty()) {
-            VmIdentity vm = new VmIdentity("vm-" + self, 0);
+            VmIdentity vm = new VmIdentity(vmName(self), 0);
             sendToOthers(runtimes, self, other -> other.onPeerReport(vm, reports));
         }
     }
--- a/lab/src/main/java/org/dahliapass/lab/fleet/FleetTarget.java
+++ b/lab/src/main/java/org/dahliapass/lab/fleet/FleetTarget.java
@@ -6,8 +6,8 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
+import org.dahliapass.decisions.limits.LimitStatement;
 import org.dahliapass.decisions.traffic.FailureKind;
-import org.dahliapass.decisions.traffic.LimitStatement;
 import org.dahliapass.model.Endpoint;
 
 /** A simulated target with slots, a bounded queue and periods in which it fails some requests. */
--- a/lab/src/main/java/org/dahliapass/lab/fleet/Placer.java
+++ b/lab/src/main/java/org/dahliapass/lab/fleet/Placer.java
@@ -4,8 +4,8 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.dahliapass.decisions.health.Outcome;
+import org.dahliapass.decisions.limits.LimitStatement;
 import org.dahliapass.decisions.traffic.FailedAttempt;
-import org.dahliapass.decisions.traffic.LimitStatement;
 import org.dahliapass.model.Endpoint;
 
 /**
--- a/lab/src/main/java/org/dahliapass/lab/fleet/Scenario.java
+++ b/lab/src/main/java/org/dahliapass/lab/fleet/Scenario.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import org.dahliapass.decisions.limits.TargetLimitSharing;
 import org.dahliapass.kernel.IniFile;
 import org.dahliapass.kernel.IniSection;
 import org.dahliapass.kernel.OperationException;
@@ -29,6 +30,7 @@
  * @param restartDelay the time that a crashed target takes to restart
  * @param limitedShare the share of targets that name a request limit in the middle third
  * @param requestLimit the limit that they name, in requests per second
+ * @param limitSharing how the VMs divide a target's limit
  * @param rackShare the share of targets that crash together at the start of the middle third
  * @param burstFactor the factor by which the load changes in the middle third
  * @param loads the load of each request kind
@@ -51,6 +53,7 @@
         Duration restartDelay,
         double limitedShare,
         double requestLimit,
+        TargetLimitSharing limitSharing,
         double rackShare,
         double burstFactor,
         List<RequestLoad> loads) {
@@ -115,6 +118,10 @@
                                 "restart", MIN_DURATION, MAX_DURATION, DEFAULT_RESTART_DELAY),
                         targets.fraction("limited-share", 0),
                         targets.decimal("limit-per-second", 0, 1_000, 0),
+                        targets.enumValue(
+                                "limit-sharing",
+                                TargetLimitSharing.class,
+                                TargetLimitSharing.FEW_VMS),
                         targets.fraction("rack-share", 0),
                         fleet.decimal("burst", 0.1, 100, 1),
                         loads);
--- a/traffic/src/main/java/org/dahliapass/traffic/RefusedException.java
+++ b/traffic/src/main/java/org/dahliapass/traffic/RefusedException.java
@@ -35,6 +35,8 @@
                 refused.reason() == RefusalReason.NO_TARGET ? Reason.NO_TARGET : Reason.OVERLOADED;
         String message =
                 switch (refused.reason()) {
+                    case TARGETS_LIMITED ->
+                            "The targets take no more requests now, by their limits.";
                     case NO_TARGET -> "No target of the service takes work of this kind now.";
                     case QUEUE_FULL -> "The queue, or this customer's part of it, is full.";
                     case TOO_LATE -> "No slot comes free in time, by the rate measured now.";
--- a/traffic/src/main/java/org/dahliapass/traffic/ServiceRuntime.java
+++ b/traffic/src/main/java/org/dahliapass/traffic/ServiceRuntime.java
@@ -13,16 +13,22 @@
 import java.util.function.BiConsumer;
 import java.util.function.DoubleSupplier;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.dahliapass.decisions.health.Outcome;
+import org.dahliapass.decisions.limits.LimitChange;
+import org.dahliapass.decisions.limits.LimitReport;
+import org.dahliapass.decisions.limits.LimitStatement;
+import org.dahliapass.decisions.limits.LimitingVms;
+import org.dahliapass.decisions.limits.TargetLimitSharing;
+import org.dahliapass.decisions.limits.TargetLimits;
 import org.dahliapass.decisions.traffic.Admission;
 import org.dahliapass.decisions.traffic.AdmissionQueue;
 import org.dahliapass.decisions.traffic.DispatchResult;
 import org.dahliapass.decisions.traffic.ExpiredEntry;
 import org.dahliapass.decisions.traffic.FailedAttempt;
 import org.dahliapass.decisions.traffic.HedgePolicy;
-import org.dahliapass.decisions.traffic.LimitStatement;
 import org.dahliapass.decisions.traffic.LoadBalancer;
 import org.dahliapass.decisions.traffic.PassiveFailureDetector;
 import org.dahliapass.decisions.traffic.QueueEntry;
@@ -53,6 +59,9 @@
     private static final long REPORT_HALF_LIFE_MILLIS = 2000;
     private static final int RATE_BUCKETS = 10_000;
 
+    /** The silence ratio of a target without requests in flight. */
+    private static final double NO_SILENCE = 1;
+
     private final ServiceId mId;
     private final int mSlotsPerTarget;
     private final Clock mClock;
@@ -61,6 +70,7 @@
     private final SlotTable mSlots;
     private final ServiceTimeEstimator mTimes = new ServiceTimeEstimator();
     private final PassiveFailureDetector mFailureDetector;
+    private final TargetLimits mLimits;
     private final LoadBalancer mBalancer;
     private final RetryBudget mBudget = new RetryBudget();
     private final AdmissionQueue<SlotWaiter> mQueue;
@@ -86,6 +96,23 @@
             RandomGenerator random,
             TargetEventListener eventListener,
             EntryMetrics metrics) {
+        this(zone, template, clock, random, eventListener, metrics, TargetLimitSharing.FEW_VMS);
+    }
+
+    /**
+     * Creates a runtime without targets.
+     *
+     * @param zone this VM's availability zone
+     * @param sharing how the VMs divide the request limits of targets
+     */
+    public ServiceRuntime(
+            String zone,
+            ServiceTemplate template,
+            Clock clock,
+            RandomGenerator random,
+            TargetEventListener eventListener,
+            EntryMetrics metrics,
+            TargetLimitSharing sharing) {
         mId = template.id();
         mSlotsPerTarget = template.slotsPerTarget();
         mClock = clock;
@@ -93,6 +120,7 @@
         mMetrics = metrics;
         mSlots = new SlotTable(template.slotsPerTarget(), REPORT_HALF_LIFE_MILLIS);
         mFailureDetector = new PassiveFailureDetector(mTimes, mSlots);
+        mLimits = new TargetLimits(sharing, random);
         mBalancer =
                 new LoadBalancer(
                         zone,
@@ -100,12 +128,13 @@
                         mSlots,
                         LoadBalancer.bulkyShare(template.kinds()),
                         random,
-                        mFailureDetector);
+                        mFailureDetector,
+                        mLimits);
         mQueue =
                 new AdmissionQueue<>(
                         QueueLimits.forService(template), mSlots, mBalancer, mTimes, random);
-        mRetryPolicy = new RetryPolicy(mBudget, mBalancer, mSlots, mTimes);
-        mHedgePolicy = new HedgePolicy(mBudget, mBalancer, mSlots, mTimes, mFailureDetector);
+        mRetryPolicy = new RetryPolicy(mBudget, mBalancer, mTimes);
+        mHedgePolicy = new HedgePolicy(mBudget, mBalancer, mTimes, mFailureDetector);
     }
 
     /** Returns the service's id. */
@@ -291,20 +320,43 @@
 
     /** Returns the changes since the last report, for the other VMs; empty if there are none. */
     public synchronized List<TargetReport> drainReport() {
-        return mFailureDetector.drainReport(mClock.millis());
+        long now = mClock.millis();
+        Map<Endpoint, LimitReport> limits = mLimits.drainReports(now);
+        List<TargetReport> reports = new ArrayList<>();
+        for (TargetReport report : mFailureDetector.drainReport(now)) {
+            reports.add(report.withLimit(Optional.ofNullable(limits.remove(report.target()))));
+        }
+        limits.forEach(
+                (target, limit) ->
+                        reports.add(
+                                new TargetReport(
+                                        target,
+                                        0,
+                                        NO_SILENCE,
+                                        OptionalLong.empty(),
+                                        Optional.of(limit))));
+        return reports;
     }
 
     /** Records another VM's report and dispatches queued requests to the slots that it frees. */
     public void onPeerReport(VmIdentity vm, List<TargetReport> report) {
         long now = mClock.millis();
         PendingCompletions completions;
+        Map<Endpoint, LimitChange> changes = new HashMap<>();
         synchronized (this) {
+            for (TargetReport target : report) {
+                target.limit()
+                        .flatMap(limit -> mLimits.onPeerReport(target.target(), limit, now))
+                        .ifPresent(change -> changes.put(target.target(), change));
+            }
             mFailureDetector.onPeerReport(vm.name(), report, now);
             Map<Endpoint, Integer> inFlight = new HashMap<>();
             report.forEach(work -> inFlight.put(work.target(), work.inFlight()));
             mSlots.onPeerReport(vm, inFlight, now);
             completions = prepareCompletions(mQueue.onSlotFreed(now), now);
         }
+        changes.forEach(
+                (target, change) -> mEventListener.onLimitChanged(mId, target, change, vm.name()));
         completeRequests(completions);
     }
 
@@ -313,11 +365,28 @@
         return mFailureDetector.failingProbability(target, mClock.millis());
     }
 
+    /**
+     * Sets the source of the VMs that divide the request limits of targets; call it before the
+     * first request.
+     */
+    public synchronized void setLimitingVms(Supplier<LimitingVms> vms) {
+        mLimits.setVms(vms);
+    }
+
     /** Records what a response says of the request limit of its target. */
     public void onLimitStatement(Slot slot, LimitStatement statement) {
         if (!statement.equals(LimitStatement.UNLIMITED)) {
             mMetrics.onLimitStated(mId.name());
         }
+        Optional<LimitChange> change;
+        synchronized (this) {
+            change =
+                    slot.instance().equals(mInstances.get(slot.target()))
+                            ? mLimits.onResponse(
+                                    slot.target(), statement, slot.startedMillis(), mClock.millis())
+                            : Optional.empty();
+        }
+        change.ifPresent(found -> mEventListener.onLimitChanged(mId, slot.target(), found, ""));
     }
 
     /** Records the time to the head of a response, in milliseconds. */
@@ -394,6 +463,8 @@
             mSlots.retainTargets(targets);
             mFailureDetector.retain(
                     targets.stream().map(WeightedTarget::endpoint).collect(Collectors.toSet()));
+            mLimits.retain(
+                    targets.stream().map(WeightedTarget::endpoint).collect(Collectors.toSet()));
             mBalancer.onTargets(targets);
             completions = prepareCompletions(mQueue.onSlotFreed(now), now);
         }
@@ -403,6 +474,7 @@
     /** Discards the state of targets that restarted at their address. */
     public synchronized void forget(Set<Endpoint> restartedTargets) {
         mFailureDetector.forget(restartedTargets);
+        mLimits.forget(restartedTargets);
     }
 
     /** Sets the members of the service's cell. */
--- a/traffic/src/main/java/org/dahliapass/traffic/TargetEventListener.java
+++ b/traffic/src/main/java/org/dahliapass/traffic/TargetEventListener.java
@@ -1,6 +1,7 @@
 package org.dahliapass.traffic;
 
 import org.dahliapass.decisions.health.Outcome;
+import org.dahliapass.decisions.limits.LimitChange;
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.model.ServiceId;
 
@@ -12,6 +13,14 @@
     void onOutcome(
             ServiceId service, Endpoint target, String kind, Outcome outcome, long latencyMillis);
 
+    /**
+     * Called when the known request limit of a target has changed.
+     *
+     * @param reporter the VM that read it from a response; empty for this VM
+     */
+    default void onLimitChanged(
+            ServiceId service, Endpoint target, LimitChange change, String reporter) {}
+
     /** Called when a target has announced that it is draining. */
     void onDraining(ServiceId service, Endpoint target);
 }
