Test limits of targets while the fleet changes, and measure other ways

Cause: the mend was shown for a steady fleet only, and the ways of sharing were compared for customers' limits only, whose tolerance differs.

--- a/decisions/src/test/java/org/dahliapass/decisions/limits/TargetLimitsTest.java
+++ b/decisions/src/test/java/org/dahliapass/decisions/limits/TargetLimitsTest.java
@@ -5,7 +5,10 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -20,13 +23,24 @@
     private static final int VMS = 6;
     private static final long WINDOW_MILLIS = 4_000;
     private static final long STEP_MILLIS = 10;
+    private static final long VIEW_CHANGE_MILLIS = 6_000;
+
+    /** The time in which all VMs learn of a change. */
+    private static final long MAX_SKEW = 2_000;
+
     private static final LimitStatement LIMIT = new LimitStatement.Limited(2.6);
 
     private final List<TargetLimits> mVms = new ArrayList<>();
 
+    private final Map<Integer, List<String>> mFleets = new HashMap<>();
+
+    private static List<String> names(int count) {
+        return IntStream.range(0, count).mapToObj(number -> "vm-" + number).toList();
+    }
+
     private void createVms(int count) {
         mVms.clear();
-        List<String> names = IntStream.range(0, count).mapToObj(number -> "vm-" + number).toList();
+        List<String> names = names(count);
         for (String name : names) {
             TargetLimits limits =
                     new TargetLimits(TargetLimitSharing.FEW_VMS, new SplittableRandom(mVms.size()));
@@ -72,6 +86,85 @@
         assertTrue(sent >= expected, sent + " of " + expected + " that the target takes");
     }
 
+    @DataProvider
+    public Object[][] fleetChanges() {
+        List<Object[]> changes = new ArrayList<>();
+        for (double limit : new double[] {0, 0.7, 2.6, 20, 300}) {
+            for (int[] vms : new int[][] {{6, 4}, {4, 6}, {6, 1}, {64, 24}, {24, 64}}) {
+                changes.add(new Object[] {limit, vms[0], vms[1]});
+            }
+        }
+        return changes.toArray(Object[][]::new);
+    }
+
+    /** Guards against shares that are used twice while the VMs learn of a change one by one. */
+    @Test(dataProvider = "fleetChanges")
+    public void sumKeepsTheLimitWhileTheFleetChanges(double limit, int before, int after) {
+        createVms(Math.max(before, after));
+        SplittableRandom random = new SplittableRandom(3);
+        List<Long> changesMillis = new ArrayList<>();
+        mVms.forEach(vm -> changesMillis.add(VIEW_CHANGE_MILLIS + random.nextLong(MAX_SKEW)));
+        state(new LimitStatement.Limited(limit), 0);
+        double tolerated = 1.5 * limit * WINDOW_MILLIS / 1_000 + 5;
+        List<Long> sentMillis = new ArrayList<>();
+        for (long now = 0; now < 3 * VIEW_CHANGE_MILLIS; now += STEP_MILLIS) {
+            for (int vm = 0; vm < mVms.size(); vm++) {
+                setFleet(vm, now < changesMillis.get(vm) ? before : after);
+                int sent = send(mVms.get(vm), now);
+                sentMillis.addAll(Collections.nCopies(sent, now));
+            }
+            long from = now - WINDOW_MILLIS;
+            sentMillis.removeIf(sent -> sent <= from);
+            assertTrue(
+                    sentMillis.size() <= tolerated,
+                    sentMillis.size() + " of " + tolerated + " at " + now);
+            confirm(limit, now);
+        }
+    }
+
+    private static int send(TargetLimits vm, long nowMillis) {
+        if (!vm.allows(TARGET, nowMillis)) {
+            return 0;
+        }
+        vm.onSent(TARGET, nowMillis);
+        return 1;
+    }
+
+    private void setFleet(int vm, int count) {
+        List<String> names = mFleets.computeIfAbsent(count, TargetLimitsTest::names);
+        mVms.get(vm).setVms(() -> new LimitingVms("vm-" + vm, names, mVms.size(), false));
+    }
+
+    /** Confirms the limit at one VM, which keeps it from lapsing, and tells the others. */
+    private void confirm(double limit, long nowMillis) {
+        LimitReport report = new LimitReport(new LimitStatement.Limited(limit), nowMillis);
+        mVms.forEach(vm -> vm.onPeerReport(TARGET, report, nowMillis));
+    }
+
+    /** Guards against a VM that restarts and takes the whole limit once it knows it again. */
+    @Test
+    public void restartedVmStartsWithoutTokens() {
+        createVms(1);
+        mVms.get(0).onPeerReport(TARGET, new LimitReport(LIMIT, 0), 10);
+        assertFalse(mVms.get(0).allows(TARGET, 10));
+    }
+
+    /** Guards against a VM that was frozen and sends at once what it could not send meanwhile. */
+    @Test
+    public void frozenVmSavesNoMoreThanABurst() {
+        createVms(1);
+        state(new LimitStatement.Limited(20), 0);
+        mVms.get(0)
+                .onPeerReport(
+                        TARGET, new LimitReport(new LimitStatement.Limited(20), 9_990), 10_000);
+        int sent = 0;
+        while (mVms.get(0).allows(TARGET, 10_000)) {
+            mVms.get(0).onSent(TARGET, 10_000);
+            sent++;
+        }
+        assertTrue(sent <= 5, sent + " at once");
+    }
+
     /** Guards against a target that nobody tries, so that nobody learns of the lifted limit. */
     @Test
     public void limitOfZeroAllowsATrial() {
--- a/gateway/src/test/java/org/dahliapass/gateway/WorkReportCodecTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/WorkReportCodecTest.java
@@ -5,11 +5,15 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
+import org.dahliapass.decisions.limits.LimitReport;
+import org.dahliapass.decisions.limits.LimitStatement;
 import org.dahliapass.decisions.traffic.TargetReport;
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.model.routing.TargetRegistration;
 import org.dahliapass.wire.message.WorkAtTarget;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests of {@link WorkReportCodec}. */
@@ -52,6 +56,39 @@
                 WorkReportCodec.decode(message, named(FIRST, "i-1"), RECEIVED), List.of(report));
     }
 
+    @DataProvider
+    public Object[][] statements() {
+        return new Object[][] {{new LimitStatement.Limited(2.6)}, {LimitStatement.UNLIMITED}};
+    }
+
+    /** Guards against VMs that don't learn that a limit was named or lifted. */
+    @Test(dataProvider = "statements")
+    public void limitIsPreservedWithItsAge(LimitStatement statement) {
+        assertEquals(
+                decode(encode(statement)).limit(),
+                Optional.of(new LimitReport(statement, RECEIVED - 300)));
+    }
+
+    /** Guards against a limit that no request rate can be compared with. */
+    @Test
+    public void impossibleLimitIsIgnored() {
+        WorkAtTarget message = encode(new LimitStatement.Limited(1));
+        for (double limit : new double[] {Double.NaN, Double.POSITIVE_INFINITY, -1}) {
+            WorkAtTarget changed = message.toBuilder().setRequestLimit(limit).build();
+            assertEquals(decode(changed).limit(), Optional.empty(), "limit " + limit);
+        }
+    }
+
+    private static WorkAtTarget encode(LimitStatement statement) {
+        LimitReport limit = new LimitReport(statement, SENT - 300);
+        TargetReport report = report(FIRST).get(0).withLimit(Optional.of(limit));
+        return WorkReportCodec.encode(List.of(report), at(FIRST, "i-1"), SENT).get(0);
+    }
+
+    private static TargetReport decode(WorkAtTarget message) {
+        return WorkReportCodec.decode(List.of(message), named(FIRST, "i-1"), RECEIVED).get(0);
+    }
+
     private static List<TargetReport> report(Endpoint target) {
         return List.of(new TargetReport(target, 2, 11, OptionalLong.of(SENT - 400)));
     }
--- a/lab/src/main/java/org/dahliapass/lab/limits/LimitSimulation.java
+++ b/lab/src/main/java/org/dahliapass/lab/limits/LimitSimulation.java
@@ -13,10 +13,11 @@
 
 /** Simulates one customer at the VMs of a fleet on a virtual clock. */
 final class LimitSimulation {
-    /** The length of the windows in which a limit holds, in seconds. */
-    static final double WINDOW_SECONDS = 5;
+    /** By how much a customer's limit may be exceeded. */
+    static final LimitTolerance CUSTOMER_TOLERANCE = new LimitTolerance(0.1, 20, 5);
 
-    static final LimitTolerance TOLERANCE = new LimitTolerance(0.1, 20, WINDOW_SECONDS);
+    /** By how much a target's limit may be exceeded. */
+    static final LimitTolerance TARGET_TOLERANCE = new LimitTolerance(0.5, 5, 4);
 
     /** The time until a change of the configuration binds, beside one window, in seconds. */
     private static final double APPLY_SECONDS = 2.5;
@@ -33,6 +34,7 @@
     private final LimitSharing mSharing;
     private final int mVms;
     private final RateLimit mLimit;
+    private final LimitTolerance mTolerance;
     private final SplittableRandom mRandom;
     private final EventQueue mQueue = new EventQueue();
     private final FleetRateLimiter[] mLimiters;
@@ -42,7 +44,13 @@
     private long mMessages;
 
     LimitSimulation(
-            LimitScenario scenario, LimitSharing sharing, int vms, RateLimit limit, long seed) {
+            LimitScenario scenario,
+            LimitSharing sharing,
+            int vms,
+            RateLimit limit,
+            LimitTolerance tolerance,
+            long seed) {
+        mTolerance = tolerance;
         mScenario = scenario;
         mSharing = sharing;
         mVms = vms;
@@ -80,7 +88,7 @@
         if (isRunning && !mWasRunning[vm]) {
             mLimiters[vm] =
                     new FleetRateLimiter(
-                            name(vm), mSharing, TOLERANCE, mQueue.nowMillis(), mRandom.split());
+                            name(vm), mSharing, mTolerance, mQueue.nowMillis(), mRandom.split());
         }
         mWasRunning[vm] = isRunning;
         if (!isRunning) {
@@ -159,7 +167,7 @@
         for (int start = 0; start < mAdmittedSeconds.size(); start++) {
             double from = mAdmittedSeconds.get(start);
             while (end < mAdmittedSeconds.size()
-                    && mAdmittedSeconds.get(end) < from + WINDOW_SECONDS) {
+                    && mAdmittedSeconds.get(end) < from + mTolerance.windowSeconds()) {
                 end++;
             }
             worst = Math.max(worst, (end - start) / tolerated(from));
@@ -168,12 +176,14 @@
     }
 
     private double tolerated(double from) {
-        RateLimit atEnd = mScenario.limit(mLimit, from + WINDOW_SECONDS);
+        RateLimit atEnd = mScenario.limit(mLimit, from + mTolerance.windowSeconds());
         RateLimit binding =
-                mScenario.limit(mLimit, Math.max(0, from - WINDOW_SECONDS - APPLY_SECONDS));
+                mScenario.limit(
+                        mLimit, Math.max(0, from - mTolerance.windowSeconds() - APPLY_SECONDS));
         double rate = Math.max(atEnd.requestsPerSecond(), binding.requestsPerSecond());
         double burst = Math.max(atEnd.burst(), binding.burst());
-        return (rate * WINDOW_SECONDS + burst) * (1 + TOLERANCE.share()) + TOLERANCE.requests();
+        return (rate * mTolerance.windowSeconds() + burst) * (1 + mTolerance.share())
+                + mTolerance.requests();
     }
 
     /** One token bucket that sees all requests, and so refuses none within the limit. */
--- a/lab/src/main/java/org/dahliapass/lab/limits/LimitsMain.java
+++ b/lab/src/main/java/org/dahliapass/lab/limits/LimitsMain.java
@@ -7,6 +7,7 @@
 import joptsimple.OptionSet;
 import joptsimple.OptionSpec;
 import org.dahliapass.decisions.limits.LimitSharing;
+import org.dahliapass.decisions.limits.LimitTolerance;
 import org.dahliapass.kernel.ExitCode;
 import org.dahliapass.kernel.Program;
 import org.dahliapass.model.routing.RateLimit;
@@ -15,9 +16,11 @@
 public final class LimitsMain extends Program {
     private static final int[] FLEETS = {6, 24, 64};
     private static final double[] RATES = {8, 38, 137};
+    private static final double[] TARGET_RATES = {2.6, 20};
 
     private OptionSpec<Integer> mRuns;
     private OptionSpec<Integer> mVms;
+    private OptionSpec<Void> mTargets;
 
     private LimitsMain() {
         super("measure limits", "Compares how VMs may share a customer's rate limit.");
@@ -39,18 +42,22 @@
                 parser.accepts("vms", "Only fleets of this many VMs.")
                         .withRequiredArg()
                         .ofType(Integer.class);
+        mTargets =
+                parser.accepts(
+                        "targets", "Limits of targets, whose tolerance differs from customers'.");
     }
 
     @Override
     protected ExitCode run(OptionSet options) {
         int[] fleets = options.has(mVms) ? new int[] {options.valueOf(mVms)} : FLEETS;
+        boolean isTarget = options.has(mTargets);
         System.out.println(
                 "vms rate scenario        sharing worst_use refused_below messages_per_vm_second");
         for (int vms : fleets) {
-            for (double rate : RATES) {
+            for (double rate : isTarget ? TARGET_RATES : RATES) {
                 for (LimitScenario scenario : LimitScenario.all()) {
                     for (LimitSharing sharing : LimitSharing.values()) {
-                        print(vms, rate, scenario, sharing, options.valueOf(mRuns));
+                        print(vms, rate, scenario, sharing, isTarget, options.valueOf(mRuns));
                     }
                 }
             }
@@ -59,22 +66,27 @@
     }
 
     private static void print(
-            int vms, double rate, LimitScenario scenario, LimitSharing sharing, int runs) {
+            int vms,
+            double rate,
+            LimitScenario scenario,
+            LimitSharing sharing,
+            boolean isTarget,
+            int runs) {
+        RateLimit limit = new RateLimit(rate, isTarget ? 1 : rate);
+        LimitTolerance tolerance =
+                isTarget ? LimitSimulation.TARGET_TOLERANCE : LimitSimulation.CUSTOMER_TOLERANCE;
         List<LimitResult> results =
                 LongStream.range(0, runs)
                         .mapToObj(
                                 seed ->
                                         new LimitSimulation(
-                                                        scenario,
-                                                        sharing,
-                                                        vms,
-                                                        new RateLimit(rate, rate),
+                                                        scenario, sharing, vms, limit, tolerance,
                                                         seed)
                                                 .run())
                         .toList();
         System.out.printf(
                 Locale.ROOT,
-                "%3d %4.0f %-15s %-7s %9.2f %13.4f %22.2f%n",
+                "%3d %4.1f %-15s %-7s %9.2f %13.4f %22.2f%n",
                 vms,
                 rate,
                 scenario.title(),
--- a/lab/src/test/java/org/dahliapass/lab/limits/LimitSimulationTest.java
+++ b/lab/src/test/java/org/dahliapass/lab/limits/LimitSimulationTest.java
@@ -46,6 +46,13 @@
 
     private static LimitResult run(
             LimitScenario scenario, LimitSharing sharing, double rate, long seed) {
-        return new LimitSimulation(scenario, sharing, VMS, new RateLimit(rate, rate), seed).run();
+        return new LimitSimulation(
+                        scenario,
+                        sharing,
+                        VMS,
+                        new RateLimit(rate, rate),
+                        LimitSimulation.CUSTOMER_TOLERANCE,
+                        seed)
+                .run();
     }
 }
