Use a part of what targets tolerate beyond their limits instead of rejecting

Cause: a VM rejected a request as soon as its own part of the named limits was used up. Few VMs a target have uneven parts, and tokens are lost where no request comes.

A target is used by two VMs and one more for each request a second.

--- a/decisions/src/main/java/org/dahliapass/decisions/limits/TargetLimitSharing.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/limits/TargetLimitSharing.java
@@ -12,17 +12,17 @@
         }
     },
     /**
-     * Few VMs, found by rendezvous hashing, so that each has a share of about one request per
-     * second or more. All others use other targets.
+     * Few VMs, found by rendezvous hashing: two and one more for each request per second. All
+     * others use other targets.
      */
     FEW_VMS {
         @Override
         int vmsPerTarget(double requestsPerSecond, int vms) {
-            return (int) Math.min(vms, Math.max(MIN_VMS, Math.floor(requestsPerSecond)));
+            return (int) Math.min(vms, MIN_VMS + Math.floor(requestsPerSecond));
         }
     };
 
-    /** While one VM is replaced by another one, at most half of the limit is used twice. */
+    /** The target remains in use when one VM is lost. */
     private static final int MIN_VMS = 2;
 
     private static final long HASH_FACTOR = 0x9E3779B97F4A7C15L;
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/HedgePolicy.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/HedgePolicy.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.dahliapass.decisions.limits.LimitMargin;
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.model.RequestKind;
 
@@ -94,7 +95,7 @@
         if (!isLossLikely(tried, nowMillis)) {
             return Optional.empty();
         }
-        Optional<Endpoint> target = mBalancer.pick(kind, tried, nowMillis);
+        Optional<Endpoint> target = mBalancer.pickWithin(LimitMargin.NAMED, kind, tried, nowMillis);
         target.ifPresent(
                 endpoint -> {
                     mBudget.onExtraAttempt(nowMillis);
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/LoadBalancer.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/LoadBalancer.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import org.dahliapass.decisions.limits.LimitMargin;
 import org.dahliapass.decisions.limits.TargetLimitSharing;
 import org.dahliapass.decisions.limits.TargetLimits;
 import org.dahliapass.model.Endpoint;
@@ -107,31 +108,45 @@
      * @return the target; empty if none has a free slot for this kind
      */
     public Optional<Endpoint> pick(RequestKind kind, Set<Endpoint> excluded, long nowMillis) {
+        Optional<Endpoint> picked = pickWithin(LimitMargin.NAMED, kind, excluded, nowMillis);
+        return picked.isPresent() || !mLimits.hasLimitedTargets()
+                ? picked
+                : pickWithin(LimitMargin.TOLERATED, kind, excluded, nowMillis);
+    }
+
+    /**
+     * Picks a target as {@link #pick} does.
+     *
+     * @param margin how far the limits of targets may be used
+     */
+    Optional<Endpoint> pickWithin(
+            LimitMargin margin, RequestKind kind, Set<Endpoint> excluded, long nowMillis) {
         List<WeightedTarget> sampled = sampled();
-        Optional<Endpoint> picked = pickAmong(sampled, kind, excluded, nowMillis);
+        Optional<Endpoint> picked = pickAmong(sampled, kind, excluded, margin, nowMillis);
         return picked.isPresent() || sampled.size() == mTargets.size()
                 ? picked
-                : pickAmong(mTargets, kind, excluded, nowMillis);
+                : pickAmong(mTargets, kind, excluded, margin, nowMillis);
     }
 
     private Optional<Endpoint> pickAmong(
             List<WeightedTarget> targets,
             RequestKind kind,
             Set<Endpoint> excluded,
+            LimitMargin margin,
             long nowMillis) {
-        List<WeightedTarget> free = withFreeSlot(targets, kind, excluded, nowMillis);
+        List<WeightedTarget> free = withFreeSlot(targets, kind, excluded, margin, nowMillis);
         return mSelector.select(kind, free, targets, nowMillis);
     }
 
     /** Picks a target as {@link #pick} does, for a retry. */
     public Optional<Endpoint> pickForRetry(
             RequestKind kind, Set<Endpoint> excluded, long nowMillis) {
-        List<WeightedTarget> sampled = sampled();
-        Optional<Endpoint> picked = pickAmong(sampled, kind, excluded, nowMillis);
+        Optional<Endpoint> picked = pick(kind, excluded, nowMillis);
         if (picked.isPresent()) {
             return picked;
         }
-        List<WeightedTarget> free = withFreeSlot(mTargets, kind, excluded, nowMillis);
+        List<WeightedTarget> free =
+                withFreeSlot(mTargets, kind, excluded, LimitMargin.TOLERATED, nowMillis);
         return mSelector.selectForRetry(kind, free, mTargets, nowMillis);
     }
 
@@ -167,18 +182,22 @@
             List<WeightedTarget> targets,
             RequestKind kind,
             Set<Endpoint> excluded,
+            LimitMargin margin,
             long nowMillis) {
         if (kind.bulky() && mSlots.ownBulkyInFlightTotal() >= bulkyLimit()) {
             return List.of();
         }
-        List<WeightedTarget> ownTargets = withOwnFreeSlot(targets, kind, excluded, nowMillis);
+        List<WeightedTarget> ownTargets =
+                withOwnFreeSlot(targets, kind, excluded, margin, nowMillis);
         if (mSlots.cellSize() == 1) {
             return withUnusedSlot(ownTargets, nowMillis);
         }
         if (!ownTargets.isEmpty()) {
             return ownTargets;
         }
-        return mayBorrow(nowMillis) ? borrowable(targets, kind, excluded, nowMillis) : List.of();
+        return mayBorrow(nowMillis)
+                ? borrowable(targets, kind, excluded, margin, nowMillis)
+                : List.of();
     }
 
     /**
@@ -204,13 +223,14 @@
             List<WeightedTarget> targets,
             RequestKind kind,
             Set<Endpoint> excluded,
+            LimitMargin margin,
             long nowMillis) {
         List<WeightedTarget> ownTargets = new ArrayList<>();
         for (WeightedTarget target : targets) {
             if (isUsable(target, kind, excluded)
                     && mSlots.ownFreeSlots(target.endpoint(), usableSlots(target)) > 0
                     && hasBulkyRoom(target, kind)
-                    && mLimits.allows(target.endpoint(), nowMillis)) {
+                    && mLimits.allows(target.endpoint(), margin, nowMillis)) {
                 ownTargets.add(target);
             }
         }
@@ -226,7 +246,10 @@
     boolean isWithinLimits(RequestKind kind, Set<Endpoint> excluded, long nowMillis) {
         return mTargets.stream()
                 .filter(target -> isUsable(target, kind, excluded))
-                .anyMatch(target -> mLimits.allows(target.endpoint(), nowMillis));
+                .anyMatch(
+                        target ->
+                                mLimits.allows(
+                                        target.endpoint(), LimitMargin.TOLERATED, nowMillis));
     }
 
     /** Acquires a slot at a picked target for one attempt. */
@@ -239,13 +262,14 @@
             List<WeightedTarget> targets,
             RequestKind kind,
             Set<Endpoint> excluded,
+            LimitMargin margin,
             long nowMillis) {
         List<WeightedTarget> unused = new ArrayList<>();
         for (WeightedTarget target : targets) {
             if (isUsable(target, kind, excluded)
                     && hasBulkyRoom(target, kind)
                     && mSlots.unusedSlots(target.endpoint(), usableSlots(target), nowMillis) > 0
-                    && mLimits.allows(target.endpoint(), nowMillis)) {
+                    && mLimits.allows(target.endpoint(), margin, nowMillis)) {
                 unused.add(target);
             }
         }
