Restore reasons and figures that the wording changes removed

Cause: the comments of some constants lost the fact that a maintainer needs to change them: a bound, a rate, or the failure that the value prevents.

Change: comments only, no code. Facts of the former comments that are still true, in today's names.

--- a/decisions/src/main/java/org/dahliapass/decisions/health/LikelihoodRatioTest.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/health/LikelihoodRatioTest.java
@@ -10,6 +10,7 @@
  * (Lorden).
  */
 final class LikelihoodRatioTest {
+    /** No target is taken for more reliable than this, however long it had no failures. */
     private static final double MIN_FAILURE_RATE = 0.005;
 
     /**
@@ -20,6 +21,7 @@
 
     private static final double PRIOR_REQUESTS = 2;
 
+    /** The standard deviations by which the peers' failures may be too few by chance. */
     private static final double CONFIDENCE_DEVIATIONS = 2;
 
     private static final double MAX_FAILURE_RATE = 0.98;
--- a/decisions/src/main/java/org/dahliapass/decisions/routing/AddressPlan.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/routing/AddressPlan.java
@@ -27,7 +27,10 @@
     /** The most addresses that callers accept. */
     private static final int MAX_ADDRESSES = 64;
 
-    /** CPU time of one request at a VM, in core-seconds. */
+    /**
+     * CPU time of one request at a VM, in core-seconds. A VM that has just started needs more, one
+     * that is warm less.
+     */
     private static final double CORE_SECONDS_PER_REQUEST = 0.004;
 
     /** Network traffic of one request and its response in each direction, in Mbit. */
--- a/decisions/src/main/java/org/dahliapass/decisions/routing/ChangeSourceSelector.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/routing/ChangeSourceSelector.java
@@ -25,10 +25,11 @@
     /**
      * How long a follower without a source waits before it falls back to the store: half of the 2
      * seconds in which changes must be in force. Most VMs find a new source within this time, which
-     * avoids a burst of calls to the store after the loss of all watchers.
+     * avoids a burst of calls to the store after the loss of all watchers or the start of a fleet.
      */
     private static final long STORE_FALLBACK_MILLIS = 1_000;
 
+    /** How soon a VM without a source looks for one again. */
     private static final long RETRY_DELAY_MILLIS = 300;
 
     private final FleetVm mSelf;
--- a/decisions/src/main/java/org/dahliapass/decisions/routing/DemandEstimator.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/routing/DemandEstimator.java
@@ -20,7 +20,7 @@
     /** The assumed ratio of a route's latency objective to its mean response time. */
     private static final double OBJECTIVE_TO_MEAN_RATIO = 3.3;
 
-    /** The assumed share of slots in use. */
+    /** The assumed share of slots in use; 20 to 36% at the usual loads of known services. */
     private static final double SLOT_UTILIZATION = 0.35;
 
     /** Estimates are rounded to a power of this, so that few target changes move callers. */
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/FailureModel.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/FailureModel.java
@@ -16,7 +16,7 @@
 
     private static final double PRIOR_HEALTHY_MILLIS = 30_000;
 
-    /** Two failure periods of 5 seconds each. */
+    /** Two failure periods of 5 seconds each, since targets fail for several seconds at a time. */
     private static final double PRIOR_FAILURE_PERIODS = 2;
 
     private static final double PRIOR_FAILING_MILLIS = 10_000;
@@ -36,10 +36,17 @@
 
     private static final double PRIOR_FAILURES = 2;
 
-    /** All failure period counts are halved beyond this number, so that old evidence fades. */
+    /**
+     * All failure period counts are halved beyond this number, so that old evidence fades. It is
+     * enough to know a rate within a fifth, and few enough to follow a changed service within some
+     * minutes.
+     */
     private static final double MAX_FAILURE_PERIODS = 40;
 
-    /** The healthy attempt counts are halved beyond this number. */
+    /**
+     * The healthy attempt counts are halved beyond this number. A failure rate of 1% is then known
+     * within a fifth.
+     */
     private static final double MAX_HEALTHY_ATTEMPTS = 4_000;
 
     /** A target below this failure rate can't be distinguished from a healthy one. */
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/HedgePolicy.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/HedgePolicy.java
@@ -17,7 +17,10 @@
     /** About 90% of responses take less than this multiple of the mean. */
     private static final int SLOW_ANSWER_FACTOR = 2;
 
-    /** Prevents hedges of merely slow responses from exhausting the retry budget. */
+    /**
+     * Prevents hedges of merely slow responses from exhausting the retry budget, which failed
+     * requests need.
+     */
     private static final double MIN_LOSS_PROBABILITY = 0.25;
 
     private final RetryBudget mBudget;
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/LoadBalancer.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/LoadBalancer.java
@@ -30,11 +30,15 @@
 
     /**
      * Requests that may wait at a target beyond its slots if its slots aren't divided between VMs.
-     * Without any, a freed slot stays idle until the other VMs have been told of it.
+     * Without any, a freed slot stays idle until the other VMs have been told of it, for about a
+     * third of a response time.
      */
     private static final int MAX_WAITING_AT_TARGET = 1;
 
-    /** Bounds the CPU cost of a request at services with many targets. */
+    /**
+     * Bounds the CPU cost of a request at services with many targets. The best of so many drawn at
+     * random is on average among the best fiftieth of all.
+     */
     private static final int MAX_COMPARED = 48;
 
     private final SlotTable mSlots;
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/PassiveFailureDetector.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/PassiveFailureDetector.java
@@ -19,7 +19,10 @@
  * to it and VMs that report it).
  */
 public final class PassiveFailureDetector {
-    /** How long a target that shed load is avoided, in milliseconds. */
+    /**
+     * How long a target that shed load is avoided, in milliseconds. It has processed a part of its
+     * queue after this time.
+     */
     private static final long COOLDOWN_MILLIS = 250;
 
     /** Longer than several report intervals. */
@@ -31,6 +34,7 @@
     /** About the last 100 attempts count. */
     private static final double LOSS_RATE_WEIGHT = 0.01;
 
+    /** Used until the first request, which may be of either sort. */
     private static final double INITIAL_NON_REPEATABLE_SHARE = 0.5;
 
     /** A response from a target above this failing probability is reported at once. */
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/PathStateEstimator.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/PathStateEstimator.java
@@ -15,7 +15,7 @@
  * <p>Not thread-safe; guarded by the service's lock.
  */
 final class PathStateEstimator {
-    /** The prior probability of a partition. */
+    /** The prior probability of a partition, at which the second loss in a row is decisive. */
     private static final double PARTITION_SHARE = 0.01;
 
     /** Longer than a typical partition, after which a path is tried again. */
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/TargetSelector.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/TargetSelector.java
@@ -19,7 +19,8 @@
 final class TargetSelector {
     /**
      * Targets above this probability of being failing or partitioned get no requests while enough
-     * others are acceptable.
+     * others are acceptable. Waiting for another target costs less than a lost request, but a lower
+     * limit makes requests wait too long in a burst.
      */
     private static final double MAX_FAILURE_PROBABILITY = 0.6;
 
@@ -43,17 +44,18 @@
 
     /**
      * The share of the loss cost that counts for requests that may be repeated, at a service whose
-     * other requests must not be repeated.
+     * other requests must not be repeated. A retry makes good their loss, and the most reliable
+     * targets are left to the others.
      */
     private static final double REPEATABLE_LOSS_COST = 0.3;
 
     /**
      * The value of a new observation of a target that was not observed recently, as a loss
-     * probability.
+     * probability. About what the failure probability drifts by in one or two seconds.
      */
     private static final double EXPLORATION_VALUE = 0.15;
 
-    /** The time constant with which the value of a new observation grows. */
+    /** The age at which a new observation has reached two thirds of its value. */
     private static final double EXPLORATION_AGE_MILLIS = 2_000;
 
     private final String mZone;
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/ThreadOverloadDetector.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/ThreadOverloadDetector.java
@@ -11,11 +11,15 @@
  */
 public final class ThreadOverloadDetector {
     /**
-     * A check with at least this delay is late, in milliseconds; above a garbage collection pause.
+     * A check with at least this delay is late, in milliseconds. A single garbage collection pause
+     * takes less than 50.
      */
     private static final long LATE_MILLIS = 100;
 
-    /** The thread is overloaded if no check was on time for this long, in milliseconds. */
+    /**
+     * The thread is overloaded if no check was on time for this long, in milliseconds. About half
+     * of the shortest known latency objective, so that a refused caller has time to use another VM.
+     */
     private static final long OVERLOAD_MILLIS = 400;
 
     private long mDueMillis = Long.MAX_VALUE;
--- a/gateway/src/main/java/org/dahliapass/gateway/CountedStore.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/CountedStore.java
@@ -19,6 +19,7 @@
  * <p>Any thread may call the store; the counts are logged by the control thread.
  */
 final class CountedStore implements KeyValueStore {
+    /** Short enough to distinguish a burst of calls from a steady rate. */
     private static final Duration LOG_PERIOD = Duration.ofSeconds(10);
 
     private final KeyValueStore mStore;
--- a/gateway/src/main/java/org/dahliapass/gateway/RequestKinds.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/RequestKinds.java
@@ -14,7 +14,7 @@
     /** The share of the latency objective after which a hedge is sent. */
     private static final double HEDGE_AFTER_SHARE = 0.6;
 
-    /** The share of the timeout that a request may wait for a slot. */
+    /** The share of the timeout that a request may wait for a slot; later it can't be served. */
     private static final double MAX_QUEUE_SHARE = 0.6;
 
     /** The success objective of the error budget for routes without one. */
--- a/gateway/src/main/java/org/dahliapass/gateway/SelfRegistration.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/SelfRegistration.java
@@ -51,7 +51,8 @@
     private static final Duration CHECK_INTERVAL = Duration.ofMillis(500);
 
     /**
-     * The renewal interval of a VM with followers: it has to detect a silent store within a second.
+     * The renewal interval of a VM with followers: it has to detect a silent store within a second,
+     * by the responses to renewals, each of which has a tenth of the price of a read.
      */
     private static final Duration FOLLOWED_RENEWAL_INTERVAL = Duration.ofMillis(400);
 
--- a/gateway/src/main/java/org/dahliapass/gateway/SuspectBroadcaster.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/SuspectBroadcaster.java
@@ -16,7 +16,7 @@
  * <p>Confined to the traffic thread.
  */
 final class SuspectBroadcaster {
-    /** Compensates for lost datagrams. */
+    /** With one datagram of 30 lost, a report fails to reach a VM once in 27,000 times. */
     private static final int REPETITIONS = 3;
 
     private static final long INTERVAL_MILLIS = 200;
