Start the buckets of limited targets with one token

Cause: the buckets started empty, although a bucket that is full at any other moment holds a token as well.

--- a/decisions/src/main/java/org/dahliapass/decisions/limits/LimitedTarget.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/limits/LimitedTarget.java
@@ -25,10 +25,12 @@
     /** A smaller bucket would never admit a request. */
     private static final double MIN_CAPACITY = 1;
 
+    /** Without any, all targets that name a limit at the same moment are out of use for a while. */
+    private static final double INITIAL_TOKENS = 1;
+
     private final LimitShare mShare;
     private final RandomGenerator mRandom;
 
-    /** Start empty, since other VMs may have used the limit already. */
     private final Map<LimitMargin, TokenBucket> mBuckets = new EnumMap<>(LimitMargin.class);
 
     private LimitStatement mStatement = LimitStatement.UNLIMITED;
@@ -41,7 +43,7 @@
         mShare = share;
         mRandom = random;
         for (LimitMargin margin : LimitMargin.values()) {
-            mBuckets.put(margin, new TokenBucket(0, nowMillis));
+            mBuckets.put(margin, new TokenBucket(INITIAL_TOKENS, nowMillis));
         }
     }
 
