--- a/decisions/src/main/java/org/dahliapass/decisions/limits/LimitedTarget.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/limits/LimitedTarget.java
@@ -5,7 +5,9 @@
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 
-/** What this VM knows of a target that names a request limit or did so recently. */
+/**
+ * What this VM knows of a target that names a request limit or did so recently. Not thread-safe.
+ */
 final class LimitedTarget {
     /**
      * The lowest rate that all VMs together use, in requests per second. Without any request, a VM
@@ -30,7 +32,6 @@
 
     private final LimitShare mShare;
     private final RandomGenerator mRandom;
-
     private final Map<LimitMargin, TokenBucket> mBuckets = new EnumMap<>(LimitMargin.class);
 
     private LimitStatement mStatement = LimitStatement.UNLIMITED;
@@ -39,6 +40,12 @@
     private boolean mIsUnreported;
     private boolean mIsTried;
 
+    /**
+     * Creates the state of a target without a limit.
+     *
+     * @param share this VM's share of the limit
+     * @param random spreads the VMs' trials of an unconfirmed limit
+     */
     LimitedTarget(LimitShare share, RandomGenerator random, long nowMillis) {
         mShare = share;
         mRandom = random;
@@ -47,6 +54,7 @@
         }
     }
 
+    /** Returns whether the target has a limit, by the latest statement. */
     boolean isLimited() {
         return mStatement instanceof LimitStatement.Limited;
     }
@@ -70,6 +78,12 @@
         mConfirmedMillis = nowMillis;
     }
 
+    /**
+     * Applies a limit that a response to this VM names.
+     *
+     * @param sentMillis when the request was sent, in milliseconds
+     * @return the change; empty if there is none
+     */
     Optional<LimitChange> onLimited(
             LimitStatement.Limited limited, long sentMillis, long nowMillis) {
         confirm(nowMillis);
@@ -84,6 +98,12 @@
         return set(limited, nowMillis, nowMillis);
     }
 
+    /**
+     * Applies a success of this VM that names no limit.
+     *
+     * @param sentMillis when the request was sent, in milliseconds
+     * @return the change; empty if there is none
+     */
     Optional<LimitChange> onUnlimited(long sentMillis, long nowMillis) {
         if (sentMillis < mStatedMillis) {
             return Optional.empty();
--- a/decisions/src/main/java/org/dahliapass/decisions/limits/TargetLimitSharing.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/limits/TargetLimitSharing.java
@@ -28,11 +28,14 @@
     private static final long HASH_FACTOR = 0x9E3779B97F4A7C15L;
     private static final long MIX_FACTOR = 0xBF58476D1CE4E5B9L;
 
+    /** Returns how many of the VMs send requests to a target with this limit. */
     abstract int vmsPerTarget(double requestsPerSecond, int vms);
 
     /**
      * Returns the share of a target's limit that a VM may use.
      *
+     * @param self the name of the VM
+     * @param vms the names of the VMs that take callers
      * @param target identifies the target; the same on all VMs
      * @param requestsPerSecond the limit
      * @return the share, 0 to 1; 0 if the VM is not one of those that send requests to the target
