--- a/decisions/src/main/java/org/dahliapass/decisions/limits/LimitMargin.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/limits/LimitMargin.java
@@ -11,7 +11,7 @@
             return limit;
         }
     },
-    /** Including a part of what the target tolerates beyond it, instead of a rejection. */
+    /** Including a part of what the target tolerates beyond it, if no target has room otherwise. */
     TOLERATED {
         @Override
         double requestsPerSecond(double limit) {
