Log when a caller's request and close could be noticed, and what a request waited for

Nothing told a request that lay unread from one that waited in the VM or for its connection.

- PollMonitor records when the traffic thread polls for I/O.
Between two polls nothing is noticed, so the times of the polls bound how long a head lay unread (max_unread_ms) and how long a caller had left before that was noticed (max_unnoticed_ms).
The longest interval of a second is in the load line and a metric.
- WaitLog sums a request's waits by cause: body, configuration, digest, slot.
- connection_age_ms, and connecting_ms for each offer, until its bytes are written.

No decision changes.

--- a/gateway/src/main/java/org/dahliapass/gateway/GatewayServers.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewayServers.java
@@ -1,12 +1,12 @@
 package org.dahliapass.gateway;
 
-import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.time.Clock;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
 import org.dahliapass.http.HttpServer;
 import org.dahliapass.http.PathRouter;
 import org.dahliapass.http.RequestHandler;
@@ -38,7 +38,7 @@
     private final ProxyHandler mProxy;
     private final DiscoveryHandler mDiscovery;
     private final MirrorService mMirror;
-    private final EventLoopGroup mLoops;
+    private final TargetConnections mConnections;
     private final Clock mClock;
     private final StoreFollower mFollower;
     private HttpServer mCallerServer;
@@ -52,7 +52,7 @@
             ProxyHandler proxy,
             DiscoveryHandler discovery,
             MirrorService mirror,
-            EventLoopGroup loops,
+            TargetConnections connections,
             Clock clock,
             StoreFollower follower) {
         mSettings = settings;
@@ -61,23 +61,23 @@
         mProxy = proxy;
         mDiscovery = discovery;
         mMirror = mirror;
-        mLoops = loops;
+        mConnections = connections;
         mClock = clock;
         mFollower = follower;
     }
 
     @Override
     public CompletableFuture<Void> start(Kernel kernel) {
-        mCallerServer = new HttpServer(mLoops, mProxy, mClock, this::callerTimeouts);
+        mCallerServer = server(mProxy, this::callerTimeouts);
         mDiscoveryServer =
-                server(
+                internalServer(
                         new PathRouter()
                                 .add(DiscoveryCalls.DISCOVERY_PATH, mDiscovery)
                                 .add(
                                         DiscoveryCalls.READINESS_PATH,
                                         call -> call.respond(ServerResponse.of(readiness()))));
         mInternalServer =
-                server(
+                internalServer(
                         new PathRouter()
                                 .add(StoreCalls.RANGE_PATH, mMirror::range)
                                 .add(StoreCalls.WATCH_PATH, mMirror::watch)
@@ -92,8 +92,13 @@
         return CompletableFuture.allOf(started.toArray(CompletableFuture<?>[]::new));
     }
 
-    private HttpServer server(RequestHandler handler) {
-        return new HttpServer(mLoops, handler, mClock, () -> DEFAULT_TIMEOUTS);
+    private HttpServer internalServer(RequestHandler handler) {
+        return server(handler, () -> DEFAULT_TIMEOUTS);
+    }
+
+    private HttpServer server(RequestHandler handler, Supplier<ServerTimeouts> timeouts) {
+        return new HttpServer(
+                mConnections.loops(), handler, mClock, mConnections.monitor(), timeouts);
     }
 
     /** Returns the timeouts for callers from the configuration. */
--- a/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
@@ -69,7 +69,7 @@
         LimitingVmsSource limitingVms = new LimitingVmsSource(settings, follower, feed);
         ServicePools pools = new ServicePools(clock, random, settings, metrics, log, limitingVms);
         mRegistration = new SelfRegistration(store, settings.self(), feed::followsStore, log);
-        mLoadReporter = new LoadReporter(clock, metrics, log);
+        mLoadReporter = new LoadReporter(clock, metrics, log, connections.monitor());
         PeerExchange exchange = new PeerExchange(settings, connections.loops(), log);
         PoisonGuard guard =
                 new PoisonGuard(
@@ -100,7 +100,7 @@
                         proxy,
                         new DiscoveryHandler(settings, mState, follower),
                         new MirrorService(mLoop, feed, mLoadReporter),
-                        connections.loops(),
+                        connections,
                         clock,
                         follower);
         follower.addChangeListener(() -> serveOnceConfigured(follower));
--- a/gateway/src/main/java/org/dahliapass/gateway/LoadReporter.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/LoadReporter.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.dahliapass.decisions.traffic.ThreadOverloadDetector;
+import org.dahliapass.http.PollMonitor;
 import org.dahliapass.http.ServerCall;
 import org.dahliapass.kernel.ControlLoop;
 import org.dahliapass.kernel.Kernel;
@@ -42,6 +43,7 @@
     private final Clock mClock;
     private final EntryMetrics mMetrics;
     private final EventLog mLog;
+    private final PollMonitor mMonitor;
     private final ThreadOverloadDetector mTrafficOverload = new ThreadOverloadDetector();
     private final AtomicLong mRequests = new AtomicLong();
     private final AtomicLong mInFlight = new AtomicLong();
@@ -49,14 +51,16 @@
     private final AtomicLong mFollowerBytes = new AtomicLong();
     private final AtomicLong mSlowestDeliveryMillis = new AtomicLong();
     private final AtomicLong mTrafficDelayMillis = new AtomicLong();
+    private final AtomicLong mLongestPollIntervalMillis = new AtomicLong();
     private PeriodicTask mReportTask;
     private long mControlDueMillis = NOT_SCHEDULED;
     private boolean mChecking;
 
-    LoadReporter(Clock clock, EntryMetrics metrics, EventLog log) {
+    LoadReporter(Clock clock, EntryMetrics metrics, EventLog log, PollMonitor monitor) {
         mClock = clock;
         mMetrics = metrics;
         mLog = log;
+        mMonitor = monitor;
     }
 
     @Override
@@ -102,6 +106,8 @@
     private void check(EventLoop loop) {
         long delayMillis = mTrafficOverload.onRun(mClock.millis());
         mTrafficDelayMillis.accumulateAndGet(delayMillis, Math::max);
+        mLongestPollIntervalMillis.accumulateAndGet(
+                mMonitor.takeLongestIntervalMillis(), Math::max);
         if (mInFlight.get() > 0) {
             scheduleCheck(loop);
             return;
@@ -132,12 +138,14 @@
         long controlDelay = Math.max(0, now - mControlDueMillis);
         mControlDueMillis = now + REPORT_PERIOD.toMillis();
         long trafficDelay = mTrafficDelayMillis.getAndSet(0);
+        long pollInterval = mLongestPollIntervalMillis.getAndSet(0);
         long requests = mRequests.getAndSet(0);
         long callerBytes = mCallerBytes.getAndSet(0);
         long followerBytes = mFollowerBytes.getAndSet(0);
         long slowestDelivery = mSlowestDeliveryMillis.getAndSet(0);
         mMetrics.onThreadDelay("control", controlDelay);
         mMetrics.onThreadDelay("traffic", trafficDelay);
+        mMetrics.onPollInterval(pollInterval);
         boolean hasLateTimers = Math.max(controlDelay, trafficDelay) >= REPORTED_DELAY_MILLIS;
         boolean isIdle = requests + mInFlight.get() + followerBytes == 0;
         if (isIdle && !hasLateTimers) {
@@ -154,7 +162,8 @@
                                 .put("follower_bytes", followerBytes)
                                 .put("slowest_delivery_ms", slowestDelivery)
                                 .put("control_late_ms", controlDelay)
-                                .put("traffic_late_ms", trafficDelay));
+                                .put("traffic_late_ms", trafficDelay)
+                                .put("poll_interval_ms", pollInterval));
         return Optional.of(REPORT_PERIOD);
     }
 }
--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
@@ -49,6 +49,8 @@
      */
     private static final long HEDGE_RETRY_MILLIS = 100;
 
+    private static final String CALLER_LEFT = "the caller left";
+
     private final ServerCall mCall;
     private final ProxyRequest mRequest;
     private final ServicePool mPool;
@@ -60,6 +62,7 @@
     private final PoisonGuard mGuard;
     private final RequestAuthenticator mAuthenticator;
     private final CustomerLimits mLimits;
+    private final WaitLog mWaits;
     private final List<TargetAttempt> mRunningAttempts = new ArrayList<>();
     private final List<JsonObject> mAttemptLog = new ArrayList<>();
     private final Set<Endpoint> mTriedTargets = new HashSet<>();
@@ -84,7 +87,8 @@
             GatewayResponses responses,
             PoisonGuard guard,
             RequestAuthenticator authenticator,
-            CustomerLimits limits) {
+            CustomerLimits limits,
+            WaitLog waits) {
         mCall = call;
         mRequest = request;
         mPool = pool;
@@ -96,6 +100,7 @@
         mGuard = guard;
         mAuthenticator = authenticator;
         mLimits = limits;
+        mWaits = waits;
     }
 
     /**
@@ -134,6 +139,8 @@
         }
         if (mAttempts > 0 || !mGuard.digestLocks().addWaiter(digest(), this::admit)) {
             finishIfIdle();
+        } else {
+            mWaits.start(WaitLog.Cause.DIGEST, mClock.millis());
         }
         return true;
     }
@@ -156,6 +163,7 @@
 
     private void awaitSlot(CompletableFuture<Slot> slot) {
         mPendingSlot = slot;
+        mWaits.start(WaitLog.Cause.SLOT, mClock.millis());
         Futures.whenDone(
                 slot,
                 (granted, failure) -> {
@@ -169,6 +177,7 @@
 
     private void onSlot(Slot slot, Throwable failure) {
         mPendingSlot = null;
+        mWaits.end(mClock.millis());
         if (failure != null) {
             if (!mFinished && mRunningAttempts.isEmpty()) {
                 reject(failure);
@@ -437,7 +446,7 @@
         if (mFinished) {
             return;
         }
-        finish(null, 0, "the caller left");
+        finish(null, 0, CALLER_LEFT);
     }
 
     private void abortAttempts(FailureKind kind) {
@@ -494,6 +503,7 @@
                         Math.round(attempt.failureProbability() * HUNDREDTHS) / HUNDREDTHS)
                 .put("sent_after_ms", attempt.sentMillis() - mRequest.arrivalMillis())
                 .put("took_ms", mClock.millis() - attempt.sentMillis())
+                .put("connecting_ms", connectingMillis(attempt))
                 .put("cause", attempt.cause().name().toLowerCase(Locale.ROOT))
                 .put("end", result);
         if (!attempt.limit().equals(LimitStatement.UNLIMITED)) {
@@ -502,6 +512,12 @@
         mAttemptLog.add(entry);
     }
 
+    /** Returns how long an attempt has waited for its connection, in milliseconds. */
+    private long connectingMillis(TargetAttempt attempt) {
+        boolean written = attempt.writtenMillis() > 0;
+        return (written ? attempt.writtenMillis() : mClock.millis()) - attempt.sentMillis();
+    }
+
     private void logRequest(int status, String outcome) {
         long now = mClock.millis();
         mLog.write(
@@ -518,7 +534,13 @@
                             .put("left_ms", mRequest.deadlineMillis() - now)
                             .put("status", status)
                             .put("outcome", outcome)
+                            .put("connection_age_ms", mCall.receipt().connectionAgeMillis())
+                            .put("max_unread_ms", mCall.receipt().maxUnreadMillis())
+                            .put("waits_ms", mWaits.toJson(now))
                             .putList("offers", mAttemptLog);
+                    if (outcome.equals(CALLER_LEFT)) {
+                        line.put("max_unnoticed_ms", mCall.maxUnnoticedMillis());
+                    }
                     mDigest.ifPresent(digest -> line.put("digest", digest.hex()));
                 });
     }
--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyHandler.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyHandler.java
@@ -167,13 +167,16 @@
     private void read(ServerCall call, RouteTable routes, Match match) {
         RequestLimits limits = routes.configuration().limits();
         long arrivalMillis = mClock.millis();
+        WaitLog waits = new WaitLog();
+        waits.start(WaitLog.Cause.BODY, arrivalMillis);
         call.readBody(
                 limits.bodyBytes(),
                 body -> {
                     mOnRequest.run();
+                    waits.start(WaitLog.Cause.CONFIGURATION, mClock.millis());
                     mPools.runWhenCurrent(
                             call.loop(),
-                            () -> startExchange(call, match, body, routes, arrivalMillis));
+                            () -> startExchange(call, match, body, routes, arrivalMillis, waits));
                 },
                 () -> {
                     match.identity().customer().ifPresent(mLimits::release);
@@ -258,7 +261,13 @@
     }
 
     private void startExchange(
-            ServerCall call, Match match, ByteBuf body, RouteTable routes, long arrivalMillis) {
+            ServerCall call,
+            Match match,
+            ByteBuf body,
+            RouteTable routes,
+            long arrivalMillis,
+            WaitLog waits) {
+        waits.end(mClock.millis());
         RouteRule route = match.route();
         String service = mServiceChooser.next(route);
         Optional<ServicePool> pool = mPools.find(service);
@@ -297,7 +306,8 @@
                         mResponses,
                         mGuard,
                         mAuthenticator,
-                        mLimits)
+                        mLimits,
+                        waits)
                 .start();
     }
 
--- a/gateway/src/main/java/org/dahliapass/gateway/TargetAttempt.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/TargetAttempt.java
@@ -53,6 +53,7 @@
     private ByteBuf mBuffer;
     private StreamedResponse mStream;
     private long mSentMillis;
+    private long mWrittenMillis;
     private long mHeadMillis;
     private LimitStatement mLimit = LimitStatement.UNLIMITED;
     private boolean mReleased;
@@ -128,7 +129,7 @@
         return mCause;
     }
 
-    /** Returns the time at which the request was sent, in milliseconds. */
+    /** Returns when the attempt began to look for a connection, in milliseconds. */
     long sentMillis() {
         return mSentMillis;
     }
@@ -145,6 +146,16 @@
         }
     }
 
+    /** Returns when the request was written to its connection, in milliseconds; 0 if never. */
+    long writtenMillis() {
+        return mWrittenMillis;
+    }
+
+    @Override
+    public void onSent() {
+        mWrittenMillis = mClock.millis();
+    }
+
     @Override
     public void onHead(HttpResponse head) {
         mHeadMillis = mClock.millis();
--- a/gateway/src/main/java/org/dahliapass/gateway/TargetConnections.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/TargetConnections.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import org.dahliapass.http.EventLoops;
 import org.dahliapass.http.HttpClient;
+import org.dahliapass.http.PollMonitor;
 import org.dahliapass.kernel.KernelService;
 
 /** The traffic thread with the HTTP client for targets and the platform. */
@@ -21,10 +22,13 @@
     /** Less than half of the shortest idle timeout of targets, which is 10 s. */
     private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(4);
 
-    private final EventLoopGroup mLoops = EventLoops.singleThreaded("traffic");
+    private final PollMonitor mMonitor;
+    private final EventLoopGroup mLoops;
     private final HttpClient mClient;
 
     TargetConnections(Clock clock) {
+        mMonitor = new PollMonitor(clock);
+        mLoops = EventLoops.singleThreaded("traffic", mMonitor);
         mClient = new HttpClient(mLoops, clock, CONNECT_TIMEOUT, IDLE_TIMEOUT);
     }
 
@@ -33,6 +37,11 @@
         return mLoops;
     }
 
+    /** Returns the monitor of the traffic thread's polls; to be read on that thread only. */
+    PollMonitor monitor() {
+        return mMonitor;
+    }
+
     /** Returns the event loop of the traffic thread. */
     EventLoop loop() {
         return mClient.loop();
--- a/http/src/main/java/org/dahliapass/http/EventLoops.java
+++ b/http/src/main/java/org/dahliapass/http/EventLoops.java
@@ -1,6 +1,7 @@
 package org.dahliapass.http;
 
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.internal.logging.InternalLoggerFactory;
@@ -21,6 +22,20 @@
      * @param name the thread's name
      */
     public static EventLoopGroup singleThreaded(String name) {
+        return singleThreaded(name, NioIoHandler.newFactory());
+    }
+
+    /**
+     * Returns a group with a single event loop on a daemon thread.
+     *
+     * @param name the thread's name
+     * @param monitor records the polls of the event loop
+     */
+    public static EventLoopGroup singleThreaded(String name, PollMonitor monitor) {
+        return singleThreaded(name, monitor.monitor(NioIoHandler.newFactory()));
+    }
+
+    private static EventLoopGroup singleThreaded(String name, IoHandlerFactory factory) {
         return new MultiThreadIoEventLoopGroup(
                 1,
                 task -> {
@@ -28,6 +43,6 @@
                     thread.setDaemon(true);
                     return thread;
                 },
-                NioIoHandler.newFactory());
+                factory);
     }
 }
--- a/http/src/main/java/org/dahliapass/http/HttpServer.java
+++ b/http/src/main/java/org/dahliapass/http/HttpServer.java
@@ -37,6 +37,7 @@
     private final EventLoop mLoop;
     private final RequestHandler mHandler;
     private final Clock mClock;
+    private final PollMonitor mMonitor;
     private final Supplier<ServerTimeouts> mTimeouts;
     private final List<Channel> mListeners = new ArrayList<>();
 
@@ -51,16 +52,19 @@
      * @param loops a group with one event loop
      * @param handler handles the requests
      * @param clock the clock that measures the timeouts
+     * @param monitor records the polls of the event loop
      * @param timeouts supplies the client timeouts; called at each check
      */
     public HttpServer(
             EventLoopGroup loops,
             RequestHandler handler,
             Clock clock,
+            PollMonitor monitor,
             Supplier<ServerTimeouts> timeouts) {
         mLoop = loops.next();
         mHandler = handler;
         mClock = clock;
+        mMonitor = monitor;
         mTimeouts = timeouts;
     }
 
@@ -114,7 +118,7 @@
     private final class Initializer extends ChannelInitializer<SocketChannel> {
         @Override
         protected void initChannel(SocketChannel channel) {
-            ServerConnection connection = new ServerConnection(mHandler, mClock);
+            ServerConnection connection = new ServerConnection(mHandler, mClock, mMonitor);
             channel.pipeline().addLast(connection.codec(), connection);
             mConnections.add(connection);
             channel.closeFuture().addListener(closed -> mConnections.remove(connection));
--- a/http/src/main/java/org/dahliapass/http/ResponseListener.java
+++ b/http/src/main/java/org/dahliapass/http/ResponseListener.java
@@ -6,6 +6,9 @@
 
 /** A listener for the response to one request; called on the client's event loop. */
 public interface ResponseListener {
+    /** Called when the request is handed to the operating system. */
+    default void onSent() {}
+
     /** Called with the response head; informational (1xx) responses are skipped. */
     void onHead(HttpResponse head);
 
--- a/http/src/main/java/org/dahliapass/http/ServerCall.java
+++ b/http/src/main/java/org/dahliapass/http/ServerCall.java
@@ -23,6 +23,7 @@
 
     private final ServerConnection mConnection;
     private final HttpRequest mHead;
+    private final Receipt mReceipt;
     private final List<Runnable> mDisconnectListeners = new ArrayList<>(1);
     private Consumer<ByteBuf> mBodyListener;
     private Runnable mOnTooLarge;
@@ -32,6 +33,16 @@
     private boolean mBodyComplete;
     private boolean mResponseStarted;
     private boolean mDisconnected;
+    private long mMaxUnnoticedMillis;
+
+    /**
+     * What is known of a request's time before its head was read.
+     *
+     * @param connectionAgeMillis the time since the connection was accepted, in milliseconds
+     * @param maxUnreadMillis how long at most the last bytes of the head waited in the socket
+     *     buffer, in milliseconds
+     */
+    public record Receipt(long connectionAgeMillis, long maxUnreadMillis) {}
 
     /**
      * The extent to which a response was written.
@@ -43,9 +54,10 @@
      */
     public record Delivery(boolean whole, long bytes, long millis) {}
 
-    ServerCall(ServerConnection connection, HttpRequest head) {
+    ServerCall(ServerConnection connection, HttpRequest head, Receipt receipt) {
         mConnection = connection;
         mHead = head;
+        mReceipt = receipt;
     }
 
     /** Returns the request line and headers. */
@@ -53,6 +65,18 @@
         return mHead;
     }
 
+    /** Returns what is known of the request's time before its head was read. */
+    public Receipt receipt() {
+        return mReceipt;
+    }
+
+    /**
+     * Returns how long at most the client had disconnected before it was noticed, in milliseconds.
+     */
+    public long maxUnnoticedMillis() {
+        return mMaxUnnoticedMillis;
+    }
+
     /** Returns the event loop of the connection. */
     public EventLoop loop() {
         return mConnection.loop();
@@ -197,6 +221,10 @@
         }
     }
 
+    void setMaxUnnoticedMillis(long millis) {
+        mMaxUnnoticedMillis = millis;
+    }
+
     void onClientDisconnected() {
         mDisconnected = true;
         mBodyListener = null;
--- a/http/src/main/java/org/dahliapass/http/ServerConnection.java
+++ b/http/src/main/java/org/dahliapass/http/ServerConnection.java
@@ -29,6 +29,8 @@
 
     private final RequestHandler mHandler;
     private final Clock mClock;
+    private final PollMonitor mMonitor;
+    private final long mOpenedMillis;
     private final ServerCodec mCodec = new ServerCodec(this::onBytes);
     private final Deque<HttpObject> mPipelined = new ArrayDeque<>();
     private Channel mChannel;
@@ -76,10 +78,12 @@
         abstract long maxMillis(ServerTimeouts timeouts);
     }
 
-    ServerConnection(RequestHandler handler, Clock clock) {
+    ServerConnection(RequestHandler handler, Clock clock, PollMonitor monitor) {
         mHandler = handler;
         mClock = clock;
-        mPhaseStartMillis = clock.millis();
+        mMonitor = monitor;
+        mOpenedMillis = clock.millis();
+        mPhaseStartMillis = mOpenedMillis;
     }
 
     /** Returns the codec, placed before this handler. */
@@ -169,7 +173,9 @@
             return;
         }
         mExpectsContinue = HttpUtil.is100ContinueExpected(head);
-        mCall = new ServerCall(this, head);
+        ServerCall.Receipt receipt =
+                new ServerCall.Receipt(mClock.millis() - mOpenedMillis, mMonitor.maxReadyMillis());
+        mCall = new ServerCall(this, head, receipt);
         enterPhase(Phase.BODY);
         mHandler.onRequest(mCall);
     }
@@ -339,6 +345,7 @@
         if (call == null) {
             return;
         }
+        call.setMaxUnnoticedMillis(mMonitor.maxReadyMillis());
         notifyDelivered(call, false);
         call.onClientDisconnected();
     }
--- a/http/src/test/java/org/dahliapass/http/AbortedResponseTest.java
+++ b/http/src/test/java/org/dahliapass/http/AbortedResponseTest.java
@@ -13,6 +13,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.concurrent.CompletableFuture;
@@ -28,7 +29,9 @@
             new ServerTimeouts(
                     Duration.ofSeconds(3), Duration.ofSeconds(5), Duration.ofSeconds(15));
 
-    private final EventLoopGroup mLoops = EventLoops.singleThreaded("test");
+    private final Clock mClock = new ManualClock(Instant.ofEpochSecond(1_000));
+    private final PollMonitor mMonitor = new PollMonitor(mClock);
+    private final EventLoopGroup mLoops = EventLoops.singleThreaded("test", mMonitor);
     private HttpServer mServer;
 
     @AfterMethod(alwaysRun = true)
@@ -72,7 +75,8 @@
                 new HttpServer(
                         mLoops,
                         call -> startAndAbort(call, cause),
-                        new ManualClock(Instant.ofEpochSecond(1_000)),
+                        mClock,
+                        mMonitor,
                         () -> TIMEOUTS);
         mServer.listen(address).join();
         try (Socket client = new Socket(address.host(), address.port())) {
--- a/http/src/test/java/org/dahliapass/http/ServerFixture.java
+++ b/http/src/test/java/org/dahliapass/http/ServerFixture.java
@@ -34,7 +34,8 @@
                             mCalls.add(call);
                             handler.onRequest(call);
                         },
-                        mClock);
+                        mClock,
+                        new PollMonitor(mClock));
         mChannel = new EmbeddedChannel(mConnection.codec(), mConnection);
     }
 
--- a/kernel/src/main/java/org/dahliapass/kernel/JsonObject.java
+++ b/kernel/src/main/java/org/dahliapass/kernel/JsonObject.java
@@ -43,6 +43,12 @@
         return this;
     }
 
+    /** Adds an object. */
+    public JsonObject put(String name, JsonObject value) {
+        mFields.put(name, value);
+        return this;
+    }
+
     /** Adds an array of strings and {@link JsonObject}s. */
     public JsonObject putList(String name, List<?> values) {
         mFields.put(name, List.copyOf(values));
--- a/traffic/src/main/java/org/dahliapass/traffic/EntryMetrics.java
+++ b/traffic/src/main/java/org/dahliapass/traffic/EntryMetrics.java
@@ -65,6 +65,13 @@
                     .help("The most that a thread ran its tasks late in the last second.")
                     .labelNames("thread")
                     .register(mRegistry);
+    private final Gauge mPollIntervalSeconds =
+            Gauge.builder()
+                    .name("dahliapass_poll_interval_seconds")
+                    .help(
+                            "The longest time in the last second in which the traffic thread"
+                                    + " noticed no request and no close.")
+                    .register(mRegistry);
     private final Counter mStoreCopyBytes =
             Counter.builder()
                     .name("dahliapass_copied_bytes_total")
@@ -141,6 +148,11 @@
         mThreadDelaySeconds.labelValues(thread).set(millis / MILLIS_PER_SECOND);
     }
 
+    /** Sets the longest time between two polls in the last second, in milliseconds. */
+    public void onPollInterval(long millis) {
+        mPollIntervalSeconds.set(millis / MILLIS_PER_SECOND);
+    }
+
     /** Counts bytes of the copy of the store sent to another VM. */
     public void onStoreCopyBytes(long bytes) {
         mStoreCopyBytes.inc((double) bytes);
