Add failing tests: requests are sent to targets after their callers have left

What the users' record shows: targets run reads whose callers left 0.6 s before.

A clock that blocks the traffic thread holds the VM up, as a lack of processor time does. Bytes and close of a caller, or a free slot and a close, are then ready at the same poll.

--- a/gateway/src/test/java/org/dahliapass/gateway/GatewayCallerDisconnectTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/GatewayCallerDisconnectTest.java
@@ -22,6 +22,7 @@
     /** The slots of both targets. */
     private static final int SLOTS = 6;
 
+    private FreezableClock mClock;
     private GatewayFixture mFixture;
 
     /** How a caller disconnects. */
@@ -51,7 +52,8 @@
      */
     @BeforeMethod
     public void start() {
-        mFixture = new GatewayFixture();
+        mClock = new FreezableClock();
+        mFixture = new GatewayFixture(mClock);
         String configuration =
                 GatewayFixtures.configuration(2, "/slow/")
                         .replace("1.5,0.8,2,null,2", "60,30,2,null,1");
@@ -61,6 +63,7 @@
 
     @AfterMethod(alwaysRun = true)
     public void stop() {
+        mClock.resume();
         mFixture.close();
     }
 
@@ -112,11 +115,7 @@
     public void queuedRequestIsNotSentAfterCallerDisconnects(
             Disconnection disconnection, boolean closeAfterwards) throws IOException {
         behave(Behaviour.HANG);
-        List<Socket> occupying = new ArrayList<>();
-        for (int number = 0; number < SLOTS; number++) {
-            occupying.add(mFixture.caller().open(request("/slow/busy", false)));
-        }
-        GatewayFixture.await(() -> mFixture.seen("/slow/busy") == SLOTS);
+        List<Socket> occupying = occupyAllSlots();
         String queued =
                 request("/slow/queued", closeAfterwards)
                         .replace("GET", "POST")
@@ -133,6 +132,58 @@
         assertEquals(mFixture.seen("/slow/queued"), 0);
     }
 
+    /** Guards against sending a request that was read only after its caller had disconnected. */
+    @Test(dataProvider = "disconnections")
+    public void unreadRequestIsNotSentAfterCallerDisconnects(
+            Disconnection disconnection, boolean closeAfterwards) throws IOException {
+        mClock.freeze();
+        Socket caller = mFixture.caller().open(request("/slow/unread", closeAfterwards));
+        disconnection.disconnect(caller);
+        mClock.resume();
+        GatewayFixture.await(() -> CallerStandIn.status(mFixture.get("/slow/after")) == 200);
+        assertEquals(mFixture.seen("/slow/unread"), 0);
+    }
+
+    /** The same on a kept-alive connection that has served a request. */
+    @Test(dataProvider = "disconnections")
+    public void unreadRequestOnKeptAliveConnectionIsNotSentAfterCallerDisconnects(
+            Disconnection disconnection, boolean closeAfterwards) throws IOException {
+        Socket caller = mFixture.caller().open(request("/slow/first", false));
+        GatewayFixture.await(() -> mFixture.seen("/slow/first") == 1);
+        assertEquals(caller.getInputStream().read(), 'H');
+        mClock.freeze();
+        caller.getOutputStream()
+                .write(
+                        request("/slow/unread", closeAfterwards)
+                                .getBytes(StandardCharsets.ISO_8859_1));
+        disconnection.disconnect(caller);
+        mClock.resume();
+        GatewayFixture.await(() -> CallerStandIn.status(mFixture.get("/slow/after")) == 200);
+        assertEquals(mFixture.seen("/slow/unread"), 0);
+    }
+
+    /**
+     * Guards against sending a queued request whose slot is released before the VM notices that the
+     * caller has disconnected.
+     */
+    @Test(dataProvider = "disconnections")
+    public void queuedRequestIsNotSentIfSlotIsReleasedAfterCallerDisconnects(
+            Disconnection disconnection, boolean closeAfterwards) throws IOException {
+        behave(Behaviour.HANG);
+        List<Socket> occupying = occupyAllSlots();
+        Socket caller = mFixture.caller().open(request("/slow/queued", closeAfterwards));
+        assertEquals(CallerStandIn.status(mFixture.get("/other/")), 404);
+        behave(Behaviour.RESPOND);
+        mClock.freeze();
+        for (Socket connection : occupying) {
+            connection.close();
+        }
+        disconnection.disconnect(caller);
+        mClock.resume();
+        GatewayFixture.await(() -> CallerStandIn.status(mFixture.get("/slow/after")) == 200);
+        assertEquals(mFixture.seen("/slow/queued"), 0);
+    }
+
     /**
      * Guards against an at-most-once request that is delivered after its deadline. It continues
      * after its caller disconnects, because aborting it leaves its effect unknown, but must be
@@ -152,6 +203,16 @@
         GatewayFixture.await(() -> closedConnections() == openedConnections());
     }
 
+    /** Returns callers whose requests occupy all slots of hanging targets. */
+    private List<Socket> occupyAllSlots() {
+        List<Socket> occupying = new ArrayList<>();
+        for (int number = 0; number < SLOTS; number++) {
+            occupying.add(mFixture.caller().open(request("/slow/busy", false)));
+        }
+        GatewayFixture.await(() -> mFixture.seen("/slow/busy") == SLOTS);
+        return occupying;
+    }
+
     private int openedConnections() {
         return mFixture.mTargets.stream().mapToInt(SigningTargetStandIn::connectionCount).sum();
     }
