Check right before a request is sent that its caller is still connected

What callers saw: nothing, they had left. Targets ran reads whose callers had left 0.6 s before.

Cause: a VM that polls late finds the bytes of a request and the close of its connection in the same poll, reads the bytes first and sends the request on; a queued request gets a slot that is released in the poll that also returns the close. The VM's picture of the connection is as old as its last poll, and was taken for the present.

Change: the caller's connection is read once more when the target's connection is open and nothing has been written yet (ChannelPoll, ResponseListener#onConnected). If it is closed, or the time is over, the attempt is dropped, for every kind of request; an at-most-once request that has not been sent is no longer sent after its caller has left. The time left is computed at that moment, too. An exchange starts after the read of its connection has ended, so that reads don't nest.

--- a/gateway/src/main/java/org/dahliapass/gateway/AttemptResult.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/AttemptResult.java
@@ -31,4 +31,11 @@
      * @param cause the description for the log
      */
     record Failed(Endpoint target, FailureKind kind, String cause) implements AttemptResult {}
+
+    /**
+     * An attempt that sent nothing, because the caller had disconnected or its time was over.
+     *
+     * @param target the target
+     */
+    record Dropped(Endpoint target) implements AttemptResult {}
 }
--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
@@ -185,7 +185,14 @@
             return;
         }
         TargetAttempt attempt =
-                new TargetAttempt(mRequest, slot, mPool, mConnections, mClock, nextCause());
+                new TargetAttempt(
+                        mRequest,
+                        slot,
+                        mPool,
+                        mConnections,
+                        mClock,
+                        nextCause(),
+                        mCall::isClientConnected);
         if (mFinished) {
             attempt.abort(FailureKind.CANCELLED_BY_CALLER);
             return;
@@ -267,6 +274,9 @@
         } else if (result instanceof AttemptResult.Failed failed) {
             recordAttempt(attempt, failed.kind() + ": " + failed.cause());
             onFailed(failed);
+        } else {
+            // The close of the caller's connection or the deadline ends the exchange.
+            recordAttempt(attempt, "not sent: the caller left or its time is over");
         }
     }
 
@@ -439,8 +449,8 @@
 
     /**
      * Ends the exchange after the caller disconnected. Repeatable requests are aborted at their
-     * targets; at-most-once requests run until their deadline, because aborting one leaves its
-     * effect unknown.
+     * targets; at-most-once requests that were sent run until their deadline, because aborting one
+     * leaves its effect unknown.
      */
     private void onCallerDisconnected() {
         if (mFinished) {
@@ -453,11 +463,29 @@
         if (mPendingSlot != null) {
             mPendingSlot.cancel(false);
         }
-        // Cleared first: aborting an attempt completes it at once, which would record it twice.
         List<TargetAttempt> aborted = List.copyOf(mRunningAttempts);
         mRunningAttempts.clear();
         releaseDigestLock();
-        for (TargetAttempt attempt : aborted) {
+        abort(aborted, kind);
+    }
+
+    /** Aborts the attempts that have sent nothing yet. */
+    private void abortUnsentAttempts() {
+        List<TargetAttempt> unsent =
+                mRunningAttempts.stream().filter(attempt -> !attempt.isSent()).toList();
+        if (unsent.isEmpty()) {
+            return;
+        }
+        mRunningAttempts.removeAll(unsent);
+        if (mRunningAttempts.isEmpty()) {
+            releaseDigestLock();
+        }
+        abort(unsent, FailureKind.CANCELLED_BY_CALLER);
+    }
+
+    /** Aborts attempts that are no longer listed as running, since that completes them at once. */
+    private void abort(List<TargetAttempt> attempts, FailureKind kind) {
+        for (TargetAttempt attempt : attempts) {
             recordAttempt(attempt, "stopped: " + kind);
             attempt.abort(kind);
         }
@@ -465,6 +493,7 @@
 
     private void finish(CallerResponse response, int status, String outcome) {
         mFinished = true;
+        abortUnsentAttempts();
         if (!mMayHaveExecuted && mRunningAttempts.isEmpty()) {
             mRequest.identity().customer().ifPresent(mLimits::release);
         }
--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyHandler.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyHandler.java
@@ -174,9 +174,20 @@
                 body -> {
                     mOnRequest.run();
                     waits.start(WaitLog.Cause.CONFIGURATION, mClock.millis());
-                    mPools.runWhenCurrent(
-                            call.loop(),
-                            () -> startExchange(call, match, body, routes, arrivalMillis, waits));
+                    // Deferred: a request is sent only after the read of its connection has ended.
+                    call.loop()
+                            .execute(
+                                    () ->
+                                            mPools.runWhenCurrent(
+                                                    call.loop(),
+                                                    () ->
+                                                            startExchange(
+                                                                    call,
+                                                                    match,
+                                                                    body,
+                                                                    routes,
+                                                                    arrivalMillis,
+                                                                    waits)));
                 },
                 () -> {
                     match.identity().customer().ifPresent(mLimits::release);
--- a/gateway/src/main/java/org/dahliapass/gateway/TargetAttempt.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/TargetAttempt.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import java.time.Clock;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import org.dahliapass.decisions.access.CallerIdentity;
 import org.dahliapass.decisions.health.Outcome;
 import org.dahliapass.decisions.limits.LimitStatement;
@@ -47,6 +48,7 @@
     private final ServicePool mPool;
     private final TargetConnections mConnections;
     private final Clock mClock;
+    private final BooleanSupplier mIsCallerConnected;
     private final CompletableFuture<AttemptResult> mResult = new CompletableFuture<>();
     private ClientCall mCall;
     private HttpResponse mHead;
@@ -57,6 +59,7 @@
     private long mHeadMillis;
     private LimitStatement mLimit = LimitStatement.UNLIMITED;
     private boolean mReleased;
+    private boolean mDropped;
 
     TargetAttempt(
             ProxyRequest request,
@@ -64,8 +67,10 @@
             ServicePool pool,
             TargetConnections connections,
             Clock clock,
-            AttemptCause cause) {
+            AttemptCause cause,
+            BooleanSupplier isCallerConnected) {
         mCause = cause;
+        mIsCallerConnected = isCallerConnected;
         mRequest = request;
         mSlot = slot;
         mPool = pool;
@@ -151,9 +156,28 @@
         return mWrittenMillis;
     }
 
+    /** Returns whether bytes of the request may have reached the target. */
+    boolean isSent() {
+        return mWrittenMillis > 0;
+    }
+
+    /**
+     * Drops the request if its caller has disconnected or its time is over.
+     *
+     * <p>Guards against sending a request whose caller disconnected while the request waited in a
+     * socket buffer, for a slot or for its connection, and the event loop was busy.
+     */
     @Override
-    public void onSent() {
-        mWrittenMillis = mClock.millis();
+    public boolean onConnected(HttpHeaders headers) {
+        long now = mClock.millis();
+        long remaining = mRequest.remainingMillis(now);
+        if (remaining == 0 || !mIsCallerConnected.getAsBoolean()) {
+            mDropped = true;
+            return false;
+        }
+        headers.set(TargetHeaders.REMAINING_MILLIS, Long.toString(remaining));
+        mWrittenMillis = now;
+        return true;
     }
 
     @Override
@@ -238,6 +262,11 @@
 
     @Override
     public void onFailure(Throwable failure) {
+        if (mDropped) {
+            release(FailureKind.CANCELLED_BY_CALLER);
+            mResult.complete(new AttemptResult.Dropped(target()));
+            return;
+        }
         FailureKind kind = classify(failure);
         if (mStream != null) {
             release(kind);
--- a/http/src/main/java/org/dahliapass/http/ClientCall.java
+++ b/http/src/main/java/org/dahliapass/http/ClientCall.java
@@ -61,6 +61,11 @@
         mConnection = connection;
     }
 
+    /** Asks the listener, right before the request is written, whether it is still wanted. */
+    boolean isWanted() {
+        return mListener.onConnected(mHeaders);
+    }
+
     ResponseListener listener() {
         return mListener;
     }
--- a/http/src/main/java/org/dahliapass/http/ClientConnection.java
+++ b/http/src/main/java/org/dahliapass/http/ClientConnection.java
@@ -111,7 +111,6 @@
         mRequestWritten = false;
         call.attach(this);
         mCodec.setBodiless(HttpMethod.HEAD.equals(call.method()));
-        call.listener().onSent();
         mChannel.writeAndFlush(call.toHttpRequest())
                 .addListener(
                         written -> {
--- a/http/src/main/java/org/dahliapass/http/HttpClient.java
+++ b/http/src/main/java/org/dahliapass/http/HttpClient.java
@@ -75,7 +75,8 @@
      *
      * @param headers the headers, owned by the call from now on; Content-Length is added
      * @param body the body, in a heap buffer
-     * @param listener receives the response; never called before this method returns
+     * @param listener receives the response; only {@link ResponseListener#onConnected} may be
+     *     called before this method returns
      */
     public ClientCall send(
             Endpoint server,
@@ -87,7 +88,7 @@
         ClientCall call = new ClientCall(method, path, headers, body, listener);
         ClientConnection idleConnection = pollIdle(server);
         if (idleConnection != null) {
-            idleConnection.send(call);
+            sendIfWanted(server, idleConnection, call);
         } else {
             connect(server, call);
         }
@@ -117,14 +118,23 @@
                                         new NotSentException(
                                                 "The connection could not be opened.",
                                                 done.cause()));
-                            } else if (call.isFinished()) {
-                                addIdle(server, connection);
                             } else {
-                                connection.send(call);
+                                sendIfWanted(server, connection, call);
                             }
                         });
     }
 
+    /** Sends a request on an open connection, or keeps the connection for another one. */
+    private void sendIfWanted(Endpoint server, ClientConnection connection, ClientCall call) {
+        if (!call.isFinished() && call.isWanted()) {
+            connection.send(call);
+            return;
+        }
+        addIdle(server, connection);
+        mLoop.execute(
+                () -> call.fail(new NotSentException("The request is no longer wanted.", null)));
+    }
+
     /**
      * Opens a connection to find out whether a server listens at an address, and keeps it for
      * reuse.
--- a/http/src/main/java/org/dahliapass/http/ResponseListener.java
+++ b/http/src/main/java/org/dahliapass/http/ResponseListener.java
@@ -6,8 +6,16 @@
 
 /** A listener for the response to one request; called on the client's event loop. */
 public interface ResponseListener {
-    /** Called when the request is handed to the operating system. */
-    default void onSent() {}
+    /**
+     * Called when the connection is open, right before the request is written.
+     *
+     * @param headers the headers of the request, which may be changed
+     * @return false if the request is no longer wanted; {@code onFailure} is then called with a
+     *     {@link NotSentException}
+     */
+    default boolean onConnected(HttpHeaders headers) {
+        return true;
+    }
 
     /** Called with the response head; informational (1xx) responses are skipped. */
     void onHead(HttpResponse head);
--- a/http/src/main/java/org/dahliapass/http/ServerCall.java
+++ b/http/src/main/java/org/dahliapass/http/ServerCall.java
@@ -121,6 +121,16 @@
         mDisconnectListeners.add(listener);
     }
 
+    /**
+     * Returns whether the client is still connected, by what the operating system knows now.
+     *
+     * <p>If it has disconnected, the listeners are called soon, but not before this method returns.
+     * Must not be called while the request is being read.
+     */
+    public boolean isClientConnected() {
+        return !mDisconnected && mConnection.pollOpen();
+    }
+
     /** Sets the listener that is called once no more of the response will be written. */
     public void onDelivered(Consumer<Delivery> listener) {
         mDeliveryListener = listener;
--- a/http/src/main/java/org/dahliapass/http/ServerConnection.java
+++ b/http/src/main/java/org/dahliapass/http/ServerConnection.java
@@ -99,6 +99,11 @@
         return mChannel.isActive();
     }
 
+    /** Returns whether the client is still connected, by what is ready to be read now. */
+    boolean pollOpen() {
+        return ChannelPoll.isOpen(mChannel);
+    }
+
     boolean isWritable() {
         return mChannel.isWritable();
     }
