Read an idle connection to a target before it is used again

What callers saw: 502 for a lock that no target had received, since it may have run.

Evidence: StaleConnectionTest failed before (the request waits for a response that can't come), after a close and after a reset, and passes now.

--- a/http/src/main/java/org/dahliapass/http/ClientConnection.java
+++ b/http/src/main/java/org/dahliapass/http/ClientConnection.java
@@ -81,6 +81,11 @@
         return mChannel.isActive();
     }
 
+    /** Returns whether the idle connection is still open, by what is ready to be read now. */
+    boolean pollOpen() {
+        return ChannelPoll.isOpen(mChannel);
+    }
+
     /** Closes the connection, with a reset if a request is in flight. */
     void close() {
         closeMode().close(mChannel);
--- a/http/src/main/java/org/dahliapass/http/HttpClient.java
+++ b/http/src/main/java/org/dahliapass/http/HttpClient.java
@@ -100,7 +100,7 @@
         long now = mClock.millis();
         while (idle != null && !idle.isEmpty()) {
             ClientConnection newest = idle.pollLast();
-            if (newest.isOpen() && !newest.isStale(now, mIdleMillis)) {
+            if (!newest.isStale(now, mIdleMillis) && newest.pollOpen()) {
                 return newest;
             }
             newest.close();
