Count a request's time from its arrival, and accept all waiting connections in one poll

What callers saw: answers after their time, and targets were told more time than was left.

Cause: a request's time began when its head was handled, so the time in which it lay unread while its VM was busy wasn't counted; and at most 16 connections were accepted a poll, so others waited without anything telling how long.

Change: a request arrives when the poll returns that shows it, and the first request of a connection with the poll that accepted it, unless the loop has polled in between. One poll accepts all connections.

--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyHandler.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyHandler.java
@@ -166,7 +166,7 @@
 
     private void read(ServerCall call, RouteTable routes, Match match) {
         RequestLimits limits = routes.configuration().limits();
-        long arrivalMillis = mClock.millis();
+        long arrivalMillis = call.receipt().arrivalMillis();
         WaitLog waits = new WaitLog();
         waits.start(WaitLog.Cause.BODY, arrivalMillis);
         call.readBody(
--- a/http/src/main/java/org/dahliapass/http/HttpServer.java
+++ b/http/src/main/java/org/dahliapass/http/HttpServer.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.util.concurrent.Future;
@@ -29,7 +30,10 @@
     /** The interval of the timeout checks, by which timeouts may be exceeded. */
     private static final long TIMEOUT_CHECK_MILLIS = 500;
 
-    /** Connections that may wait to be accepted while the event loop is busy. */
+    /**
+     * Connections that may wait to be accepted while the event loop is busy. One poll accepts them
+     * all, since nothing tells how long one has waited that a poll left behind.
+     */
     private static final int BACKLOG = 1_024;
 
     private static final ComponentLog LOG = ComponentLog.of("http");
@@ -81,6 +85,9 @@
                         .channel(NioServerSocketChannel.class)
                         .option(ChannelOption.SO_BACKLOG, BACKLOG)
                         .option(ChannelOption.SO_REUSEADDR, true)
+                        .option(
+                                ChannelOption.RECVBUF_ALLOCATOR,
+                                new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(BACKLOG))
                         .childOption(ChannelOption.TCP_NODELAY, true)
                         .childHandler(new Initializer())
                         .bind(new InetSocketAddress(endpoint.host(), endpoint.port()));
--- a/http/src/main/java/org/dahliapass/http/PollMonitor.java
+++ b/http/src/main/java/org/dahliapass/http/PollMonitor.java
@@ -48,6 +48,19 @@
         return mClock.millis() - (waited ? mReturnMillis : mPreviousReturnMillis);
     }
 
+    /**
+     * Returns when the latest poll returned, in milliseconds. All that it returned was ready then,
+     * however late it is handled.
+     */
+    long latestPollMillis() {
+        return mReturnMillis;
+    }
+
+    /** Returns when the poll before the latest one returned, in milliseconds. */
+    long previousPollMillis() {
+        return mPreviousReturnMillis;
+    }
+
     /**
      * Returns the longest time between two polls since the last call, in milliseconds, without the
      * time that the loop waited for events.
--- a/http/src/main/java/org/dahliapass/http/ServerCall.java
+++ b/http/src/main/java/org/dahliapass/http/ServerCall.java
@@ -38,11 +38,13 @@
     /**
      * What is known of a request's time before its head was read.
      *
+     * @param arrivalMillis when the request was ready to be read at the latest, in milliseconds;
+     *     its head may be read later
      * @param connectionAgeMillis the time since the connection was accepted, in milliseconds
      * @param maxUnreadMillis how long at most the last bytes of the head waited in the socket
      *     buffer, in milliseconds
      */
-    public record Receipt(long connectionAgeMillis, long maxUnreadMillis) {}
+    public record Receipt(long arrivalMillis, long connectionAgeMillis, long maxUnreadMillis) {}
 
     /**
      * The extent to which a response was written.
--- a/http/src/main/java/org/dahliapass/http/ServerConnection.java
+++ b/http/src/main/java/org/dahliapass/http/ServerConnection.java
@@ -30,7 +30,7 @@
     private final RequestHandler mHandler;
     private final Clock mClock;
     private final PollMonitor mMonitor;
-    private final long mOpenedMillis;
+    private final long mAcceptedMillis;
     private final ServerCodec mCodec = new ServerCodec(this::onBytes);
     private final Deque<HttpObject> mPipelined = new ArrayDeque<>();
     private Channel mChannel;
@@ -43,6 +43,7 @@
     private boolean mExpectsContinue;
     private boolean mWriting;
     private boolean mDiscardsInput;
+    private boolean mHasReceivedRequest;
 
     /** What the connection waits for, with the timeout that applies. */
     private enum Phase {
@@ -82,8 +83,8 @@
         mHandler = handler;
         mClock = clock;
         mMonitor = monitor;
-        mOpenedMillis = clock.millis();
-        mPhaseStartMillis = mOpenedMillis;
+        mAcceptedMillis = monitor.latestPollMillis();
+        mPhaseStartMillis = clock.millis();
     }
 
     /** Returns the codec, placed before this handler. */
@@ -178,13 +179,23 @@
             return;
         }
         mExpectsContinue = HttpUtil.is100ContinueExpected(head);
-        ServerCall.Receipt receipt =
-                new ServerCall.Receipt(mClock.millis() - mOpenedMillis, mMonitor.maxReadyMillis());
-        mCall = new ServerCall(this, head, receipt);
+        mCall = new ServerCall(this, head, receipt());
         enterPhase(Phase.BODY);
         mHandler.onRequest(mCall);
     }
 
+    /** Returns what is known of the time before the head of the current request was read. */
+    private ServerCall.Receipt receipt() {
+        boolean isFirst = !mHasReceivedRequest;
+        mHasReceivedRequest = true;
+        // Clients send their first request right after the connection is established.
+        boolean waitedSinceAccept = isFirst && mMonitor.previousPollMillis() <= mAcceptedMillis;
+        return new ServerCall.Receipt(
+                waitedSinceAccept ? mAcceptedMillis : mMonitor.latestPollMillis(),
+                mClock.millis() - mAcceptedMillis,
+                mMonitor.maxReadyMillis());
+    }
+
     private void onContent(HttpContent content) {
         if (mCall == null) {
             return;
--- a/http/src/test/java/org/dahliapass/http/PollMonitorTest.java
+++ b/http/src/test/java/org/dahliapass/http/PollMonitorTest.java
@@ -41,6 +41,41 @@
         assertEquals(mMonitor.takeLongestIntervalMillis(), 3);
     }
 
+    /**
+     * Guards against a deadline that is extended by the time in which a request lay unread, and
+     * which its target would be told.
+     */
+    @Test
+    public void requestArrivesWhenThePollReturnsItHoweverLateItIsRead() {
+        long start = mClock.millis();
+        poll(0);
+        ServerFixture server = new ServerFixture(mClock, mMonitor);
+        advance(500);
+        poll(0);
+        advance(200);
+        server.send("GET /1 HTTP/1.1\nHost: a\n\n");
+        server.mCalls.get(0).respond(ServerFixture.response("x"));
+        poll(0);
+        advance(70);
+        server.send("GET /2 HTTP/1.1\nHost: a\n\n");
+        assertEquals(server.mCalls.get(0).receipt().arrivalMillis(), start);
+        assertEquals(server.mCalls.get(1).receipt().arrivalMillis(), start + 700);
+    }
+
+    /** A client may keep a new connection idle before its first request. */
+    @Test
+    public void firstRequestOfAnIdleConnectionArrivesWithItsOwnPoll() {
+        long start = mClock.millis();
+        poll(0);
+        ServerFixture server = new ServerFixture(mClock, mMonitor);
+        advance(1);
+        poll(0);
+        poll(2_000);
+        advance(30);
+        server.send("GET /1 HTTP/1.1\nHost: a\n\n");
+        assertEquals(server.mCalls.get(0).receipt().arrivalMillis(), start + 2_001);
+    }
+
     private void poll(int waitMillis) {
         mHandler.mWaitMillis = waitMillis;
         int handled = mMonitored.run(null);
--- a/http/src/test/java/org/dahliapass/http/ServerFixture.java
+++ b/http/src/test/java/org/dahliapass/http/ServerFixture.java
@@ -16,7 +16,7 @@
             new ServerTimeouts(
                     Duration.ofSeconds(3), Duration.ofSeconds(5), Duration.ofSeconds(15));
 
-    final ManualClock mClock = new ManualClock(Instant.ofEpochSecond(1_000));
+    final ManualClock mClock;
     final List<ServerCall> mCalls = new ArrayList<>();
     final ServerConnection mConnection;
     final EmbeddedChannel mChannel;
@@ -28,6 +28,20 @@
 
     /** Records each request and passes it to a handler. */
     ServerFixture(RequestHandler handler) {
+        this(new ManualClock(Instant.ofEpochSecond(1_000)), handler);
+    }
+
+    /** Records each request of a connection on a monitored event loop. */
+    ServerFixture(ManualClock clock, PollMonitor monitor) {
+        this(clock, monitor, call -> {});
+    }
+
+    private ServerFixture(ManualClock clock, RequestHandler handler) {
+        this(clock, new PollMonitor(clock), handler);
+    }
+
+    private ServerFixture(ManualClock clock, PollMonitor monitor, RequestHandler handler) {
+        mClock = clock;
         mConnection =
                 new ServerConnection(
                         call -> {
@@ -35,7 +49,7 @@
                             handler.onRequest(call);
                         },
                         mClock,
-                        new PollMonitor(mClock));
+                        monitor);
         mChannel = new EmbeddedChannel(mConnection.codec(), mConnection);
     }
 
