Read all requests before starting them in slices, and reject those that can't start in time

What callers saw: under more requests than a VM can handle, reads wait for up to 2 s and are given up by their callers; the loop polls every 50 to 140 ms, so responses, closes and new requests lie unread meanwhile.

Cause: each request was started as soon as it was read, so the others waited in socket buffers, where no queue counts them; the VM rejected requests only after its timers had been late for 400 ms.

Change: requests that were read wait in order of arrival (ThreadBacklog) and are started in slices of 20 ms between polls (RequestStarter). A request that would wait for the thread for more than half of its objective, or of the time that it has left, is rejected at its head, before its body is read.

Evidence: ThreadBacklogTest replays three times the load that a thread can start: it starts as many as it can and none waits longer than 330 ms at an objective of 600 ms.

--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyHandler.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyHandler.java
@@ -55,6 +55,7 @@
     private final PoisonGuard mGuard;
     private final RequestAuthenticator mAuthenticator;
     private final CustomerLimits mLimits;
+    private final RequestStarter mStarter;
     private RouteTable mRoutes;
 
     ProxyHandler(
@@ -88,6 +89,7 @@
         mGuard = guard;
         mAuthenticator = authenticator;
         mLimits = limits;
+        mStarter = new RequestStarter(clock);
     }
 
     @Override
@@ -102,7 +104,7 @@
             return;
         }
         if (mLoadReporter.isFallingBehind()) {
-            refuseBeforeReading(call);
+            refuseBeforeReading(call, "the traffic thread is overloaded");
             return;
         }
         updateRoutes(routes.get());
@@ -134,12 +136,22 @@
             rejectUnauthenticated(call, routes, rejected.reason());
         } else if (authentication instanceof Authentication.Accepted accepted) {
             Match match = new Match(target, route.get(), credentials, accepted.identity());
-            if (isWithinLimit(call, routes, match)) {
+            if (!startsInTime(call, route.get())) {
+                refuseBeforeReading(call, "too many requests wait for the traffic thread");
+            } else if (isWithinLimit(call, routes, match)) {
                 read(call, routes, match);
             }
         }
     }
 
+    /** Returns whether the requests that were read before leave enough time for this one. */
+    private boolean startsInTime(ServerCall call, RouteRule route) {
+        long timeoutMillis = route.timeout().toMillis();
+        long remainingMillis =
+                Math.min(timeoutMillis, callerTimeout(call.head().headers(), timeoutMillis));
+        return mStarter.backlog().startsInTime(route.objective().toMillis(), remainingMillis);
+    }
+
     /** Takes a token of the customer's rate limit, or refuses the request. */
     private boolean isWithinLimit(ServerCall call, RouteTable routes, Match match) {
         if (match.identity().customer().isEmpty()) {
@@ -174,20 +186,21 @@
                 body -> {
                     mOnRequest.run();
                     waits.start(WaitLog.Cause.CONFIGURATION, mClock.millis());
-                    // Deferred: a request is sent only after the read of its connection has ended.
-                    call.loop()
-                            .execute(
-                                    () ->
-                                            mPools.runWhenCurrent(
-                                                    call.loop(),
-                                                    () ->
-                                                            startExchange(
-                                                                    call,
-                                                                    match,
-                                                                    body,
-                                                                    routes,
-                                                                    arrivalMillis,
-                                                                    waits)));
+                    mPools.runWhenCurrent(
+                            call.loop(),
+                            () -> {
+                                waits.start(WaitLog.Cause.THREAD, mClock.millis());
+                                mStarter.add(
+                                        call.loop(),
+                                        () ->
+                                                startExchange(
+                                                        call,
+                                                        match,
+                                                        body,
+                                                        routes,
+                                                        arrivalMillis,
+                                                        waits));
+                            });
                 },
                 () -> {
                     match.identity().customer().ifPresent(mLimits::release);
@@ -248,7 +261,7 @@
      * Refuses a request before its body is read, so that the caller can retry at another VM in time
      * and this VM can work off its backlog.
      */
-    private void refuseBeforeReading(ServerCall call) {
+    private void refuseBeforeReading(ServerCall call, String cause) {
         HttpHeaders headers = call.head().headers();
         long remaining = callerTimeout(headers, DEFAULT_TIMEOUT_MILLIS);
         long retryAfter = mResponses.retryAfterMillis(remaining);
@@ -259,7 +272,8 @@
                         line.put("id", headers.get(TargetHeaders.ATTEMPT_ID, ""))
                                 .put("left_ms", remaining)
                                 .put("come_back_ms", retryAfter)
-                                .put("cause", "the traffic thread is overloaded"));
+                                .put("expected_wait_ms", mStarter.backlog().expectedWaitMillis())
+                                .put("cause", cause));
         mResponses.refused(retryAfter).send(call);
     }
 
@@ -279,6 +293,10 @@
             long arrivalMillis,
             WaitLog waits) {
         waits.end(mClock.millis());
+        if (call.isClientDisconnected()) {
+            match.identity().customer().ifPresent(mLimits::release);
+            return;
+        }
         RouteRule route = match.route();
         String service = mServiceChooser.next(route);
         Optional<ServicePool> pool = mPools.find(service);
--- a/gateway/src/main/java/org/dahliapass/gateway/WaitLog.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/WaitLog.java
@@ -17,6 +17,8 @@
         BODY,
         /** The newest configuration and targets. */
         CONFIGURATION,
+        /** The traffic thread, behind requests that were read before. */
+        THREAD,
         /** The end of another request with the same digest. */
         DIGEST,
         /** A free slot of a target. */
