Search once for a target for all waiting customers that ask for the same

What callers saw: under load, VMs with processor time to spare a second before stop reading requests and responses for 50 to 140 ms at a time; callers wait and leave.

Cause: at each response, offer and report of another VM the queue looked for a target for the first entry of each customer, and each search visited all targets and all their beliefs even though none had a free slot: the work per event grew with waiting customers times targets, just when customers waited. So a shortage of slots became one of processor time, and lasted.

Change: entries with the same kind and the same excluded targets share one search, and a search ends where no slot is free.

--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/AdmissionQueue.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/AdmissionQueue.java
@@ -7,9 +7,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.TreeSet;
 import java.util.random.RandomGenerator;
 import org.dahliapass.model.Endpoint;
+import org.dahliapass.model.RequestKind;
 
 /**
  * An admission control queue for the requests of one service: dispatches each to a target with a
@@ -252,11 +254,15 @@
     }
 
     private Optional<Endpoint> targetFor(QueueEntry<T> entry, long nowMillis) {
-        if (entry.kind().bulky()
-                && mBulkyByCustomer.count(entry.customer()) >= mLimits.bulkyPerCustomer()) {
-            return Optional.empty();
-        }
-        return mBalancer.pick(entry.kind(), entry.excluded(), nowMillis);
+        return hasBulkyAllowance(entry)
+                ? mBalancer.pick(entry.kind(), entry.excluded(), nowMillis)
+                : Optional.empty();
+    }
+
+    /** Returns whether the customer may have another bulky request in flight, if this is one. */
+    private boolean hasBulkyAllowance(QueueEntry<T> entry) {
+        return !entry.kind().bulky()
+                || mBulkyByCustomer.count(entry.customer()) < mLimits.bulkyPerCustomer();
     }
 
     private Optional<DispatchedEntry<T>> dispatchNext(long nowMillis) {
@@ -275,15 +281,29 @@
         return Optional.of(new DispatchedEntry<>(chosen.waiting().entry(), chosen.target()));
     }
 
+    /**
+     * Returns the first entry of a lane that a target can take.
+     *
+     * <p>Entries that ask for the same share one search: while no target is free, a search for each
+     * waiting customer would cost more than serving a request.
+     */
     private Optional<Candidate<T>> candidate(QueueLane lane, long nowMillis) {
+        List<Demand> unavailable = new ArrayList<>();
         for (QueuedEntry<T> waiting : mLanes.get(lane).heads()) {
-            if (waiting.entry().latestStartMillis() <= nowMillis) {
+            QueueEntry<T> entry = waiting.entry();
+            Demand demand = new Demand(entry.kind(), entry.excluded());
+            boolean mayStart =
+                    entry.latestStartMillis() > nowMillis
+                            && hasBulkyAllowance(entry)
+                            && !unavailable.contains(demand);
+            if (!mayStart) {
                 continue;
             }
-            Optional<Endpoint> target = targetFor(waiting.entry(), nowMillis);
+            Optional<Endpoint> target = mBalancer.pick(entry.kind(), entry.excluded(), nowMillis);
             if (target.isPresent()) {
                 return Optional.of(new Candidate<>(waiting, target.get()));
             }
+            unavailable.add(demand);
         }
         return Optional.empty();
     }
@@ -341,5 +361,8 @@
         return Double.isInfinite(estimate) || Double.isNaN(estimate) ? 0 : (long) estimate;
     }
 
+    /** What an entry asks of a target. */
+    private record Demand(RequestKind kind, Set<Endpoint> excluded) {}
+
     private record Candidate<T>(QueuedEntry<T> waiting, Endpoint target) {}
 }
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/LoadBalancer.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/LoadBalancer.java
@@ -139,6 +139,9 @@
             LimitMargin margin,
             long nowMillis) {
         List<WeightedTarget> free = withFreeSlot(targets, kind, excluded, margin, nowMillis);
+        if (free.isEmpty()) {
+            return Optional.empty();
+        }
         return mSelector.select(kind, free, targets, nowMillis);
     }
 
--- a/decisions/src/test/java/org/dahliapass/decisions/traffic/AdmissionQueueTest.java
+++ b/decisions/src/test/java/org/dahliapass/decisions/traffic/AdmissionQueueTest.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.random.RandomGenerator;
 import org.dahliapass.decisions.traffic.Admission.Dispatch;
 import org.dahliapass.decisions.traffic.Admission.Queued;
 import org.dahliapass.decisions.traffic.Admission.Refused;
@@ -98,6 +99,51 @@
         assertTrue(mQueue.offer(entry("calm", Kinds.LISTING, 0), 0) instanceof Queued);
     }
 
+    /**
+     * Guards against a VM that is kept busy by searching for a target anew for each customer that
+     * waits, at each response, while no target is free.
+     */
+    @Test
+    public void waitingCustomersShareTheSearchForATarget() {
+        long searches = searchesPerFreedSlot(1);
+        assertTrue(searches > 0, "the search draws no random numbers");
+        assertEquals(searchesPerFreedSlot(40), searches);
+    }
+
+    /** Returns how many random numbers the search for targets draws when a slot may be free. */
+    private static long searchesPerFreedSlot(int customers) {
+        CountingRandom random = new CountingRandom();
+        SlotTable slots = new SlotTable(1, 1_000);
+        LoadBalancer balancer = new LoadBalancer(slots, 0.5, random);
+        balancer.onTargets(Kinds.targets(100));
+        AdmissionQueue<String> queue =
+                new AdmissionQueue<>(
+                        new QueueLimits(1_000, 500, 2),
+                        slots,
+                        balancer,
+                        new ServiceTimeEstimator(),
+                        new SplittableRandom(2));
+        for (int number = 0; number < 1_000; number++) {
+            queue.offer(entry("customer" + number % customers, Kinds.LISTING, 0), 0);
+        }
+        assertTrue(queue.size() >= customers, queue.size() + " entries wait");
+        long before = random.mDrawn;
+        assertTrue(queue.onSlotFreed(1).dispatched().isEmpty());
+        return random.mDrawn - before;
+    }
+
+    /** Counts the random numbers that are drawn. */
+    private static final class CountingRandom implements RandomGenerator {
+        private final RandomGenerator mRandom = new SplittableRandom(1);
+        private long mDrawn;
+
+        @Override
+        public long nextLong() {
+            mDrawn++;
+            return mRandom.nextLong();
+        }
+    }
+
     @Test
     public void entryExpiresAtTheEndOfItsPatience() {
         fillSlots();
