--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyHandler.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyHandler.java
@@ -293,10 +293,6 @@
             long arrivalMillis,
             WaitLog waits) {
         waits.end(mClock.millis());
-        if (call.isClientDisconnected()) {
-            match.identity().customer().ifPresent(mLimits::release);
-            return;
-        }
         RouteRule route = match.route();
         String service = mServiceChooser.next(route);
         Optional<ServicePool> pool = mPools.find(service);
--- a/http/src/main/java/org/dahliapass/http/ServerCall.java
+++ b/http/src/main/java/org/dahliapass/http/ServerCall.java
@@ -133,11 +133,6 @@
         return !mDisconnected && mConnection.pollOpen();
     }
 
-    /** Returns whether the client's disconnection was noticed. */
-    public boolean isClientDisconnected() {
-        return mDisconnected;
-    }
-
     /** Sets the listener that is called once no more of the response will be written. */
     public void onDelivered(Consumer<Delivery> listener) {
         mDeliveryListener = listener;
