--- a/gateway/src/main/java/org/dahliapass/gateway/PoisonGuard.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/PoisonGuard.java
@@ -108,7 +108,7 @@
     void onConnectionBroken(TargetAttempt attempt, RequestDigest digest, Runnable whenChecked) {
         TargetCrash crash =
                 new TargetCrash(
-                        attempt.instance().incarnation(), attempt.sentMillis(), mClock.millis());
+                        attempt.instance().incarnation(), attempt.startedMillis(), mClock.millis());
         mLivenessCheck.check(
                 attempt.target(),
                 hasCrashed -> {
--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
@@ -530,8 +530,8 @@
                 .put(
                         "bout_chance",
                         Math.round(attempt.failureProbability() * HUNDREDTHS) / HUNDREDTHS)
-                .put("sent_after_ms", attempt.sentMillis() - mRequest.arrivalMillis())
-                .put("took_ms", mClock.millis() - attempt.sentMillis())
+                .put("sent_after_ms", attempt.startedMillis() - mRequest.arrivalMillis())
+                .put("took_ms", mClock.millis() - attempt.startedMillis())
                 .put("connecting_ms", connectingMillis(attempt))
                 .put("cause", attempt.cause().name().toLowerCase(Locale.ROOT))
                 .put("end", result);
@@ -544,7 +544,7 @@
     /** Returns how long an attempt has waited for its connection, in milliseconds. */
     private long connectingMillis(TargetAttempt attempt) {
         boolean written = attempt.writtenMillis() > 0;
-        return (written ? attempt.writtenMillis() : mClock.millis()) - attempt.sentMillis();
+        return (written ? attempt.writtenMillis() : mClock.millis()) - attempt.startedMillis();
     }
 
     private void logRequest(int status, String outcome) {
@@ -563,8 +563,8 @@
                             .put("left_ms", mRequest.deadlineMillis() - now)
                             .put("status", status)
                             .put("outcome", outcome)
-                            .put("connection_age_ms", mCall.receipt().connectionAgeMillis())
-                            .put("max_unread_ms", mCall.receipt().maxUnreadMillis())
+                            .put("connection_age_ms", mCall.receiveTimes().connectionAgeMillis())
+                            .put("max_unread_ms", mCall.receiveTimes().maxUnreadMillis())
                             .put("waits_ms", mWaits.toJson(now))
                             .putList("offers", mAttemptLog);
                     if (outcome.equals(CALLER_LEFT)) {
--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyHandler.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyHandler.java
@@ -178,36 +178,31 @@
 
     private void read(ServerCall call, RouteTable routes, Match match) {
         RequestLimits limits = routes.configuration().limits();
-        long arrivalMillis = call.receipt().arrivalMillis();
         WaitLog waits = new WaitLog();
-        waits.start(WaitLog.Cause.BODY, arrivalMillis);
+        waits.start(WaitLog.Cause.BODY, call.receiveTimes().arrivalMillis());
         call.readBody(
                 limits.bodyBytes(),
-                body -> {
-                    mOnRequest.run();
-                    waits.start(WaitLog.Cause.CONFIGURATION, mClock.millis());
-                    mPools.runWhenCurrent(
-                            call.loop(),
-                            () -> {
-                                waits.start(WaitLog.Cause.THREAD, mClock.millis());
-                                mStarter.add(
-                                        call.loop(),
-                                        () ->
-                                                startExchange(
-                                                        call,
-                                                        match,
-                                                        body,
-                                                        routes,
-                                                        arrivalMillis,
-                                                        waits));
-                            });
-                },
+                body -> startWhenReady(call, match, body, routes, waits),
                 () -> {
                     match.identity().customer().ifPresent(mLimits::release);
                     mResponses.bodyTooLarge().send(call);
                 });
     }
 
+    /** Starts a request once the pools are up to date, after the requests read before it. */
+    private void startWhenReady(
+            ServerCall call, Match match, ByteBuf body, RouteTable routes, WaitLog waits) {
+        mOnRequest.run();
+        waits.start(WaitLog.Cause.CONFIGURATION, mClock.millis());
+        Runnable start = () -> startExchange(call, match, body, routes, waits);
+        mPools.runWhenCurrent(
+                call.loop(),
+                () -> {
+                    waits.start(WaitLog.Cause.THREAD, mClock.millis());
+                    mStarter.add(call.loop(), start);
+                });
+    }
+
     /**
      * Responds with 404, or asks the caller to retry if this VM may not know the newest routes.
      *
@@ -286,12 +281,7 @@
     }
 
     private void startExchange(
-            ServerCall call,
-            Match match,
-            ByteBuf body,
-            RouteTable routes,
-            long arrivalMillis,
-            WaitLog waits) {
+            ServerCall call, Match match, ByteBuf body, RouteTable routes, WaitLog waits) {
         waits.end(mClock.millis());
         RouteRule route = match.route();
         String service = mServiceChooser.next(route);
@@ -304,6 +294,7 @@
         HttpHeaders headers = new DefaultHttpHeaders().set(call.head().headers());
         headers.set(HttpHeaderNames.HOST, match.target().authority());
         long timeoutMillis = route.timeout().toMillis();
+        long arrivalMillis = call.receiveTimes().arrivalMillis();
         ProxyRequest request =
                 new ProxyRequest(
                         headers.get(TargetHeaders.ATTEMPT_ID),
--- a/gateway/src/main/java/org/dahliapass/gateway/TargetAttempt.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/TargetAttempt.java
@@ -54,7 +54,7 @@
     private HttpResponse mHead;
     private ByteBuf mBuffer;
     private StreamedResponse mStream;
-    private long mSentMillis;
+    private long mStartedMillis;
     private long mWrittenMillis;
     private long mHeadMillis;
     private LimitStatement mLimit = LimitStatement.UNLIMITED;
@@ -84,7 +84,7 @@
      * attempt has failed.
      */
     CompletableFuture<AttemptResult> send(CallerIdentity identity) {
-        mSentMillis = mClock.millis();
+        mStartedMillis = mClock.millis();
         mCall =
                 mConnections
                         .client()
@@ -96,7 +96,7 @@
                                         mRequest.headers(),
                                         identity,
                                         instance(),
-                                        mRequest.remainingMillis(mSentMillis)),
+                                        mRequest.remainingMillis(mStartedMillis)),
                                 mRequest.body(),
                                 this);
         return mResult;
@@ -135,8 +135,8 @@
     }
 
     /** Returns when the attempt began to look for a connection, in milliseconds. */
-    long sentMillis() {
-        return mSentMillis;
+    long startedMillis() {
+        return mStartedMillis;
     }
 
     /**
@@ -300,7 +300,7 @@
         }
         mReleased = true;
         long endMillis = mHeadMillis == 0 ? mClock.millis() : mHeadMillis;
-        mPool.runtime().release(mSlot, outcome(kind), endMillis - mSentMillis);
+        mPool.runtime().release(mSlot, outcome(kind), endMillis - mStartedMillis);
     }
 
     private static Outcome outcome(FailureKind kind) {
--- a/http/src/main/java/org/dahliapass/http/ServerCall.java
+++ b/http/src/main/java/org/dahliapass/http/ServerCall.java
@@ -23,7 +23,7 @@
 
     private final ServerConnection mConnection;
     private final HttpRequest mHead;
-    private final Receipt mReceipt;
+    private final ReceiveTimes mReceiveTimes;
     private final List<Runnable> mDisconnectListeners = new ArrayList<>(1);
     private Consumer<ByteBuf> mBodyListener;
     private Runnable mOnTooLarge;
@@ -44,7 +44,8 @@
      * @param maxUnreadMillis how long at most the last bytes of the head waited in the socket
      *     buffer, in milliseconds
      */
-    public record Receipt(long arrivalMillis, long connectionAgeMillis, long maxUnreadMillis) {}
+    public record ReceiveTimes(
+            long arrivalMillis, long connectionAgeMillis, long maxUnreadMillis) {}
 
     /**
      * The extent to which a response was written.
@@ -56,10 +57,10 @@
      */
     public record Delivery(boolean whole, long bytes, long millis) {}
 
-    ServerCall(ServerConnection connection, HttpRequest head, Receipt receipt) {
+    ServerCall(ServerConnection connection, HttpRequest head, ReceiveTimes receiveTimes) {
         mConnection = connection;
         mHead = head;
-        mReceipt = receipt;
+        mReceiveTimes = receiveTimes;
     }
 
     /** Returns the request line and headers. */
@@ -68,8 +69,8 @@
     }
 
     /** Returns what is known of the request's time before its head was read. */
-    public Receipt receipt() {
-        return mReceipt;
+    public ReceiveTimes receiveTimes() {
+        return mReceiveTimes;
     }
 
     /**
--- a/http/src/main/java/org/dahliapass/http/ServerConnection.java
+++ b/http/src/main/java/org/dahliapass/http/ServerConnection.java
@@ -179,18 +179,18 @@
             return;
         }
         mExpectsContinue = HttpUtil.is100ContinueExpected(head);
-        mCall = new ServerCall(this, head, receipt());
+        mCall = new ServerCall(this, head, receiveTimes());
         enterPhase(Phase.BODY);
         mHandler.onRequest(mCall);
     }
 
     /** Returns what is known of the time before the head of the current request was read. */
-    private ServerCall.Receipt receipt() {
+    private ServerCall.ReceiveTimes receiveTimes() {
         boolean isFirst = !mHasReceivedRequest;
         mHasReceivedRequest = true;
         // Clients send their first request right after the connection is established.
         boolean waitedSinceAccept = isFirst && mMonitor.previousPollMillis() <= mAcceptedMillis;
-        return new ServerCall.Receipt(
+        return new ServerCall.ReceiveTimes(
                 waitedSinceAccept ? mAcceptedMillis : mMonitor.latestPollMillis(),
                 mClock.millis() - mAcceptedMillis,
                 mMonitor.maxReadyMillis());
--- a/http/src/test/java/org/dahliapass/http/PollMonitorTest.java
+++ b/http/src/test/java/org/dahliapass/http/PollMonitorTest.java
@@ -58,8 +58,8 @@
         poll(0);
         advance(70);
         server.send("GET /2 HTTP/1.1\nHost: a\n\n");
-        assertEquals(server.mCalls.get(0).receipt().arrivalMillis(), start);
-        assertEquals(server.mCalls.get(1).receipt().arrivalMillis(), start + 700);
+        assertEquals(server.mCalls.get(0).receiveTimes().arrivalMillis(), start);
+        assertEquals(server.mCalls.get(1).receiveTimes().arrivalMillis(), start + 700);
     }
 
     /** A client may keep a new connection idle before its first request. */
@@ -73,7 +73,7 @@
         poll(2_000);
         advance(30);
         server.send("GET /1 HTTP/1.1\nHost: a\n\n");
-        assertEquals(server.mCalls.get(0).receipt().arrivalMillis(), start + 2_001);
+        assertEquals(server.mCalls.get(0).receiveTimes().arrivalMillis(), start + 2_001);
     }
 
     private void poll(int waitMillis) {
