--- /dev/null
+++ b/decisions/src/main/java/org/dahliapass/decisions/reachability/package-info.java
@@ -0,0 +1,2 @@
+/** Which targets a VM's own network reaches. */
+package org.dahliapass.decisions.reachability;
--- a/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
@@ -62,7 +62,7 @@
         mLog = log;
         mLoop = new ControlLoop(clock);
         EntryMetrics metrics = new EntryMetrics();
-        TargetConnections connections = new TargetConnections(clock);
+        TargetConnections connections = connections(clock, metrics, log);
         KeyValueStore store = store(settings, connections, metrics, log);
         StoreFollower follower = new StoreFollower(settings.vmsPerZone(), log);
         ChangeFeed feed = new ChangeFeed(settings, store, connections.client(), random, log);
@@ -70,7 +70,7 @@
         ServicePools pools = new ServicePools(clock, random, settings, metrics, log, limitingVms);
         mRegistration = new SelfRegistration(store, settings.self(), feed::followsStore, log);
         mLoadReporter = new LoadReporter(clock, metrics, log, connections.monitor());
-        PeerExchange exchange = new PeerExchange(settings, connections.loops(), log);
+        PeerExchange exchange = new PeerExchange(settings, connections, log);
         PoisonGuard guard =
                 new PoisonGuard(
                         settings, clock, connections, store, follower, exchange, metrics, log);
@@ -117,6 +117,10 @@
                 .register(CustomerLimits.NAME, limits);
     }
 
+    private static TargetConnections connections(Clock clock, EntryMetrics metrics, EventLog log) {
+        return new TargetConnections(clock, new TargetReachability(clock, metrics, log));
+    }
+
     private static RequestAuthenticator authenticator(
             GatewaySettings settings, StoreFollower follower, ChangeFeed feed) {
         return new RequestAuthenticator(
--- a/gateway/src/main/java/org/dahliapass/gateway/PeerExchange.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/PeerExchange.java
@@ -73,6 +73,7 @@
 
     private final GatewaySettings mSettings;
     private final EventLoopGroup mLoops;
+    private final TargetReachability mReachability;
     private final EventLog mLog;
     private StoreFollower mFollower;
     private ServicePools mPools;
@@ -84,9 +85,10 @@
     private volatile Consumer<List<SuspectReport>> mSuspectListener = reports -> {};
     private volatile Consumer<LimitMessage> mLimitListener = message -> {};
 
-    PeerExchange(GatewaySettings settings, EventLoopGroup loops, EventLog log) {
+    PeerExchange(GatewaySettings settings, TargetConnections connections, EventLog log) {
         mSettings = settings;
-        mLoops = loops;
+        mLoops = connections.loops();
+        mReachability = connections.reachability();
         mLog = log;
     }
 
@@ -282,6 +284,9 @@
             return;
         }
         long sentMillis = mLoop.nowMillis() - message.getSentAgeMillis();
+        if (observation.get().hasResponse()) {
+            mReachability.onPeerReached(target.endpoint(), sentMillis);
+        }
         pool.get()
                 .runtime()
                 .onPeerObservation(
@@ -293,6 +298,10 @@
         List<TargetReport> report =
                 WorkReportCodec.decode(
                         message.getWorkList(), pool.byIncarnation(), mLoop.nowMillis());
+        for (TargetReport target : report) {
+            target.lastAnsweredMillis()
+                    .ifPresent(sent -> mReachability.onPeerReached(target.target(), sent));
+        }
         pool.runtime().onPeerReport(new VmIdentity(message.getSender(), 0), report);
     }
 
--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
@@ -533,6 +533,7 @@
                 .put("sent_after_ms", attempt.startedMillis() - mRequest.arrivalMillis())
                 .put("took_ms", mClock.millis() - attempt.startedMillis())
                 .put("connecting_ms", connectingMillis(attempt))
+                .put("connection", attempt.connection().name().toLowerCase(Locale.ROOT))
                 .put("cause", attempt.cause().name().toLowerCase(Locale.ROOT))
                 .put("end", result);
         if (!attempt.limit().equals(LimitStatement.UNLIMITED)) {
--- a/gateway/src/main/java/org/dahliapass/gateway/TargetAttempt.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/TargetAttempt.java
@@ -11,6 +11,8 @@
 import org.dahliapass.decisions.access.CallerIdentity;
 import org.dahliapass.decisions.health.Outcome;
 import org.dahliapass.decisions.limits.LimitStatement;
+import org.dahliapass.decisions.reachability.ConnectionUse;
+import org.dahliapass.decisions.reachability.ContactFailure;
 import org.dahliapass.decisions.traffic.FailureKind;
 import org.dahliapass.http.ClientCall;
 import org.dahliapass.http.HopByHopHeaders;
@@ -57,6 +59,7 @@
     private long mStartedMillis;
     private long mWrittenMillis;
     private long mHeadMillis;
+    private ConnectionUse mConnection = ConnectionUse.NEW;
     private LimitStatement mLimit = LimitStatement.UNLIMITED;
     private boolean mReleased;
     private boolean mDropped;
@@ -129,6 +132,11 @@
         return mLimit;
     }
 
+    /** Returns whether the request was sent on a new or on an open connection. */
+    ConnectionUse connection() {
+        return mConnection;
+    }
+
     /** Returns why the request is sent. */
     AttemptCause cause() {
         return mCause;
@@ -145,6 +153,9 @@
      * @param kind the failure to record for the target
      */
     void abort(FailureKind kind) {
+        if (kind == FailureKind.TIMED_OUT && !mReleased && mHead == null) {
+            recordNoResponse(ContactFailure.SILENT);
+        }
         release(kind);
         if (mCall != null) {
             mCall.abort();
@@ -168,8 +179,12 @@
      * socket buffer, for a slot or for its connection, and the event loop was busy.
      */
     @Override
-    public boolean onConnected(HttpHeaders headers) {
+    public boolean onConnected(HttpHeaders headers, boolean reused) {
         long now = mClock.millis();
+        mConnection = reused ? ConnectionUse.OPEN : ConnectionUse.NEW;
+        if (!reused) {
+            mConnections.reachability().onReached(target());
+        }
         long remaining = mRequest.remainingMillis(now);
         if (remaining == 0 || !mIsCallerConnected.getAsBoolean()) {
             mDropped = true;
@@ -184,6 +199,7 @@
     public void onHead(HttpResponse head) {
         mHeadMillis = mClock.millis();
         mHead = head;
+        mConnections.reachability().onReached(target());
         int status = head.status().code();
         ResponseCheck check = ResponseCheck.of(status, head.headers(), mRequest.id());
         if (check.isFromExpectedTarget(status)) {
@@ -268,6 +284,12 @@
             return;
         }
         FailureKind kind = classify(failure);
+        if (mHead == null) {
+            recordNoResponse(
+                    kind == FailureKind.CONNECT_FAILED
+                            ? ContactFailure.NOT_CONNECTED
+                            : ContactFailure.BROKEN);
+        }
         if (mStream != null) {
             release(kind);
             mStream.abort();
@@ -283,6 +305,10 @@
         return mHead == null ? FailureKind.RESET_AFTER_SEND : FailureKind.CUT_SHORT;
     }
 
+    private void recordNoResponse(ContactFailure failure) {
+        mConnections.reachability().onFailure(target(), failure, mConnection);
+    }
+
     private void fail(FailureKind kind, String cause) {
         release(kind);
         mResult.complete(new AttemptResult.Failed(target(), kind, cause));
--- a/gateway/src/main/java/org/dahliapass/gateway/TargetConnections.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/TargetConnections.java
@@ -25,8 +25,10 @@
     private final PollMonitor mMonitor;
     private final EventLoopGroup mLoops;
     private final HttpClient mClient;
+    private final TargetReachability mReachability;
 
-    TargetConnections(Clock clock) {
+    TargetConnections(Clock clock, TargetReachability reachability) {
+        mReachability = reachability;
         mMonitor = new PollMonitor(clock);
         mLoops = EventLoops.singleThreaded("traffic", mMonitor);
         mClient = new HttpClient(mLoops, clock, CONNECT_TIMEOUT, IDLE_TIMEOUT);
@@ -52,6 +54,11 @@
         return mClient;
     }
 
+    /** Returns what is known of the targets that this VM reaches; for the traffic thread only. */
+    TargetReachability reachability() {
+        return mReachability;
+    }
+
     @Override
     public CompletableFuture<Void> stop() {
         CompletableFuture<Void> stopped = new CompletableFuture<>();
--- a/http/src/main/java/org/dahliapass/http/ClientCall.java
+++ b/http/src/main/java/org/dahliapass/http/ClientCall.java
@@ -61,9 +61,13 @@
         mConnection = connection;
     }
 
-    /** Asks the listener, right before the request is written, whether it is still wanted. */
-    boolean isWanted() {
-        return mListener.onConnected(mHeaders);
+    /**
+     * Asks the listener, right before the request is written, whether it is still wanted.
+     *
+     * @param reused whether the connection carried another request before
+     */
+    boolean isWanted(boolean reused) {
+        return mListener.onConnected(mHeaders, reused);
     }
 
     ResponseListener listener() {
--- a/http/src/main/java/org/dahliapass/http/HttpClient.java
+++ b/http/src/main/java/org/dahliapass/http/HttpClient.java
@@ -88,7 +88,7 @@
         ClientCall call = new ClientCall(method, path, headers, body, listener);
         ClientConnection idleConnection = pollIdle(server);
         if (idleConnection != null) {
-            sendIfWanted(server, idleConnection, call);
+            sendIfWanted(server, idleConnection, call, true);
         } else {
             connect(server, call);
         }
@@ -119,14 +119,15 @@
                                                 "The connection could not be opened.",
                                                 done.cause()));
                             } else {
-                                sendIfWanted(server, connection, call);
+                                sendIfWanted(server, connection, call, false);
                             }
                         });
     }
 
     /** Sends a request on an open connection, or keeps the connection for another one. */
-    private void sendIfWanted(Endpoint server, ClientConnection connection, ClientCall call) {
-        if (!call.isFinished() && call.isWanted()) {
+    private void sendIfWanted(
+            Endpoint server, ClientConnection connection, ClientCall call, boolean reused) {
+        if (!call.isFinished() && call.isWanted(reused)) {
             connection.send(call);
             return;
         }
--- a/http/src/main/java/org/dahliapass/http/ResponseListener.java
+++ b/http/src/main/java/org/dahliapass/http/ResponseListener.java
@@ -10,10 +10,11 @@
      * Called when the connection is open, right before the request is written.
      *
      * @param headers the headers of the request, which may be changed
+     * @param reused whether the connection carried another request before
      * @return false if the request is no longer wanted; {@code onFailure} is then called with a
      *     {@link NotSentException}
      */
-    default boolean onConnected(HttpHeaders headers) {
+    default boolean onConnected(HttpHeaders headers, boolean reused) {
         return true;
     }
 
--- a/traffic/src/main/java/org/dahliapass/traffic/EntryMetrics.java
+++ b/traffic/src/main/java/org/dahliapass/traffic/EntryMetrics.java
@@ -94,6 +94,20 @@
                     .labelNames("event")
                     .withoutExemplars()
                     .register(mRegistry);
+    private final Counter mContactFailures =
+            Counter.builder()
+                    .name("dahliapass_contact_failures_total")
+                    .help(
+                            "Attempts without a response of the target, by how they ended and"
+                                    + " whether the connection was new or open.")
+                    .labelNames("failure", "connection")
+                    .withoutExemplars()
+                    .register(mRegistry);
+    private final Gauge mLostTargets =
+            Gauge.builder()
+                    .name("dahliapass_lost_targets")
+                    .help("Targets whose latest attempt on this VM got no response.")
+                    .register(mRegistry);
     private final Counter mActions =
             Counter.builder()
                     .name("dahliapass_actions_total")
@@ -128,6 +142,16 @@
         mStatedLimits.labelValues(service).inc();
     }
 
+    /** Counts an attempt without a response. */
+    public void onContactFailure(String failure, String connection) {
+        mContactFailures.labelValues(failure, connection).inc();
+    }
+
+    /** Sets the number of targets whose latest attempt got no response. */
+    public void onLostTargets(int targets) {
+        mLostTargets.set(targets);
+    }
+
     /** Counts an event of the poison message detection. */
     public void onPoisonEvent(String event) {
         mPoisonEvents.labelValues(event).inc();
