--- /dev/null
+++ b/gateway/src/test/java/org/dahliapass/gateway/PartitionFixture.java
@@ -0,0 +1,201 @@
+package org.dahliapass.gateway;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Clock;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.stream.IntStream;
+import org.dahliapass.kernel.IniFile;
+import org.dahliapass.kernel.MonotonicClock;
+import org.dahliapass.model.Endpoint;
+import org.dahliapass.platform.DiscoveryCalls;
+import org.dahliapass.platform.VmEntry;
+import org.dahliapass.standins.CallerStandIn;
+import org.dahliapass.standins.GatewayFixtures;
+import org.dahliapass.standins.MetadataStoreStandIn;
+import org.dahliapass.standins.PartitionableLink;
+import org.dahliapass.standins.PartitionableLink.Partition;
+import org.dahliapass.standins.SigningTargetStandIn;
+import org.dahliapass.standins.SigningTargetStandIn.Behaviour;
+import org.dahliapass.standins.SigningTargetStandIn.ReceivedRequest;
+
+/**
+ * Gateway VMs that know each other, each with links of its own to several targets on loopback. Each
+ * VM reads a store of its own, in which the targets have the addresses of its links.
+ */
+final class PartitionFixture implements AutoCloseable {
+    private static final int TARGETS = 6;
+
+    final List<SigningTargetStandIn> mTargets =
+            IntStream.range(0, TARGETS)
+                    .mapToObj(number -> new SigningTargetStandIn("i-" + number))
+                    .toList();
+    private final List<Node> mNodes = new ArrayList<>();
+    private final Set<Integer> mStopped = new HashSet<>();
+
+    /** One VM with its store and its links to the targets. */
+    private record Node(
+            MetadataStoreStandIn store,
+            List<PartitionableLink> links,
+            GatewaySettings settings,
+            GatewayVm vm,
+            ByteArrayOutputStream log) {}
+
+    /** Starts the VMs and waits until each has served a read and knows the others. */
+    PartitionFixture(int vms) {
+        this(IntStream.range(0, vms).mapToObj(number -> (Clock) new MonotonicClock()).toList());
+    }
+
+    /** Starts a VM with each of the clocks. */
+    PartitionFixture(List<Clock> clocks) {
+        mTargets.forEach(SigningTargetStandIn::start);
+        for (int number = 0; number < clocks.size(); number++) {
+            mNodes.add(createNode(number, clocks.get(number)));
+        }
+        for (Node node : mNodes) {
+            mNodes.forEach(other -> register(other, node.store()));
+            node.vm().start().join();
+        }
+        for (int number = 0; number < clocks.size(); number++) {
+            int vm = number;
+            GatewayFixture.await(() -> CallerStandIn.status(get(vm, "/r/warm")) == 200);
+            awaitAdvertised(vm, clocks.size());
+        }
+    }
+
+    private Node createNode(int number, Clock clock) {
+        MetadataStoreStandIn store = new MetadataStoreStandIn(0, new MonotonicClock());
+        store.start();
+        List<PartitionableLink> links = new ArrayList<>();
+        for (SigningTargetStandIn target : mTargets) {
+            PartitionableLink link = new PartitionableLink(target.endpoint());
+            link.start();
+            links.add(link);
+            store.put(target.key(), target.registration("x", "ready", link.endpoint()));
+        }
+        store.put("op/config", GatewayFixtures.configuration(1, "/r/"));
+        String text =
+                GatewayFixtures.settings(store.endpoint())
+                        .replace("name = vm", "name = vm-" + number);
+        GatewaySettings settings = GatewaySettings.from(IniFile.parse("test", text));
+        ByteArrayOutputStream output = new ByteArrayOutputStream();
+        EventLog log =
+                new EventLog(
+                        new MonotonicClock(),
+                        "vm-" + number,
+                        new PrintStream(output, true, StandardCharsets.UTF_8));
+        return new Node(store, links, settings, new GatewayVm(settings, clock, log), output);
+    }
+
+    private static void register(Node node, MetadataStoreStandIn store) {
+        store.put(
+                VmEntry.key(node.settings().self().name()),
+                new String(VmEntry.encode(node.settings().self()), StandardCharsets.UTF_8));
+    }
+
+    private void awaitAdvertised(int vm, int count) {
+        GatewayFixture.await(() -> advertised(vm).split("127.0.0.1").length > count);
+    }
+
+    /** Returns a VM's response to a discovery request. */
+    String advertised(int vm) {
+        return CallerStandIn.get(
+                mNodes.get(vm).settings().discovery(),
+                DiscoveryCalls.DISCOVERY_PATH + "?name=a.example&region=r&zone=zone-a");
+    }
+
+    /** Partitions a VM from all targets. */
+    void partition(int vm, Partition partition) {
+        mNodes.get(vm).links().forEach(link -> link.partition(partition));
+    }
+
+    /** Ends the partition of a VM. */
+    void heal(int vm) {
+        mNodes.get(vm).links().forEach(PartitionableLink::heal);
+    }
+
+    /** Stops a VM without draining it; its entry stays in the stores of the others. */
+    void stop(int vm) {
+        mNodes.get(vm).vm().stopNow().join();
+        mStopped.add(vm);
+    }
+
+    /** Sets the behaviour of all targets. */
+    void behave(Function<ReceivedRequest, Behaviour> behaviour) {
+        mTargets.forEach(target -> target.setBehaviour(behaviour));
+    }
+
+    /** Makes a target hang on requests whose path says so. */
+    static Behaviour hangIfAsked(ReceivedRequest request) {
+        return request.requestLine().contains("/hang") ? Behaviour.HANG : Behaviour.RESPOND;
+    }
+
+    /** Sends a read, which is a repeatable request, to a VM and returns the raw response. */
+    String get(int vm, String path) {
+        return caller(vm).send("GET " + path, id(path), "");
+    }
+
+    /** Sends a lock, which is an at-most-once request, to a VM and returns the raw response. */
+    String post(int vm, String path) {
+        return caller(vm).send("POST " + path, id(path), "sign");
+    }
+
+    /** Sends a request without a body to a VM; the caller closes the connection. */
+    Socket open(int vm, String method, String path) {
+        return caller(vm)
+                .open(
+                        method
+                                + " "
+                                + path
+                                + " HTTP/1.1\r\nHost: a.example\r\nX-Dahliapass-Attempt-Id: "
+                                + id(path)
+                                + "\r\nX-Dahliapass-Deadline-Ms: 2000\r\n"
+                                + "Content-Length: 0\r\n\r\n");
+    }
+
+    /** Returns the attempt id of the request for a path. */
+    static String id(String path) {
+        return "id" + path.replace('/', '-');
+    }
+
+    /** Returns a caller of a VM. */
+    CallerStandIn caller(int vm) {
+        return new CallerStandIn(callerEndpoint(vm), "a.example");
+    }
+
+    private Endpoint callerEndpoint(int vm) {
+        return mNodes.get(vm).settings().self().callerEndpoint();
+    }
+
+    /** Returns what a VM has logged. */
+    String log(int vm) {
+        return mNodes.get(vm).log().toString(StandardCharsets.UTF_8);
+    }
+
+    /** Returns the requests for a path that the targets have received. */
+    List<ReceivedRequest> received(String path) {
+        return mTargets.stream()
+                .flatMap(target -> target.receivedRequests().stream())
+                .filter(request -> request.requestLine().contains(" " + path + " "))
+                .toList();
+    }
+
+    @Override
+    public void close() {
+        for (int number = 0; number < mNodes.size(); number++) {
+            Node node = mNodes.get(number);
+            if (!mStopped.contains(number)) {
+                node.vm().stopNow().join();
+            }
+            node.links().forEach(PartitionableLink::close);
+            node.store().close();
+        }
+        mTargets.forEach(SigningTargetStandIn::close);
+    }
+}
--- a/standins/src/main/java/org/dahliapass/standins/SigningTargetStandIn.java
+++ b/standins/src/main/java/org/dahliapass/standins/SigningTargetStandIn.java
@@ -205,10 +205,15 @@
 
     /** Returns the target's registration in the store, as JSON. */
     public String registration(String service, String state) {
+        return registration(service, state, endpoint());
+    }
+
+    /** Returns the registration of a target that is reached at another address, as JSON. */
+    public String registration(String service, String state, Endpoint address) {
         return "{\"service\":\""
                 + service
                 + "\",\"address\":\""
-                + endpoint()
+                + address
                 + "\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":3,\"state\":\""
                 + state
                 + "\",\"warmup_left_s\":0,\"seq_no\":1}";
