--- a/decisions/src/main/java/org/dahliapass/decisions/health/Outcome.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/health/Outcome.java
@@ -3,26 +3,28 @@
 /** The outcome of a request that was sent to a target. */
 public enum Outcome {
     /** A complete response with a status below 500. */
-    SUCCESS(true, false),
+    SUCCESS(true, false, true),
     /** A complete response with a status of 500 or above. */
-    FAILURE(false, true),
+    FAILURE(false, true, true),
     /** No complete response within the deadline. */
-    TIMEOUT(false, true),
+    TIMEOUT(false, true, false),
     /** No connection could be opened. */
-    CONNECT_FAILED(false, true),
+    CONNECT_FAILED(false, true, false),
     /** The response was truncated. */
-    CUT_SHORT(false, true),
+    CUT_SHORT(false, true, false),
     /** The target rejected the request because it is overloaded, which is not a fault. */
-    REFUSED_SHED(false, false),
+    REFUSED_SHED(false, false, true),
     /** The caller or this VM canceled the request. */
-    CANCELLED(false, false);
+    CANCELLED(false, false, false);
 
     private final boolean mSuccess;
     private final boolean mFailure;
+    private final boolean mResponse;
 
-    Outcome(boolean success, boolean failure) {
+    Outcome(boolean success, boolean failure, boolean response) {
         mSuccess = success;
         mFailure = failure;
+        mResponse = response;
     }
 
     /** Returns whether this outcome is evidence of a healthy target. */
@@ -34,4 +36,9 @@
     public boolean isFailure() {
         return mFailure;
     }
+
+    /** Returns whether the target sent a complete response. */
+    public boolean hasResponse() {
+        return mResponse;
+    }
 }
--- a/decisions/src/main/java/org/dahliapass/decisions/reachability/TargetContacts.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/reachability/TargetContacts.java
@@ -92,6 +92,12 @@
                         Math.max(sentMillis, contact.mPeerReachedMillis.orElse(sentMillis)));
     }
 
+    /** Returns whether the latest attempt of this VM at a target got no response. */
+    public boolean isLost(Endpoint target) {
+        Contact contact = mContacts.get(target);
+        return contact != null && contact.mLoss.isPresent();
+    }
+
     private Contact contact(Endpoint target, long nowMillis) {
         Contact contact = mContacts.computeIfAbsent(target, unused -> new Contact());
         contact.mUpdatedMillis = nowMillis;
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/RetryPolicy.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/RetryPolicy.java
@@ -39,19 +39,9 @@
      * @param nowMillis the current time, in milliseconds
      */
     public RetryDecision decide(FailedAttempt failed, boolean overloaded, long nowMillis) {
-        Optional<StopReason> prohibition = prohibition(failed);
-        if (prohibition.isPresent()) {
-            return new Stop(prohibition.get());
-        }
-        long meanMillis = Math.max(1, mTimes.meanMillis(failed.kind()));
-        if (failed.deadlineMillis() - nowMillis < meanMillis) {
-            return new Stop(StopReason.TOO_LATE);
-        }
-        if (overloaded) {
-            return new Stop(StopReason.OVERLOADED);
-        }
-        if (!mBudget.hasRemaining(failed.kind(), nowMillis)) {
-            return new Stop(StopReason.BUDGET_EXHAUSTED);
+        Optional<StopReason> stopReason = stopReason(failed, overloaded, nowMillis);
+        if (stopReason.isPresent()) {
+            return new Stop(stopReason.get());
         }
         Optional<Endpoint> target =
                 mBalancer.pickForRetry(failed.kind(), failed.tried(), nowMillis);
@@ -63,6 +53,42 @@
         return new Retry(target.get());
     }
 
+    /**
+     * Takes a retry from the budget for a request that is retried at a target which another VM
+     * picks.
+     *
+     * @param failed the failed attempt
+     * @param overloaded whether requests of the service are queued
+     * @param nowMillis the current time, in milliseconds
+     * @return whether the request may be retried
+     */
+    public boolean tryTake(FailedAttempt failed, boolean overloaded, long nowMillis) {
+        if (stopReason(failed, overloaded, nowMillis).isPresent()) {
+            return false;
+        }
+        mBudget.onExtraAttempt(nowMillis);
+        return true;
+    }
+
+    /** Returns why a retry isn't allowed now, at whichever target; empty if it is. */
+    private Optional<StopReason> stopReason(
+            FailedAttempt failed, boolean overloaded, long nowMillis) {
+        Optional<StopReason> prohibition = prohibition(failed);
+        if (prohibition.isPresent()) {
+            return prohibition;
+        }
+        long meanMillis = Math.max(1, mTimes.meanMillis(failed.kind()));
+        if (failed.deadlineMillis() - nowMillis < meanMillis) {
+            return Optional.of(StopReason.TOO_LATE);
+        }
+        if (overloaded) {
+            return Optional.of(StopReason.OVERLOADED);
+        }
+        return mBudget.hasRemaining(failed.kind(), nowMillis)
+                ? Optional.empty()
+                : Optional.of(StopReason.BUDGET_EXHAUSTED);
+    }
+
     /**
      * Returns why a retry is prohibited regardless of the load; empty if it isn't.
      *
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/TargetReport.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/TargetReport.java
@@ -22,12 +22,20 @@
         double silenceRatio,
         OptionalLong lastAnsweredMillis,
         Optional<LimitReport> limit) {
+    /** The silence ratio of a target without requests in flight. */
+    public static final double NO_SILENCE = 1;
+
     /** Creates a report without a limit. */
     public TargetReport(
             Endpoint target, int inFlight, double silenceRatio, OptionalLong lastAnsweredMillis) {
         this(target, inFlight, silenceRatio, lastAnsweredMillis, Optional.empty());
     }
 
+    /** Returns this report without the silence of the requests in flight. */
+    public TargetReport withoutSilence() {
+        return new TargetReport(target, inFlight, NO_SILENCE, lastAnsweredMillis, limit);
+    }
+
     /** Returns this report with what the target's responses said of its request limit. */
     public TargetReport withLimit(Optional<LimitReport> newLimit) {
         return new TargetReport(target, inFlight, silenceRatio, lastAnsweredMillis, newLimit);
--- a/gateway/src/main/java/org/dahliapass/gateway/AttemptResult.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/AttemptResult.java
@@ -32,6 +32,17 @@
      */
     record Failed(Endpoint target, FailureKind kind, String cause) implements AttemptResult {}
 
+    /**
+     * A VM that should have served the request for this one states that it was not executed.
+     *
+     * @param target the VM
+     * @param status the HTTP status
+     * @param retryAfterMillis when the caller may retry, in milliseconds; 0 if the VM named no time
+     * @param isVmUnavailable whether that VM can't serve any request now
+     */
+    record Refused(Endpoint target, int status, long retryAfterMillis, boolean isVmUnavailable)
+            implements AttemptResult {}
+
     /**
      * An attempt that sent nothing, because the caller had disconnected or its time was over.
      *
--- a/gateway/src/main/java/org/dahliapass/gateway/GatewayResponses.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewayResponses.java
@@ -47,6 +47,13 @@
                 "The request was not run. Come back after the time in Retry-After.");
     }
 
+    /** Returns the 503 response to a request of another VM, if this VM can't serve any. */
+    CallerResponse relayUnavailable() {
+        ServerResponse response = ServerResponse.of(HttpResponseStatus.SERVICE_UNAVAILABLE);
+        response.headers().set(RelayHeader.NAME, RelayHeader.UNAVAILABLE);
+        return CallerResponse.buffered(response);
+    }
+
     /**
      * Returns the 429 response to a request beyond its customer's rate limit, which has not run.
      *
--- a/gateway/src/main/java/org/dahliapass/gateway/GatewayServers.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewayServers.java
@@ -10,6 +10,7 @@
 import org.dahliapass.http.HttpServer;
 import org.dahliapass.http.PathRouter;
 import org.dahliapass.http.RequestHandler;
+import org.dahliapass.http.ServerCall;
 import org.dahliapass.http.ServerResponse;
 import org.dahliapass.http.ServerTimeouts;
 import org.dahliapass.kernel.Kernel;
@@ -76,12 +77,12 @@
                                 .add(
                                         DiscoveryCalls.READINESS_PATH,
                                         call -> call.respond(ServerResponse.of(readiness()))));
-        mInternalServer =
-                internalServer(
-                        new PathRouter()
-                                .add(StoreCalls.RANGE_PATH, mMirror::range)
-                                .add(StoreCalls.WATCH_PATH, mMirror::watch)
-                                .add("/metrics", call -> call.respond(metrics())));
+        PathRouter internalCalls =
+                new PathRouter()
+                        .add(StoreCalls.RANGE_PATH, mMirror::range)
+                        .add(StoreCalls.WATCH_PATH, mMirror::watch)
+                        .add("/metrics", call -> call.respond(metrics()));
+        mInternalServer = internalServer(call -> onInternalCall(call, internalCalls));
         List<CompletableFuture<Void>> started = new ArrayList<>();
         started.add(mCallerServer.listen(mSettings.self().callerEndpoint()));
         started.add(mDiscoveryServer.listen(mSettings.discovery()));
@@ -92,6 +93,19 @@
         return CompletableFuture.allOf(started.toArray(CompletableFuture<?>[]::new));
     }
 
+    /** Handles a request that another VM passes on, or a call to one of the internal paths. */
+    private void onInternalCall(ServerCall call, RequestHandler internalCalls) {
+        String relay = call.head().headers().get(RelayHeader.NAME);
+        if (relay == null) {
+            internalCalls.onRequest(call);
+            return;
+        }
+        RelayHeader.parse(relay)
+                .ifPresentOrElse(
+                        header -> mProxy.onRelayedRequest(call, header),
+                        () -> call.respond(ServerResponse.of(HttpResponseStatus.BAD_REQUEST)));
+    }
+
     private HttpServer internalServer(RequestHandler handler) {
         return server(handler, () -> DEFAULT_TIMEOUTS);
     }
--- a/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
@@ -62,14 +62,14 @@
         mLog = log;
         mLoop = new ControlLoop(clock);
         EntryMetrics metrics = new EntryMetrics();
-        TargetConnections connections = connections(clock, metrics, log);
+        TargetConnections connections = new TargetConnections(clock, metrics, log);
         KeyValueStore store = store(settings, connections, metrics, log);
         StoreFollower follower = new StoreFollower(settings.vmsPerZone(), log);
         ChangeFeed feed = new ChangeFeed(settings, store, connections.client(), random, log);
         LimitingVmsSource limitingVms = new LimitingVmsSource(settings, follower, feed);
-        ServicePools pools = new ServicePools(clock, random, settings, metrics, log, limitingVms);
+        ServicePools pools = pools(settings, clock, metrics, log, connections, limitingVms);
         mRegistration = new SelfRegistration(store, settings.self(), feed::followsStore, log);
-        mLoadReporter = new LoadReporter(clock, metrics, log, connections.monitor());
+        mLoadReporter = new LoadReporter(clock, metrics, log, connections);
         PeerExchange exchange = new PeerExchange(settings, connections, log);
         PoisonGuard guard =
                 new PoisonGuard(
@@ -91,7 +91,8 @@
                         () -> onRequest(pools, exchange),
                         guard,
                         authenticator(settings, follower, feed),
-                        limits);
+                        limits,
+                        new RequestRelay(settings, follower, connections, clock, metrics));
         GatewayServers servers =
                 new GatewayServers(
                         settings,
@@ -104,6 +105,19 @@
                         clock,
                         follower);
         follower.addChangeListener(() -> serveOnceConfigured(follower));
+        register(metrics, connections, servers, follower, feed, pools, exchange, limits);
+    }
+
+    /** Registers the services in the order in which they start. */
+    private void register(
+            EntryMetrics metrics,
+            TargetConnections connections,
+            GatewayServers servers,
+            StoreFollower follower,
+            ChangeFeed feed,
+            ServicePools pools,
+            PeerExchange exchange,
+            CustomerLimits limits) {
         mKernel.register(ControlLoop.NAME, mLoop)
                 .register(EntryMetrics.NAME, metrics)
                 .register(TargetConnections.NAME, connections)
@@ -117,8 +131,21 @@
                 .register(CustomerLimits.NAME, limits);
     }
 
-    private static TargetConnections connections(Clock clock, EntryMetrics metrics, EventLog log) {
-        return new TargetConnections(clock, new TargetReachability(clock, metrics, log));
+    private static ServicePools pools(
+            GatewaySettings settings,
+            Clock clock,
+            EntryMetrics metrics,
+            EventLog log,
+            TargetConnections connections,
+            LimitingVmsSource limitingVms) {
+        return new ServicePools(
+                clock,
+                new SplittableRandom(),
+                settings,
+                metrics,
+                log,
+                connections.reachability(),
+                limitingVms);
     }
 
     private static RequestAuthenticator authenticator(
--- a/gateway/src/main/java/org/dahliapass/gateway/LoadReporter.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/LoadReporter.java
@@ -44,6 +44,7 @@
     private final EntryMetrics mMetrics;
     private final EventLog mLog;
     private final PollMonitor mMonitor;
+    private final TargetReachability mReachability;
     private final ThreadOverloadDetector mTrafficOverload = new ThreadOverloadDetector();
     private final AtomicLong mRequests = new AtomicLong();
     private final AtomicLong mInFlight = new AtomicLong();
@@ -56,11 +57,12 @@
     private long mControlDueMillis = NOT_SCHEDULED;
     private boolean mChecking;
 
-    LoadReporter(Clock clock, EntryMetrics metrics, EventLog log, PollMonitor monitor) {
+    LoadReporter(Clock clock, EntryMetrics metrics, EventLog log, TargetConnections connections) {
         mClock = clock;
         mMetrics = metrics;
         mLog = log;
-        mMonitor = monitor;
+        mMonitor = connections.monitor();
+        mReachability = connections.reachability();
     }
 
     @Override
@@ -108,6 +110,7 @@
         mTrafficDelayMillis.accumulateAndGet(delayMillis, Math::max);
         mLongestPollIntervalMillis.accumulateAndGet(
                 mMonitor.takeLongestIntervalMillis(), Math::max);
+        mReachability.onTick();
         if (mInFlight.get() > 0) {
             scheduleCheck(loop);
             return;
--- a/gateway/src/main/java/org/dahliapass/gateway/PeerExchange.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/PeerExchange.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -73,6 +74,7 @@
 
     private final GatewaySettings mSettings;
     private final EventLoopGroup mLoops;
+    private final EventLoop mTrafficLoop;
     private final TargetReachability mReachability;
     private final EventLog mLog;
     private StoreFollower mFollower;
@@ -88,6 +90,7 @@
     PeerExchange(GatewaySettings settings, TargetConnections connections, EventLog log) {
         mSettings = settings;
         mLoops = connections.loops();
+        mTrafficLoop = connections.loop();
         mReachability = connections.reachability();
         mLog = log;
     }
@@ -96,7 +99,7 @@
     public CompletableFuture<Void> start(Kernel kernel) {
         mFollower = kernel.find(StoreFollower.NAME, StoreFollower.class);
         mPools = kernel.find(ServicePools.NAME, ServicePools.class);
-        mPools.setObservationListener(this::sendObservation);
+        mPools.setObservationListener(this::onObservation);
         mLoop = kernel.find(ControlLoop.NAME, ControlLoop.class);
         mReportTask = new PeriodicTask(mLoop, REPORT_PERIOD, this::report);
         Endpoint peers = mSettings.self().peerEndpoint();
@@ -134,7 +137,23 @@
         mReportTask.wake();
     }
 
-    /** Sends an observation of a target to the other VMs; any thread may call this. */
+    /**
+     * Sends an observation of a target to the other VMs, unless it shows only that this VM reaches
+     * no target; any thread may call this.
+     */
+    private void onObservation(ServiceId service, TargetObservation observation) {
+        if (observation.observation().hasResponse()) {
+            sendObservation(service, observation);
+            return;
+        }
+        Runnable report = () -> sendObservation(service, observation);
+        if (mTrafficLoop.inEventLoop()) {
+            mReachability.reportFailure(report);
+        } else {
+            mTrafficLoop.execute(() -> mReachability.reportFailure(report));
+        }
+    }
+
     private void sendObservation(ServiceId service, TargetObservation observation) {
         Optional<TargetRegistration> registration =
                 mPools.find(service.name())
@@ -221,6 +240,9 @@
     /** Reports the in-flight requests of one service; returns whether there are any. */
     private boolean report(String service, ServicePool pool) {
         List<TargetReport> reports = pool.runtime().drainReport();
+        if (!mReachability.isReached()) {
+            reports = reports.stream().map(TargetReport::withoutSilence).toList();
+        }
         if (reports.isEmpty()) {
             return false;
         }
--- a/gateway/src/main/java/org/dahliapass/gateway/PoisonGuard.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/PoisonGuard.java
@@ -10,6 +10,8 @@
 import org.dahliapass.decisions.poison.SuspectReport;
 import org.dahliapass.decisions.poison.TargetCrash;
 import org.dahliapass.decisions.poison.Treatment;
+import org.dahliapass.decisions.reachability.ConnectionUse;
+import org.dahliapass.decisions.reachability.ContactFailure;
 import org.dahliapass.model.RequestDigest;
 import org.dahliapass.platform.KeyValueStore;
 import org.dahliapass.traffic.EntryMetrics;
@@ -32,6 +34,7 @@
     private final EntryMetrics mMetrics;
     private final EventLoop mLoop;
     private final TargetLivenessCheck mLivenessCheck;
+    private final TargetReachability mReachability;
     private final QuarantineStore mStore;
     private final PoisonDetector mDetector = new PoisonDetector();
     private final DigestLocks mDigestLocks = new DigestLocks();
@@ -51,6 +54,7 @@
         mMetrics = metrics;
         mLoop = connections.loop();
         mLivenessCheck = new TargetLivenessCheck(connections);
+        mReachability = connections.reachability();
         mStore = new QuarantineStore(store, mLoop, clock, settings.self().name(), log);
         mBroadcaster =
                 new SuspectBroadcaster(
@@ -101,6 +105,8 @@
     /**
      * Checks whether a target crashed after its connection broke during an attempt.
      *
+     * <p>A target that doesn't listen has crashed only if this VM reaches others.
+     *
      * @param attempt the attempt
      * @param digest the digest of the request
      * @param whenChecked runs when the check is complete
@@ -111,9 +117,22 @@
                         attempt.instance().incarnation(), attempt.startedMillis(), mClock.millis());
         mLivenessCheck.check(
                 attempt.target(),
-                hasCrashed -> {
-                    onChecked(attempt, digest, crash, hasCrashed);
-                    whenChecked.run();
+                isGone -> {
+                    if (!isGone) {
+                        onChecked(attempt, digest, crash, false);
+                        whenChecked.run();
+                        return;
+                    }
+                    mReachability.onFailure(
+                            attempt.target(),
+                            ContactFailure.NOT_CONNECTED,
+                            ConnectionUse.NEW,
+                            crash.crashedMillis());
+                    mReachability.whenKnown(
+                            isReached -> {
+                                onChecked(attempt, digest, crash, isReached);
+                                whenChecked.run();
+                            });
                 });
     }
 
--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
@@ -6,16 +6,15 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.dahliapass.decisions.access.Authentication;
 import org.dahliapass.decisions.access.CallerIdentity;
 import org.dahliapass.decisions.access.RejectionReason;
-import org.dahliapass.decisions.limits.LimitStatement;
 import org.dahliapass.decisions.poison.Treatment;
 import org.dahliapass.decisions.traffic.FailedAttempt;
 import org.dahliapass.decisions.traffic.FailureKind;
@@ -32,17 +31,21 @@
  *
  * <p>An at-most-once request is sent again only after proof that it was not executed. A repeatable
  * request is also retried after a failure and hedged when an attempt is slow. A response that
- * promises "not executed" is sent only while no attempt may have run. Confined to the traffic
- * thread.
+ * promises "not executed" is sent only while no attempt may have run. While this VM reaches no
+ * target, another VM serves the request. Confined to the traffic thread.
  */
 final class ProxyExchange {
     private static final int SERVER_ERROR = 500;
 
-    private static final double HUNDREDTHS = 100.0;
-
     /** Includes attempts that found no connection and so reached no target. */
     private static final int MAX_ATTEMPTS = 6;
 
+    /** A request that found no connection to so many targets is passed on to another VM. */
+    private static final int MAX_CONNECT_FAILURES = 2;
+
+    /** The maximum number of VMs that a request is passed on to, one after the other. */
+    private static final int MAX_RELAYS = 3;
+
     /**
      * The delay before a hedge that got no slot or budget is retried. Guards against a read that
      * waits for a hung target until its deadline because all other targets were briefly full.
@@ -63,9 +66,12 @@
     private final RequestAuthenticator mAuthenticator;
     private final CustomerLimits mLimits;
     private final WaitLog mWaits;
-    private final List<TargetAttempt> mRunningAttempts = new ArrayList<>();
+    private final RequestRelay mRelay;
+    private final List<Attempt> mRunningAttempts = new ArrayList<>();
     private final List<JsonObject> mAttemptLog = new ArrayList<>();
     private final Set<Endpoint> mTriedTargets = new HashSet<>();
+    private final Set<String> mTriedVms = new HashSet<>();
+    private final Runnable mRelayInsteadOfWaiting = this::relayInsteadOfWaiting;
     private CompletableFuture<Slot> mPendingSlot;
     private ScheduledFuture<?> mDeadlineTimer;
     private ScheduledFuture<?> mHedgeTimer;
@@ -73,6 +79,9 @@
     private Optional<RequestDigest> mDigest = Optional.empty();
     private int mTargetsReached;
     private int mAttempts;
+    private int mConnectFailures;
+    private boolean mIsCounted;
+    private boolean mHoldsToken;
     private boolean mHoldsDigestLock;
     private boolean mMayHaveExecuted;
     private boolean mFinished;
@@ -88,6 +97,7 @@
             PoisonGuard guard,
             RequestAuthenticator authenticator,
             CustomerLimits limits,
+            RequestRelay relay,
             WaitLog waits) {
         mCall = call;
         mRequest = request;
@@ -100,7 +110,10 @@
         mGuard = guard;
         mAuthenticator = authenticator;
         mLimits = limits;
+        mRelay = relay;
         mWaits = waits;
+        mIsCounted = request.isCounted();
+        mHoldsToken = request.holdsToken();
     }
 
     /**
@@ -116,12 +129,174 @@
         admit();
     }
 
-    /** Requests a slot, unless the request is suspected and has to wait or is rejected. */
+    /**
+     * Requests a slot or passes the request on, unless it is suspected and has to wait or is
+     * rejected.
+     */
     private void admit() {
         if (mFinished || isDeferredOrRejected()) {
             return;
         }
-        awaitSlot(mPool.runtime().acquire(mRequest, Set.of()));
+        if (mRelay.isNeeded() && relay()) {
+            return;
+        }
+        acquireSlot();
+    }
+
+    private void acquireSlot() {
+        OptionalLong wait = takeToken();
+        if (wait.isPresent()) {
+            finish(
+                    mResponses.rateLimited(wait.getAsLong()),
+                    GatewayResponses.TOO_MANY_REQUESTS,
+                    "the customer's rate limit is used up");
+            return;
+        }
+        boolean isFirst = !mIsCounted;
+        mIsCounted = true;
+        awaitSlot(
+                isFirst
+                        ? mPool.runtime().acquire(mRequest, Set.of())
+                        : mPool.runtime().reacquire(mRequest, Set.of()));
+    }
+
+    /** Takes a token of the customer's rate limit; returns the time until there is one. */
+    private OptionalLong takeToken() {
+        if (mHoldsToken || !mRequest.needsToken()) {
+            return OptionalLong.empty();
+        }
+        OptionalLong wait = mLimits.tryAcquire(mRequest.identity().customer().orElseThrow());
+        mHoldsToken = wait.isEmpty();
+        return wait;
+    }
+
+    /**
+     * Passes the request on to another VM, unless that could execute it twice.
+     *
+     * @return false if no VM is available
+     */
+    private boolean relay() {
+        boolean mayHaveRun =
+                mMayHaveExecuted || mRunningAttempts.stream().anyMatch(Attempt::isSent);
+        boolean mayRun = !mayHaveRun || mRequest.kind().idempotency().isRepeatable();
+        int targetsLeft = mRequest.maxTargets() - targetsUsed();
+        if (!mayRun || targetsLeft <= 0 || mRequest.isRelayed() || mTriedVms.size() >= MAX_RELAYS) {
+            return false;
+        }
+        RelayHeader header =
+                new RelayHeader(targetsLeft, mIsCounted, mHoldsToken, mRequest.service());
+        Optional<RelayAttempt> attempt =
+                mRelay.attempt(mRequest, header, mTriedVms, nextCause(), mCall::isClientConnected);
+        attempt.ifPresent(this::start);
+        return attempt.isPresent();
+    }
+
+    /** Passes the request on rather than waiting for a slot, once this VM reaches no target. */
+    private void relayInsteadOfWaiting() {
+        if (mPendingSlot != null && relay()) {
+            mPendingSlot.cancel(false);
+        }
+    }
+
+    private boolean isRelaying() {
+        return mRunningAttempts.stream().anyMatch(RelayAttempt.class::isInstance);
+    }
+
+    private void start(RelayAttempt attempt) {
+        mAttempts++;
+        mTriedVms.add(attempt.vm().name());
+        mRunningAttempts.add(attempt);
+        Futures.whenDone(
+                attempt.send(), (result, failure) -> onRelayResult(attempt, result, failure));
+    }
+
+    private int targetsUsed() {
+        return mTargetsReached + (int) mRunningAttempts.stream().filter(Attempt::isSent).count();
+    }
+
+    private void onRelayResult(RelayAttempt attempt, AttemptResult result, Throwable failure) {
+        if (!mRunningAttempts.remove(attempt)) {
+            discardResponse(result);
+            return;
+        }
+        if (failure != null) {
+            recordAttempt(attempt, "failed: " + failure);
+            mMayHaveExecuted = true;
+            finishIfIdle();
+        } else if (result instanceof AttemptResult.Responded responded) {
+            recordAttempt(attempt, "answered " + responded.status());
+            onRelayedResponse(responded);
+        } else if (result instanceof AttemptResult.Refused refused) {
+            recordAttempt(attempt, "refused " + refused.status());
+            onRelayRefused(attempt, refused);
+        } else if (result instanceof AttemptResult.Failed failed) {
+            recordAttempt(attempt, failed.kind() + ": " + failed.cause());
+            onRelayFailed(attempt, failed);
+        } else {
+            // The close of the caller's connection or the deadline ends the exchange.
+            recordAttempt(attempt, "not sent: the caller left or its time is over");
+        }
+    }
+
+    /** Forwards the response that another VM got, which has retried the request if it may. */
+    private void onRelayedResponse(AttemptResult.Responded responded) {
+        mMayHaveExecuted = true;
+        mTargetsReached++;
+        if (mFinished) {
+            responded.response().discard();
+        } else if (responded.status() < SERVER_ERROR) {
+            finish(responded.response(), responded.status(), "answered");
+        } else {
+            setErrorResponse(responded);
+            finishIfIdle();
+        }
+    }
+
+    private void onRelayRefused(RelayAttempt attempt, AttemptResult.Refused refused) {
+        if (refused.isVmUnavailable()) {
+            mRelay.onUnavailable(attempt.vm());
+        }
+        if (mFinished || !mRunningAttempts.isEmpty()) {
+            return;
+        }
+        if (refused.isVmUnavailable() && relay()) {
+            return;
+        }
+        if (mMayHaveExecuted || refused.retryAfterMillis() == 0) {
+            finishIfIdle();
+        } else if (refused.status() == GatewayResponses.TOO_MANY_REQUESTS) {
+            finish(
+                    mResponses.rateLimited(refused.retryAfterMillis()),
+                    refused.status(),
+                    "the customer's rate limit is used up");
+        } else {
+            finish(
+                    mResponses.refused(refused.retryAfterMillis()),
+                    GatewayResponses.UNAVAILABLE,
+                    "refused by the VM that was to serve it");
+        }
+    }
+
+    private boolean mayRelayAfter(AttemptResult.Failed failed) {
+        return failed.kind() == FailureKind.CONNECT_FAILED
+                || (mRunningAttempts.isEmpty()
+                        && mPool.runtime().tryTakeRetry(failedAttempt(failed.kind())));
+    }
+
+    private void onRelayFailed(RelayAttempt attempt, AttemptResult.Failed failed) {
+        boolean hasReachedVm = failed.kind() != FailureKind.CONNECT_FAILED;
+        mMayHaveExecuted |= hasReachedVm;
+        if (!hasReachedVm) {
+            mRelay.onUnavailable(attempt.vm());
+        }
+        if (mFinished || (mayRelayAfter(failed) && relay())) {
+            return;
+        }
+        if (failed.kind() == FailureKind.TIMED_OUT && mRunningAttempts.isEmpty()) {
+            onDeadline();
+            return;
+        }
+        finishIfIdle();
     }
 
     /**
@@ -164,6 +339,7 @@
     private void awaitSlot(CompletableFuture<Slot> slot) {
         mPendingSlot = slot;
         mWaits.start(WaitLog.Cause.SLOT, mClock.millis());
+        mRelay.addWaiter(mRelayInsteadOfWaiting);
         Futures.whenDone(
                 slot,
                 (granted, failure) -> {
@@ -177,6 +353,7 @@
 
     private void onSlot(Slot slot, Throwable failure) {
         mPendingSlot = null;
+        mRelay.removeWaiter(mRelayInsteadOfWaiting);
         mWaits.end(mClock.millis());
         if (failure != null) {
             if (!mFinished && mRunningAttempts.isEmpty()) {
@@ -193,7 +370,7 @@
                         mClock,
                         nextCause(),
                         mCall::isClientConnected);
-        if (mFinished) {
+        if (mFinished || isRelaying() || (mRelay.isNeeded() && relay())) {
             attempt.abort(FailureKind.CANCELLED_BY_CALLER);
             return;
         }
@@ -324,27 +501,40 @@
             finish(responded.response(), responded.status(), "answered");
             return;
         }
-        mErrorResponse.ifPresent(previous -> previous.response().discard());
-        mErrorResponse = Optional.of(responded);
+        setErrorResponse(responded);
         if (!mRunningAttempts.isEmpty() || retry(responded.target(), FailureKind.SERVER_ERROR)) {
             return;
         }
         finishIfIdle();
     }
 
+    private void setErrorResponse(AttemptResult.Responded responded) {
+        mErrorResponse.ifPresent(previous -> previous.response().discard());
+        mErrorResponse = Optional.of(responded);
+    }
+
     private void onFailed(AttemptResult.Failed failed) {
         boolean hasReachedTarget = failed.kind() != FailureKind.CONNECT_FAILED;
         mMayHaveExecuted |= failed.kind().mayHaveRun() && hasReachedTarget;
         if (hasReachedTarget) {
             mTargetsReached++;
         }
-        if (mFinished || !mRunningAttempts.isEmpty()) {
+        if (mFinished) {
+            return;
+        }
+        if (!hasReachedTarget) {
+            mConnectFailures++;
+            if (mRelay.isNeeded() && relay()) {
+                return;
+            }
+        }
+        if (!mRunningAttempts.isEmpty()) {
             return;
         }
         if (!hasReachedTarget
                 && mAttempts < MAX_ATTEMPTS
                 && mRequest.remainingMillis(mClock.millis()) > 0) {
-            awaitSlot(mPool.runtime().reacquire(mRequest, Set.copyOf(mTriedTargets)));
+            tryElsewhere();
             return;
         }
         if (retry(failed.target(), failed.kind())) {
@@ -353,32 +543,62 @@
         finishIfIdle();
     }
 
+    /** Tries another VM or target after an attempt that sent nothing. */
+    private void tryElsewhere() {
+        if (mConnectFailures < MAX_CONNECT_FAILURES) {
+            awaitSlot(mPool.runtime().reacquire(mRequest, Set.copyOf(mTriedTargets)));
+            return;
+        }
+        if (relay()) {
+            return;
+        }
+        if (mRelay.isNeeded()) {
+            finishIfIdle();
+            return;
+        }
+        awaitSlot(mPool.runtime().reacquire(mRequest, Set.copyOf(mTriedTargets)));
+    }
+
     private boolean retry(Endpoint target, FailureKind kind) {
         mTriedTargets.add(target);
-        if (mTargetsReached >= mRequest.route().maxTargets() || mAttempts >= MAX_ATTEMPTS) {
+        if (mTargetsReached >= mRequest.maxTargets() || mAttempts >= MAX_ATTEMPTS) {
             return false;
         }
         if (kind.brokeConnection() && !treatment().mayRunAgain()) {
             return false;
         }
-        FailedAttempt failedAttempt =
-                new FailedAttempt(
-                        mRequest.kind(),
-                        kind,
-                        mMayHaveExecuted,
-                        Set.copyOf(mTriedTargets),
-                        mTargetsReached,
-                        mRequest.deadlineMillis());
-        Optional<Slot> slot = mPool.runtime().retry(mRequest, failedAttempt);
+        if (mRelay.isNeeded()) {
+            return mPool.runtime().tryTakeRetry(failedAttempt(kind)) && relay();
+        }
+        Optional<Slot> slot = mPool.runtime().retry(mRequest, failedAttempt(kind));
         slot.ifPresent(granted -> onSlot(granted, null));
         return slot.isPresent();
     }
 
+    private FailedAttempt failedAttempt(FailureKind kind) {
+        return new FailedAttempt(
+                mRequest.kind(),
+                kind,
+                mMayHaveExecuted,
+                Set.copyOf(mTriedTargets),
+                mTargetsReached,
+                mRequest.deadlineMillis());
+    }
+
     private void startHedge() {
         if (mFinished || mRunningAttempts.size() != 1 || mPendingSlot != null) {
             return;
         }
-        if (mTargetsReached + 1 >= mRequest.route().maxTargets() || !treatment().mayRunAgain()) {
+        if (mTargetsReached + 1 >= mRequest.maxTargets() || !treatment().mayRunAgain()) {
+            return;
+        }
+        if (isRelaying()) {
+            return;
+        }
+        if (mRelay.isNeeded()) {
+            if (mPool.runtime().tryTakeRetry(failedAttempt(FailureKind.TIMED_OUT))) {
+                relay();
+            }
             return;
         }
         Optional<Slot> slot = mPool.runtime().hedge(mRequest, Set.copyOf(mTriedTargets));
@@ -428,7 +648,7 @@
             abortAttempts(FailureKind.TIMED_OUT);
             return;
         }
-        mMayHaveExecuted |= !mRunningAttempts.isEmpty();
+        mMayHaveExecuted |= mRunningAttempts.stream().anyMatch(Attempt::isSent);
         // Set first: aborting an attempt completes it at once, which must not start another one.
         mFinished = true;
         abortAttempts(FailureKind.TIMED_OUT);
@@ -443,7 +663,7 @@
             finish(
                     mResponses.refused(0),
                     GatewayResponses.UNAVAILABLE,
-                    "no slot came free in time");
+                    "it could not be sent in time");
         }
     }
 
@@ -463,29 +683,28 @@
         if (mPendingSlot != null) {
             mPendingSlot.cancel(false);
         }
-        List<TargetAttempt> aborted = List.copyOf(mRunningAttempts);
+        List<Attempt> aborted = List.copyOf(mRunningAttempts);
         mRunningAttempts.clear();
         releaseDigestLock();
         abort(aborted, kind);
     }
 
-    /** Aborts the attempts that have sent nothing yet. */
-    private void abortUnsentAttempts() {
-        List<TargetAttempt> unsent =
-                mRunningAttempts.stream().filter(attempt -> !attempt.isSent()).toList();
-        if (unsent.isEmpty()) {
+    /** Cancels the attempts that meet a condition. */
+    private void cancelAttempts(Predicate<Attempt> condition) {
+        List<Attempt> cancelled = mRunningAttempts.stream().filter(condition).toList();
+        if (cancelled.isEmpty()) {
             return;
         }
-        mRunningAttempts.removeAll(unsent);
+        mRunningAttempts.removeAll(cancelled);
         if (mRunningAttempts.isEmpty()) {
             releaseDigestLock();
         }
-        abort(unsent, FailureKind.CANCELLED_BY_CALLER);
+        abort(cancelled, FailureKind.CANCELLED_BY_CALLER);
     }
 
     /** Aborts attempts that are no longer listed as running, since that completes them at once. */
-    private void abort(List<TargetAttempt> attempts, FailureKind kind) {
-        for (TargetAttempt attempt : attempts) {
+    private void abort(List<Attempt> attempts, FailureKind kind) {
+        for (Attempt attempt : attempts) {
             recordAttempt(attempt, "stopped: " + kind);
             attempt.abort(kind);
         }
@@ -493,8 +712,8 @@
 
     private void finish(CallerResponse response, int status, String outcome) {
         mFinished = true;
-        abortUnsentAttempts();
-        if (!mMayHaveExecuted && mRunningAttempts.isEmpty()) {
+        cancelAttempts(attempt -> !attempt.isSent());
+        if (mHoldsToken && !mMayHaveExecuted && mRunningAttempts.isEmpty()) {
             mRequest.identity().customer().ifPresent(mLimits::release);
         }
         if (mHedgeTimer != null) {
@@ -503,11 +722,10 @@
         if (response != null) {
             response.send(mCall);
         }
-        if (mRequest.kind().idempotency().isRepeatable()) {
-            abortAttempts(FailureKind.CANCELLED_BY_CALLER);
-        } else if (mPendingSlot != null) {
+        if (mPendingSlot != null) {
             mPendingSlot.cancel(false);
         }
+        cancelAttempts(Attempt::endsWithCaller);
         if (mRunningAttempts.isEmpty()) {
             mDeadlineTimer.cancel(false);
         }
@@ -523,29 +741,8 @@
         }
     }
 
-    private void recordAttempt(TargetAttempt attempt, String result) {
-        JsonObject entry = new JsonObject();
-        entry.put("target", attempt.target().toString())
-                .put("instance", attempt.instance().name())
-                .put(
-                        "bout_chance",
-                        Math.round(attempt.failureProbability() * HUNDREDTHS) / HUNDREDTHS)
-                .put("sent_after_ms", attempt.startedMillis() - mRequest.arrivalMillis())
-                .put("took_ms", mClock.millis() - attempt.startedMillis())
-                .put("connecting_ms", connectingMillis(attempt))
-                .put("connection", attempt.connection().name().toLowerCase(Locale.ROOT))
-                .put("cause", attempt.cause().name().toLowerCase(Locale.ROOT))
-                .put("end", result);
-        if (!attempt.limit().equals(LimitStatement.UNLIMITED)) {
-            entry.put("limit", attempt.limit().toString());
-        }
-        mAttemptLog.add(entry);
-    }
-
-    /** Returns how long an attempt has waited for its connection, in milliseconds. */
-    private long connectingMillis(TargetAttempt attempt) {
-        boolean written = attempt.writtenMillis() > 0;
-        return (written ? attempt.writtenMillis() : mClock.millis()) - attempt.startedMillis();
+    private void recordAttempt(Attempt attempt, String end) {
+        mAttemptLog.add(attempt.describe(end));
     }
 
     private void logRequest(int status, String outcome) {
--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyHandler.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyHandler.java
@@ -55,6 +55,7 @@
     private final PoisonGuard mGuard;
     private final RequestAuthenticator mAuthenticator;
     private final CustomerLimits mLimits;
+    private final RequestRelay mRelay;
     private final RequestStarter mStarter;
     private RouteTable mRoutes;
 
@@ -73,7 +74,9 @@
             Runnable onRequestRead,
             PoisonGuard guard,
             RequestAuthenticator authenticator,
-            CustomerLimits limits) {
+            CustomerLimits limits,
+            RequestRelay relay) {
+        mRelay = relay;
         mClock = clock;
         mSettings = settings;
         mState = state;
@@ -108,10 +111,32 @@
             return;
         }
         updateRoutes(routes.get());
-        match(call, routes.get());
+        match(call, routes.get(), Optional.empty());
     }
 
-    private void match(ServerCall call, RouteTable routes) {
+    /** Handles a request that another VM passes on, because it reaches no target. */
+    void onRelayedRequest(ServerCall call, RelayHeader relay) {
+        mLoadReporter.onRequest(call);
+        if (mState.phase().closesConnections()) {
+            call.closeAfterResponse();
+        }
+        Optional<RouteTable> routes = mFollower.view().routes();
+        boolean isAvailable =
+                mState.phase().acceptsRequests()
+                        && routes.isPresent()
+                        && !mRelay.isNeeded()
+                        && !mLoadReporter.isFallingBehind();
+        if (!isAvailable) {
+            mResponses.relayUnavailable().send(call);
+            return;
+        }
+        mRelay.onReceived();
+        call.head().headers().remove(RelayHeader.NAME);
+        updateRoutes(routes.get());
+        match(call, routes.get(), Optional.of(relay));
+    }
+
+    private void match(ServerCall call, RouteTable routes, Optional<RelayHeader> relay) {
         HttpRequest head = call.head();
         RequestTarget target = RequestTarget.of(head);
         Optional<RouteRule> route = routes.find(target.authority(), target.pathWithoutQuery());
@@ -135,11 +160,14 @@
         if (authentication instanceof Authentication.Rejected rejected) {
             rejectUnauthenticated(call, routes, rejected.reason());
         } else if (authentication instanceof Authentication.Accepted accepted) {
-            Match match = new Match(target, route.get(), credentials, accepted.identity());
+            Match match =
+                    new Match(target, route.get(), credentials, accepted.identity(), relay, false);
             if (!startsInTime(call, route.get())) {
                 refuseBeforeReading(call, "too many requests wait for the traffic thread");
-            } else if (isWithinLimit(call, routes, match)) {
+            } else if (!takesToken(match)) {
                 read(call, routes, match);
+            } else if (isWithinLimit(call, routes, match)) {
+                read(call, routes, match.withToken());
             }
         }
     }
@@ -152,6 +180,14 @@
         return mStarter.backlog().startsInTime(route.objective().toMillis(), remainingMillis);
     }
 
+    /**
+     * Returns whether the request needs a token of this VM. The VM that sends it to targets takes
+     * one, unless the VM that received it has done so before it passed the request on.
+     */
+    private boolean takesToken(Match match) {
+        return match.relay().map(relay -> !relay.isLimited()).orElse(!mRelay.isNeeded());
+    }
+
     /** Takes a token of the customer's rate limit, or refuses the request. */
     private boolean isWithinLimit(ServerCall call, RouteTable routes, Match match) {
         if (match.identity().customer().isEmpty()) {
@@ -176,6 +212,12 @@
         return false;
     }
 
+    private void releaseToken(Match match) {
+        if (match.holdsToken()) {
+            match.identity().customer().ifPresent(mLimits::release);
+        }
+    }
+
     private void read(ServerCall call, RouteTable routes, Match match) {
         RequestLimits limits = routes.configuration().limits();
         WaitLog waits = new WaitLog();
@@ -184,7 +226,7 @@
                 limits.bodyBytes(),
                 body -> startWhenReady(call, match, body, routes, waits),
                 () -> {
-                    match.identity().customer().ifPresent(mLimits::release);
+                    releaseToken(match);
                     mResponses.bodyTooLarge().send(call);
                 });
     }
@@ -284,10 +326,14 @@
             ServerCall call, Match match, ByteBuf body, RouteTable routes, WaitLog waits) {
         waits.end(mClock.millis());
         RouteRule route = match.route();
-        String service = mServiceChooser.next(route);
+        String service =
+                match.relay()
+                        .map(RelayHeader::service)
+                        .filter(selected -> hasService(route, selected))
+                        .orElseGet(() -> mServiceChooser.next(route));
         Optional<ServicePool> pool = mPools.find(service);
         if (pool.isEmpty()) {
-            match.identity().customer().ifPresent(mLimits::release);
+            releaseToken(match);
             mResponses.refused(STARTUP_RETRY_MILLIS).send(call);
             return;
         }
@@ -311,7 +357,9 @@
                         body,
                         arrivalMillis,
                         arrivalMillis
-                                + Math.min(timeoutMillis, callerTimeout(headers, timeoutMillis)));
+                                + Math.min(timeoutMillis, callerTimeout(headers, timeoutMillis)),
+                        match.holdsToken(),
+                        match.relay());
         new ProxyExchange(
                         call,
                         request,
@@ -323,10 +371,15 @@
                         mGuard,
                         mAuthenticator,
                         mLimits,
+                        mRelay,
                         waits)
                 .start();
     }
 
+    private static boolean hasService(RouteRule route, String service) {
+        return route.shares().stream().anyMatch(share -> share.service().equals(service));
+    }
+
     /**
      * A request whose route and caller are known and whose body is not read yet.
      *
@@ -334,12 +387,20 @@
      * @param route the matching route
      * @param credentials the caller's credentials
      * @param identity for whom the request is executed
+     * @param relay what the VM says that passed the request on; empty if a caller sent it
+     * @param holdsToken whether this VM holds a token of the customer's rate limit for it
      */
     private record Match(
             RequestTarget target,
             RouteRule route,
             Credentials credentials,
-            CallerIdentity identity) {}
+            CallerIdentity identity,
+            Optional<RelayHeader> relay,
+            boolean holdsToken) {
+        private Match withToken() {
+            return new Match(target, route, credentials, identity, relay, true);
+        }
+    }
 
     /** Returns the approximate size of the request head on the wire, in bytes. */
     private static long headBytes(HttpRequest head) {
--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyRequest.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyRequest.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import java.util.Optional;
 import org.dahliapass.decisions.access.CallerIdentity;
 import org.dahliapass.decisions.access.Credentials;
 import org.dahliapass.model.RequestDigest;
@@ -29,6 +30,8 @@
  * @param arrivalMillis the arrival time, in milliseconds
  * @param deadlineMillis the time at which the caller gives up or the timeout of the route ends, in
  *     milliseconds
+ * @param holdsToken whether this VM holds a token of the customer's rate limit for the request
+ * @param relay what the VM says that passed the request on; empty if a caller sent it
  */
 record ProxyRequest(
         String id,
@@ -43,13 +46,37 @@
         HttpHeaders headers,
         ByteBuf body,
         long arrivalMillis,
-        long deadlineMillis)
+        long deadlineMillis,
+        boolean holdsToken,
+        Optional<RelayHeader> relay)
         implements SlotRequest {
     @Override
     public String customer() {
         return identity.customer().map(Customer::name).orElse(route.host());
     }
 
+    /** Returns whether another VM passed the request on to this one. */
+    boolean isRelayed() {
+        return relay.isPresent();
+    }
+
+    /** Returns whether a token of the customer's rate limit has to be taken yet. */
+    boolean needsToken() {
+        boolean isTaken = holdsToken || relay.map(RelayHeader::isLimited).orElse(false);
+        return !isTaken && identity.customer().isPresent();
+    }
+
+    /** Returns whether a VM has counted the request as a first attempt of its service. */
+    boolean isCounted() {
+        return relay.map(RelayHeader::isCounted).orElse(false);
+    }
+
+    /** Returns the maximum number of targets that the request may be sent to. */
+    int maxTargets() {
+        return relay.map(header -> Math.min(header.maxTargets(), route.maxTargets()))
+                .orElse(route.maxTargets());
+    }
+
     /** Returns the host that the request is for. */
     String authority() {
         return headers.get(HttpHeaderNames.HOST, "");
--- /dev/null
+++ b/gateway/src/main/java/org/dahliapass/gateway/RelayAttempt.java
@@ -0,0 +1,205 @@
+package org.dahliapass.gateway;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import java.time.Clock;
+import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import org.dahliapass.decisions.traffic.FailureKind;
+import org.dahliapass.http.ClientCall;
+import org.dahliapass.http.HopByHopHeaders;
+import org.dahliapass.http.NotSentException;
+import org.dahliapass.http.ResponseListener;
+import org.dahliapass.kernel.JsonObject;
+import org.dahliapass.model.Endpoint;
+import org.dahliapass.model.routing.FleetVm;
+import org.dahliapass.platform.TargetHeaders;
+
+/**
+ * One attempt to have a request served by another VM. That VM retries and hedges it as its own; it
+ * promises by its status whether the request was executed. Confined to the traffic thread.
+ */
+final class RelayAttempt implements Attempt, ResponseListener {
+    /** The statuses by which a VM promises that it did not have a request executed. */
+    private static final Set<Integer> NOT_EXECUTED_STATUSES =
+            Set.of(400, 401, 404, 408, 413, 421, 429, 431, 503);
+
+    /** Leaves time for the response of the other VM before this VM's own deadline. */
+    private static final long NETWORK_ALLOWANCE_MILLIS = 10;
+
+    private static final double MILLIS_PER_SECOND = 1_000.0;
+
+    private final ProxyRequest mRequest;
+    private final FleetVm mVm;
+    private final RelayHeader mHeader;
+    private final TargetConnections mConnections;
+    private final Clock mClock;
+    private final AttemptCause mCause;
+    private final BooleanSupplier mIsCallerConnected;
+    private final CompletableFuture<AttemptResult> mResult = new CompletableFuture<>();
+    private ClientCall mCall;
+    private ResponseCollector mCollector;
+    private long mStartedMillis;
+    private boolean mSent;
+    private boolean mDropped;
+
+    RelayAttempt(
+            ProxyRequest request,
+            FleetVm vm,
+            RelayHeader header,
+            TargetConnections connections,
+            Clock clock,
+            AttemptCause cause,
+            BooleanSupplier isCallerConnected) {
+        mRequest = request;
+        mVm = vm;
+        mHeader = header;
+        mConnections = connections;
+        mClock = clock;
+        mCause = cause;
+        mIsCallerConnected = isCallerConnected;
+    }
+
+    /** Sends the request. The future completes with the other VM's response or a failure. */
+    CompletableFuture<AttemptResult> send() {
+        mStartedMillis = mClock.millis();
+        HttpHeaders headers = new DefaultHttpHeaders().set(mRequest.headers());
+        HopByHopHeaders.strip(headers, TargetRequestHead.ALWAYS_FORWARDED);
+        headers.set(RelayHeader.NAME, mHeader.format());
+        mCall =
+                mConnections
+                        .client()
+                        .send(
+                                endpoint(),
+                                mRequest.method(),
+                                mRequest.path(),
+                                headers,
+                                mRequest.body(),
+                                this);
+        return mResult;
+    }
+
+    /** Returns the VM that is asked to serve the request. */
+    FleetVm vm() {
+        return mVm;
+    }
+
+    private Endpoint endpoint() {
+        return mVm.peerEndpoint();
+    }
+
+    @Override
+    public boolean isSent() {
+        return mSent;
+    }
+
+    /** The other VM notices the disconnection and runs on what must not be aborted. */
+    @Override
+    public boolean endsWithCaller() {
+        return true;
+    }
+
+    @Override
+    public void abort(FailureKind kind) {
+        if (mCall != null) {
+            mCall.abort();
+        }
+    }
+
+    @Override
+    public JsonObject describe(String end) {
+        return new JsonObject()
+                .put("vm", mVm.name())
+                .put("sent_after_ms", mStartedMillis - mRequest.arrivalMillis())
+                .put("took_ms", mClock.millis() - mStartedMillis)
+                .put("cause", mCause.name().toLowerCase(Locale.ROOT))
+                .put("end", end);
+    }
+
+    @Override
+    public boolean onConnected(HttpHeaders headers, boolean reused) {
+        long remaining = mRequest.remainingMillis(mClock.millis()) - NETWORK_ALLOWANCE_MILLIS;
+        if (remaining <= 0 || !mIsCallerConnected.getAsBoolean()) {
+            mDropped = true;
+            return false;
+        }
+        headers.set(TargetHeaders.REMAINING_MILLIS, Long.toString(remaining));
+        mSent = true;
+        return true;
+    }
+
+    @Override
+    public void onHead(HttpResponse head) {
+        int status = head.status().code();
+        ResponseCheck check = ResponseCheck.of(status, head.headers(), mRequest.id());
+        if (check == ResponseCheck.VALID) {
+            mCollector =
+                    new ResponseCollector(
+                            head, mCall::setAutoRead, () -> abort(FailureKind.CANCELLED_BY_CALLER));
+            return;
+        }
+        if (check != ResponseCheck.MISMATCHED && NOT_EXECUTED_STATUSES.contains(status)) {
+            mResult.complete(
+                    new AttemptResult.Refused(
+                            endpoint(),
+                            status,
+                            retryAfterMillis(head.headers()),
+                            RelayHeader.UNAVAILABLE.equals(head.headers().get(RelayHeader.NAME))));
+            return;
+        }
+        fail(
+                status == GatewayResponses.TIMEOUT
+                        ? FailureKind.TIMED_OUT
+                        : FailureKind.RESET_AFTER_SEND,
+                "the VM responded with status " + status);
+    }
+
+    private static long retryAfterMillis(HttpHeaders headers) {
+        String value = headers.get(HttpHeaderNames.RETRY_AFTER, "0");
+        try {
+            return Math.round(Double.parseDouble(value) * MILLIS_PER_SECOND);
+        } catch (NumberFormatException malformed) {
+            return 0;
+        }
+    }
+
+    @Override
+    public void onData(ByteBuf chunk) {
+        if (mCollector != null) {
+            mCollector.add(chunk).ifPresent(this::complete);
+        }
+    }
+
+    @Override
+    public void onEnd(HttpHeaders trailers) {
+        if (mCollector != null) {
+            mCollector.end(trailers).ifPresent(this::complete);
+        }
+    }
+
+    private void complete(CallerResponse response) {
+        mResult.complete(new AttemptResult.Responded(endpoint(), mCollector.status(), response));
+    }
+
+    @Override
+    public void onFailure(Throwable failure) {
+        if (mDropped) {
+            mResult.complete(new AttemptResult.Dropped(endpoint()));
+        } else if (mCollector != null && mCollector.isStreaming()) {
+            mCollector.abort();
+        } else if (failure instanceof NotSentException) {
+            fail(FailureKind.CONNECT_FAILED, failure.toString());
+        } else {
+            fail(FailureKind.RESET_AFTER_SEND, failure.toString());
+        }
+    }
+
+    private void fail(FailureKind kind, String cause) {
+        mResult.complete(new AttemptResult.Failed(endpoint(), kind, cause));
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/dahliapass/gateway/RequestRelay.java
@@ -0,0 +1,109 @@
+package org.dahliapass.gateway;
+
+import java.time.Clock;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.BooleanSupplier;
+import org.dahliapass.decisions.reachability.RelaySelector;
+import org.dahliapass.model.routing.FleetVm;
+import org.dahliapass.traffic.EntryMetrics;
+
+/**
+ * Has requests served by other VMs while this one reaches no target.
+ *
+ * <p>A request is passed on once at most: the VM that receives it sends it to targets or refuses
+ * it. Confined to the traffic thread unless a method says otherwise.
+ */
+final class RequestRelay {
+    private final String mSelf;
+    private final StoreFollower mFollower;
+    private final TargetConnections mConnections;
+    private final Clock mClock;
+    private final EntryMetrics mMetrics;
+    private final RelaySelector mSelector;
+
+    /** Requests that wait for slots at targets. */
+    private final Set<Runnable> mWaiters = new LinkedHashSet<>();
+
+    RequestRelay(
+            GatewaySettings settings,
+            StoreFollower follower,
+            TargetConnections connections,
+            Clock clock,
+            EntryMetrics metrics) {
+        mSelf = settings.self().name();
+        mFollower = follower;
+        mConnections = connections;
+        mClock = clock;
+        mMetrics = metrics;
+        mSelector = new RelaySelector(mSelf, new SplittableRandom());
+        connections.reachability().addPartitionListener(this::wakeWaiters);
+    }
+
+    /** Returns whether this VM reaches no target, so that requests are best passed on. */
+    boolean isNeeded() {
+        return mConnections.reachability().isPartitioned();
+    }
+
+    /**
+     * Creates an attempt at another VM.
+     *
+     * @param tried the names of the VMs that the request was sent to before
+     * @return empty if no VM is available
+     */
+    Optional<RelayAttempt> attempt(
+            ProxyRequest request,
+            RelayHeader header,
+            Set<String> tried,
+            AttemptCause cause,
+            BooleanSupplier isCallerConnected) {
+        RoutingView view = mFollower.view();
+        Optional<FleetVm> vm =
+                mSelector.select(view.plan().advertisedVms(), view.vms(), tried, mClock.millis());
+        mMetrics.onRelayed(vm.isPresent() ? "sent" : "no_vm");
+        return vm.map(
+                selected ->
+                        new RelayAttempt(
+                                request,
+                                selected,
+                                header,
+                                mConnections,
+                                mClock,
+                                cause,
+                                isCallerConnected));
+    }
+
+    /**
+     * Adds a listener that is called once this VM reaches no target.
+     *
+     * <p>Guards against requests that wait for the slots of requests that hang behind a partition.
+     */
+    void addWaiter(Runnable waiter) {
+        mWaiters.add(waiter);
+    }
+
+    /** Removes a listener; has no effect if it was called. */
+    void removeWaiter(Runnable waiter) {
+        mWaiters.remove(waiter);
+    }
+
+    private void wakeWaiters() {
+        List<Runnable> waiters = List.copyOf(mWaiters);
+        mWaiters.clear();
+        waiters.forEach(Runnable::run);
+    }
+
+    /** Records that another VM passed a request on to this one. */
+    void onReceived() {
+        mMetrics.onRelayed("received");
+    }
+
+    /** Records that a VM could not be reached or can't serve requests. */
+    void onUnavailable(FleetVm vm) {
+        mMetrics.onRelayed("vm_unavailable");
+        mSelector.onUnavailable(vm.name(), mClock.millis());
+    }
+}
--- a/gateway/src/main/java/org/dahliapass/gateway/ServicePool.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ServicePool.java
@@ -1,8 +1,10 @@
 package org.dahliapass.gateway;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.random.RandomGenerator;
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.model.routing.TargetRegistration;
 import org.dahliapass.traffic.ServiceRuntime;
@@ -12,6 +14,9 @@
     private final ServiceRuntime mRuntime;
     private final Map<Endpoint, TargetRegistration> mRegistrations;
 
+    /** Created on first use: most VMs of a large fleet never check whether they reach targets. */
+    private volatile List<Endpoint> mEndpoints;
+
     /** Created on first use: most VMs of a large fleet receive no reports from peers. */
     private volatile Map<String, TargetRegistration> mByIncarnation;
 
@@ -36,6 +41,18 @@
         return mRegistrations;
     }
 
+    /** Returns a registered target at random; empty if there is none. */
+    Optional<Endpoint> randomTarget(RandomGenerator random) {
+        List<Endpoint> endpoints = mEndpoints;
+        if (endpoints == null) {
+            endpoints = List.copyOf(mRegistrations.keySet());
+            mEndpoints = endpoints;
+        }
+        return endpoints.isEmpty()
+                ? Optional.empty()
+                : Optional.of(endpoints.get(random.nextInt(endpoints.size())));
+    }
+
     /** Returns the target that is registered at an endpoint. */
     Optional<TargetRegistration> registrationAt(Endpoint target) {
         return Optional.ofNullable(mRegistrations.get(target));
--- a/gateway/src/main/java/org/dahliapass/gateway/ServicePools.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ServicePools.java
@@ -79,6 +79,7 @@
     private final GatewaySettings mSettings;
     private final EntryMetrics mMetrics;
     private final EventLog mLog;
+    private final TargetReachability mReachability;
     private final Supplier<LimitingVms> mLimitingVms;
     private final Map<String, TargetHealth> mHealth = new HashMap<>();
     private final Map<String, ServiceTemplate> mTemplates = new HashMap<>();
@@ -106,7 +107,9 @@
             GatewaySettings settings,
             EntryMetrics metrics,
             EventLog log,
+            TargetReachability reachability,
             Supplier<LimitingVms> limitingVms) {
+        mReachability = reachability;
         mLimitingVms = limitingVms;
         mClock = clock;
         mRandom = random;
@@ -125,6 +128,23 @@
         return mPools.keySet();
     }
 
+    /**
+     * Returns a target of a service at random; any thread may call this.
+     *
+     * @return the target; empty if the selected service has none
+     */
+    Optional<Endpoint> randomTarget() {
+        List<ServicePool> pools = List.copyOf(mPools.values());
+        return pools.isEmpty()
+                ? Optional.empty()
+                : pools.get(mRandom.nextInt(pools.size())).randomTarget(mRandom);
+    }
+
+    /** Discards what this VM believes of the network paths; any thread may call this. */
+    private void resetPaths() {
+        mPools.values().forEach(pool -> pool.runtime().resetPaths());
+    }
+
     /** Sets the listener for observations of targets; to be called during the start. */
     void setObservationListener(BiConsumer<ServiceId, TargetObservation> listener) {
         mObservationListener = listener;
@@ -136,6 +156,8 @@
         mFollower = kernel.find(StoreFollower.NAME, StoreFollower.class);
         mDelayedRefresh = new PeriodicTask(mLoop, IDLE_REFRESH_DELAY, this::refreshIfOutdated);
         mFollower.addChangeListener(this::onStateChange);
+        mReachability.setTargets(this::randomTarget);
+        mReachability.addReachedListener(this::resetPaths);
         mEvaluation = new PeriodicTask(mLoop, EVALUATION_INTERVAL, this::evaluate);
         return CompletableFuture.completedFuture(null);
     }
@@ -143,6 +165,10 @@
     @Override
     public void onOutcome(
             ServiceId service, Endpoint target, String kind, Outcome outcome, long latencyMillis) {
+        if (!outcome.hasResponse() && !mReachability.isReached()) {
+            // Guards against ejecting targets that only this VM doesn't reach.
+            return;
+        }
         mLoop.execute(
                 () -> {
                     TargetHealth health = mHealth.get(service.name());
--- a/gateway/src/main/java/org/dahliapass/gateway/TargetAttempt.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/TargetAttempt.java
@@ -1,11 +1,10 @@
 package org.dahliapass.gateway;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpUtil;
 import java.time.Clock;
+import java.util.Locale;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import org.dahliapass.decisions.access.CallerIdentity;
@@ -15,11 +14,10 @@
 import org.dahliapass.decisions.reachability.ContactFailure;
 import org.dahliapass.decisions.traffic.FailureKind;
 import org.dahliapass.http.ClientCall;
-import org.dahliapass.http.HopByHopHeaders;
 import org.dahliapass.http.NotSentException;
 import org.dahliapass.http.ResponseListener;
-import org.dahliapass.http.ServerResponse;
 import org.dahliapass.kernel.Futures;
+import org.dahliapass.kernel.JsonObject;
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.model.TargetInstance;
 import org.dahliapass.model.routing.TargetRegistration;
@@ -33,15 +31,12 @@
  * after a truncated one. A response that exceeds the buffer limit is streamed instead. Confined to
  * the traffic thread. Each attempt releases its slot exactly once.
  */
-final class TargetAttempt implements ResponseListener {
-    /** The maximum size of a buffered response body, in bytes. */
-    private static final int MAX_BUFFERED_BYTES = 2 * 1024 * 1024;
-
+final class TargetAttempt implements Attempt, ResponseListener {
     private static final int CLIENT_ERROR = 400;
 
     private static final int SERVER_ERROR = 500;
 
-    private static final int DEFAULT_BODY_BYTES = 1_024;
+    private static final double HUNDREDTHS = 100.0;
 
     private final AttemptCause mCause;
     private final double mFailureProbability;
@@ -53,12 +48,11 @@
     private final BooleanSupplier mIsCallerConnected;
     private final CompletableFuture<AttemptResult> mResult = new CompletableFuture<>();
     private ClientCall mCall;
-    private HttpResponse mHead;
-    private ByteBuf mBuffer;
-    private StreamedResponse mStream;
+    private ResponseCollector mCollector;
     private long mStartedMillis;
     private long mWrittenMillis;
     private long mHeadMillis;
+    private boolean mHeadReceived;
     private ConnectionUse mConnection = ConnectionUse.NEW;
     private LimitStatement mLimit = LimitStatement.UNLIMITED;
     private boolean mReleased;
@@ -119,41 +113,14 @@
         return mPool.registrationAt(target()).map(TargetRegistration::draining).orElse(false);
     }
 
-    /**
-     * Returns the estimated probability, at the time of the selection, that the target was in a
-     * failure period.
-     */
-    double failureProbability() {
-        return mFailureProbability;
-    }
-
-    /** Returns the request limit that the response names. */
-    LimitStatement limit() {
-        return mLimit;
-    }
-
-    /** Returns whether the request was sent on a new or on an open connection. */
-    ConnectionUse connection() {
-        return mConnection;
-    }
-
-    /** Returns why the request is sent. */
-    AttemptCause cause() {
-        return mCause;
-    }
-
     /** Returns when the attempt began to look for a connection, in milliseconds. */
     long startedMillis() {
         return mStartedMillis;
     }
 
-    /**
-     * Ends the attempt and closes its connection, which tells the target to stop.
-     *
-     * @param kind the failure to record for the target
-     */
-    void abort(FailureKind kind) {
-        if (kind == FailureKind.TIMED_OUT && !mReleased && mHead == null) {
+    @Override
+    public void abort(FailureKind kind) {
+        if (kind == FailureKind.TIMED_OUT && !mReleased && !mHeadReceived) {
             recordNoResponse(ContactFailure.SILENT);
         }
         release(kind);
@@ -162,14 +129,34 @@
         }
     }
 
-    /** Returns when the request was written to its connection, in milliseconds; 0 if never. */
-    long writtenMillis() {
-        return mWrittenMillis;
+    @Override
+    public boolean isSent() {
+        return mWrittenMillis > 0;
     }
 
-    /** Returns whether bytes of the request may have reached the target. */
-    boolean isSent() {
-        return mWrittenMillis > 0;
+    /** An at-most-once request runs on, because aborting it leaves its effect unknown. */
+    @Override
+    public boolean endsWithCaller() {
+        return mRequest.kind().idempotency().isRepeatable();
+    }
+
+    @Override
+    public JsonObject describe(String end) {
+        long now = mClock.millis();
+        JsonObject entry = new JsonObject();
+        entry.put("target", target().toString())
+                .put("instance", instance().name())
+                .put("bout_chance", Math.round(mFailureProbability * HUNDREDTHS) / HUNDREDTHS)
+                .put("sent_after_ms", mStartedMillis - mRequest.arrivalMillis())
+                .put("took_ms", now - mStartedMillis)
+                .put("connecting_ms", (isSent() ? mWrittenMillis : now) - mStartedMillis)
+                .put("connection", mConnection.name().toLowerCase(Locale.ROOT))
+                .put("cause", mCause.name().toLowerCase(Locale.ROOT))
+                .put("end", end);
+        if (!mLimit.equals(LimitStatement.UNLIMITED)) {
+            entry.put("limit", mLimit.toString());
+        }
+        return entry;
     }
 
     /**
@@ -183,7 +170,7 @@
         long now = mClock.millis();
         mConnection = reused ? ConnectionUse.OPEN : ConnectionUse.NEW;
         if (!reused) {
-            mConnections.reachability().onReached(target());
+            mConnections.reachability().onConnected(target());
         }
         long remaining = mRequest.remainingMillis(now);
         if (remaining == 0 || !mIsCallerConnected.getAsBoolean()) {
@@ -192,14 +179,15 @@
         }
         headers.set(TargetHeaders.REMAINING_MILLIS, Long.toString(remaining));
         mWrittenMillis = now;
+        mConnections.reachability().onSent(this, target());
         return true;
     }
 
     @Override
     public void onHead(HttpResponse head) {
+        mHeadReceived = true;
         mHeadMillis = mClock.millis();
-        mHead = head;
-        mConnections.reachability().onReached(target());
+        mConnections.reachability().onResponse(this, target());
         int status = head.status().code();
         ResponseCheck check = ResponseCheck.of(status, head.headers(), mRequest.id());
         if (check.isFromExpectedTarget(status)) {
@@ -210,7 +198,9 @@
             }
         }
         if (check == ResponseCheck.VALID) {
-            mBuffer = Unpooled.buffer(initialCapacity());
+            mCollector =
+                    new ResponseCollector(
+                            head, mCall::setAutoRead, () -> abort(FailureKind.CANCELLED_BY_CALLER));
             return;
         }
         fail(check.failureKind(), check.cause() + " (status " + status + ")");
@@ -221,59 +211,24 @@
         }
     }
 
-    private int initialCapacity() {
-        long contentLength = HttpUtil.getContentLength(mHead, (long) DEFAULT_BODY_BYTES);
-        return (int) Math.min(contentLength, MAX_BUFFERED_BYTES);
-    }
-
     @Override
     public void onData(ByteBuf chunk) {
-        if (mStream != null) {
-            mStream.write(chunk.retainedDuplicate());
-            return;
+        if (mCollector != null) {
+            mCollector.add(chunk).ifPresent(this::complete);
         }
-        if (mResult.isDone()) {
-            return;
-        }
-        boolean isError = mHead.status().code() >= SERVER_ERROR;
-        if (mBuffer.readableBytes() + chunk.readableBytes() <= MAX_BUFFERED_BYTES || isError) {
-            mBuffer.writeBytes(chunk);
-            return;
-        }
-        startStreaming();
-        mStream.write(chunk.retainedDuplicate());
-    }
-
-    /** Starts to stream a response that exceeds the buffer limit. */
-    private void startStreaming() {
-        mStream =
-                new StreamedResponse(
-                        mHead.status(),
-                        callerHeaders(),
-                        HttpUtil.getContentLength(mHead, -1L),
-                        mBuffer,
-                        mCall::setAutoRead,
-                        () -> abort(FailureKind.CANCELLED_BY_CALLER));
-        mBuffer = null;
-        mResult.complete(new AttemptResult.Responded(target(), mHead.status().code(), mStream));
     }
 
     @Override
     public void onEnd(HttpHeaders trailers) {
-        if (mResult.isDone() && mStream == null) {
-            return;
-        }
-        boolean isError = mHead.status().code() >= SERVER_ERROR;
-        release(isError ? FailureKind.SERVER_ERROR : null);
-        if (mStream != null) {
-            mStream.end(trailers);
+        if (mCollector == null) {
             return;
         }
-        ServerResponse response =
-                new ServerResponse(mHead.status(), callerHeaders(), mBuffer, trailers);
-        mResult.complete(
-                new AttemptResult.Responded(
-                        target(), mHead.status().code(), CallerResponse.buffered(response)));
+        release(mCollector.status() >= SERVER_ERROR ? FailureKind.SERVER_ERROR : null);
+        mCollector.end(trailers).ifPresent(this::complete);
+    }
+
+    private void complete(CallerResponse response) {
+        mResult.complete(new AttemptResult.Responded(target(), mCollector.status(), response));
     }
 
     @Override
@@ -284,15 +239,15 @@
             return;
         }
         FailureKind kind = classify(failure);
-        if (mHead == null) {
+        if (!mHeadReceived) {
             recordNoResponse(
                     kind == FailureKind.CONNECT_FAILED
                             ? ContactFailure.NOT_CONNECTED
                             : ContactFailure.BROKEN);
         }
-        if (mStream != null) {
+        if (mCollector != null && mCollector.isStreaming()) {
             release(kind);
-            mStream.abort();
+            mCollector.abort();
             return;
         }
         fail(kind, describe(failure));
@@ -302,11 +257,11 @@
         if (failure instanceof NotSentException) {
             return FailureKind.CONNECT_FAILED;
         }
-        return mHead == null ? FailureKind.RESET_AFTER_SEND : FailureKind.CUT_SHORT;
+        return mHeadReceived ? FailureKind.CUT_SHORT : FailureKind.RESET_AFTER_SEND;
     }
 
     private void recordNoResponse(ContactFailure failure) {
-        mConnections.reachability().onFailure(target(), failure, mConnection);
+        mConnections.reachability().onFailure(target(), failure, mConnection, mStartedMillis);
     }
 
     private void fail(FailureKind kind, String cause) {
@@ -314,18 +269,13 @@
         mResult.complete(new AttemptResult.Failed(target(), kind, cause));
     }
 
-    private HttpHeaders callerHeaders() {
-        HttpHeaders headers = mHead.headers();
-        HopByHopHeaders.strip(headers, TargetRequestHead.ALWAYS_FORWARDED);
-        return headers;
-    }
-
     private void release(FailureKind kind) {
         if (mReleased) {
             return;
         }
         mReleased = true;
-        long endMillis = mHeadMillis == 0 ? mClock.millis() : mHeadMillis;
+        mConnections.reachability().onEnded(this);
+        long endMillis = mHeadReceived ? mHeadMillis : mClock.millis();
         mPool.runtime().release(mSlot, outcome(kind), endMillis - mStartedMillis);
     }
 
--- a/gateway/src/main/java/org/dahliapass/gateway/TargetConnections.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/TargetConnections.java
@@ -10,6 +10,7 @@
 import org.dahliapass.http.HttpClient;
 import org.dahliapass.http.PollMonitor;
 import org.dahliapass.kernel.KernelService;
+import org.dahliapass.traffic.EntryMetrics;
 
 /** The traffic thread with the HTTP client for targets and the platform. */
 public final class TargetConnections implements KernelService {
@@ -27,11 +28,11 @@
     private final HttpClient mClient;
     private final TargetReachability mReachability;
 
-    TargetConnections(Clock clock, TargetReachability reachability) {
-        mReachability = reachability;
+    TargetConnections(Clock clock, EntryMetrics metrics, EventLog log) {
         mMonitor = new PollMonitor(clock);
         mLoops = EventLoops.singleThreaded("traffic", mMonitor);
         mClient = new HttpClient(mLoops, clock, CONNECT_TIMEOUT, IDLE_TIMEOUT);
+        mReachability = new TargetReachability(clock, metrics, log, mClient);
     }
 
     /** Returns the traffic thread as an event loop group. */
@@ -54,7 +55,7 @@
         return mClient;
     }
 
-    /** Returns what is known of the targets that this VM reaches; for the traffic thread only. */
+    /** Returns what this VM knows of the targets that it reaches. */
     TargetReachability reachability() {
         return mReachability;
     }
--- a/gateway/src/main/java/org/dahliapass/gateway/TargetReachability.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/TargetReachability.java
@@ -1,47 +1,162 @@
 package org.dahliapass.gateway;
 
+import io.netty.util.concurrent.ScheduledFuture;
 import java.time.Clock;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.dahliapass.decisions.reachability.ConnectionUse;
 import org.dahliapass.decisions.reachability.ContactFailure;
 import org.dahliapass.decisions.reachability.ContactSummary;
+import org.dahliapass.decisions.reachability.Reachability;
+import org.dahliapass.decisions.reachability.ReachabilityDetector;
 import org.dahliapass.decisions.reachability.TargetContacts;
+import org.dahliapass.http.HttpClient;
+import org.dahliapass.kernel.Futures;
 import org.dahliapass.kernel.JsonObject;
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.traffic.EntryMetrics;
 
-/** Logs and counts which targets this VM reaches. Confined to the traffic thread. */
+/**
+ * Finds out whether this VM reaches the targets, by the attempts of its requests and, when these
+ * raise a suspicion, by opening connections to a few targets at random.
+ *
+ * <p>Confined to the traffic thread unless a method says otherwise.
+ */
 final class TargetReachability {
     private static final long SUMMARY_INTERVAL_MILLIS = 1_000;
 
+    /** The interval at which connections are opened while no target is reached. */
+    private static final long CHECK_INTERVAL_MILLIS = 250;
+
+    /** The draws after which targets that were lost before are checked, too. */
+    private static final int MAX_DRAWS = 24;
+
+    /** More failures than a service reports until a suspicion is resolved. */
+    private static final int MAX_HELD_REPORTS = 64;
+
     private final Clock mClock;
     private final EntryMetrics mMetrics;
     private final EventLog mLog;
+    private final HttpClient mClient;
     private final TargetContacts mContacts = new TargetContacts();
+    private final ReachabilityDetector mDetector = new ReachabilityDetector();
+    private final Queue<Runnable> mHeldReports = new ArrayDeque<>();
+    private final Queue<Consumer<Boolean>> mWaiting = new ArrayDeque<>();
+    private final List<Runnable> mReachedListeners = new ArrayList<>();
+    private final List<Runnable> mPartitionListeners = new ArrayList<>();
+    private Supplier<Optional<Endpoint>> mRandomTarget = Optional::empty;
+    private boolean mIsChecking;
     private long mSummaryMillis;
 
-    TargetReachability(Clock clock, EntryMetrics metrics, EventLog log) {
+    /** The state of the detector as of the last event, for other threads. */
+    private volatile Reachability mState = Reachability.REACHED;
+
+    private volatile long mStateSinceMillis;
+
+    TargetReachability(Clock clock, EntryMetrics metrics, EventLog log, HttpClient client) {
         mClock = clock;
         mMetrics = metrics;
         mLog = log;
+        mClient = client;
+        mStateSinceMillis = clock.millis();
     }
 
-    /** Records that a target responded, or accepted a connection. */
-    void onReached(Endpoint target) {
-        mContacts
-                .onReached(target, mClock.millis())
-                .ifPresent(change -> log("target_reached_again", target, change));
-        logSummary();
+    /**
+     * Sets the source of targets to check, which is called on the traffic thread; to be called
+     * during the start.
+     *
+     * @param randomTarget returns a target at random; empty if there is none
+     */
+    void setTargets(Supplier<Optional<Endpoint>> randomTarget) {
+        mRandomTarget = randomTarget;
+    }
+
+    /**
+     * Adds a listener that is called on the traffic thread when targets are reached again after a
+     * partition; to be called during the start.
+     */
+    void addReachedListener(Runnable listener) {
+        mReachedListeners.add(listener);
+    }
+
+    /**
+     * Adds a listener that is called on the traffic thread when no target is reached any more; to
+     * be called during the start.
+     */
+    void addPartitionListener(Runnable listener) {
+        mPartitionListeners.add(listener);
+    }
+
+    /** Returns whether this VM reaches no target; any thread may call this. */
+    boolean isPartitioned() {
+        return mState == Reachability.PARTITIONED;
+    }
+
+    /** Returns whether nothing suggests a partition; any thread may call this. */
+    boolean isReached() {
+        return mState == Reachability.REACHED;
+    }
+
+    /** Returns for how long the state has been the same; any thread may call this. */
+    long stateAgeMillis() {
+        return mClock.millis() - mStateSinceMillis;
     }
 
-    /** Records that an attempt ended without a response. */
-    void onFailure(Endpoint target, ContactFailure failure, ConnectionUse connection) {
+    /** Records that a connection to a target was opened. */
+    void onConnected(Endpoint target) {
+        recordReached(target);
+        mDetector.onConnected(mClock.millis());
+        update();
+    }
+
+    /**
+     * Records that a request was written.
+     *
+     * @param attempt identifies the attempt
+     */
+    void onSent(Object attempt, Endpoint target) {
+        mDetector.onSent(attempt, target, mClock.millis());
+    }
+
+    /** Records the head of a response to an attempt. */
+    void onResponse(Object attempt, Endpoint target) {
+        recordReached(target);
+        mDetector.onResponse(attempt, mClock.millis());
+    }
+
+    /** Records the end of an attempt, whatever its outcome. */
+    void onEnded(Object attempt) {
+        mDetector.onEnded(attempt);
+    }
+
+    /**
+     * Records that an attempt ended without a response.
+     *
+     * @param startedMillis when the attempt began, in milliseconds
+     */
+    void onFailure(
+            Endpoint target, ContactFailure failure, ConnectionUse connection, long startedMillis) {
         mMetrics.onContactFailure(text(failure), text(connection));
         mContacts
                 .onFailure(target, failure, connection, mClock.millis())
                 .ifPresent(change -> log("target_lost", target, change));
         logSummary();
+        switch (failure) {
+            case NOT_CONNECTED -> mDetector.onNotConnected(target, startedMillis);
+            case BROKEN -> mDetector.onBroken(target);
+            case SILENT -> mDetector.onTick(mClock.millis());
+        }
+        update();
     }
 
     /** Records that a target responded to a request that another VM sent at the given time. */
@@ -49,6 +164,176 @@
         mContacts.onPeerReached(target, sentMillis);
     }
 
+    /** Looks for silent targets; to be called periodically while requests are in flight. */
+    void onTick() {
+        mDetector.onTick(mClock.millis());
+        update();
+    }
+
+    /** Checks whether this VM reaches the targets, before it serves the first callers. */
+    void check() {
+        mDetector.suspect();
+        update();
+    }
+
+    /**
+     * Runs a report of a failed attempt, once it is known that this VM reaches the targets.
+     *
+     * <p>Guards against a partitioned VM that makes the others distrust targets which serve them.
+     */
+    void reportFailure(Runnable report) {
+        if (mDetector.state() == Reachability.REACHED) {
+            report.run();
+        } else if (mHeldReports.size() < MAX_HELD_REPORTS) {
+            mHeldReports.add(report);
+        }
+        update();
+    }
+
+    /** Calls a listener with whether this VM reaches the targets, once this is known. */
+    void whenKnown(Consumer<Boolean> listener) {
+        mWaiting.add(listener);
+        update();
+    }
+
+    private void recordReached(Endpoint target) {
+        mContacts
+                .onReached(target, mClock.millis())
+                .ifPresent(change -> log("target_reached_again", target, change));
+        logSummary();
+    }
+
+    /** Acts on the state of the detector. */
+    private void update() {
+        Reachability state = mDetector.state();
+        if (state != mState) {
+            setState(state);
+        }
+        if (state == Reachability.SUSPECTED) {
+            startChecks();
+            return;
+        }
+        boolean isReached = state == Reachability.REACHED;
+        List<Runnable> reports = isReached ? List.copyOf(mHeldReports) : List.of();
+        List<Consumer<Boolean>> waiting = List.copyOf(mWaiting);
+        mHeldReports.clear();
+        mWaiting.clear();
+        reports.forEach(Runnable::run);
+        waiting.forEach(listener -> listener.accept(isReached));
+        if (!isReached) {
+            startChecks();
+        }
+    }
+
+    private void setState(Reachability state) {
+        Reachability previous = mState;
+        long ageMillis = stateAgeMillis();
+        mStateSinceMillis = mClock.millis();
+        mState = state;
+        mMetrics.onPartitioned(state == Reachability.PARTITIONED);
+        if (state == Reachability.PARTITIONED) {
+            logState("targets_partitioned", ageMillis);
+            mPartitionListeners.forEach(Runnable::run);
+        } else if (previous == Reachability.PARTITIONED) {
+            logState("targets_reached", ageMillis);
+            mReachedListeners.forEach(Runnable::run);
+        }
+    }
+
+    /**
+     * Logs a change of the state.
+     *
+     * @param ageMillis how long the previous state lasted, in milliseconds
+     */
+    private void logState(String event, long ageMillis) {
+        ContactSummary summary = mContacts.summary(mClock.millis());
+        mLog.write(
+                EventLog.Kind.DEPENDENCY,
+                event,
+                line ->
+                        line.put("after_ms", ageMillis)
+                                .put("targets", summary.targets())
+                                .put("lost", summary.lost())
+                                .put("answered_elsewhere", summary.answeredElsewhere()));
+    }
+
+    /** Opens connections to targets at random, unless some are being opened. */
+    private void startChecks() {
+        if (mIsChecking) {
+            return;
+        }
+        Set<Endpoint> targets = targetsToCheck();
+        if (targets.isEmpty()) {
+            mDetector.onNothingToCheck();
+            update();
+            return;
+        }
+        mIsChecking = true;
+        long startedMillis = mClock.millis();
+        List<Endpoint> open = new ArrayList<>(targets);
+        for (Endpoint target : targets) {
+            Futures.whenDone(
+                    mClient.isListening(target),
+                    (listening, failure) -> {
+                        open.remove(target);
+                        if (failure == null) {
+                            onChecked(target, listening, startedMillis);
+                        }
+                        if (open.isEmpty()) {
+                            onChecksEnded();
+                        }
+                    });
+        }
+    }
+
+    private void onChecked(Endpoint target, boolean listening, long startedMillis) {
+        if (listening) {
+            onConnected(target);
+        } else {
+            onFailure(target, ContactFailure.NOT_CONNECTED, ConnectionUse.NEW, startedMillis);
+        }
+    }
+
+    private void onChecksEnded() {
+        if (mDetector.state() == Reachability.REACHED) {
+            mIsChecking = false;
+            return;
+        }
+        ScheduledFuture<?> unused =
+                mClient.loop()
+                        .schedule(
+                                () -> {
+                                    mIsChecking = false;
+                                    update();
+                                },
+                                CHECK_INTERVAL_MILLIS,
+                                TimeUnit.MILLISECONDS);
+    }
+
+    /** Draws targets at random, preferably those that were not lost before. */
+    private Set<Endpoint> targetsToCheck() {
+        boolean isPartitioned = mDetector.state() == Reachability.PARTITIONED;
+        int count = isPartitioned ? 1 : mDetector.missingFailures();
+        Set<Endpoint> chosen = new LinkedHashSet<>();
+        Set<Endpoint> lost = new LinkedHashSet<>();
+        for (int draw = 0; draw < MAX_DRAWS && chosen.size() < count; draw++) {
+            Optional<Endpoint> target = mRandomTarget.get();
+            if (target.isEmpty()) {
+                break;
+            }
+            if (isPartitioned || !mDetector.hasFailed(target.get())) {
+                boolean isLost = mContacts.isLost(target.get());
+                (isLost ? lost : chosen).add(target.get());
+            }
+        }
+        for (Endpoint target : lost) {
+            if (chosen.size() < count) {
+                chosen.add(target);
+            }
+        }
+        return chosen;
+    }
+
     private void log(String event, Endpoint target, TargetContacts.Change change) {
         mLog.write(
                 EventLog.Kind.BELIEF,
--- a/gateway/src/test/java/org/dahliapass/gateway/GatewayPartitionTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/GatewayPartitionTest.java
@@ -8,16 +8,27 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
+import org.dahliapass.kernel.MonotonicClock;
 import org.dahliapass.standins.CallerStandIn;
 import org.dahliapass.standins.PartitionableLink.Partition;
+import org.dahliapass.standins.SigningTargetStandIn.Behaviour;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests of a VM that is partitioned from all targets while callers and other VMs reach it. */
 public final class GatewayPartitionTest {
     private static final int REQUESTS = 20;
+
+    /** More than a VM has open connections, and far fewer than the targets have slots. */
+    private static final int HANGING = 4;
+
     private static final int CUT = 0;
     private static final int OTHER = 1;
+    private static final int THIRD = 2;
+
+    /** The timeout of the route for locks. */
+    private static final int ROUTE_TIMEOUT_MILLIS = 1_200;
 
     /** Returns the partitions after which the VM has to find out that it reaches no target. */
     @DataProvider
@@ -42,7 +53,7 @@
             fixture.behave(PartitionFixture::hangIfAsked);
             fixture.partition(CUT, Partition.REFUSE_NEW);
             List<Socket> hanging = new ArrayList<>();
-            for (int number = 0; number < REQUESTS; number++) {
+            for (int number = 0; number < HANGING; number++) {
                 hanging.add(fixture.open(CUT, "GET", "/r/hang-" + number));
             }
             assertServed(fixture);
@@ -81,6 +92,95 @@
         }
     }
 
+    /** Guards against a lock that runs twice because the VM that served it was lost. */
+    @Test
+    public void lockIsNotPassedOnAgainIfItMayHaveRun() throws IOException {
+        try (PartitionFixture fixture = new PartitionFixture(3)) {
+            fixture.partition(CUT, Partition.RESET);
+            assertEquals(CallerStandIn.status(fixture.post(CUT, "/l/first")), 200);
+            fixture.behave(PartitionFixture::hangIfAsked);
+            try (Socket caller = fixture.open(CUT, "POST", "/l/hang")) {
+                GatewayFixture.await(() -> fixture.received("/l/hang").size() == 1);
+                fixture.behave(request -> Behaviour.RESPOND);
+                fixture.stop(OTHER);
+                fixture.stop(THIRD);
+                assertEquals(PartitionFixture.readStatus(caller), 502);
+            }
+            assertEquals(fixture.received("/l/hang").size(), 1);
+        }
+    }
+
+    /** Guards against a request that waits for a VM which can't serve it. */
+    @Test
+    public void requestIsServedByAThirdVmIfTheOtherIsGone() {
+        try (PartitionFixture fixture = new PartitionFixture(3)) {
+            fixture.stop(OTHER);
+            fixture.partition(CUT, Partition.RESET);
+            assertServed(fixture);
+        }
+    }
+
+    /** Guards against requests that are passed back and forth, or wait for their deadline. */
+    @Test
+    public void requestIsRejectedIfNoVmReachesATarget() {
+        try (PartitionFixture fixture = new PartitionFixture(2)) {
+            fixture.partition(CUT, Partition.RESET);
+            fixture.partition(OTHER, Partition.RESET);
+            fixture.get(CUT, "/r/first");
+            fixture.get(OTHER, "/r/first");
+            String response = fixture.post(CUT, "/l/nowhere");
+            assertEquals(CallerStandIn.status(response), 503, response);
+            assertTrue(response.toLowerCase(Locale.ROOT).contains("retry-after: "), response);
+            assertEquals(fixture.received("/l/nowhere"), List.of());
+        }
+    }
+
+    /** Guards against a request that a target gets after its caller left, one VM further. */
+    @Test
+    public void requestIsNotSentToATargetAfterItsCallerLeft() throws IOException {
+        FreezableClock clock = new FreezableClock();
+        try (PartitionFixture fixture =
+                new PartitionFixture(List.of(new MonotonicClock(), clock))) {
+            fixture.partition(CUT, Partition.RESET);
+            assertEquals(CallerStandIn.status(fixture.post(CUT, "/l/first")), 200);
+            clock.freeze();
+            Socket caller = fixture.open(CUT, "POST", "/l/left");
+            fixture.awaitRelayed(CUT, 2);
+            caller.close();
+            GatewayFixture.await(() -> fixture.log(CUT).contains(PartitionFixture.id("/l/left")));
+            clock.resume();
+            assertEquals(CallerStandIn.status(fixture.post(CUT, "/l/last")), 200);
+            assertEquals(fixture.received("/l/left"), List.of());
+        }
+    }
+
+    /** Guards against a target that is handed more time than the caller still waits. */
+    @Test
+    public void deadlineHoldsOverBothVms() {
+        try (PartitionFixture fixture = new PartitionFixture(2)) {
+            fixture.partition(CUT, Partition.RESET);
+            fixture.get(CUT, "/r/first");
+            fixture.behave(PartitionFixture::hangIfAsked);
+            String response = fixture.post(CUT, "/l/hang");
+            assertEquals(CallerStandIn.status(response), 504, response);
+            String deadline =
+                    fixture.received("/l/hang").get(0).headers().get("x-dahliapass-deadline-ms");
+            assertTrue(Integer.parseInt(deadline) <= ROUTE_TIMEOUT_MILLIS, deadline);
+        }
+    }
+
+    /** Guards against internal headers that reach targets or callers. */
+    @Test
+    public void relayHeaderStaysBetweenVms() {
+        try (PartitionFixture fixture = new PartitionFixture(2)) {
+            fixture.partition(CUT, Partition.RESET);
+            String response = fixture.get(CUT, "/r/head");
+            assertFalse(response.toLowerCase(Locale.ROOT).contains("dahliapass-relay"), response);
+            assertFalse(
+                    fixture.received("/r/head").get(0).headers().containsKey("dahliapass-relay"));
+        }
+    }
+
     /** Guards against a VM that stays without a path to the targets after the partition. */
     @Test(dataProvider = "partitions")
     public void targetsAreReachedAfterThePartition(Partition partition) {
--- a/gateway/src/test/java/org/dahliapass/gateway/PartitionFixture.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/PartitionFixture.java
@@ -1,6 +1,7 @@
 package org.dahliapass.gateway;
 
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.io.PrintStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -32,6 +33,9 @@
 final class PartitionFixture implements AutoCloseable {
     private static final int TARGETS = 6;
 
+    /** The length of "HTTP/1.1 200". */
+    private static final int STATUS_LINE_START_BYTES = 12;
+
     final List<SigningTargetStandIn> mTargets =
             IntStream.range(0, TARGETS)
                     .mapToObj(number -> new SigningTargetStandIn("i-" + number))
@@ -55,23 +59,27 @@
     /** Starts a VM with each of the clocks. */
     PartitionFixture(List<Clock> clocks) {
         mTargets.forEach(SigningTargetStandIn::start);
+        List<MetadataStoreStandIn> stores = new ArrayList<>();
+        List<List<PartitionableLink>> links = new ArrayList<>();
+        for (int number = 0; number < clocks.size(); number++) {
+            stores.add(new MetadataStoreStandIn(0, new MonotonicClock()));
+            stores.get(number).start();
+            links.add(createLinks(stores.get(number)));
+        }
         for (int number = 0; number < clocks.size(); number++) {
-            mNodes.add(createNode(number, clocks.get(number)));
+            startNode(number, stores.get(number), links.get(number), clocks.get(number));
         }
         for (Node node : mNodes) {
             mNodes.forEach(other -> register(other, node.store()));
-            node.vm().start().join();
         }
         for (int number = 0; number < clocks.size(); number++) {
             int vm = number;
             GatewayFixture.await(() -> CallerStandIn.status(get(vm, "/r/warm")) == 200);
-            awaitAdvertised(vm, clocks.size());
+            awaitKnown(vm, clocks.size());
         }
     }
 
-    private Node createNode(int number, Clock clock) {
-        MetadataStoreStandIn store = new MetadataStoreStandIn(0, new MonotonicClock());
-        store.start();
+    private List<PartitionableLink> createLinks(MetadataStoreStandIn store) {
         List<PartitionableLink> links = new ArrayList<>();
         for (SigningTargetStandIn target : mTargets) {
             PartitionableLink link = new PartitionableLink(target.endpoint());
@@ -80,6 +88,12 @@
             store.put(target.key(), target.registration("x", "ready", link.endpoint()));
         }
         store.put("op/config", GatewayFixtures.configuration(1, "/r/"));
+        return links;
+    }
+
+    /** Starts a VM as soon as its ports are chosen, so that nothing else uses them. */
+    private void startNode(
+            int number, MetadataStoreStandIn store, List<PartitionableLink> links, Clock clock) {
         String text =
                 GatewayFixtures.settings(store.endpoint())
                         .replace("name = vm", "name = vm-" + number);
@@ -90,7 +104,9 @@
                         new MonotonicClock(),
                         "vm-" + number,
                         new PrintStream(output, true, StandardCharsets.UTF_8));
-        return new Node(store, links, settings, new GatewayVm(settings, clock, log), output);
+        GatewayVm vm = new GatewayVm(settings, clock, log);
+        vm.start().join();
+        mNodes.add(new Node(store, links, settings, vm, output));
     }
 
     private static void register(Node node, MetadataStoreStandIn store) {
@@ -99,8 +115,8 @@
                 new String(VmEntry.encode(node.settings().self()), StandardCharsets.UTF_8));
     }
 
-    private void awaitAdvertised(int vm, int count) {
-        GatewayFixture.await(() -> advertised(vm).split("127.0.0.1").length > count);
+    private void awaitKnown(int vm, int count) {
+        GatewayFixture.await(() -> log(vm).contains("\"vms\":" + count + ","));
     }
 
     /** Returns a VM's response to a discovery request. */
@@ -110,6 +126,28 @@
                 DiscoveryCalls.DISCOVERY_PATH + "?name=a.example&region=r&zone=zone-a");
     }
 
+    /** Returns whether a VM advertises itself to callers. */
+    boolean isAdvertised(int vm) {
+        return advertised(vm).contains(callerEndpoint(vm).toString());
+    }
+
+    /** Waits until a VM has sent a number of requests to other VMs. */
+    void awaitRelayed(int vm, int count) {
+        GatewayFixture.await(
+                () ->
+                        CallerStandIn.get(mNodes.get(vm).settings().control(), "/metrics")
+                                .contains(
+                                        "dahliapass_relayed_requests_total{event=\"sent\"} "
+                                                + count
+                                                + ".0"));
+    }
+
+    /** Reads the status of the response on an open connection. */
+    static int readStatus(Socket connection) throws IOException {
+        byte[] start = connection.getInputStream().readNBytes(STATUS_LINE_START_BYTES);
+        return CallerStandIn.status(new String(start, StandardCharsets.ISO_8859_1));
+    }
+
     /** Partitions a VM from all targets. */
     void partition(int vm, Partition partition) {
         mNodes.get(vm).links().forEach(link -> link.partition(partition));
--- a/model/src/main/java/org/dahliapass/model/routing/FleetVm.java
+++ b/model/src/main/java/org/dahliapass/model/routing/FleetVm.java
@@ -11,6 +11,7 @@
  * @param callerEndpoint the address for requests of callers
  * @param peerEndpoint the address for messages of other VMs
  * @param capacity the CPU and network capacity of the VM
+ * @param reachesTargets whether the VM reaches any target over its own network
  */
 public record FleetVm(
         String name,
@@ -18,4 +19,28 @@
         String region,
         Endpoint callerEndpoint,
         Endpoint peerEndpoint,
-        VmCapacity capacity) {}
+        VmCapacity capacity,
+        boolean reachesTargets) {
+    /** Creates a VM that reaches the targets. */
+    public FleetVm(
+            String name,
+            String availabilityZone,
+            String region,
+            Endpoint callerEndpoint,
+            Endpoint peerEndpoint,
+            VmCapacity capacity) {
+        this(name, availabilityZone, region, callerEndpoint, peerEndpoint, capacity, true);
+    }
+
+    /** Returns this VM with another state of its network. */
+    public FleetVm withReachesTargets(boolean newReachesTargets) {
+        return new FleetVm(
+                name,
+                availabilityZone,
+                region,
+                callerEndpoint,
+                peerEndpoint,
+                capacity,
+                newReachesTargets);
+    }
+}
--- a/traffic/src/main/java/org/dahliapass/traffic/EntryMetrics.java
+++ b/traffic/src/main/java/org/dahliapass/traffic/EntryMetrics.java
@@ -108,6 +108,20 @@
                     .name("dahliapass_lost_targets")
                     .help("Targets whose latest attempt on this VM got no response.")
                     .register(mRegistry);
+    private final Gauge mPartitioned =
+            Gauge.builder()
+                    .name("dahliapass_partitioned")
+                    .help("1 while this VM reaches no target, else 0.")
+                    .register(mRegistry);
+    private final Counter mRelayedRequests =
+            Counter.builder()
+                    .name("dahliapass_relayed_requests_total")
+                    .help(
+                            "Requests sent to another VM because this one reaches no target, by"
+                                    + " how that ended, and requests served for other VMs.")
+                    .labelNames("event")
+                    .withoutExemplars()
+                    .register(mRegistry);
     private final Counter mActions =
             Counter.builder()
                     .name("dahliapass_actions_total")
@@ -152,6 +166,16 @@
         mLostTargets.set(targets);
     }
 
+    /** Sets whether this VM reaches no target. */
+    public void onPartitioned(boolean partitioned) {
+        mPartitioned.set(partitioned ? 1 : 0);
+    }
+
+    /** Counts an event of the requests that VMs serve for each other. */
+    public void onRelayed(String event) {
+        mRelayedRequests.labelValues(event).inc();
+    }
+
     /** Counts an event of the poison message detection. */
     public void onPoisonEvent(String event) {
         mPoisonEvents.labelValues(event).inc();
--- a/traffic/src/main/java/org/dahliapass/traffic/ServiceRuntime.java
+++ b/traffic/src/main/java/org/dahliapass/traffic/ServiceRuntime.java
@@ -59,9 +59,6 @@
     private static final long REPORT_HALF_LIFE_MILLIS = 2000;
     private static final int RATE_BUCKETS = 10_000;
 
-    /** The silence ratio of a target without requests in flight. */
-    private static final double NO_SILENCE = 1;
-
     private final ServiceId mId;
     private final int mSlotsPerTarget;
     private final Clock mClock;
@@ -247,6 +244,13 @@
         return slot;
     }
 
+    /**
+     * Takes a retry from the budget for a request that another VM serves, if the policy allows one.
+     */
+    public synchronized boolean tryTakeRetry(FailedAttempt failed) {
+        return mRetryPolicy.tryTake(failed, mQueue.isOverloaded(), mClock.millis());
+    }
+
     /** Returns the delay after the first attempt at which to request a hedge; empty for never. */
     public synchronized OptionalLong hedgeDelayMillis(RequestKind kind) {
         return mHedgePolicy.delayMillis(kind);
@@ -332,7 +336,7 @@
                                 new TargetReport(
                                         target,
                                         0,
-                                        NO_SILENCE,
+                                        TargetReport.NO_SILENCE,
                                         OptionalLong.empty(),
                                         Optional.of(limit))));
         return reports;
@@ -477,6 +481,11 @@
         mLimits.forget(restartedTargets);
     }
 
+    /** Discards the estimates of this VM's network paths, which a partition has changed. */
+    public synchronized void resetPaths() {
+        mFailureDetector.resetPaths();
+    }
+
     /** Sets the members of the service's cell. */
     public synchronized void onCell(VmIdentity self, List<VmIdentity> members) {
         mSlots.onCell(self, members);
