Advertise only VMs that reach targets

Callers kept being sent to VMs that reach no target: neither the VMs' entries nor the address plan knew of it.

A VM's entry tells that it reaches no target, one write when that becomes known and one after targets were reached for 3 s; the plan leaves such VMs out while any other is left, so that callers move within the time to live of their addresses. Until then their requests are passed on.

GatewayPartitionTest#partitionedVmIsNotAdvertisedUntilItReachesTargets fails without it, as do three tests of AddressPlanTest.

--- a/decisions/src/main/java/org/dahliapass/decisions/routing/AddressPlan.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/routing/AddressPlan.java
@@ -22,6 +22,8 @@
  * <p>Callers spread their requests evenly over the advertised addresses, so the plan sizes each set
  * by its weakest VM. An overloaded VM would queue requests in its network link or event loop while
  * the rest of the fleet is idle.
+ *
+ * <p>VMs that reach no target are not advertised while any other VM is.
  */
 public final class AddressPlan {
     /** The most addresses that callers accept. */
@@ -50,7 +52,7 @@
     private final int mMinVmsPerZone;
     private final double mRequestsPerSecondPerZone;
     private final List<FleetVm> mByCapacity;
-    private final Map<String, List<FleetVm>> mByZone = new HashMap<>();
+    private final Map<String, List<FleetVm>> mByZone;
     private final Map<String, List<FleetVm>> mRegionalVms = new HashMap<>();
     private final Map<String, List<FleetVm>> mVmsByCallerZone = new HashMap<>();
     private final Set<FleetVm> mAdvertisedVms = new HashSet<>();
@@ -65,14 +67,21 @@
      */
     public AddressPlan(Collection<FleetVm> vms, double requestsPerSecond, int minVmsPerZone) {
         mMinVmsPerZone = minVmsPerZone;
-        mByCapacity = sortByCapacity(vms);
-        for (FleetVm vm : mByCapacity) {
-            mByZone.computeIfAbsent(vm.availabilityZone(), unused -> new ArrayList<>()).add(vm);
-        }
-        mRequestsPerSecondPerZone = requestsPerSecond / Math.max(1, mByZone.size());
-        mByCapacity.stream().map(FleetVm::region).distinct().forEach(this::selectWatchers);
-        mByCapacity.forEach(vm -> mRegionalVms.computeIfAbsent(vm.region(), this::regionalVms));
-        mByZone.forEach(
+        List<FleetVm> all = sortByCapacity(vms);
+        Map<String, List<FleetVm>> allByZone = byZone(all);
+        mRequestsPerSecondPerZone = requestsPerSecond / Math.max(1, allByZone.size());
+        all.stream()
+                .map(FleetVm::region)
+                .distinct()
+                .forEach(region -> selectWatchers(region, allByZone));
+        mByCapacity = usable(all);
+        mByZone = byZone(mByCapacity);
+        mByCapacity.forEach(
+                vm ->
+                        mRegionalVms.computeIfAbsent(
+                                vm.region(),
+                                region -> regionalVms(region, zoneCount(all, region))));
+        allByZone.forEach(
                 (zone, zoneVms) -> {
                     List<FleetVm> selected = select(zone, zoneVms.get(0).region());
                     mVmsByCallerZone.put(zone, selected);
@@ -80,6 +89,20 @@
                 });
     }
 
+    private static Map<String, List<FleetVm>> byZone(List<FleetVm> vms) {
+        Map<String, List<FleetVm>> byZone = new HashMap<>();
+        for (FleetVm vm : vms) {
+            byZone.computeIfAbsent(vm.availabilityZone(), unused -> new ArrayList<>()).add(vm);
+        }
+        return byZone;
+    }
+
+    /** Returns the VMs that reach targets; all VMs if none does. */
+    private static List<FleetVm> usable(List<FleetVm> vms) {
+        List<FleetVm> reaching = vms.stream().filter(FleetVm::reachesTargets).toList();
+        return reaching.isEmpty() ? vms : reaching;
+    }
+
     /**
      * Returns the addresses that the callers of a zone connect to.
      *
@@ -108,9 +131,9 @@
     }
 
     /** Selects a region's watchers, one VM of each zone in turn. */
-    private void selectWatchers(String region) {
+    private void selectWatchers(String region, Map<String, List<FleetVm>> byZone) {
         List<List<FleetVm>> zones =
-                mByZone.values().stream()
+                byZone.values().stream()
                         .filter(vms -> vms.get(0).region().equals(region))
                         .sorted(Comparator.comparing(vms -> vms.get(0).availabilityZone()))
                         .toList();
@@ -158,10 +181,17 @@
                 all.subList(0, sufficient > 0 ? sufficient : Math.min(all.size(), bestCount(all))));
     }
 
+    private static long zoneCount(List<FleetVm> vms, String region) {
+        return vms.stream()
+                .filter(vm -> vm.region().equals(region))
+                .map(FleetVm::availabilityZone)
+                .distinct()
+                .count();
+    }
+
     /** Returns the smallest set of VMs for all callers of a region; empty if none suffices. */
-    private List<FleetVm> regionalVms(String region) {
+    private List<FleetVm> regionalVms(String region, long zones) {
         List<FleetVm> vms = mByCapacity.stream().filter(vm -> vm.region().equals(region)).toList();
-        long zones = vms.stream().map(FleetVm::availabilityZone).distinct().count();
         return List.copyOf(vms.subList(0, sufficientCount(vms, mRequestsPerSecondPerZone * zones)));
     }
 
--- a/decisions/src/test/java/org/dahliapass/decisions/routing/AddressPlanTest.java
+++ b/decisions/src/test/java/org/dahliapass/decisions/routing/AddressPlanTest.java
@@ -109,6 +109,45 @@
         assertEquals(plan.advertisedVms().size(), 20);
     }
 
+    /** Guards against callers that are sent to VMs without a path to any target. */
+    @Test
+    public void vmsThatReachNoTargetAreNotAdvertised() {
+        List<FleetVm> vms = new ArrayList<>(fleet(10));
+        List<Endpoint> before = plan(vms).addresses("zone-0", "region");
+        vms.replaceAll(
+                vm -> before.contains(vm.callerEndpoint()) ? vm.withReachesTargets(false) : vm);
+        List<Endpoint> after = plan(vms).addresses("zone-0", "region");
+        assertEquals(after.size(), 2);
+        assertTrue(after.stream().noneMatch(before::contains));
+        assertEquals(
+                plan(vms).addresses("zone-1", "region"),
+                plan(fleet(10)).addresses("zone-1", "region"));
+    }
+
+    /** The VMs of a zone that reach no target still watch the store. */
+    @Test
+    public void zoneWithoutPathsUsesVmsOfItsRegion() {
+        List<FleetVm> vms = new ArrayList<>(fleet(10));
+        vms.replaceAll(
+                vm -> vm.availabilityZone().equals("zone-0") ? vm.withReachesTargets(false) : vm);
+        AddressPlan plan = new AddressPlan(vms, 60, 2);
+        List<Endpoint> addresses = plan.addresses("zone-0", "region");
+        assertTrue(addresses.size() >= 2);
+        assertTrue(addresses.stream().noneMatch(address -> address.host().startsWith("10.0.")));
+        assertEquals(plan.watchers().size(), 3);
+        assertTrue(plan.watchers().stream().anyMatch(vm -> vm.availabilityZone().equals("zone-0")));
+    }
+
+    /** Guards against a fleet without addresses while all targets are gone. */
+    @Test
+    public void allVmsAreAdvertisedAsUsualIfNoneReachesATarget() {
+        List<FleetVm> vms = new ArrayList<>(fleet(10));
+        vms.replaceAll(vm -> vm.withReachesTargets(false));
+        assertEquals(
+                plan(vms).addresses("zone-0", "region"),
+                plan(fleet(10)).addresses("zone-0", "region"));
+    }
+
     private static Set<String> hosts(AddressPlan plan) {
         Set<String> hosts = new HashSet<>();
         plan.addresses("zone", "region").forEach(address -> hosts.add(address.host()));
--- a/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
@@ -68,7 +68,7 @@
         ChangeFeed feed = new ChangeFeed(settings, store, connections.client(), random, log);
         LimitingVmsSource limitingVms = new LimitingVmsSource(settings, follower, feed);
         ServicePools pools = pools(settings, clock, metrics, log, connections, limitingVms);
-        mRegistration = new SelfRegistration(store, settings.self(), feed::followsStore, log);
+        mRegistration = registration(settings, store, feed, connections, log);
         mLoadReporter = new LoadReporter(clock, metrics, log, connections);
         PeerExchange exchange = new PeerExchange(settings, connections, log);
         PoisonGuard guard =
@@ -148,6 +148,16 @@
                 limitingVms);
     }
 
+    private static SelfRegistration registration(
+            GatewaySettings settings,
+            KeyValueStore store,
+            ChangeFeed feed,
+            TargetConnections connections,
+            EventLog log) {
+        return new SelfRegistration(
+                store, settings.self(), feed::followsStore, connections.reachability(), log);
+    }
+
     private static RequestAuthenticator authenticator(
             GatewaySettings settings, StoreFollower follower, ChangeFeed feed) {
         return new RequestAuthenticator(
--- a/gateway/src/main/java/org/dahliapass/gateway/RequestRelay.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/RequestRelay.java
@@ -28,6 +28,9 @@
     /** Requests that wait for slots at targets. */
     private final Set<Runnable> mWaiters = new LinkedHashSet<>();
 
+    /** Whether callers are sent to this VM; control thread only. */
+    private boolean mIsAdvertised;
+
     RequestRelay(
             GatewaySettings settings,
             StoreFollower follower,
@@ -40,9 +43,24 @@
         mClock = clock;
         mMetrics = metrics;
         mSelector = new RelaySelector(mSelf, new SplittableRandom());
+        follower.addPlanListener(this::onPlanChange);
         connections.reachability().addPartitionListener(this::wakeWaiters);
     }
 
+    /**
+     * Checks whether this VM reaches the targets when callers begin to use it.
+     *
+     * <p>Guards against replacing a partitioned VM by another one in the same network, which would
+     * find out only by the requests of its callers.
+     */
+    private void onPlanChange() {
+        boolean isAdvertised = mFollower.view().plan().isAdvertised(mSelf);
+        if (isAdvertised && !mIsAdvertised) {
+            mConnections.loop().execute(mConnections.reachability()::check);
+        }
+        mIsAdvertised = isAdvertised;
+    }
+
     /** Returns whether this VM reaches no target, so that requests are best passed on. */
     boolean isNeeded() {
         return mConnections.reachability().isPartitioned();
--- a/gateway/src/main/java/org/dahliapass/gateway/SelfRegistration.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/SelfRegistration.java
@@ -56,11 +56,18 @@
      */
     private static final Duration FOLLOWED_RENEWAL_INTERVAL = Duration.ofMillis(400);
 
+    /**
+     * How long a VM has reached targets before it is advertised again, so that a network that fails
+     * repeatedly doesn't move callers each time.
+     */
+    private static final long STABLE_MILLIS = 3_000;
+
     private static final long NO_LEASE = 0;
 
     private final KeyValueStore mStore;
     private final FleetVm mSelf;
     private final BooleanSupplier mIsFollowed;
+    private final TargetReachability mReachability;
     private final EventLog mLog;
     private ControlLoop mLoop;
     private StoreFollower mFollower;
@@ -70,14 +77,24 @@
     private boolean mIsRenewing;
     private boolean mIsDeregistered;
 
+    /** Whether the entry says that this VM reaches targets. */
+    private boolean mIsEntryReaching = true;
+
     /**
      * Creates the service.
      *
      * @param isFollowed returns whether other VMs may follow this one; called on the control thread
+     * @param reachability knows whether this VM reaches the targets
      */
-    SelfRegistration(KeyValueStore store, FleetVm self, BooleanSupplier isFollowed, EventLog log) {
+    SelfRegistration(
+            KeyValueStore store,
+            FleetVm self,
+            BooleanSupplier isFollowed,
+            TargetReachability reachability,
+            EventLog log) {
         mStore = store;
         mSelf = self;
+        mReachability = reachability;
         mIsFollowed = isFollowed;
         mLog = log;
     }
@@ -116,7 +133,7 @@
                         : leaseTerm().mRenewalInterval;
         // Half an interval early, so that the check nearest to the due time is used.
         long dueMillis = mLastRenewalMillis + renewal.toMillis() - interval.toMillis() / 2;
-        if (mLoop.nowMillis() >= dueMillis || isLeaseTooLong()) {
+        if (mLoop.nowMillis() >= dueMillis || isLeaseTooLong() || isEntryOutdated()) {
             renewOrRegister();
         }
         return mIsDeregistered ? Optional.empty() : Optional.of(interval);
@@ -135,6 +152,17 @@
         return mLease != NO_LEASE && mLeaseTerm == LeaseTerm.SPARE && leaseTerm() == LeaseTerm.USED;
     }
 
+    /** Returns whether the entry is wrong about the targets that this VM reaches. */
+    private boolean isEntryOutdated() {
+        if (mLease == NO_LEASE) {
+            return false;
+        }
+        if (mIsEntryReaching) {
+            return mReachability.isPartitioned();
+        }
+        return mReachability.isReached() && mReachability.stateAgeMillis() >= STABLE_MILLIS;
+    }
+
     /** Renews the lease, or grants one and writes the entry if there is none. */
     private void renewOrRegister() {
         if (mIsRenewing || mIsDeregistered) {
@@ -143,7 +171,9 @@
         mIsRenewing = true;
         mLastRenewalMillis = mLoop.nowMillis();
         CompletableFuture<?> renewal =
-                mLease == NO_LEASE || isLeaseTooLong() ? register() : renew();
+                mLease == NO_LEASE || isLeaseTooLong()
+                        ? register()
+                        : isEntryOutdated() ? writeEntry(mLease) : renew();
         Futures.whenDone(
                 renewal,
                 (ignored, failure) ->
@@ -163,7 +193,7 @@
         return mStore.grantLease(leaseTerm.mTimeToLive)
                 .thenCompose(
                         lease ->
-                                mStore.put(VmEntry.key(mSelf.name()), VmEntry.encode(mSelf), lease)
+                                writeEntry(lease)
                                         .thenAccept(
                                                 isWritten ->
                                                         setLease(
@@ -171,6 +201,33 @@
                                                                 leaseTerm)));
     }
 
+    /** Writes the entry; the future tells whether the lease exists. */
+    private CompletableFuture<Boolean> writeEntry(long lease) {
+        boolean isReaching = !mReachability.isPartitioned();
+        return mStore.put(
+                        VmEntry.key(mSelf.name()),
+                        VmEntry.encode(mSelf.withReachesTargets(isReaching)),
+                        lease)
+                .thenApply(
+                        isWritten -> {
+                            if (isWritten) {
+                                mLoop.execute(() -> onEntryWritten(isReaching));
+                            }
+                            return isWritten;
+                        });
+    }
+
+    private void onEntryWritten(boolean isReaching) {
+        if (isReaching == mIsEntryReaching) {
+            return;
+        }
+        mIsEntryReaching = isReaching;
+        mLog.write(
+                EventLog.Kind.BELIEF,
+                isReaching ? "own_entry_reaching" : "own_entry_partitioned",
+                line -> line.put("lease", mLease));
+    }
+
     private CompletableFuture<?> renew() {
         return mStore.renewLease(mLease)
                 .thenCompose(
--- a/gateway/src/main/java/org/dahliapass/gateway/StoreFollower.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/StoreFollower.java
@@ -58,6 +58,7 @@
             new LeasedEntryCache<>(EXPIRY_GRACE_MILLIS);
     private final LeasedEntryCache<FleetVm> mVms = new LeasedEntryCache<>(EXPIRY_GRACE_MILLIS);
     private final List<Runnable> mListeners = new ArrayList<>();
+    private final List<Runnable> mPlanListeners = new ArrayList<>();
 
     /** The revisions of malformed items, each of which is logged once. */
     private final Map<String, Long> mMalformed = new HashMap<>();
@@ -114,6 +115,14 @@
         mListeners.add(listener);
     }
 
+    /**
+     * Registers a listener that runs on the control thread after each change of the VMs or of
+     * anything else that the plan depends on; to be called before the start.
+     */
+    void addPlanListener(Runnable listener) {
+        mPlanListeners.add(listener);
+    }
+
     /**
      * Sets the supplier of the time since when this VM has received all changes without a gap, in
      * milliseconds; {@link Long#MAX_VALUE} if it has not. Called on the control thread.
@@ -397,6 +406,7 @@
         if (servicesChanged) {
             mListeners.forEach(Runnable::run);
         }
+        mPlanListeners.forEach(Runnable::run);
     }
 
     /**
--- a/gateway/src/test/java/org/dahliapass/gateway/GatewayPartitionTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/GatewayPartitionTest.java
@@ -169,6 +169,19 @@
         }
     }
 
+    /** Guards against callers that are sent to a VM without a path to the targets. */
+    @Test
+    public void partitionedVmIsNotAdvertisedUntilItReachesTargets() {
+        try (PartitionFixture fixture = new PartitionFixture(2)) {
+            fixture.partition(CUT, Partition.RESET);
+            fixture.get(CUT, "/r/first");
+            GatewayFixture.await(() -> !fixture.isAdvertised(CUT));
+            assertEquals(CallerStandIn.status(fixture.get(CUT, "/r/known")), 200);
+            fixture.heal(CUT);
+            GatewayFixture.await(() -> fixture.isAdvertised(CUT));
+        }
+    }
+
     /** Guards against internal headers that reach targets or callers. */
     @Test
     public void relayHeaderStaysBetweenVms() {
