--- a/gateway/src/main/java/org/dahliapass/gateway/GatewayResponses.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewayResponses.java
@@ -61,9 +61,14 @@
      *     told up to twice as long, so that they don't all return at once
      */
     CallerResponse rateLimited(long waitMillis) {
+        return limited(Math.round(waitMillis * (1 + mRandom.nextDouble())));
+    }
+
+    /** Returns the 429 response to a request beyond its customer's rate limit. */
+    CallerResponse limited(long retryAfterMillis) {
         return response(
                 HttpResponseStatus.TOO_MANY_REQUESTS,
-                Math.round(waitMillis * (1 + mRandom.nextDouble())),
+                retryAfterMillis,
                 "The request was not run: the customer's rate limit is used up. Come back after the"
                         + " time in Retry-After.");
     }
--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
@@ -20,7 +20,6 @@
 import org.dahliapass.decisions.traffic.FailureKind;
 import org.dahliapass.http.ServerCall;
 import org.dahliapass.kernel.Futures;
-import org.dahliapass.kernel.JsonObject;
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.model.RequestDigest;
 import org.dahliapass.traffic.RefusedException;
@@ -43,9 +42,6 @@
     /** A request that found no connection to so many targets is passed on to another VM. */
     private static final int MAX_CONNECT_FAILURES = 2;
 
-    /** The maximum number of VMs that a request is passed on to, one after the other. */
-    private static final int MAX_RELAYS = 3;
-
     /**
      * The delay before a hedge that got no slot or budget is retried. Guards against a read that
      * waits for a hung target until its deadline because all other targets were briefly full.
@@ -60,17 +56,15 @@
     private final TargetConnections mConnections;
     private final Clock mClock;
     private final EventLoop mLoop;
-    private final EventLog mLog;
+    private final ExchangeLog mLog;
     private final GatewayResponses mResponses;
     private final PoisonGuard mGuard;
     private final RequestAuthenticator mAuthenticator;
     private final CustomerLimits mLimits;
     private final WaitLog mWaits;
-    private final RequestRelay mRelay;
+    private final RelayAttempts mRelay;
     private final List<Attempt> mRunningAttempts = new ArrayList<>();
-    private final List<JsonObject> mAttemptLog = new ArrayList<>();
     private final Set<Endpoint> mTriedTargets = new HashSet<>();
-    private final Set<String> mTriedVms = new HashSet<>();
     private final Runnable mRelayInsteadOfWaiting = this::relayInsteadOfWaiting;
     private CompletableFuture<Slot> mPendingSlot;
     private ScheduledFuture<?> mDeadlineTimer;
@@ -105,12 +99,12 @@
         mConnections = connections;
         mClock = clock;
         mLoop = call.loop();
-        mLog = log;
+        mLog = new ExchangeLog(call, request, clock, log, waits);
         mResponses = responses;
         mGuard = guard;
         mAuthenticator = authenticator;
         mLimits = limits;
-        mRelay = relay;
+        mRelay = new RelayAttempts(relay, request, call::isClientConnected);
         mWaits = waits;
         mIsCounted = request.isCounted();
         mHoldsToken = request.holdsToken();
@@ -178,15 +172,15 @@
     private boolean relay() {
         boolean mayHaveRun =
                 mMayHaveExecuted || mRunningAttempts.stream().anyMatch(Attempt::isSent);
-        boolean mayRun = !mayHaveRun || mRequest.kind().idempotency().isRepeatable();
-        int targetsLeft = mRequest.maxTargets() - targetsUsed();
-        if (!mayRun || targetsLeft <= 0 || mRequest.isRelayed() || mTriedVms.size() >= MAX_RELAYS) {
+        if (mayHaveRun && !mRequest.kind().idempotency().isRepeatable()) {
             return false;
         }
-        RelayHeader header =
-                new RelayHeader(targetsLeft, mIsCounted, mHoldsToken, mRequest.service());
         Optional<RelayAttempt> attempt =
-                mRelay.attempt(mRequest, header, mTriedVms, nextCause(), mCall::isClientConnected);
+                mRelay.next(
+                        mRequest.maxTargets() - targetsUsed(),
+                        mIsCounted,
+                        mHoldsToken,
+                        nextCause());
         attempt.ifPresent(this::start);
         return attempt.isPresent();
     }
@@ -204,7 +198,6 @@
 
     private void start(RelayAttempt attempt) {
         mAttempts++;
-        mTriedVms.add(attempt.vm().name());
         mRunningAttempts.add(attempt);
         Futures.whenDone(
                 attempt.send(), (result, failure) -> onRelayResult(attempt, result, failure));
@@ -220,21 +213,21 @@
             return;
         }
         if (failure != null) {
-            recordAttempt(attempt, "failed: " + failure);
+            mLog.add(attempt, "failed: " + failure);
             mMayHaveExecuted = true;
             finishIfIdle();
         } else if (result instanceof AttemptResult.Responded responded) {
-            recordAttempt(attempt, "answered " + responded.status());
+            mLog.add(attempt, "answered " + responded.status());
             onRelayedResponse(responded);
         } else if (result instanceof AttemptResult.Refused refused) {
-            recordAttempt(attempt, "refused " + refused.status());
+            mLog.add(attempt, "refused " + refused.status());
             onRelayRefused(attempt, refused);
         } else if (result instanceof AttemptResult.Failed failed) {
-            recordAttempt(attempt, failed.kind() + ": " + failed.cause());
+            mLog.add(attempt, failed.kind() + ": " + failed.cause());
             onRelayFailed(attempt, failed);
         } else {
             // The close of the caller's connection or the deadline ends the exchange.
-            recordAttempt(attempt, "not sent: the caller left or its time is over");
+            mLog.add(attempt, "not sent: the caller left or its time is over");
         }
     }
 
@@ -254,7 +247,7 @@
 
     private void onRelayRefused(RelayAttempt attempt, AttemptResult.Refused refused) {
         if (refused.isVmUnavailable()) {
-            mRelay.onUnavailable(attempt.vm());
+            mRelay.onUnavailable(attempt);
         }
         if (mFinished || !mRunningAttempts.isEmpty()) {
             return;
@@ -266,7 +259,7 @@
             finishIfIdle();
         } else if (refused.status() == GatewayResponses.TOO_MANY_REQUESTS) {
             finish(
-                    mResponses.rateLimited(refused.retryAfterMillis()),
+                    mResponses.limited(refused.retryAfterMillis()),
                     refused.status(),
                     "the customer's rate limit is used up");
         } else {
@@ -287,7 +280,7 @@
         boolean hasReachedVm = failed.kind() != FailureKind.CONNECT_FAILED;
         mMayHaveExecuted |= hasReachedVm;
         if (!hasReachedVm) {
-            mRelay.onUnavailable(attempt.vm());
+            mRelay.onUnavailable(attempt);
         }
         if (mFinished || (mayRelayAfter(failed) && relay())) {
             return;
@@ -442,18 +435,18 @@
             releaseDigestLock();
         }
         if (failure != null) {
-            recordAttempt(attempt, "failed: " + failure);
+            mLog.add(attempt, "failed: " + failure);
             mMayHaveExecuted = true;
             finishIfIdle();
         } else if (result instanceof AttemptResult.Responded responded) {
-            recordAttempt(attempt, "answered " + responded.status());
+            mLog.add(attempt, "answered " + responded.status());
             onResponse(responded);
         } else if (result instanceof AttemptResult.Failed failed) {
-            recordAttempt(attempt, failed.kind() + ": " + failed.cause());
+            mLog.add(attempt, failed.kind() + ": " + failed.cause());
             onFailed(failed);
         } else {
             // The close of the caller's connection or the deadline ends the exchange.
-            recordAttempt(attempt, "not sent: the caller left or its time is over");
+            mLog.add(attempt, "not sent: the caller left or its time is over");
         }
     }
 
@@ -705,7 +698,7 @@
     /** Aborts attempts that are no longer listed as running, since that completes them at once. */
     private void abort(List<Attempt> attempts, FailureKind kind) {
         for (Attempt attempt : attempts) {
-            recordAttempt(attempt, "stopped: " + kind);
+            mLog.add(attempt, "stopped: " + kind);
             attempt.abort(kind);
         }
     }
@@ -732,7 +725,7 @@
         mErrorResponse
                 .filter(error -> error.response() != response)
                 .ifPresent(error -> error.response().discard());
-        logRequest(status, outcome);
+        mLog.write(status, outcome, outcome.equals(CALLER_LEFT), mDigest);
     }
 
     private static void discardResponse(AttemptResult result) {
@@ -740,35 +733,4 @@
             responded.response().discard();
         }
     }
-
-    private void recordAttempt(Attempt attempt, String end) {
-        mAttemptLog.add(attempt.describe(end));
-    }
-
-    private void logRequest(int status, String outcome) {
-        long now = mClock.millis();
-        mLog.write(
-                EventLog.Kind.REQUEST,
-                "request",
-                line -> {
-                    line.put("id", mRequest.id())
-                            .put("route", mRequest.route().name())
-                            .put("version", mRequest.version())
-                            .put("customer", mRequest.customer())
-                            .put("kind", mRequest.kind().name())
-                            .put("service", mRequest.service())
-                            .put("took_ms", now - mRequest.arrivalMillis())
-                            .put("left_ms", mRequest.deadlineMillis() - now)
-                            .put("status", status)
-                            .put("outcome", outcome)
-                            .put("connection_age_ms", mCall.receiveTimes().connectionAgeMillis())
-                            .put("max_unread_ms", mCall.receiveTimes().maxUnreadMillis())
-                            .put("waits_ms", mWaits.toJson(now))
-                            .putList("offers", mAttemptLog);
-                    if (outcome.equals(CALLER_LEFT)) {
-                        line.put("max_unnoticed_ms", mCall.maxUnnoticedMillis());
-                    }
-                    mDigest.ifPresent(digest -> line.put("digest", digest.hex()));
-                });
-    }
 }
--- a/gateway/src/test/java/org/dahliapass/gateway/GatewayPartitionTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/GatewayPartitionTest.java
@@ -92,6 +92,19 @@
         }
     }
 
+    /** Guards against a partitioned VM that makes the others distrust targets that serve them. */
+    @Test
+    public void partitionedVmReportsNoFailures() {
+        try (PartitionFixture fixture = new PartitionFixture(2)) {
+            fixture.partition(CUT, Partition.RESET);
+            assertServed(fixture);
+            assertTrue(fixture.log(CUT).contains("targets_partitioned"), fixture.log(CUT));
+            assertFalse(
+                    fixture.log(OTHER).contains("\"end\":\"broken\",\"seen_by\":\"vm-0\""),
+                    fixture.log(OTHER));
+        }
+    }
+
     /** Guards against a lock that runs twice because the VM that served it was lost. */
     @Test
     public void lockIsNotPassedOnAgainIfItMayHaveRun() throws IOException {
