Ask a third VM if the one asked turns out to reach no target

A VM that didn't know yet that it reaches no target took a request of another VM, found no connection and answered 503, which went to the caller though further VMs reach targets. It now says that it can't serve any, as it does once it knows; a VM that doesn't know the route, of an older release or configuration, counts as such, too.

GatewayPartitionTest#requestIsServedByAThirdVmIfTheOtherIsPartitionedToo.

--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
@@ -619,6 +619,10 @@
     }
 
     private void refuse(String outcome) {
+        if (mRequest.isRelayed() && mRelay.isNeeded()) {
+            finish(mResponses.relayUnavailable(), GatewayResponses.UNAVAILABLE, outcome);
+            return;
+        }
         long retryAfter = mResponses.retryAfterMillis(mRequest.remainingMillis(mClock.millis()));
         finish(mResponses.refused(retryAfter), GatewayResponses.UNAVAILABLE, outcome);
     }
--- a/gateway/src/main/java/org/dahliapass/gateway/RelayAttempt.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/RelayAttempt.java
@@ -149,7 +149,7 @@
                             endpoint(),
                             status,
                             retryAfterMillis(head.headers()),
-                            RelayHeader.UNAVAILABLE.equals(head.headers().get(RelayHeader.NAME))));
+                            isVmUnavailable(status, head.headers())));
             return;
         }
         fail(
@@ -159,6 +159,17 @@
                 "the VM responded with status " + status);
     }
 
+    /**
+     * Returns whether another VM may serve the request: this one says that it can't serve any, or
+     * it doesn't know the route, as one of an older release or configuration.
+     */
+    private static boolean isVmUnavailable(int status, HttpHeaders headers) {
+        boolean isRefused =
+                status == GatewayResponses.UNAVAILABLE
+                        || status == GatewayResponses.TOO_MANY_REQUESTS;
+        return !isRefused || RelayHeader.UNAVAILABLE.equals(headers.get(RelayHeader.NAME));
+    }
+
     private static long retryAfterMillis(HttpHeaders headers) {
         String value = headers.get(HttpHeaderNames.RETRY_AFTER, "0");
         try {
--- a/gateway/src/test/java/org/dahliapass/gateway/GatewayPartitionTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/GatewayPartitionTest.java
@@ -133,6 +133,18 @@
         }
     }
 
+    /**
+     * Guards against a request that is passed to a VM which doesn't know yet that it is cut off.
+     */
+    @Test
+    public void requestIsServedByAThirdVmIfTheOtherIsPartitionedToo() {
+        try (PartitionFixture fixture = new PartitionFixture(3)) {
+            fixture.partition(CUT, Partition.RESET);
+            fixture.partition(OTHER, Partition.RESET);
+            assertServed(fixture);
+        }
+    }
+
     /** Guards against requests that are passed back and forth, or wait for their deadline. */
     @Test
     public void requestIsRejectedIfNoVmReachesATarget() {
