Keep what is known of single paths after a partition

The estimates of single paths fade by themselves, and while most of them are bad all targets are used.

--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/PassiveFailureDetector.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/PassiveFailureDetector.java
@@ -321,11 +321,6 @@
         return state != null && nowMillis < state.mCooldownUntilMillis;
     }
 
-    /** Discards the estimates of this VM's network paths. */
-    public void resetPaths() {
-        mPathStates.reset();
-    }
-
     /** Discards the state of restarted targets. */
     public void forget(Set<Endpoint> targets) {
         mTargetStates.forget(targets);
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/PathStateEstimator.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/PathStateEstimator.java
@@ -65,11 +65,6 @@
         mPaths.put(target, new Path(Math.min(MAX_PROBABILITY, odds / (1 + odds)), sentMillis));
     }
 
-    /** Discards the state of all targets. */
-    void reset() {
-        mPaths.clear();
-    }
-
     /** Discards the state of the given targets. */
     void forget(Set<Endpoint> targets) {
         mPaths.keySet().removeAll(targets);
--- a/gateway/src/main/java/org/dahliapass/gateway/ServicePools.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ServicePools.java
@@ -140,11 +140,6 @@
                 : pools.get(mRandom.nextInt(pools.size())).randomTarget(mRandom);
     }
 
-    /** Discards what this VM believes of the network paths; any thread may call this. */
-    private void resetPaths() {
-        mPools.values().forEach(pool -> pool.runtime().resetPaths());
-    }
-
     /** Sets the listener for observations of targets; to be called during the start. */
     void setObservationListener(BiConsumer<ServiceId, TargetObservation> listener) {
         mObservationListener = listener;
@@ -157,7 +152,6 @@
         mDelayedRefresh = new PeriodicTask(mLoop, IDLE_REFRESH_DELAY, this::refreshIfOutdated);
         mFollower.addChangeListener(this::onStateChange);
         mReachability.setTargets(this::randomTarget);
-        mReachability.addReachedListener(this::resetPaths);
         mEvaluation = new PeriodicTask(mLoop, EVALUATION_INTERVAL, this::evaluate);
         return CompletableFuture.completedFuture(null);
     }
--- a/gateway/src/main/java/org/dahliapass/gateway/TargetReachability.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/TargetReachability.java
@@ -52,7 +52,6 @@
     private final ReachabilityDetector mDetector = new ReachabilityDetector();
     private final Queue<Runnable> mHeldReports = new ArrayDeque<>();
     private final Queue<Consumer<Boolean>> mWaiting = new ArrayDeque<>();
-    private final List<Runnable> mReachedListeners = new ArrayList<>();
     private final List<Runnable> mPartitionListeners = new ArrayList<>();
     private Supplier<Optional<Endpoint>> mRandomTarget = Optional::empty;
     private boolean mIsChecking;
@@ -81,14 +80,6 @@
         mRandomTarget = randomTarget;
     }
 
-    /**
-     * Adds a listener that is called on the traffic thread when targets are reached again after a
-     * partition; to be called during the start.
-     */
-    void addReachedListener(Runnable listener) {
-        mReachedListeners.add(listener);
-    }
-
     /**
      * Adds a listener that is called on the traffic thread when no target is reached any more; to
      * be called during the start.
@@ -236,7 +227,6 @@
             mPartitionListeners.forEach(Runnable::run);
         } else if (previous == Reachability.PARTITIONED) {
             logState("targets_reached", ageMillis);
-            mReachedListeners.forEach(Runnable::run);
         }
     }
 
--- a/traffic/src/main/java/org/dahliapass/traffic/ServiceRuntime.java
+++ b/traffic/src/main/java/org/dahliapass/traffic/ServiceRuntime.java
@@ -481,11 +481,6 @@
         mLimits.forget(restartedTargets);
     }
 
-    /** Discards the estimates of this VM's network paths, which a partition has changed. */
-    public synchronized void resetPaths() {
-        mFailureDetector.resetPaths();
-    }
-
     /** Sets the members of the service's cell. */
     public synchronized void onCell(VmIdentity self, List<VmIdentity> members) {
         mSlots.onCell(self, members);
