Count failures without a response for ejections once the VM is known to reach targets

Each failed connection makes the VM suspect a partition for some milliseconds, and failures of that time were left out of the targets' health: no failed connection ever counted for an ejection, also of a target that had crashed. They are held until the suspicion is resolved, like the reports to the other VMs. Found by reading.

--- a/gateway/src/main/java/org/dahliapass/gateway/PeerExchange.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/PeerExchange.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -74,7 +73,6 @@
 
     private final GatewaySettings mSettings;
     private final EventLoopGroup mLoops;
-    private final EventLoop mTrafficLoop;
     private final TargetReachability mReachability;
     private final EventLog mLog;
     private StoreFollower mFollower;
@@ -90,7 +88,6 @@
     PeerExchange(GatewaySettings settings, TargetConnections connections, EventLog log) {
         mSettings = settings;
         mLoops = connections.loops();
-        mTrafficLoop = connections.loop();
         mReachability = connections.reachability();
         mLog = log;
     }
@@ -146,12 +143,7 @@
             sendObservation(service, observation);
             return;
         }
-        Runnable report = () -> sendObservation(service, observation);
-        if (mTrafficLoop.inEventLoop()) {
-            mReachability.reportFailure(report);
-        } else {
-            mTrafficLoop.execute(() -> mReachability.reportFailure(report));
-        }
+        mReachability.reportFailure(() -> sendObservation(service, observation));
     }
 
     private void sendObservation(ServiceId service, TargetObservation observation) {
--- a/gateway/src/main/java/org/dahliapass/gateway/ServicePools.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ServicePools.java
@@ -159,24 +159,30 @@
     @Override
     public void onOutcome(
             ServiceId service, Endpoint target, String kind, Outcome outcome, long latencyMillis) {
-        if (!outcome.hasResponse() && !mReachability.isReached()) {
-            // Guards against ejecting targets that only this VM doesn't reach.
+        Runnable record =
+                () ->
+                        mLoop.execute(
+                                () -> recordOutcome(service, target, kind, outcome, latencyMillis));
+        if (outcome.isFailure() && !outcome.hasResponse()) {
+            mReachability.reportFailure(record);
+        } else {
+            record.run();
+        }
+    }
+
+    private void recordOutcome(
+            ServiceId service, Endpoint target, String kind, Outcome outcome, long latencyMillis) {
+        TargetHealth health = mHealth.get(service.name());
+        if (health == null) {
             return;
         }
-        mLoop.execute(
-                () -> {
-                    TargetHealth health = mHealth.get(service.name());
-                    if (health == null) {
-                        return;
-                    }
-                    mLastChangeMillis = mClock.millis();
-                    mLastRequestMillis = mLastChangeMillis;
-                    mEvaluation.wake();
-                    health.onOutcome(target, kind, outcome, latencyMillis, mLastChangeMillis);
-                    if (outcome.isFailure()) {
-                        publishTargets(service.name());
-                    }
-                });
+        mLastChangeMillis = mClock.millis();
+        mLastRequestMillis = mLastChangeMillis;
+        mEvaluation.wake();
+        health.onOutcome(target, kind, outcome, latencyMillis, mLastChangeMillis);
+        if (outcome.isFailure()) {
+            publishTargets(service.name());
+        }
     }
 
     @Override
--- a/gateway/src/main/java/org/dahliapass/gateway/TargetReachability.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/TargetReachability.java
@@ -168,11 +168,21 @@
     }
 
     /**
-     * Runs a report of a failed attempt, once it is known that this VM reaches the targets.
+     * Runs a report of an attempt without a response, once it is known that this VM reaches the
+     * targets; any thread may call this.
      *
-     * <p>Guards against a partitioned VM that makes the others distrust targets which serve them.
+     * <p>Guards against a partitioned VM that distrusts targets, and makes the others distrust
+     * them, although they serve the others.
      */
     void reportFailure(Runnable report) {
+        if (mClient.loop().inEventLoop()) {
+            runOrHold(report);
+        } else {
+            mClient.loop().execute(() -> runOrHold(report));
+        }
+    }
+
+    private void runOrHold(Runnable report) {
         if (mDetector.state() == Reachability.REACHED) {
             report.run();
         } else if (mHeldReports.size() < MAX_HELD_REPORTS) {
