Advertise a VM again by the time since its partition, not since its last suspicion

Each failed connection makes a VM suspect itself for some milliseconds. One that has just come back was advertised only once nothing had been suspected for 3 s, so that some crashed targets could keep it from callers for long. Found by reading.

--- a/gateway/src/main/java/org/dahliapass/gateway/SelfRegistration.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/SelfRegistration.java
@@ -160,7 +160,7 @@
         if (mIsEntryReaching) {
             return mReachability.isPartitioned();
         }
-        return mReachability.isReached() && mReachability.stateAgeMillis() >= STABLE_MILLIS;
+        return mReachability.sincePartitionMillis() >= STABLE_MILLIS;
     }
 
     /** Renews the lease, or grants one and writes the entry if there is none. */
--- a/gateway/src/main/java/org/dahliapass/gateway/TargetReachability.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/TargetReachability.java
@@ -56,11 +56,12 @@
     private Supplier<Optional<Endpoint>> mRandomTarget = Optional::empty;
     private boolean mIsChecking;
     private long mSummaryMillis;
+    private long mStateSinceMillis;
 
     /** The state of the detector as of the last event, for other threads. */
     private volatile Reachability mState = Reachability.REACHED;
 
-    private volatile long mStateSinceMillis;
+    private volatile long mPartitionEndMillis = Long.MIN_VALUE / 2;
 
     TargetReachability(Clock clock, EntryMetrics metrics, EventLog log, HttpClient client) {
         mClock = clock;
@@ -98,9 +99,9 @@
         return mState == Reachability.REACHED;
     }
 
-    /** Returns for how long the state has been the same; any thread may call this. */
-    long stateAgeMillis() {
-        return mClock.millis() - mStateSinceMillis;
+    /** Returns the time since this VM last reached no target; any thread may call this. */
+    long sincePartitionMillis() {
+        return isPartitioned() ? 0 : mClock.millis() - mPartitionEndMillis;
     }
 
     /** Records that a connection to a target was opened. */
@@ -228,8 +229,13 @@
 
     private void setState(Reachability state) {
         Reachability previous = mState;
-        long ageMillis = stateAgeMillis();
-        mStateSinceMillis = mClock.millis();
+        long now = mClock.millis();
+        long ageMillis = now - mStateSinceMillis;
+        mStateSinceMillis = now;
+        if (previous == Reachability.PARTITIONED) {
+            // Before the state, which other threads read first.
+            mPartitionEndMillis = now;
+        }
         mState = state;
         mMetrics.onPartitioned(state == Reachability.PARTITIONED);
         if (state == Reachability.PARTITIONED) {
