Wait until a partitioned link has reset its connections

A socket that a thread reads is closed only when that thread has left the call, so partition() returned while connections were still open, and a lock that was sent on one of them was truly lost.

--- a/gateway/src/test/java/org/dahliapass/gateway/GatewayPartitionTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/GatewayPartitionTest.java
@@ -110,7 +110,8 @@
     public void lockIsNotPassedOnAgainIfItMayHaveRun() throws IOException {
         try (PartitionFixture fixture = new PartitionFixture(3)) {
             fixture.partition(CUT, Partition.RESET);
-            assertEquals(CallerStandIn.status(fixture.post(CUT, "/l/first")), 200);
+            assertEquals(
+                    CallerStandIn.status(fixture.post(CUT, "/l/first")), 200, fixture.log(CUT));
             fixture.behave(PartitionFixture::hangIfAsked);
             try (Socket caller = fixture.open(CUT, "POST", "/l/hang")) {
                 GatewayFixture.await(() -> fixture.received("/l/hang").size() == 1);
--- a/standins/src/main/java/org/dahliapass/standins/PartitionableLink.java
+++ b/standins/src/main/java/org/dahliapass/standins/PartitionableLink.java
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.List;
@@ -27,6 +28,7 @@
     private final Endpoint mServer;
     private final int mPort;
     private final List<Socket> mConnections = new CopyOnWriteArrayList<>();
+    private final List<Thread> mCopiers = new CopyOnWriteArrayList<>();
     private final List<Socket> mFillers = new ArrayList<>();
     private volatile boolean mIsSilent;
     private ServerSocket mListener;
@@ -116,21 +118,35 @@
     /** Stops listening; the port accepts connections until the acceptor has ended. */
     private void stopListening() throws IOException {
         mListener.close();
+        join(mAcceptor);
+    }
+
+    private static void join(Thread thread) {
         try {
-            mAcceptor.join();
+            thread.join();
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
         }
     }
 
+    /** Resets all connections; a socket is open until the thread that reads it has ended. */
     private void resetConnections() throws IOException {
         for (Socket connection : mConnections) {
-            if (!connection.isClosed()) {
-                connection.setSoLinger(true, 0);
-                connection.close();
-            }
+            reset(connection);
         }
         mConnections.clear();
+        mCopiers.forEach(PartitionableLink::join);
+        mCopiers.clear();
+    }
+
+    private static void reset(Socket connection) throws IOException {
+        try {
+            connection.setSoLinger(true, 0);
+        } catch (SocketException closed) {
+            // The relay closed it because the other side was reset.
+            return;
+        }
+        connection.close();
     }
 
     /** Listens without accepting, and fills the backlog so that the next connections hang. */
@@ -171,8 +187,8 @@
         client.setTcpNoDelay(true);
         mConnections.add(client);
         mConnections.add(server);
-        Thread unused = startThread(() -> copy(client, server));
-        unused = startThread(() -> copy(server, client));
+        mCopiers.add(startThread(() -> copy(client, server)));
+        mCopiers.add(startThread(() -> copy(server, client)));
     }
 
     private void copy(Socket from, Socket to) {
