Refuse new connections on all links before a test resets the first

Its log shows why: the fixture cut one link after the other, so the VM, which had noticed the first reset, opened connections to targets whose links weren't cut yet (one 11 ms before it was lost); it did reach targets, and treated the one that refused as ended, as it should. The check is unchanged.

--- a/gateway/src/test/java/org/dahliapass/gateway/PartitionFixture.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/PartitionFixture.java
@@ -148,8 +148,16 @@
         return CallerStandIn.status(new String(start, StandardCharsets.ISO_8859_1));
     }
 
-    /** Partitions a VM from all targets. */
+    /**
+     * Partitions a VM from all targets.
+     *
+     * <p>Resets no connection before all new ones are refused: a VM that notices the first reset
+     * must not reach another target.
+     */
     void partition(int vm, Partition partition) {
+        if (partition == Partition.RESET) {
+            mNodes.get(vm).links().forEach(link -> link.partition(Partition.REFUSE_NEW));
+        }
         mNodes.get(vm).links().forEach(link -> link.partition(partition));
     }
 
