--- a/gateway/src/test/java/org/dahliapass/gateway/TargetReachabilityTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/TargetReachabilityTest.java
@@ -4,8 +4,10 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.io.IOException;
 import java.io.OutputStream;
 import java.io.PrintStream;
+import java.net.Socket;
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
@@ -55,7 +57,7 @@
     /** Guards against a crashed target whose failed connections count for nothing. */
     @Test
     public void failureOfOneTargetIsReported() {
-        mTargets.get(0).close();
+        closeListener(mTargets.get(0));
         CompletableFuture<Void> reported = new CompletableFuture<>();
         runOnLoop(() -> fail(mTargets.get(0).endpoint(), () -> reported.complete(null)));
         reported.join();
@@ -65,7 +67,7 @@
     /** Guards against failures that are held against targets although the VM reaches none. */
     @Test
     public void failureIsNotReportedByAPartitionedVm() {
-        mTargets.forEach(SigningTargetStandIn::close);
+        mTargets.forEach(TargetReachabilityTest::closeListener);
         AtomicBoolean isReported = new AtomicBoolean();
         CompletableFuture<Boolean> isReached = new CompletableFuture<>();
         runOnLoop(
@@ -81,7 +83,7 @@
     /** Guards against a VM whose first callers find out that it reaches no target. */
     @Test
     public void checkFindsAPartitionWithoutRequests() {
-        mTargets.forEach(SigningTargetStandIn::close);
+        mTargets.forEach(TargetReachabilityTest::closeListener);
         runOnLoop(mReachability::check);
         GatewayFixture.await(mReachability::isPartitioned);
     }
@@ -97,6 +99,20 @@
         GatewayFixture.await(mReachability::isReached);
     }
 
+    /** Closes a target and waits until it refuses connections, which its thread may delay. */
+    private static void closeListener(SigningTargetStandIn target) {
+        target.close();
+        GatewayFixture.await(() -> !isListening(target.endpoint()));
+    }
+
+    private static boolean isListening(Endpoint target) {
+        try (Socket connection = new Socket(target.host(), target.port())) {
+            return connection.isConnected();
+        } catch (IOException refused) {
+            return false;
+        }
+    }
+
     private void fail(Endpoint target, Runnable report) {
         mReachability.onFailure(
                 target, ContactFailure.NOT_CONNECTED, ConnectionUse.NEW, mClock.millis());
