Log and count what targets say of their availability, and what attempts knew of it

Logs and metrics couldn't tell the hypotheses of targets that leave or want a rest apart: no line held what an answer says of its target, when, to which VM, nor what a later attempt knew of it.

AvailabilityStatement reads Server-Leaving and the Retry-After of a 503; TargetAvailability keeps them by instance. Nothing acts on them yet. The log names the first answer of a target that leaves and each requested rest; each attempt names what its answer says and what the VM knew of the target when it wrote the request.

--- /dev/null
+++ b/decisions/src/main/java/org/dahliapass/decisions/availability/AvailabilityRecord.java
@@ -0,0 +1,43 @@
+package org.dahliapass.decisions.availability;
+
+import java.util.OptionalLong;
+
+/**
+ * What a VM knows of the availability of a target by the target's own statements.
+ *
+ * @param leavingSinceMillis when the VM learned that the target is leaving, in milliseconds; empty
+ *     if it isn't known to leave
+ * @param restEndMillis when the rest that the target asked this VM for ends, in milliseconds; empty
+ *     if it asked for none
+ */
+public record AvailabilityRecord(OptionalLong leavingSinceMillis, OptionalLong restEndMillis) {
+    /** The record of a target that has said nothing. */
+    public static final AvailabilityRecord NONE =
+            new AvailabilityRecord(OptionalLong.empty(), OptionalLong.empty());
+
+    /** Returns whether the target is leaving. */
+    public boolean isLeaving() {
+        return leavingSinceMillis.isPresent();
+    }
+
+    /**
+     * Returns how long the rest lasts from now on, in milliseconds; 0 if the target isn't resting.
+     */
+    public long restMillis(long nowMillis) {
+        return Math.max(0, restEndMillis.orElse(nowMillis) - nowMillis);
+    }
+
+    /** Returns this record for a target that says that it is leaving. */
+    AvailabilityRecord withLeaving(long nowMillis) {
+        return isLeaving()
+                ? this
+                : new AvailabilityRecord(OptionalLong.of(nowMillis), restEndMillis);
+    }
+
+    /** Returns this record for a target that asks for a rest, which never shortens another. */
+    AvailabilityRecord withRestUntil(long endMillis) {
+        return new AvailabilityRecord(
+                leavingSinceMillis,
+                OptionalLong.of(Math.max(endMillis, restEndMillis.orElse(endMillis))));
+    }
+}
--- a/gateway/src/main/java/org/dahliapass/gateway/ServicePools.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ServicePools.java
@@ -15,12 +15,14 @@
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import org.dahliapass.decisions.availability.TargetAvailability;
 import org.dahliapass.decisions.health.Outcome;
 import org.dahliapass.decisions.health.TargetHealth;
 import org.dahliapass.decisions.health.TargetStatus;
 import org.dahliapass.decisions.limits.LimitChange;
 import org.dahliapass.decisions.limits.LimitingVms;
 import org.dahliapass.decisions.limits.RetryAllowance;
+import org.dahliapass.decisions.limits.TargetLimitSharing;
 import org.dahliapass.decisions.routing.AddressPlan;
 import org.dahliapass.decisions.traffic.TargetObservation;
 import org.dahliapass.decisions.traffic.WeightedTarget;
@@ -33,6 +35,7 @@
 import org.dahliapass.model.ServiceId;
 import org.dahliapass.model.ServiceTemplate;
 import org.dahliapass.model.Target;
+import org.dahliapass.model.TargetInstance;
 import org.dahliapass.model.VmIdentity;
 import org.dahliapass.model.explain.Explanation;
 import org.dahliapass.model.routing.RouteRule;
@@ -81,6 +84,7 @@
     private final EventLog mLog;
     private final TargetReachability mReachability;
     private final Supplier<LimitingVms> mLimitingVms;
+    private final TargetAvailability mAvailability = new TargetAvailability();
     private final Map<String, TargetHealth> mHealth = new HashMap<>();
     private final Map<String, ServiceTemplate> mTemplates = new HashMap<>();
     private ControlLoop mLoop;
@@ -214,9 +218,36 @@
                                         registration.map(TargetRegistration::instance).orElse(""))
                                 .put("before", change.before().toString())
                                 .put("limit", change.after().toString())
-                                .put(
-                                        "seen_by",
-                                        reporter.isEmpty() ? mSettings.self().name() : reporter));
+                                .put("seen_by", nameOf(reporter)));
+    }
+
+    @Override
+    public void onLeavingStated(ServiceId service, TargetInstance target, String reporter) {
+        mLog.write(
+                EventLog.Kind.BELIEF,
+                "target_leaving_stated",
+                line ->
+                        line.put("service", service.name())
+                                .put("target", target.endpoint().toString())
+                                .put("instance", target.name())
+                                .put("seen_by", nameOf(reporter)));
+    }
+
+    @Override
+    public void onRestStated(ServiceId service, TargetInstance target, long restMillis) {
+        mLog.write(
+                EventLog.Kind.BELIEF,
+                "target_rest_stated",
+                line ->
+                        line.put("service", service.name())
+                                .put("target", target.endpoint().toString())
+                                .put("instance", target.name())
+                                .put("rest_ms", restMillis));
+    }
+
+    /** Returns the name of a VM that reports what a response says; empty stands for this VM. */
+    private String nameOf(String reporter) {
+        return reporter.isEmpty() ? mSettings.self().name() : reporter;
     }
 
     /** Records that this VM serves requests; any thread may call this. */
@@ -326,7 +357,9 @@
                         mClock,
                         mRandom,
                         this,
-                        mMetrics);
+                        mMetrics,
+                        TargetLimitSharing.FEW_VMS,
+                        mAvailability);
         runtime.setRetryAllowance(this::retryAllowance);
         runtime.setLimitingVms(mLimitingVms);
         runtime.setObservationListener(
--- a/gateway/src/main/java/org/dahliapass/gateway/TargetAttempt.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/TargetAttempt.java
@@ -1,6 +1,7 @@
 package org.dahliapass.gateway;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import java.time.Clock;
@@ -8,6 +9,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import org.dahliapass.decisions.access.CallerIdentity;
+import org.dahliapass.decisions.availability.AvailabilityRecord;
+import org.dahliapass.decisions.availability.AvailabilityStatement;
 import org.dahliapass.decisions.health.Outcome;
 import org.dahliapass.decisions.limits.LimitStatement;
 import org.dahliapass.decisions.reachability.ConnectionUse;
@@ -55,6 +58,8 @@
     private boolean mHeadReceived;
     private ConnectionUse mConnection = ConnectionUse.NEW;
     private LimitStatement mLimit = LimitStatement.UNLIMITED;
+    private AvailabilityRecord mKnown = AvailabilityRecord.NONE;
+    private AvailabilityStatement mAvailability = AvailabilityStatement.NONE;
     private boolean mReleased;
     private boolean mDropped;
 
@@ -156,9 +161,26 @@
         if (!mLimit.equals(LimitStatement.UNLIMITED)) {
             entry.put("limit", mLimit.toString());
         }
+        describeAvailability(entry);
         return entry;
     }
 
+    /** Adds what was known of the target when the request was written, and what it answered. */
+    private void describeAvailability(JsonObject entry) {
+        mKnown.leavingSinceMillis()
+                .ifPresent(since -> entry.put("leaving_known_ms", mWrittenMillis - since));
+        if (mKnown.restMillis(mWrittenMillis) > 0) {
+            entry.put("rest_left_ms", mKnown.restMillis(mWrittenMillis));
+        }
+        if (mAvailability.isLeaving()) {
+            entry.put("leaving", true);
+        }
+        mAvailability.restMillis().ifPresent(millis -> entry.put("rest_ms", millis));
+        if (!mAvailability.malformed().isEmpty()) {
+            entry.putList("malformed", mAvailability.malformed());
+        }
+    }
+
     /**
      * Drops the request if its caller has disconnected or its time is over.
      *
@@ -179,6 +201,7 @@
         }
         headers.set(TargetHeaders.REMAINING_MILLIS, Long.toString(remaining));
         mWrittenMillis = now;
+        mKnown = mPool.runtime().onWritten(mSlot);
         mConnections.reachability().onSent(this, target());
         return true;
     }
@@ -196,6 +219,12 @@
             if (!mLimit.equals(LimitStatement.UNLIMITED) || status < CLIENT_ERROR) {
                 mPool.runtime().onLimitStatement(mSlot, mLimit);
             }
+            mAvailability =
+                    AvailabilityStatement.parse(
+                            TargetHeaders.leaving(head.headers()),
+                            status,
+                            head.headers().getAll(HttpHeaderNames.RETRY_AFTER));
+            mPool.runtime().onAvailabilityStatement(mSlot, mAvailability);
         }
         if (check == ResponseCheck.VALID) {
             mCollector =
--- a/lab/src/main/java/org/dahliapass/lab/fleet/FleetSimulation.java
+++ b/lab/src/main/java/org/dahliapass/lab/fleet/FleetSimulation.java
@@ -9,6 +9,7 @@
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
+import org.dahliapass.decisions.availability.TargetAvailability;
 import org.dahliapass.decisions.limits.LimitStatement;
 import org.dahliapass.decisions.limits.LimitingVms;
 import org.dahliapass.decisions.poison.SuspectReport;
@@ -151,7 +152,8 @@
                         mRandom.split(),
                         new NoOpTargetEventListener(),
                         mMetrics,
-                        mScenario.limitSharing());
+                        mScenario.limitSharing(),
+                        new TargetAvailability());
         List<String> vms =
                 IntStream.range(0, mScenario.vms()).mapToObj(FleetSimulation::vmName).toList();
         runtime.setLimitingVms(() -> new LimitingVms(self, vms, vms.size(), false));
--- a/standins/src/main/java/org/dahliapass/standins/SigningTargetStandIn.java
+++ b/standins/src/main/java/org/dahliapass/standins/SigningTargetStandIn.java
@@ -76,6 +76,30 @@
                         head(request, 503, "X-Dahliapass-Not-Executed: 1\r\n") + body(request));
             }
         },
+        /** Sends a complete response that says that the target is leaving. */
+        RESPOND_LEAVING {
+            @Override
+            void act(Socket connection, ReceivedRequest request) throws IOException {
+                write(connection, head(request, 200, "Server-Leaving: 1\r\n") + body(request));
+            }
+        },
+        /** Sends a complete response whose header for leaving can't be read. */
+        RESPOND_MALFORMED_LEAVING {
+            @Override
+            void act(Socket connection, ReceivedRequest request) throws IOException {
+                write(connection, head(request, 200, "Server-Leaving: soon\r\n") + body(request));
+            }
+        },
+        /** Sheds the request and asks for a rest of 3 s. */
+        SHED_RESTING {
+            @Override
+            void act(Socket connection, ReceivedRequest request) throws IOException {
+                write(
+                        connection,
+                        head(request, 503, "X-Dahliapass-Not-Executed: 1\r\nRetry-After: 3\r\n")
+                                + body(request));
+            }
+        },
         /** Responds with 421 because the request names another instance. */
         MISDIRECTED {
             @Override
--- a/traffic/src/main/java/org/dahliapass/traffic/EntryMetrics.java
+++ b/traffic/src/main/java/org/dahliapass/traffic/EntryMetrics.java
@@ -94,6 +94,24 @@
                     .labelNames("event")
                     .withoutExemplars()
                     .register(mRegistry);
+    private final Counter mTargetStatements =
+            Counter.builder()
+                    .name("dahliapass_target_statements_total")
+                    .help(
+                            "Responses in which a target says that it is leaving, asks for a rest,"
+                                    + " or says either in a way that can't be read.")
+                    .labelNames("service", "statement")
+                    .withoutExemplars()
+                    .register(mRegistry);
+    private final Counter mAttemptsAgainstStatements =
+            Counter.builder()
+                    .name("dahliapass_attempts_against_statements_total")
+                    .help(
+                            "Attempts sent to targets that were known to be leaving or resting by"
+                                    + " their own statements.")
+                    .labelNames("service", "statement")
+                    .withoutExemplars()
+                    .register(mRegistry);
     private final Counter mContactFailures =
             Counter.builder()
                     .name("dahliapass_contact_failures_total")
@@ -156,6 +174,16 @@
         mStatedLimits.labelValues(service).inc();
     }
 
+    /** Counts a response in which a target says something of its availability. */
+    public void onTargetStatement(String service, String statement) {
+        mTargetStatements.labelValues(service, statement).inc();
+    }
+
+    /** Counts an attempt sent to a target that is known to be unavailable. */
+    public void onAttemptAgainstStatement(String service, String statement) {
+        mAttemptsAgainstStatements.labelValues(service, statement).inc();
+    }
+
     /** Counts an attempt without a response. */
     public void onContactFailure(String failure, String connection) {
         mContactFailures.labelValues(failure, connection).inc();
--- a/traffic/src/main/java/org/dahliapass/traffic/ServiceRuntime.java
+++ b/traffic/src/main/java/org/dahliapass/traffic/ServiceRuntime.java
@@ -16,6 +16,9 @@
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
+import org.dahliapass.decisions.availability.AvailabilityRecord;
+import org.dahliapass.decisions.availability.AvailabilityStatement;
+import org.dahliapass.decisions.availability.TargetAvailability;
 import org.dahliapass.decisions.health.Outcome;
 import org.dahliapass.decisions.limits.LimitChange;
 import org.dahliapass.decisions.limits.LimitReport;
@@ -68,6 +71,7 @@
     private final ServiceTimeEstimator mTimes = new ServiceTimeEstimator();
     private final PassiveFailureDetector mFailureDetector;
     private final TargetLimits mLimits;
+    private final TargetAvailability mAvailability;
     private final LoadBalancer mBalancer;
     private final RetryBudget mBudget = new RetryBudget();
     private final AdmissionQueue<SlotWaiter> mQueue;
@@ -93,7 +97,15 @@
             RandomGenerator random,
             TargetEventListener eventListener,
             EntryMetrics metrics) {
-        this(zone, template, clock, random, eventListener, metrics, TargetLimitSharing.FEW_VMS);
+        this(
+                zone,
+                template,
+                clock,
+                random,
+                eventListener,
+                metrics,
+                TargetLimitSharing.FEW_VMS,
+                new TargetAvailability());
     }
 
     /**
@@ -101,6 +113,8 @@
      *
      * @param zone this VM's availability zone
      * @param sharing how the VMs divide the request limits of targets
+     * @param availability what the VM knows of the availability of targets, which outlives this
+     *     runtime
      */
     public ServiceRuntime(
             String zone,
@@ -109,7 +123,8 @@
             RandomGenerator random,
             TargetEventListener eventListener,
             EntryMetrics metrics,
-            TargetLimitSharing sharing) {
+            TargetLimitSharing sharing,
+            TargetAvailability availability) {
         mId = template.id();
         mSlotsPerTarget = template.slotsPerTarget();
         mClock = clock;
@@ -118,6 +133,7 @@
         mSlots = new SlotTable(template.slotsPerTarget(), REPORT_HALF_LIFE_MILLIS);
         mFailureDetector = new PassiveFailureDetector(mTimes, mSlots);
         mLimits = new TargetLimits(sharing, random);
+        mAvailability = availability;
         mBalancer =
                 new LoadBalancer(
                         zone,
@@ -393,6 +409,38 @@
         change.ifPresent(found -> mEventListener.onLimitChanged(mId, slot.target(), found, ""));
     }
 
+    /** Records what a response says of the availability of its target. */
+    public void onAvailabilityStatement(Slot slot, AvailabilityStatement statement) {
+        if (statement.isLeaving()) {
+            mMetrics.onTargetStatement(mId.name(), "leaving");
+        }
+        if (!statement.malformed().isEmpty()) {
+            mMetrics.onTargetStatement(mId.name(), "malformed");
+        }
+        if (mAvailability.onStatement(slot.instance(), statement, mClock.millis())) {
+            mEventListener.onLeavingStated(mId, slot.instance(), "");
+        }
+        statement
+                .restMillis()
+                .ifPresent(
+                        restMillis -> {
+                            mMetrics.onTargetStatement(mId.name(), "rest");
+                            mEventListener.onRestStated(mId, slot.instance(), restMillis);
+                        });
+    }
+
+    /** Records that a request is written to a target; returns what is known of the target. */
+    public AvailabilityRecord onWritten(Slot slot) {
+        AvailabilityRecord known = mAvailability.of(slot.instance());
+        if (known.isLeaving()) {
+            mMetrics.onAttemptAgainstStatement(mId.name(), "leaving");
+        }
+        if (known.restMillis(mClock.millis()) > 0) {
+            mMetrics.onAttemptAgainstStatement(mId.name(), "rest");
+        }
+        return known;
+    }
+
     /** Records the time to the head of a response, in milliseconds. */
     public void onResponseHead(RequestKind kind, long latencyMillis) {
         mMetrics.onResponseHead(mId.name(), kind.name(), latencyMillis);
