Add failing tests: targets that leave or want a rest get more requests

What the users' record shows, at one VM with two targets: a target that has said that it leaves gets 39 and 40 of 40 locks while the other one fails, and up to 38 while the other one serves; with both leaving, none of 40 is refused. A target that has asked for 3 s of rest gets reads again 250 ms later, which end with 503 or at the other target; with both resting, the Retry-After of a refusal is shorter than the rest.

--- a/gateway/src/test/java/org/dahliapass/gateway/GatewayTargetAvailabilityTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/GatewayTargetAvailabilityTest.java
@@ -4,12 +4,32 @@
 import static org.testng.Assert.assertTrue;
 
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.dahliapass.kernel.ManualClock;
 import org.dahliapass.standins.CallerStandIn;
+import org.dahliapass.standins.SigningTargetStandIn;
 import org.dahliapass.standins.SigningTargetStandIn.Behaviour;
+import org.dahliapass.standins.SigningTargetStandIn.ReceivedRequest;
 import org.testng.annotations.Test;
 
 /** Tests of targets that say in their responses that they are leaving or want a rest. */
 public final class GatewayTargetAvailabilityTest {
+    private static final int REQUESTS = 40;
+
+    /** The rest for which a stand-in asks. */
+    private static final Duration REST = Duration.ofSeconds(3);
+
+    private static final Pattern RETRY_AFTER =
+            Pattern.compile("retry-after: ([0-9.]+)", Pattern.CASE_INSENSITIVE);
+
     /** Guards against a log that doesn't tell which VM was told that a target is leaving. */
     @Test
     public void logNamesLeavingTargets() {
@@ -45,6 +65,123 @@
         }
     }
 
+    /** Guards against requests for a target that has said in a response that it is leaving. */
+    @Test
+    public void leavingTargetGetsNoFurtherRequests() {
+        try (GatewayFixture fixture = new GatewayFixture(new ManualClock(Instant.EPOCH))) {
+            Supplier<List<ReceivedRequest>> received =
+                    firstTargetResponds(fixture, Behaviour.RESPOND_LEAVING, Behaviour.RESPOND);
+            for (int number = 0; number < REQUESTS; number++) {
+                assertEquals(CallerStandIn.status(fixture.post("/l/" + number, "")), 200);
+            }
+            assertEquals(received.get().size(), 1);
+        }
+    }
+
+    /** Guards against a leaving target that is the last resort because the others fail. */
+    @Test
+    public void leavingTargetGetsNoFurtherRequestsEvenIfOthersFail() {
+        try (GatewayFixture fixture = new GatewayFixture(new ManualClock(Instant.EPOCH))) {
+            Supplier<List<ReceivedRequest>> received =
+                    firstTargetResponds(fixture, Behaviour.RESPOND_LEAVING, Behaviour.FAIL);
+            for (int number = 0; number < REQUESTS; number++) {
+                fixture.post("/l/" + number, "");
+            }
+            assertEquals(received.get().size(), 1);
+        }
+    }
+
+    /** Guards against requests that are sent or kept waiting while all targets are leaving. */
+    @Test
+    public void requestIsRejectedAtOnceIfAllTargetsLeave() {
+        try (GatewayFixture fixture = new GatewayFixture(new ManualClock(Instant.EPOCH))) {
+            fixture.mTargets.forEach(
+                    target -> target.setBehaviour(seen -> Behaviour.RESPOND_LEAVING));
+            List<String> responses = new ArrayList<>();
+            for (int number = 0; number < REQUESTS; number++) {
+                responses.add(fixture.post("/l/" + number, ""));
+            }
+            responses.removeIf(response -> CallerStandIn.status(response) == 200);
+            assertEquals(responses.size(), REQUESTS - fixture.mTargets.size());
+            responses.forEach(GatewayTargetAvailabilityTest::assertRefused);
+        }
+    }
+
+    /** Guards against requests for a target that has asked this VM for a rest. */
+    @Test
+    public void restingTargetGetsNoRequests() {
+        ManualClock clock = new ManualClock(Instant.EPOCH);
+        try (GatewayFixture fixture = new GatewayFixture(clock)) {
+            Supplier<List<ReceivedRequest>> received =
+                    firstTargetResponds(fixture, Behaviour.SHED_RESTING, Behaviour.RESPOND);
+            for (int number = 0; number < REQUESTS; number++) {
+                assertEquals(CallerStandIn.status(fixture.get("/r/" + number)), 200);
+                clock.advance(REST.dividedBy(REQUESTS));
+            }
+            assertEquals(received.get().size(), 1);
+        }
+    }
+
+    /** Guards against requests that are sent or kept waiting while all targets rest. */
+    @Test
+    public void requestIsRejectedAtOnceWhileAllTargetsRest() {
+        ManualClock clock = new ManualClock(Instant.EPOCH);
+        try (GatewayFixture fixture = new GatewayFixture(clock)) {
+            List<ReceivedRequest> received = new CopyOnWriteArrayList<>();
+            for (SigningTargetStandIn target : fixture.mTargets) {
+                target.setBehaviour(
+                        seen -> {
+                            received.add(seen);
+                            return Behaviour.SHED_RESTING;
+                        });
+            }
+            assertRefused(fixture.get("/r/first"));
+            Instant restEnd = clock.instant().plus(REST);
+            for (int number = 0; number < REQUESTS; number++) {
+                String response = fixture.get("/r/" + number);
+                assertRefused(response);
+                Duration rest = Duration.between(clock.instant(), restEnd);
+                assertTrue(retryAfter(response).compareTo(rest) >= 0, response);
+                clock.advance(REST.dividedBy(REQUESTS));
+            }
+            assertEquals(received.size(), fixture.mTargets.size());
+        }
+    }
+
+    /**
+     * Makes the target that gets the next request behave differently from the others.
+     *
+     * @return supplies the requests that the target has received since
+     */
+    private static Supplier<List<ReceivedRequest>> firstTargetResponds(
+            GatewayFixture fixture, Behaviour behaviour, Behaviour others) {
+        AtomicReference<SigningTargetStandIn> first = new AtomicReference<>();
+        List<ReceivedRequest> received = new CopyOnWriteArrayList<>();
+        for (SigningTargetStandIn target : fixture.mTargets) {
+            target.setBehaviour(
+                    seen -> {
+                        first.compareAndSet(null, target);
+                        if (first.get() != target) {
+                            return others;
+                        }
+                        received.add(seen);
+                        return behaviour;
+                    });
+        }
+        return () -> received;
+    }
+
+    private static void assertRefused(String response) {
+        assertEquals(CallerStandIn.status(response), 503, response);
+        assertTrue(!retryAfter(response).isZero(), response);
+    }
+
+    private static Duration retryAfter(String response) {
+        Matcher header = RETRY_AFTER.matcher(response);
+        assertTrue(header.find(), response);
+        return Duration.ofMillis(Math.round(Double.parseDouble(header.group(1)) * 1_000));
+    }
+
     private static String log(GatewayFixture fixture) {
         return fixture.mLogOutput.toString(StandardCharsets.UTF_8);
     }
