Send no requests to targets that say that they are leaving

What callers saw: while the store was away, a target that was shutting down went on getting 2 to 11 requests a second, up to 13 s after its answers had said so.

Cause: a VM learned only from the store that a target leaves; nothing read the target's own statement.

Change: the load balancer leaves out targets whose incarnation has said that it leaves, for first attempts, retries, hedges and last resorts alike, and counts them neither as acceptable nor as targets that must stay in use. The knowledge is one per VM, outlives the pools, isn't withdrawn by an answer without the header, and doesn't hold for a later start at the address. If all targets leave, a request is refused at once.

--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/LoadBalancer.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/LoadBalancer.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import org.dahliapass.decisions.availability.TargetAvailability;
 import org.dahliapass.decisions.limits.LimitMargin;
 import org.dahliapass.decisions.limits.TargetLimitSharing;
 import org.dahliapass.decisions.limits.TargetLimits;
@@ -45,6 +46,7 @@
     private final int mBulkySlotsPerTarget;
     private final TargetSelector mSelector;
     private final TargetLimits mLimits;
+    private final TargetAvailability mAvailability;
     private final RandomGenerator mRandom;
     private List<WeightedTarget> mTargets = List.of();
     private double mMaxWeight;
@@ -65,7 +67,8 @@
                 bulkyShare,
                 random,
                 new PassiveFailureDetector(new ServiceTimeEstimator(), slots),
-                new TargetLimits(TargetLimitSharing.FEW_VMS, random));
+                new TargetLimits(TargetLimitSharing.FEW_VMS, random),
+                new TargetAvailability());
     }
 
     /**
@@ -75,6 +78,7 @@
      * @param floorShare the share of the healthy targets that must stay in use; 0 for none
      * @param failureDetector estimates the state of the targets
      * @param limits the request limits of the targets
+     * @param availability what the targets say of their availability
      */
     public LoadBalancer(
             String zone,
@@ -83,9 +87,11 @@
             double bulkyShare,
             RandomGenerator random,
             PassiveFailureDetector failureDetector,
-            TargetLimits limits) {
+            TargetLimits limits,
+            TargetAvailability availability) {
         mSlots = slots;
         mLimits = limits;
+        mAvailability = availability;
         mBulkySlotsPerTarget = Math.max(1, (int) (slots.slotsPerTarget() * bulkyShare));
         mSelector = new TargetSelector(zone, floorShare, slots, failureDetector, random);
         mRandom = random;
@@ -138,11 +144,12 @@
             Set<Endpoint> excluded,
             LimitMargin margin,
             long nowMillis) {
-        List<WeightedTarget> free = withFreeSlot(targets, kind, excluded, margin, nowMillis);
+        List<WeightedTarget> available = available(targets);
+        List<WeightedTarget> free = withFreeSlot(available, kind, excluded, margin, nowMillis);
         if (free.isEmpty()) {
             return Optional.empty();
         }
-        return mSelector.select(kind, free, targets, nowMillis);
+        return mSelector.select(kind, free, available, nowMillis);
     }
 
     /** Picks a target as {@link #pick} does, for a retry. */
@@ -152,9 +159,21 @@
         if (picked.isPresent()) {
             return picked;
         }
+        List<WeightedTarget> available = available(mTargets);
         List<WeightedTarget> free =
-                withFreeSlot(mTargets, kind, excluded, LimitMargin.TOLERATED, nowMillis);
-        return mSelector.selectForRetry(kind, free, mTargets, nowMillis);
+                withFreeSlot(available, kind, excluded, LimitMargin.TOLERATED, nowMillis);
+        return mSelector.selectForRetry(kind, free, available, nowMillis);
+    }
+
+    /** Returns the targets that may get requests by their own statements. */
+    private List<WeightedTarget> available(List<WeightedTarget> targets) {
+        return mAvailability.isEmpty()
+                ? targets
+                : targets.stream().filter(this::isAvailable).toList();
+    }
+
+    private boolean isAvailable(WeightedTarget target) {
+        return !mAvailability.of(target.instance().incarnation()).isLeaving();
     }
 
     /**
@@ -244,9 +263,12 @@
         return ownTargets;
     }
 
-    /** Returns whether any target accepts this kind, regardless of free slots and limits. */
+    /**
+     * Returns whether any target accepts this kind, regardless of free slots and limits; a target
+     * that is leaving accepts none.
+     */
     public boolean hasTargetFor(RequestKind kind, Set<Endpoint> excluded) {
-        return mTargets.stream().anyMatch(target -> isUsable(target, kind, excluded));
+        return available(mTargets).stream().anyMatch(target -> isUsable(target, kind, excluded));
     }
 
     /** Returns whether this VM may send a request to any of the targets that accept this kind. */
--- a/decisions/src/test/java/org/dahliapass/decisions/traffic/RetryPolicyTest.java
+++ b/decisions/src/test/java/org/dahliapass/decisions/traffic/RetryPolicyTest.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import org.dahliapass.decisions.availability.TargetAvailability;
 import org.dahliapass.decisions.limits.TargetLimitSharing;
 import org.dahliapass.decisions.limits.TargetLimits;
 import org.dahliapass.decisions.traffic.RetryDecision.Retry;
@@ -182,7 +183,8 @@
                         0.5,
                         new SplittableRandom(1),
                         mDetector,
-                        new TargetLimits(TargetLimitSharing.FEW_VMS, new SplittableRandom(1)));
+                        new TargetLimits(TargetLimitSharing.FEW_VMS, new SplittableRandom(1)),
+                        new TargetAvailability());
         balancer.onTargets(Kinds.targets(3));
         mRetryPolicy = new RetryPolicy(retryBudget, balancer, mTimes);
         mHedgePolicy = new HedgePolicy(hedgeBudget, balancer, mTimes, mDetector);
--- a/traffic/src/main/java/org/dahliapass/traffic/ServiceRuntime.java
+++ b/traffic/src/main/java/org/dahliapass/traffic/ServiceRuntime.java
@@ -142,7 +142,8 @@
                         LoadBalancer.bulkyShare(template.kinds()),
                         random,
                         mFailureDetector,
-                        mLimits);
+                        mLimits,
+                        mAvailability);
         mQueue =
                 new AdmissionQueue<>(
                         QueueLimits.forService(template), mSlots, mBalancer, mTimes, random);
@@ -417,7 +418,7 @@
         if (!statement.malformed().isEmpty()) {
             mMetrics.onTargetStatement(mId.name(), "malformed");
         }
-        if (mAvailability.onStatement(slot.instance(), statement, mClock.millis())) {
+        if (mAvailability.onStatement(slot.instance().incarnation(), statement, mClock.millis())) {
             mEventListener.onLeavingStated(mId, slot.instance(), "");
         }
         statement
@@ -431,7 +432,7 @@
 
     /** Records that a request is written to a target; returns what is known of the target. */
     public AvailabilityRecord onWritten(Slot slot) {
-        AvailabilityRecord known = mAvailability.of(slot.instance());
+        AvailabilityRecord known = mAvailability.of(slot.instance().incarnation());
         if (known.isLeaving()) {
             mMetrics.onAttemptAgainstStatement(mId.name(), "leaving");
         }
