Send no requests to targets that want a rest before it ends

What callers saw: five of 28 targets turned away all their requests for 9 s and asked for 3 s of rest each time. Reads went on to them, first attempts and retries; 5 to 18 of 22 to 33 reads a second were refused while the other targets had free slots.

One that turned a request away was avoided for 250 ms, and its free slots and lack of observations then made it the best choice for reads.

Change: a 503 with Retry-After takes its target out of use at this VM until the rest has ended, extended by up to a fifth so that VMs don't return together; a later answer never shortens it. After it, the target gets one request at a time until it has answered one without asking again. While all targets rest, new and queued requests are refused at once, with a Retry-After that covers the rest.

--- a/decisions/src/main/java/org/dahliapass/decisions/availability/AvailabilityRecord.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/availability/AvailabilityRecord.java
@@ -8,7 +8,7 @@
  * @param leavingSinceMillis when the VM learned that the target is leaving, in milliseconds; empty
  *     if it isn't known to leave
  * @param restEndMillis when the rest that the target asked this VM for ends, in milliseconds; empty
- *     if it asked for none
+ *     if it asked for none or has responded without asking since it ended
  */
 public record AvailabilityRecord(OptionalLong leavingSinceMillis, OptionalLong restEndMillis) {
     /** The record of a target that has said nothing. */
@@ -40,4 +40,20 @@
                 leavingSinceMillis,
                 OptionalLong.of(Math.max(endMillis, restEndMillis.orElse(endMillis))));
     }
+
+    /**
+     * Returns this record for a target that responds without asking for a rest, or null if nothing
+     * is known then.
+     *
+     * @param sentMillis when the request was sent, in milliseconds; one that was sent before the
+     *     rest ended says nothing of the time after it
+     */
+    AvailabilityRecord withoutRest(long sentMillis) {
+        if (sentMillis < restEndMillis.orElse(sentMillis)) {
+            return this;
+        }
+        return isLeaving()
+                ? new AvailabilityRecord(leavingSinceMillis, OptionalLong.empty())
+                : null;
+    }
 }
--- a/decisions/src/main/java/org/dahliapass/decisions/availability/TargetAvailability.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/availability/TargetAvailability.java
@@ -2,17 +2,34 @@
 
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.random.RandomGenerator;
 
 /**
  * What this VM knows of the availability of the targets of all services, by their own statements.
  *
  * <p>A statement holds for the incarnation that made it, not for a later one at its address, and as
- * long as that incarnation is registered, even if its entry in the store lapses in between.
- * Thread-safe.
+ * long as that incarnation is registered, even if its entry in the store lapses in between. After a
+ * rest a target gets one request at a time until it has responded without asking for another rest,
+ * so that the VMs don't overload it together. Thread-safe.
  */
 public final class TargetAvailability {
+    /** By how much a rest is extended at most, as a share, so that VMs don't return together. */
+    private static final double REST_JITTER_SHARE = 0.2;
+
+    private static final long MAX_REST_JITTER_MILLIS = 2_000;
+
+    private final RandomGenerator mRandom;
     private final Map<String, AvailabilityRecord> mRecords = new ConcurrentHashMap<>();
 
+    /**
+     * Creates an object that knows no statement.
+     *
+     * @param random spreads the ends of rests
+     */
+    public TargetAvailability(RandomGenerator random) {
+        mRandom = random;
+    }
+
     /** Returns whether no target has said anything, which is the usual case. */
     public boolean isEmpty() {
         return mRecords.isEmpty();
@@ -23,35 +40,57 @@
         return mRecords.getOrDefault(incarnation, AvailabilityRecord.NONE);
     }
 
+    /**
+     * Returns whether a target may get another request now.
+     *
+     * @param inFlight this VM's requests in flight to the target
+     */
+    public boolean allows(String incarnation, int inFlight, long nowMillis) {
+        AvailabilityRecord record = of(incarnation);
+        if (record.isLeaving()) {
+            return false;
+        }
+        return record.restEndMillis().isEmpty()
+                || (record.restMillis(nowMillis) == 0 && inFlight == 0);
+    }
+
     /**
      * Records what a response of a target says.
      *
+     * @param sentMillis when its request was sent, in milliseconds
      * @return whether the target is leaving and that wasn't known before
      */
     public boolean onStatement(
-            String incarnation, AvailabilityStatement statement, long nowMillis) {
-        statement
-                .restMillis()
-                .ifPresent(
-                        rest ->
-                                update(
-                                        incarnation,
-                                        of(incarnation).withRestUntil(nowMillis + rest)));
+            String incarnation, AvailabilityStatement statement, long sentMillis, long nowMillis) {
+        long restMillis = statement.restMillis().orElse(0);
+        if (restMillis > 0) {
+            long endMillis = nowMillis + restMillis + jitterMillis(restMillis);
+            mRecords.merge(
+                    incarnation,
+                    AvailabilityRecord.NONE.withRestUntil(endMillis),
+                    (known, unused) -> known.withRestUntil(endMillis));
+        } else {
+            mRecords.computeIfPresent(incarnation, (key, known) -> known.withoutRest(sentMillis));
+        }
         return statement.isLeaving() && onLeaving(incarnation, nowMillis);
     }
 
+    private synchronized long jitterMillis(long restMillis) {
+        double maxMillis = Math.min(MAX_REST_JITTER_MILLIS, restMillis * REST_JITTER_SHARE);
+        return Math.round(maxMillis * mRandom.nextDouble());
+    }
+
     /**
      * Records that a target is leaving.
      *
      * @return whether that wasn't known before
      */
     public boolean onLeaving(String incarnation, long nowMillis) {
-        AvailabilityRecord before = of(incarnation);
-        update(incarnation, before.withLeaving(nowMillis));
-        return !before.isLeaving();
-    }
-
-    private void update(String incarnation, AvailabilityRecord record) {
-        mRecords.put(incarnation, record);
+        boolean isKnown = of(incarnation).isLeaving();
+        mRecords.merge(
+                incarnation,
+                AvailabilityRecord.NONE.withLeaving(nowMillis),
+                (known, unused) -> known.withLeaving(nowMillis));
+        return !isKnown;
     }
 }
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/AdmissionQueue.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/AdmissionQueue.java
@@ -72,8 +72,10 @@
 
     /** Dispatches, queues or refuses a new request. */
     public Admission offer(QueueEntry<T> entry, long nowMillis) {
-        if (!mBalancer.hasTargetFor(entry.kind(), entry.excluded())) {
-            return refuse(RefusalReason.NO_TARGET, 0);
+        Optional<Admission.Refused> unavailability =
+                unavailability(new Demand(entry.kind(), entry.excluded()), nowMillis);
+        if (unavailability.isPresent()) {
+            return unavailability.get();
         }
         if (!mBalancer.isWithinLimits(entry.kind(), entry.excluded(), nowMillis)) {
             return refuse(RefusalReason.TARGETS_LIMITED, 0);
@@ -132,6 +134,7 @@
      */
     public DispatchResult<T> onSlotFreed(long nowMillis) {
         List<ExpiredEntry<T>> expired = expire(nowMillis);
+        expired.addAll(refuseUnavailable(nowMillis));
         List<DispatchedEntry<T>> dispatched = new ArrayList<>();
         Optional<DispatchedEntry<T>> next = dispatchNext(nowMillis);
         while (next.isPresent()) {
@@ -157,6 +160,48 @@
         return expired;
     }
 
+    /**
+     * Removes and returns the entries that no target will take, by the targets' own statements:
+     * waiting doesn't help them.
+     */
+    private List<ExpiredEntry<T>> refuseUnavailable(long nowMillis) {
+        if (!mBalancer.hasStatements()) {
+            return List.of();
+        }
+        Map<Demand, Optional<Admission.Refused>> refusals = new HashMap<>();
+        List<ExpiredEntry<T>> refused = new ArrayList<>();
+        for (QueuedEntry<T> waiting : List.copyOf(mByLatestStart)) {
+            QueueEntry<T> entry = waiting.entry();
+            Demand demand = new Demand(entry.kind(), entry.excluded());
+            refusals.computeIfAbsent(demand, unused -> unavailability(demand, nowMillis))
+                    .filter(refusal -> cancel(entry))
+                    .ifPresent(refusal -> refused.add(new ExpiredEntry<>(entry, refusal)));
+        }
+        return refused;
+    }
+
+    /** Returns the refusal of a request that no target will take now; empty if one may take it. */
+    private Optional<Admission.Refused> unavailability(Demand demand, long nowMillis) {
+        if (!mBalancer.hasTargetFor(demand.kind(), demand.excluded())) {
+            return Optional.of(refuse(RefusalReason.NO_TARGET, 0));
+        }
+        long restMillis = mBalancer.restMillis(demand.kind(), demand.excluded(), nowMillis);
+        return restMillis > 0
+                ? Optional.of(
+                        new Admission.Refused(
+                                RefusalReason.TARGETS_RESTING,
+                                mRetryAfter.afterRestMillis(restMillis)))
+                : Optional.empty();
+    }
+
+    /**
+     * Returns when a request may be offered again because all targets for it rest, in milliseconds
+     * from now; 0 if they don't.
+     */
+    public long retryAfterRestMillis(RequestKind kind, long nowMillis) {
+        return mRetryAfter.afterRestMillis(mBalancer.restMillis(kind, Set.of(), nowMillis));
+    }
+
     /**
      * Returns when {@code expire} must be called next, in milliseconds; empty if no entry is
      * queued.
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/LoadBalancer.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/LoadBalancer.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import org.dahliapass.decisions.availability.AvailabilityRecord;
 import org.dahliapass.decisions.availability.TargetAvailability;
 import org.dahliapass.decisions.limits.LimitMargin;
 import org.dahliapass.decisions.limits.TargetLimitSharing;
@@ -68,7 +69,7 @@
                 random,
                 new PassiveFailureDetector(new ServiceTimeEstimator(), slots),
                 new TargetLimits(TargetLimitSharing.FEW_VMS, random),
-                new TargetAvailability());
+                new TargetAvailability(random));
     }
 
     /**
@@ -144,7 +145,7 @@
             Set<Endpoint> excluded,
             LimitMargin margin,
             long nowMillis) {
-        List<WeightedTarget> available = available(targets);
+        List<WeightedTarget> available = available(targets, nowMillis);
         List<WeightedTarget> free = withFreeSlot(available, kind, excluded, margin, nowMillis);
         if (free.isEmpty()) {
             return Optional.empty();
@@ -159,21 +160,25 @@
         if (picked.isPresent()) {
             return picked;
         }
-        List<WeightedTarget> available = available(mTargets);
+        List<WeightedTarget> available = available(mTargets, nowMillis);
         List<WeightedTarget> free =
                 withFreeSlot(available, kind, excluded, LimitMargin.TOLERATED, nowMillis);
         return mSelector.selectForRetry(kind, free, available, nowMillis);
     }
 
-    /** Returns the targets that may get requests by their own statements. */
-    private List<WeightedTarget> available(List<WeightedTarget> targets) {
-        return mAvailability.isEmpty()
-                ? targets
-                : targets.stream().filter(this::isAvailable).toList();
-    }
-
-    private boolean isAvailable(WeightedTarget target) {
-        return !mAvailability.of(target.instance().incarnation()).isLeaving();
+    /** Returns the targets that may get a request now by their own statements. */
+    private List<WeightedTarget> available(List<WeightedTarget> targets, long nowMillis) {
+        if (mAvailability.isEmpty()) {
+            return targets;
+        }
+        return targets.stream()
+                .filter(
+                        target ->
+                                mAvailability.allows(
+                                        target.instance().incarnation(),
+                                        mSlots.ownInFlight(target.endpoint()),
+                                        nowMillis))
+                .toList();
     }
 
     /**
@@ -264,11 +269,35 @@
     }
 
     /**
-     * Returns whether any target accepts this kind, regardless of free slots and limits; a target
-     * that is leaving accepts none.
+     * Returns whether any target accepts this kind, regardless of free slots, limits and rests; a
+     * target that is leaving accepts none.
      */
     public boolean hasTargetFor(RequestKind kind, Set<Endpoint> excluded) {
-        return available(mTargets).stream().anyMatch(target -> isUsable(target, kind, excluded));
+        return mTargets.stream().anyMatch(target -> isUsable(target, kind, excluded));
+    }
+
+    /**
+     * Returns how long all targets that accept this kind want a rest, in milliseconds; 0 if one of
+     * them doesn't or if there is none.
+     */
+    public long restMillis(RequestKind kind, Set<Endpoint> excluded, long nowMillis) {
+        if (mAvailability.isEmpty()) {
+            return 0;
+        }
+        return mTargets.stream()
+                .filter(target -> isUsable(target, kind, excluded))
+                .mapToLong(target -> statements(target).restMillis(nowMillis))
+                .min()
+                .orElse(0);
+    }
+
+    /** Returns whether any target has said something of its availability. */
+    boolean hasStatements() {
+        return !mAvailability.isEmpty();
+    }
+
+    private AvailabilityRecord statements(WeightedTarget target) {
+        return mAvailability.of(target.instance().incarnation());
     }
 
     /** Returns whether this VM may send a request to any of the targets that accept this kind. */
@@ -326,6 +355,9 @@
         if (!(target.weight() > 0) || excluded.contains(target.endpoint())) {
             return false;
         }
+        if (statements(target).isLeaving()) {
+            return false;
+        }
         return target.acceptsAtMostOnce() || kind.idempotency() != Idempotency.AT_MOST_ONCE;
     }
 
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/RefusalReason.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/RefusalReason.java
@@ -4,6 +4,8 @@
 public enum RefusalReason {
     /** No target accepts new requests of this kind. */
     NO_TARGET,
+    /** All targets have asked this VM for a rest. */
+    TARGETS_RESTING,
     /** The targets take no more requests now, by the limits that they named. */
     TARGETS_LIMITED,
     /** The queue, or the customer's part of it, is full. */
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/RetryAfterPolicy.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/RetryAfterPolicy.java
@@ -21,6 +21,20 @@
      */
     long delayMillis(long waitMillis) {
         long base = Math.min(MAX_MILLIS, Math.max(MIN_MILLIS, waitMillis));
-        return base + (long) (base * JITTER_SHARE * mRandom.nextDouble());
+        return withJitter(base);
+    }
+
+    /**
+     * Returns the delay until a retry after a rest of the targets, in milliseconds. Unlike an
+     * estimate, a rest is neither shortened nor extended to a minimum.
+     *
+     * @param restMillis the time until the first target may get a request, in milliseconds
+     */
+    long afterRestMillis(long restMillis) {
+        return withJitter(restMillis);
+    }
+
+    private long withJitter(long millis) {
+        return millis + (long) (millis * JITTER_SHARE * mRandom.nextDouble());
     }
 }
--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
@@ -623,7 +623,10 @@
             finish(mResponses.relayUnavailable(), GatewayResponses.UNAVAILABLE, outcome);
             return;
         }
-        long retryAfter = mResponses.retryAfterMillis(mRequest.remainingMillis(mClock.millis()));
+        long retryAfter =
+                Math.max(
+                        mResponses.retryAfterMillis(mRequest.remainingMillis(mClock.millis())),
+                        mPool.runtime().retryAfterRestMillis(mRequest.kind()));
         finish(mResponses.refused(retryAfter), GatewayResponses.UNAVAILABLE, outcome);
     }
 
--- a/gateway/src/main/java/org/dahliapass/gateway/ServicePools.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ServicePools.java
@@ -84,7 +84,7 @@
     private final EventLog mLog;
     private final TargetReachability mReachability;
     private final Supplier<LimitingVms> mLimitingVms;
-    private final TargetAvailability mAvailability = new TargetAvailability();
+    private final TargetAvailability mAvailability;
     private final Map<String, TargetHealth> mHealth = new HashMap<>();
     private final Map<String, ServiceTemplate> mTemplates = new HashMap<>();
     private ControlLoop mLoop;
@@ -117,6 +117,7 @@
         mLimitingVms = limitingVms;
         mClock = clock;
         mRandom = random;
+        mAvailability = new TargetAvailability(random);
         mSettings = settings;
         mMetrics = metrics;
         mLog = log;
--- a/lab/src/main/java/org/dahliapass/lab/fleet/FleetSimulation.java
+++ b/lab/src/main/java/org/dahliapass/lab/fleet/FleetSimulation.java
@@ -153,7 +153,7 @@
                         new NoOpTargetEventListener(),
                         mMetrics,
                         mScenario.limitSharing(),
-                        new TargetAvailability());
+                        new TargetAvailability(mRandom.split()));
         List<String> vms =
                 IntStream.range(0, mScenario.vms()).mapToObj(FleetSimulation::vmName).toList();
         runtime.setLimitingVms(() -> new LimitingVms(self, vms, vms.size(), false));
--- a/traffic/src/main/java/org/dahliapass/traffic/RefusedException.java
+++ b/traffic/src/main/java/org/dahliapass/traffic/RefusedException.java
@@ -35,6 +35,8 @@
                 refused.reason() == RefusalReason.NO_TARGET ? Reason.NO_TARGET : Reason.OVERLOADED;
         String message =
                 switch (refused.reason()) {
+                    case TARGETS_RESTING ->
+                            "The targets have asked for a rest and take no requests until it ends.";
                     case TARGETS_LIMITED ->
                             "The targets take no more requests now, by their limits.";
                     case NO_TARGET -> "No target of the service takes work of this kind now.";
--- a/traffic/src/main/java/org/dahliapass/traffic/ServiceRuntime.java
+++ b/traffic/src/main/java/org/dahliapass/traffic/ServiceRuntime.java
@@ -105,7 +105,7 @@
                 eventListener,
                 metrics,
                 TargetLimitSharing.FEW_VMS,
-                new TargetAvailability());
+                new TargetAvailability(random));
     }
 
     /**
@@ -191,7 +191,9 @@
     public CompletableFuture<Slot> reacquire(SlotRequest request, Set<Endpoint> tried) {
         boolean hasOther;
         synchronized (this) {
-            hasOther = mBalancer.hasTargetFor(request.kind(), tried);
+            hasOther =
+                    mBalancer.hasTargetFor(request.kind(), tried)
+                            && mBalancer.restMillis(request.kind(), tried, mClock.millis()) == 0;
         }
         QueueEntry<SlotWaiter> entry = newEntry(request, hasOther ? tried : Set.of());
         offer(entry, false);
@@ -418,7 +420,8 @@
         if (!statement.malformed().isEmpty()) {
             mMetrics.onTargetStatement(mId.name(), "malformed");
         }
-        if (mAvailability.onStatement(slot.instance().incarnation(), statement, mClock.millis())) {
+        if (mAvailability.onStatement(
+                slot.instance().incarnation(), statement, slot.startedMillis(), mClock.millis())) {
             mEventListener.onLeavingStated(mId, slot.instance(), "");
         }
         statement
@@ -430,6 +433,14 @@
                         });
     }
 
+    /**
+     * Returns when a request may be sent again because all targets for it rest, in milliseconds
+     * from now; 0 if they don't.
+     */
+    public synchronized long retryAfterRestMillis(RequestKind kind) {
+        return mQueue.retryAfterRestMillis(kind, mClock.millis());
+    }
+
     /** Records that a request is written to a target; returns what is known of the target. */
     public AvailabilityRecord onWritten(Slot slot) {
         AvailabilityRecord known = mAvailability.of(slot.instance().incarnation());
