Withdraw requests whose target says that it takes none while they wait for a connection

Cause: a target was chosen when the slot was granted; a request that then waited for its connection, up to 300 ms, or for the thread was written whatever the target had said in the meantime.

Change: right before a request is written, what the target has said is looked at again. A request that may not be written goes back to the queue, at no cost to the retry budget: nothing was sent.

--- a/gateway/src/main/java/org/dahliapass/gateway/AttemptResult.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/AttemptResult.java
@@ -43,6 +43,14 @@
     record Refused(Endpoint target, int status, long retryAfterMillis, boolean isVmUnavailable)
             implements AttemptResult {}
 
+    /**
+     * An attempt that sent nothing, because the target has said meanwhile that it is leaving or
+     * wants a rest.
+     *
+     * @param target the target
+     */
+    record Withdrawn(Endpoint target) implements AttemptResult {}
+
     /**
      * An attempt that sent nothing, because the caller had disconnected or its time was over.
      *
--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
@@ -444,6 +444,9 @@
         } else if (result instanceof AttemptResult.Failed failed) {
             mLog.add(attempt, failed.kind() + ": " + failed.cause());
             onFailed(failed);
+        } else if (result instanceof AttemptResult.Withdrawn) {
+            mLog.add(attempt, "not sent: the target is leaving or wants a rest");
+            onWithdrawn();
         } else {
             // The close of the caller's connection or the deadline ends the exchange.
             mLog.add(attempt, "not sent: the caller left or its time is over");
@@ -536,6 +539,18 @@
         finishIfIdle();
     }
 
+    /** Queues the request again, since its attempt reached no target. */
+    private void onWithdrawn() {
+        if (mFinished || !mRunningAttempts.isEmpty()) {
+            return;
+        }
+        if (mAttempts < MAX_ATTEMPTS) {
+            awaitSlot(mPool.runtime().reacquire(mRequest, Set.copyOf(mTriedTargets)));
+        } else {
+            finishIfIdle();
+        }
+    }
+
     /** Tries another VM or target after an attempt that sent nothing. */
     private void tryElsewhere() {
         if (mConnectFailures < MAX_CONNECT_FAILURES) {
--- a/gateway/src/main/java/org/dahliapass/gateway/TargetAttempt.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/TargetAttempt.java
@@ -62,6 +62,7 @@
     private AvailabilityStatement mAvailability = AvailabilityStatement.NONE;
     private boolean mReleased;
     private boolean mDropped;
+    private boolean mWithdrawn;
 
     TargetAttempt(
             ProxyRequest request,
@@ -182,7 +183,8 @@
     }
 
     /**
-     * Drops the request if its caller has disconnected or its time is over.
+     * Drops the request if its caller has disconnected or its time is over, and withdraws it if the
+     * target has said meanwhile that it takes no requests.
      *
      * <p>Guards against sending a request whose caller disconnected while the request waited in a
      * socket buffer, for a slot or for its connection, and the event loop was busy.
@@ -199,6 +201,10 @@
             mDropped = true;
             return false;
         }
+        if (!mPool.runtime().mayWrite(mSlot)) {
+            mWithdrawn = true;
+            return false;
+        }
         headers.set(TargetHeaders.REMAINING_MILLIS, Long.toString(remaining));
         mWrittenMillis = now;
         mKnown = mPool.runtime().onWritten(mSlot);
@@ -267,6 +273,11 @@
             mResult.complete(new AttemptResult.Dropped(target()));
             return;
         }
+        if (mWithdrawn) {
+            release(FailureKind.CANCELLED_BY_CALLER);
+            mResult.complete(new AttemptResult.Withdrawn(target()));
+            return;
+        }
         FailureKind kind = classify(failure);
         if (!mHeadReceived) {
             recordNoResponse(
--- a/traffic/src/main/java/org/dahliapass/traffic/ServiceRuntime.java
+++ b/traffic/src/main/java/org/dahliapass/traffic/ServiceRuntime.java
@@ -441,6 +441,15 @@
         return mQueue.retryAfterRestMillis(kind, mClock.millis());
     }
 
+    /**
+     * Returns whether a request may still be written to the target of its slot, by what the target
+     * has said since the slot was granted.
+     */
+    public boolean mayWrite(Slot slot) {
+        AvailabilityRecord known = mAvailability.of(slot.instance().incarnation());
+        return !known.isLeaving() && known.restMillis(mClock.millis()) == 0;
+    }
+
     /** Records that a request is written to a target; returns what is known of the target. */
     public AvailabilityRecord onWritten(Slot slot) {
         AvailabilityRecord known = mAvailability.of(slot.instance().incarnation());
