Don't suspect requests of ending a target that has said that it leaves

Cause: the guard against requests that crash their targets took the end of a target for a crash unless the store had told that the target drains. While the store is away, a target that says so itself exits under its last requests, which then become suspected: three such ends in turn would quarantine them.

Change: what the target said counts as its registration does. GatewayTargetAvailabilityTest#endOfALeavingTargetSuspectsNoRequest fails without it (the log line of the broken connection says leaving false, and the request becomes suspected).

--- a/gateway/src/main/java/org/dahliapass/gateway/PoisonGuard.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/PoisonGuard.java
@@ -145,10 +145,10 @@
                         line.put("instance", attempt.instance().name())
                                 .put("target", attempt.target().toString())
                                 .put("target_ended", hasCrashed)
-                                .put("leaving", attempt.isTargetDraining())
+                                .put("leaving", attempt.isTargetLeaving())
                                 .put("digest", digest.hex()));
-        // A draining target exits by itself.
-        if (!hasCrashed || attempt.isTargetDraining()) {
+        // A leaving target exits by itself.
+        if (!hasCrashed || attempt.isTargetLeaving()) {
             return;
         }
         mMetrics.onPoisonEvent("target_ended");
--- a/gateway/src/main/java/org/dahliapass/gateway/TargetAttempt.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/TargetAttempt.java
@@ -114,9 +114,10 @@
         return mSlot.instance();
     }
 
-    /** Returns whether the target was registered as draining when the request arrived. */
-    boolean isTargetDraining() {
-        return mPool.registrationAt(target()).map(TargetRegistration::draining).orElse(false);
+    /** Returns whether the target is shutting down, by its registration or its responses. */
+    boolean isTargetLeaving() {
+        return mPool.runtime().isLeaving(mSlot)
+                || mPool.registrationAt(target()).map(TargetRegistration::draining).orElse(false);
     }
 
     /** Returns when the attempt began to look for a connection, in milliseconds. */
--- a/gateway/src/test/java/org/dahliapass/gateway/GatewayTargetAvailabilityTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/GatewayTargetAvailabilityTest.java
@@ -8,7 +8,9 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
 import java.util.regex.Matcher;
@@ -149,6 +151,39 @@
         }
     }
 
+    /** Guards against a request that is suspected because its target exited after it had left. */
+    @Test
+    public void endOfALeavingTargetSuspectsNoRequest() {
+        CountDownLatch hasLeft = new CountDownLatch(1);
+        try (GatewayFixture fixture = new GatewayFixture()) {
+            fixture.mTargets.forEach(
+                    target -> target.setBehaviour(seen -> crashAfter(hasLeft, seen)));
+            CompletableFuture<String> response =
+                    CompletableFuture.supplyAsync(() -> fixture.post("/l/crash", ""));
+            GatewayFixture.await(() -> fixture.seen("/l/crash") == 1);
+            for (int number = 0; number < fixture.mTargets.size(); number++) {
+                assertEquals(CallerStandIn.status(fixture.get("/r/leaving-" + number)), 200);
+            }
+            hasLeft.countDown();
+            assertEquals(CallerStandIn.status(response.join()), 502);
+            GatewayFixture.await(() -> log(fixture).contains("connection_broken"));
+            assertTrue(log(fixture).contains("\"leaving\":true,\"digest\""), log(fixture));
+            assertTrue(!log(fixture).contains("request_treatment"), log(fixture));
+        }
+    }
+
+    private static Behaviour crashAfter(CountDownLatch moment, ReceivedRequest seen) {
+        if (!seen.requestLine().contains("/crash")) {
+            return Behaviour.RESPOND_LEAVING;
+        }
+        try {
+            moment.await();
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+        return Behaviour.CRASH;
+    }
+
     /**
      * Makes the target that gets the next request behave differently from the others.
      *
--- a/traffic/src/main/java/org/dahliapass/traffic/ServiceRuntime.java
+++ b/traffic/src/main/java/org/dahliapass/traffic/ServiceRuntime.java
@@ -450,6 +450,11 @@
         return !known.isLeaving() && known.restMillis(mClock.millis()) == 0;
     }
 
+    /** Returns whether the target of a slot has said that it is leaving. */
+    public boolean isLeaving(Slot slot) {
+        return mAvailability.of(slot.instance().incarnation()).isLeaving();
+    }
+
     /** Records that a request is written to a target; returns what is known of the target. */
     public AvailabilityRecord onWritten(Slot slot) {
         AvailabilityRecord known = mAvailability.of(slot.instance().incarnation());
