Tell the other VMs which targets say that they are leaving

Cause: what a response says of its target reached one VM; each other VM that takes callers had to send a request of its own to a target that is shutting down to learn it, and while the store is away nothing else tells.

Change: for 3 s after a target has said so to it, a VM lists the target's incarnation in its periodic reports to the VMs that take callers. A VM that hears it logs who read it, sends the target no more requests and doesn't tell it on. A rest is not told: the target asks it of one VM, and the others keep it in use.

--- a/decisions/src/main/java/org/dahliapass/decisions/availability/TargetAvailability.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/availability/TargetAvailability.java
@@ -1,5 +1,6 @@
 package org.dahliapass.decisions.availability;
 
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.random.RandomGenerator;
@@ -18,9 +19,15 @@
 
     private static final long MAX_REST_JITTER_MILLIS = 2_000;
 
+    /** How long the other VMs are told that a target is leaving, since messages may be lost. */
+    private static final long NEWS_MILLIS = 3_000;
+
     private final RandomGenerator mRandom;
     private final Map<String, AvailabilityRecord> mRecords = new ConcurrentHashMap<>();
 
+    /** When each incarnation that the other VMs are told of said that it is leaving. */
+    private final Map<String, Long> mNews = new ConcurrentHashMap<>();
+
     /**
      * Creates an object that knows no statement.
      *
@@ -72,7 +79,11 @@
         } else {
             mRecords.computeIfPresent(incarnation, (key, known) -> known.withoutRest(sentMillis));
         }
-        return statement.isLeaving() && onLeaving(incarnation, nowMillis);
+        if (!statement.isLeaving() || !onLeaving(incarnation, nowMillis)) {
+            return false;
+        }
+        mNews.put(incarnation, nowMillis);
+        return true;
     }
 
     private synchronized long jitterMillis(long restMillis) {
@@ -81,11 +92,21 @@
     }
 
     /**
-     * Records that a target is leaving.
+     * Records that another VM received a response which says that its target is leaving.
      *
      * @return whether that wasn't known before
      */
-    public boolean onLeaving(String incarnation, long nowMillis) {
+    public boolean onPeerLeaving(String incarnation, long nowMillis) {
+        return onLeaving(incarnation, nowMillis);
+    }
+
+    /** Returns the incarnations whose responses to this VM said lately that they are leaving. */
+    public List<String> recentlyLeaving(long nowMillis) {
+        mNews.values().removeIf(statedMillis -> nowMillis - statedMillis > NEWS_MILLIS);
+        return List.copyOf(mNews.keySet());
+    }
+
+    private boolean onLeaving(String incarnation, long nowMillis) {
         boolean isKnown = of(incarnation).isLeaving();
         mRecords.merge(
                 incarnation,
--- a/gateway/src/main/java/org/dahliapass/gateway/PeerExchange.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/PeerExchange.java
@@ -39,8 +39,9 @@
 import org.dahliapass.wire.message.TrustNews;
 
 /**
- * Exchanges observations of targets and reports of in-flight requests with the other VMs that serve
- * callers, so that a VM does not have to detect each failure by its own lost requests.
+ * Exchanges observations of targets, reports of in-flight requests and which targets are leaving
+ * with the other VMs that serve callers, so that a VM does not have to detect each failure by its
+ * own lost requests.
  *
  * <p>Sends one datagram of about 80 bytes per observation and VM; a lost one delays the detection
  * of a failure by some seconds. Sends one report per service, VM and period under load, with about
@@ -235,7 +236,11 @@
         if (!mReachability.isReached()) {
             reports = reports.stream().map(TargetReport::withoutSilence).toList();
         }
-        if (reports.isEmpty()) {
+        List<String> leaving =
+                mPools.availability().recentlyLeaving(mLoop.nowMillis()).stream()
+                        .filter(pool.byIncarnation()::containsKey)
+                        .toList();
+        if (reports.isEmpty() && leaving.isEmpty()) {
             return false;
         }
         byte[] datagram =
@@ -243,6 +248,7 @@
                         .setVersion(VERSION)
                         .setSender(mSettings.self().name())
                         .setService(service)
+                        .addAllLeaving(leaving)
                         .addAllWork(
                                 WorkReportCodec.encode(
                                         reports, pool.registrations(), mLoop.nowMillis()))
@@ -283,6 +289,9 @@
         if (pool.isEmpty()) {
             return;
         }
+        for (String incarnation : message.getLeavingList()) {
+            mPools.onPeerLeaving(message.getService(), incarnation, message.getSender());
+        }
         if (message.getWorkCount() > 0) {
             onReport(pool.get(), message);
         }
--- a/gateway/src/main/java/org/dahliapass/gateway/ServicePools.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ServicePools.java
@@ -234,6 +234,23 @@
                                 .put("seen_by", nameOf(reporter)));
     }
 
+    /**
+     * Records that another VM received a response which says that its target is leaving; any thread
+     * may call this.
+     */
+    void onPeerLeaving(String service, String incarnation, String reporter) {
+        Optional<TargetRegistration> registration =
+                find(service).map(pool -> pool.byIncarnation().get(incarnation));
+        if (registration.isPresent() && mAvailability.onPeerLeaving(incarnation, mClock.millis())) {
+            onLeavingStated(new ServiceId(service, service), registration.get().target(), reporter);
+        }
+    }
+
+    /** Returns what is known of the availability of targets; thread-safe. */
+    TargetAvailability availability() {
+        return mAvailability;
+    }
+
     @Override
     public void onRestStated(ServiceId service, TargetInstance target, long restMillis) {
         mLog.write(
--- a/gateway/src/test/java/org/dahliapass/gateway/GatewayTargetAvailabilityTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/GatewayTargetAvailabilityTest.java
@@ -151,6 +151,32 @@
         }
     }
 
+    /** Guards against VMs that each have to receive a response to learn that its target leaves. */
+    @Test
+    public void otherVmsHearThatATargetIsLeaving() {
+        try (PartitionFixture fixture = new PartitionFixture(2)) {
+            fixture.behave(seen -> Behaviour.RESPOND_LEAVING);
+            assertEquals(CallerStandIn.status(fixture.get(0, "/r/leaving")), 200);
+            SigningTargetStandIn leaving =
+                    fixture.mTargets.stream()
+                            .filter(target -> hasReceived(target, "/r/leaving"))
+                            .findAny()
+                            .orElseThrow();
+            fixture.behave(seen -> Behaviour.RESPOND);
+            GatewayFixture.await(() -> fixture.log(1).contains("\"seen_by\":\"vm-0\""));
+            int before = leaving.receivedRequests().size();
+            for (int number = 0; number < REQUESTS; number++) {
+                assertEquals(CallerStandIn.status(fixture.post(1, "/l/" + number)), 200);
+            }
+            assertEquals(leaving.receivedRequests().size(), before);
+        }
+    }
+
+    private static boolean hasReceived(SigningTargetStandIn target, String path) {
+        return target.receivedRequests().stream()
+                .anyMatch(request -> request.requestLine().contains(" " + path + " "));
+    }
+
     /** Guards against a request that is suspected because its target exited after it had left. */
     @Test
     public void endOfALeavingTargetSuspectsNoRequest() {
