Tell the VM that passed a request on which target says that it leaves

Cause: a VM that reaches no target passes responses of other VMs' targets on to its callers. It saw Server-Leaving and couldn't tell which target said so; it takes no callers from the plan's view then, so periodic reports needn't reach it. Once it reached targets again, it would have used one that it had told its own caller is leaving.

Change: the VM that serves a request for another one adds the target's incarnation to a response whose target leaves; the other one records it and strips the header. The header is removed from what targets send, which could otherwise speak for a VM.

GatewayTargetAvailabilityTest#targetOfARelayedResponseIsKnownToLeave fails without it.

--- a/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
@@ -92,7 +92,7 @@
                         guard,
                         authenticator(settings, follower, feed),
                         limits,
-                        new RequestRelay(settings, follower, connections, clock, metrics));
+                        new RequestRelay(settings, follower, pools, connections, clock, metrics));
         GatewayServers servers =
                 new GatewayServers(
                         settings,
--- a/gateway/src/main/java/org/dahliapass/gateway/RelayAttempt.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/RelayAttempt.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import org.dahliapass.decisions.traffic.FailureKind;
 import org.dahliapass.http.ClientCall;
 import org.dahliapass.http.HopByHopHeaders;
@@ -41,6 +42,7 @@
     private final Clock mClock;
     private final AttemptCause mCause;
     private final BooleanSupplier mIsCallerConnected;
+    private final Consumer<String> mOnLeavingTarget;
     private final CompletableFuture<AttemptResult> mResult = new CompletableFuture<>();
     private ClientCall mCall;
     private ResponseCollector mCollector;
@@ -55,7 +57,8 @@
             TargetConnections connections,
             Clock clock,
             AttemptCause cause,
-            BooleanSupplier isCallerConnected) {
+            BooleanSupplier isCallerConnected,
+            Consumer<String> onLeavingTarget) {
         mRequest = request;
         mVm = vm;
         mHeader = header;
@@ -63,6 +66,7 @@
         mClock = clock;
         mCause = cause;
         mIsCallerConnected = isCallerConnected;
+        mOnLeavingTarget = onLeavingTarget;
     }
 
     /** Sends the request. The future completes with the other VM's response or a failure. */
@@ -138,6 +142,8 @@
         int status = head.status().code();
         ResponseCheck check = ResponseCheck.of(status, head.headers(), mRequest.id());
         if (check == ResponseCheck.VALID) {
+            RelayHeader.leaving(head.headers()).ifPresent(mOnLeavingTarget);
+            head.headers().remove(RelayHeader.NAME);
             mCollector =
                     new ResponseCollector(
                             head, mCall::setAutoRead, () -> abort(FailureKind.CANCELLED_BY_CALLER));
--- a/gateway/src/main/java/org/dahliapass/gateway/RelayHeader.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/RelayHeader.java
@@ -1,5 +1,6 @@
 package org.dahliapass.gateway;
 
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.AsciiString;
 import java.net.URLDecoder;
 import java.net.URLEncoder;
@@ -27,6 +28,31 @@
     private static final String LIMITED = "limited";
     private static final String SERVICE = "service";
 
+    /** In a response: the target that created it is leaving; followed by its incarnation. */
+    private static final String LEAVING = "leaving=";
+
+    /**
+     * Sets the header of a response whose target says that it is leaving, so that the VM that
+     * passed the request on learns which target said so.
+     */
+    static void setLeaving(HttpHeaders headers, String incarnation) {
+        headers.set(NAME, LEAVING + URLEncoder.encode(incarnation, StandardCharsets.UTF_8));
+    }
+
+    /** Returns the incarnation of the target that is leaving, by the header of a response. */
+    static Optional<String> leaving(HttpHeaders headers) {
+        String value = headers.get(NAME, "");
+        if (!value.startsWith(LEAVING)) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(
+                    URLDecoder.decode(value.substring(LEAVING.length()), StandardCharsets.UTF_8));
+        } catch (IllegalArgumentException malformed) {
+            return Optional.empty();
+        }
+    }
+
     /** Returns the value of the header. */
     String format() {
         return String.join(
--- a/gateway/src/main/java/org/dahliapass/gateway/RequestRelay.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/RequestRelay.java
@@ -20,6 +20,7 @@
 final class RequestRelay {
     private final String mSelf;
     private final StoreFollower mFollower;
+    private final ServicePools mPools;
     private final TargetConnections mConnections;
     private final Clock mClock;
     private final EntryMetrics mMetrics;
@@ -34,11 +35,13 @@
     RequestRelay(
             GatewaySettings settings,
             StoreFollower follower,
+            ServicePools pools,
             TargetConnections connections,
             Clock clock,
             EntryMetrics metrics) {
         mSelf = settings.self().name();
         mFollower = follower;
+        mPools = pools;
         mConnections = connections;
         mClock = clock;
         mMetrics = metrics;
@@ -91,7 +94,10 @@
                                 mConnections,
                                 mClock,
                                 cause,
-                                isCallerConnected));
+                                isCallerConnected,
+                                incarnation ->
+                                        mPools.onPeerLeaving(
+                                                request.service(), incarnation, selected.name())));
     }
 
     /**
--- a/gateway/src/main/java/org/dahliapass/gateway/TargetAttempt.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/TargetAttempt.java
@@ -233,6 +233,11 @@
                             head.headers().getAll(HttpHeaderNames.RETRY_AFTER));
             mPool.runtime().onAvailabilityStatement(mSlot, mAvailability);
         }
+        // Only VMs may set it.
+        head.headers().remove(RelayHeader.NAME);
+        if (mRequest.isRelayed() && mAvailability.isLeaving()) {
+            RelayHeader.setLeaving(head.headers(), instance().incarnation());
+        }
         if (check == ResponseCheck.VALID) {
             mCollector =
                     new ResponseCollector(
--- a/gateway/src/test/java/org/dahliapass/gateway/GatewayTargetAvailabilityTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/GatewayTargetAvailabilityTest.java
@@ -17,6 +17,7 @@
 import java.util.regex.Pattern;
 import org.dahliapass.kernel.ManualClock;
 import org.dahliapass.standins.CallerStandIn;
+import org.dahliapass.standins.PartitionableLink.Partition;
 import org.dahliapass.standins.SigningTargetStandIn;
 import org.dahliapass.standins.SigningTargetStandIn.Behaviour;
 import org.dahliapass.standins.SigningTargetStandIn.ReceivedRequest;
@@ -172,6 +173,23 @@
         }
     }
 
+    /** Guards against a VM that doesn't know what it has passed on to a caller for another VM. */
+    @Test
+    public void targetOfARelayedResponseIsKnownToLeave() {
+        try (PartitionFixture fixture = new PartitionFixture(2)) {
+            fixture.partition(0, Partition.RESET);
+            assertEquals(CallerStandIn.status(fixture.get(0, "/r/first")), 200);
+            fixture.behave(seen -> Behaviour.RESPOND_LEAVING);
+            String response = fixture.get(0, "/r/leaving");
+            assertEquals(CallerStandIn.status(response), 200);
+            assertTrue(!response.contains(RelayHeader.NAME), response);
+            String line = "\"id\":\"" + PartitionFixture.id("/r/leaving") + "\"";
+            GatewayFixture.await(() -> fixture.log(0).contains(line));
+            String before = fixture.log(0).substring(0, fixture.log(0).indexOf(line));
+            assertTrue(before.contains("target_leaving_stated"), fixture.log(0));
+        }
+    }
+
     private static boolean hasReceived(SigningTargetStandIn target, String path) {
         return target.receivedRequests().stream()
                 .anyMatch(request -> request.requestLine().contains(" " + path + " "));
