Discard what targets said once they are gone for good

Cause: statements are kept by incarnation and outlive the pools, so that a lapsed entry in the store doesn't bring a leaving target back; nothing removed them, and each replaced target would have left about 100 bytes.

Change: a refresh of the pools discards statements older than 10 minutes of targets that aren't registered. TargetAvailabilityTest covers both sides.

--- a/decisions/src/main/java/org/dahliapass/decisions/availability/AvailabilityRecord.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/availability/AvailabilityRecord.java
@@ -56,4 +56,10 @@
                 ? new AvailabilityRecord(leavingSinceMillis, OptionalLong.empty())
                 : null;
     }
+
+    /** Returns whether nothing was recorded, and no rest has ended, since the given time. */
+    boolean isOlderThan(long millis) {
+        return leavingSinceMillis.orElse(millis - 1) < millis
+                && restEndMillis.orElse(millis - 1) < millis;
+    }
 }
--- a/decisions/src/main/java/org/dahliapass/decisions/availability/TargetAvailability.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/availability/TargetAvailability.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 /**
@@ -22,6 +23,9 @@
     /** How long the other VMs are told that a target is leaving, since messages may be lost. */
     private static final long NEWS_MILLIS = 3_000;
 
+    /** Longer than an outage of the store after which the entries of targets are back. */
+    private static final long RETENTION_MILLIS = 600_000;
+
     private final RandomGenerator mRandom;
     private final Map<String, AvailabilityRecord> mRecords = new ConcurrentHashMap<>();
 
@@ -86,6 +90,22 @@
         return true;
     }
 
+    /**
+     * Discards what is known of targets that are gone for good.
+     *
+     * <p>Keeps it for a while longer than a target is registered, since the entries of targets
+     * lapse while the store is away and are back later.
+     *
+     * @param isRegistered returns whether a target is registered, by its incarnation
+     */
+    public void evict(Predicate<String> isRegistered, long nowMillis) {
+        mRecords.entrySet()
+                .removeIf(
+                        entry ->
+                                entry.getValue().isOlderThan(nowMillis - RETENTION_MILLIS)
+                                        && !isRegistered.test(entry.getKey()));
+    }
+
     private synchronized long jitterMillis(long restMillis) {
         double maxMillis = Math.min(MAX_REST_JITTER_MILLIS, restMillis * REST_JITTER_SHARE);
         return Math.round(maxMillis * mRandom.nextDouble());
--- a/decisions/src/test/java/org/dahliapass/decisions/availability/TargetAvailabilityTest.java
+++ b/decisions/src/test/java/org/dahliapass/decisions/availability/TargetAvailabilityTest.java
@@ -65,6 +65,35 @@
         assertTrue(mAvailability.isEmpty());
     }
 
+    /** Guards against a leaving target that is used again because its entry in the store lapsed. */
+    @Test
+    public void statementOutlastsALapsedEntry() {
+        mAvailability.onStatement(TARGET, LEAVING, 0, 0);
+        mAvailability.evict(incarnation -> false, 60_000);
+        assertFalse(mAvailability.allows(TARGET, 0, 60_000));
+    }
+
+    /** Guards against state that grows with every target that was ever replaced. */
+    @Test
+    public void statementsOfTargetsThatAreGoneAreEvicted() {
+        mAvailability.onStatement(TARGET, LEAVING, 0, 0);
+        mAvailability.onStatement("i-2@0", rest(1_000), 0, 0);
+        mAvailability.onStatement("i-3@0", LEAVING, 0, 0);
+        mAvailability.evict("i-3@0"::equals, 700_000);
+        assertFalse(mAvailability.of(TARGET).isLeaving());
+        assertTrue(mAvailability.of("i-2@0").restEndMillis().isEmpty());
+        assertTrue(mAvailability.of("i-3@0").isLeaving());
+    }
+
+    /** Guards against messages that are repeated for as long as a target is known to leave. */
+    @Test
+    public void otherVmsAreToldForAShortWhileOfOwnResponses() {
+        mAvailability.onStatement(TARGET, LEAVING, 0, 0);
+        assertTrue(mAvailability.onPeerLeaving("i-2@0", 0));
+        assertEquals(mAvailability.recentlyLeaving(2_000), List.of(TARGET));
+        assertEquals(mAvailability.recentlyLeaving(4_000), List.of());
+    }
+
     private static AvailabilityStatement rest(long millis) {
         return new AvailabilityStatement(false, OptionalLong.of(millis), List.of());
     }
--- a/gateway/src/main/java/org/dahliapass/gateway/ServicePools.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ServicePools.java
@@ -333,10 +333,20 @@
         mHealth.keySet().retainAll(pools.keySet());
         mTemplates.keySet().retainAll(pools.keySet());
         mPools = Map.copyOf(pools);
+        evictAvailability();
         mEvaluation.wake();
         pools.keySet().forEach(this::publishTargets);
     }
 
+    private void evictAvailability() {
+        if (mAvailability.isEmpty()) {
+            return;
+        }
+        Set<String> registered = new HashSet<>();
+        mFollower.targets().values().forEach(target -> registered.add(target.incarnation()));
+        mAvailability.evict(registered::contains, mClock.millis());
+    }
+
     private ServicePool updatePool(
             ServiceTemplate template, Map<Endpoint, TargetRegistration> targets) {
         String service = template.name();
