Simulate targets that leave or want a rest, on a virtual clock

No target turns away more requests in 100 ms than there are VMs; no window is below the floor share.

--- a/lab/src/main/java/org/dahliapass/lab/fleet/FleetMain.java
+++ b/lab/src/main/java/org/dahliapass/lab/fleet/FleetMain.java
@@ -34,6 +34,8 @@
                     "poison-slow",
                     "poison-slow-crowd",
                     "limited-targets",
+                    "resting-targets",
+                    "leaving-targets",
                     "calm");
 
     private static final int DEFAULT_RUNS = 8;
--- a/lab/src/main/java/org/dahliapass/lab/fleet/FleetResult.java
+++ b/lab/src/main/java/org/dahliapass/lab/fleet/FleetResult.java
@@ -24,6 +24,10 @@
  * @param limitWorstUse the most requests that a target with a request limit got in 4 s, as a share
  *     of what the limit tolerates
  * @param limitMeanUse the requests that targets with a request limit got, as a share of the limit
+ * @param mostDuringRest the most requests that a target got from one VM that it had asked for a
+ *     rest
+ * @param lateToLeaving the requests that reached a leaving target more than 2 s after its VM knew
+ * @param largestBurst the most requests that a target turned away in 100 ms
  */
 record FleetResult(
         double payoffRatio,
@@ -39,12 +43,16 @@
         double latePoisonDeliveries,
         double quarantined,
         double limitWorstUse,
-        double limitMeanUse) {
+        double limitMeanUse,
+        double mostDuringRest,
+        double lateToLeaving,
+        double largestBurst) {
     /** The header of the lines that {@link #line} formats. */
     static final String HEADER =
             String.format(
                     Locale.ROOT,
-                    "%-18s %-10s %15s %7s %7s %7s %7s %7s %7s %7s %7s %7s %7s %7s %7s %7s",
+                    "%-18s %-10s %15s %7s %7s %7s %7s %7s %7s %7s %7s %7s %7s %7s %7s %7s %7s %7s"
+                            + " %7s",
                     "scenario",
                     "placement",
                     "worth",
@@ -60,7 +68,10 @@
                     "late",
                     "held",
                     "limit",
-                    "taken");
+                    "taken",
+                    "rest",
+                    "left",
+                    "burst");
 
     private static final double Z_95 = 1.96;
 
@@ -74,7 +85,7 @@
         return String.format(
                 Locale.ROOT,
                 "%-18s %-10s %.4f ± %.4f %7.4f %7.4f %7.4f %7.4f %7.4f %7.4f %7.4f %7.2f"
-                        + " %7.2f %7.2f %7.5f %7.2f %7.2f",
+                        + " %7.2f %7.2f %7.5f %7.2f %7.2f %7.0f %7.0f %7.0f",
                 scenario,
                 placement,
                 mean,
@@ -90,8 +101,15 @@
                 mean(runs, FleetResult::poisonCrashes),
                 mean(runs, FleetResult::latePoisonDeliveries),
                 mean(runs, FleetResult::quarantined),
-                runs.stream().mapToDouble(FleetResult::limitWorstUse).max().orElse(0),
-                mean(runs, FleetResult::limitMeanUse));
+                max(runs, FleetResult::limitWorstUse),
+                mean(runs, FleetResult::limitMeanUse),
+                max(runs, FleetResult::mostDuringRest),
+                max(runs, FleetResult::lateToLeaving),
+                max(runs, FleetResult::largestBurst));
+    }
+
+    private static double max(List<FleetResult> runs, ToDoubleFunction<FleetResult> metric) {
+        return runs.stream().mapToDouble(metric).max().orElse(0);
     }
 
     private static double mean(List<FleetResult> runs, ToDoubleFunction<FleetResult> metric) {
--- a/lab/src/main/java/org/dahliapass/lab/fleet/FleetSimulation.java
+++ b/lab/src/main/java/org/dahliapass/lab/fleet/FleetSimulation.java
@@ -5,10 +5,12 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
+import org.dahliapass.decisions.availability.AvailabilityStatement;
 import org.dahliapass.decisions.availability.TargetAvailability;
 import org.dahliapass.decisions.limits.LimitStatement;
 import org.dahliapass.decisions.limits.LimitingVms;
@@ -60,6 +62,12 @@
             if (number < Math.round(scenario.limitedShare() * scenario.targets())) {
                 target.setLimited();
             }
+            if (number < Math.round(scenario.restingShare() * scenario.targets())) {
+                target.setResting();
+            }
+            if (number < Math.round(scenario.leavingShare() * scenario.targets())) {
+                target.setLeaving();
+            }
             mTargets.add(target);
             mTargetsByEndpoint.put(endpoint, target);
         }
@@ -286,12 +294,19 @@
                 Endpoint target,
                 RequestLoad load,
                 RequestDigest digest,
+                long arrivalMillis,
                 Consumer<FailureKind> callback) {
             if (mScenario.isMiddleThird(mScheduler.elapsedMillis())
                     && mLossyPaths.contains(mVm + "/" + target)) {
                 return;
             }
             FleetTarget receiver = target(target);
+            mStatistics
+                    .availability()
+                    .onDelivered(mVm, target, arrivalMillis, mScheduler.elapsedMillis());
+            if (receiver.isResting()) {
+                mStatistics.availability().onTurnedAway(target, mScheduler.elapsedMillis());
+            }
             if (!receiver.limitStatement().equals(LimitStatement.UNLIMITED)) {
                 mStatistics.onDeliveredToLimited(mVm, target, mScheduler.elapsedMillis());
             }
@@ -308,6 +323,27 @@
             return mTargetsByEndpoint.get(target);
         }
 
+        @Override
+        public AvailabilityStatement readAvailability(Endpoint target, boolean isRefused) {
+            AvailabilityStatement statement = target(target).availabilityStatement();
+            if (statement.isLeaving()) {
+                mStatistics.availability().onLeavingStated(mVm, target, mScheduler.elapsedMillis());
+            }
+            if (isRefused && statement.restMillis().isPresent()) {
+                mStatistics
+                        .availability()
+                        .onRestStated(
+                                mVm,
+                                target,
+                                statement.restMillis().getAsLong(),
+                                mScheduler.elapsedMillis());
+            }
+            return isRefused
+                    ? statement
+                    : new AvailabilityStatement(
+                            statement.isLeaving(), OptionalLong.empty(), List.of());
+        }
+
         @Override
         public LimitStatement readLimit(Endpoint target) {
             LimitStatement statement = target(target).limitStatement();
--- a/lab/src/main/java/org/dahliapass/lab/fleet/FleetStatistics.java
+++ b/lab/src/main/java/org/dahliapass/lab/fleet/FleetStatistics.java
@@ -21,6 +21,7 @@
     private static final long QUARANTINE_DELAY_MILLIS = 3_000;
 
     private final TargetUsageTracker mUsageTracker = new TargetUsageTracker(FLOOR_SHARE);
+    private final AvailabilityTracker mAvailability = new AvailabilityTracker();
     private final RequestLimitTracker mLimitTracker = new RequestLimitTracker();
     private final List<double[]> mWindows = new ArrayList<>();
     private double mMaxPayoff;
@@ -75,6 +76,11 @@
         mLimitTracker.onDelivered(vm, target, elapsedMillis);
     }
 
+    /** Returns the tracker of targets that leave or want a rest. */
+    AvailabilityTracker availability() {
+        return mAvailability;
+    }
+
     /** Records the refusal of a request that arrived at the given time. */
     void onRefused(RequestLoad load, long arrivalMillis) {
         if (load.crashesTarget()) {
@@ -167,6 +173,9 @@
                 mLatePoisonDeliveries,
                 mQuarantined / requests,
                 mLimitTracker.worstUse(),
-                mLimitTracker.meanUse(lengthMillis / (3 * MILLIS_PER_SECOND)));
+                mLimitTracker.meanUse(lengthMillis / (3 * MILLIS_PER_SECOND)),
+                mAvailability.mostDuringRest(),
+                mAvailability.lateToLeaving(),
+                mAvailability.largestBurst());
     }
 }
--- a/lab/src/main/java/org/dahliapass/lab/fleet/FleetTarget.java
+++ b/lab/src/main/java/org/dahliapass/lab/fleet/FleetTarget.java
@@ -4,8 +4,10 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
+import org.dahliapass.decisions.availability.AvailabilityStatement;
 import org.dahliapass.decisions.limits.LimitStatement;
 import org.dahliapass.decisions.traffic.FailureKind;
 import org.dahliapass.model.Endpoint;
@@ -28,6 +30,8 @@
     private int mStarts = 1;
     private boolean mDown;
     private boolean mLimited;
+    private boolean mResting;
+    private boolean mLeaving;
 
     FleetTarget(
             Scenario scenario,
@@ -64,6 +68,36 @@
                 : LimitStatement.UNLIMITED;
     }
 
+    /** Makes the target turn all requests away and ask for a rest during the middle third. */
+    void setResting() {
+        mResting = true;
+    }
+
+    /** Makes the target leave: it says so from the middle third on and exits at its end. */
+    void setLeaving() {
+        mLeaving = true;
+        mScheduler.schedule(2 * mScenario.duration().toMillis() / 3, this::crash);
+    }
+
+    private boolean hasLeft() {
+        return mLeaving && mScheduler.elapsedMillis() >= 2 * mScenario.duration().toMillis() / 3;
+    }
+
+    /** Returns whether the target turns all requests away now. */
+    boolean isResting() {
+        return mResting && mScenario.isMiddleThird(mScheduler.elapsedMillis());
+    }
+
+    /** Returns what the target's responses say of its availability now. */
+    AvailabilityStatement availabilityStatement() {
+        boolean isLeaving =
+                mLeaving && mScheduler.elapsedMillis() >= mScenario.duration().toMillis() / 3;
+        return new AvailabilityStatement(
+                isLeaving,
+                isResting() ? OptionalLong.of(mScenario.rest().toMillis()) : OptionalLong.empty(),
+                List.of());
+    }
+
     boolean isFailing() {
         return mFailing;
     }
@@ -83,6 +117,11 @@
                     new TargetUsageTracker.FailurePeriod(
                             mFailingSinceMillis, mScheduler.elapsedMillis()));
         }
+        long third = mScenario.duration().toMillis() / 3;
+        if (mResting || mLeaving) {
+            failurePeriods.add(
+                    new TargetUsageTracker.FailurePeriod(third, mLeaving ? 3 * third : 2 * third));
+        }
         return failurePeriods;
     }
 
@@ -107,6 +146,10 @@
             mScheduler.schedule(1, () -> callback.accept(FailureKind.CONNECT_FAILED));
             return;
         }
+        if (isResting()) {
+            mScheduler.schedule(1, () -> callback.accept(FailureKind.REFUSED_NOT_PROCESSED));
+            return;
+        }
         if (mFailing
                 && mScenario.failureMode() != FailureMode.SLOW
                 && fails(mScenario.failureShare())) {
@@ -159,7 +202,7 @@
         mScheduler.schedule(
                 mScenario.restartDelay().toMillis(),
                 () -> {
-                    mDown = false;
+                    mDown = hasLeft();
                     mStarts++;
                 });
     }
--- a/lab/src/main/java/org/dahliapass/lab/fleet/Placer.java
+++ b/lab/src/main/java/org/dahliapass/lab/fleet/Placer.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import org.dahliapass.decisions.availability.AvailabilityStatement;
 import org.dahliapass.decisions.health.Outcome;
 import org.dahliapass.decisions.limits.LimitStatement;
 import org.dahliapass.decisions.traffic.FailedAttempt;
@@ -32,6 +33,9 @@
     /** Records what the response to an attempt says of its target's request limit. */
     default void onLimitStatement(S slot, LimitStatement statement) {}
 
+    /** Records what the response to an attempt says of its target's availability. */
+    default void onAvailabilityStatement(S slot, AvailabilityStatement statement) {}
+
     /** Releases a slot and records the outcome of its attempt. */
     void release(S slot, Outcome outcome, long latencyMillis);
 }
--- a/lab/src/main/java/org/dahliapass/lab/fleet/RuntimePlacer.java
+++ b/lab/src/main/java/org/dahliapass/lab/fleet/RuntimePlacer.java
@@ -4,6 +4,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import org.dahliapass.decisions.availability.AvailabilityStatement;
 import org.dahliapass.decisions.health.Outcome;
 import org.dahliapass.decisions.limits.LimitStatement;
 import org.dahliapass.decisions.traffic.FailedAttempt;
@@ -44,6 +45,11 @@
         runtime.onLimitStatement(slot, statement);
     }
 
+    @Override
+    public void onAvailabilityStatement(Slot slot, AvailabilityStatement statement) {
+        runtime.onAvailabilityStatement(slot, statement);
+    }
+
     @Override
     public void release(Slot slot, Outcome outcome, long latencyMillis) {
         runtime.release(slot, outcome, latencyMillis);
--- a/lab/src/main/java/org/dahliapass/lab/fleet/Scenario.java
+++ b/lab/src/main/java/org/dahliapass/lab/fleet/Scenario.java
@@ -31,6 +31,11 @@
  * @param limitedShare the share of targets that name a request limit in the middle third
  * @param requestLimit the limit that they name, in requests per second
  * @param limitSharing how the VMs divide a target's limit
+ * @param restingShare the share of targets that turn all requests away in the middle third and ask
+ *     for a rest
+ * @param rest the rest that they ask for
+ * @param leavingShare the share of targets that say that they are leaving from the start of the
+ *     middle third and exit at its end; no VM learns it otherwise
  * @param rackShare the share of targets that crash together at the start of the middle third
  * @param burstFactor the factor by which the load changes in the middle third
  * @param loads the load of each request kind
@@ -54,11 +59,15 @@
         double limitedShare,
         double requestLimit,
         TargetLimitSharing limitSharing,
+        double restingShare,
+        Duration rest,
+        double leavingShare,
         double rackShare,
         double burstFactor,
         List<RequestLoad> loads) {
     private static final Duration MAX_DURATION = Duration.ofHours(1);
     private static final Duration MIN_DURATION = Duration.ofMillis(1);
+    private static final Duration DEFAULT_REST = Duration.ofSeconds(3);
     private static final Duration DEFAULT_RESTART_DELAY = Duration.ofSeconds(4);
     private static final double RETRY_SHARE = 0.18;
 
@@ -122,6 +131,9 @@
                                 "limit-sharing",
                                 TargetLimitSharing.class,
                                 TargetLimitSharing.FEW_VMS),
+                        targets.fraction("resting-share", 0),
+                        targets.duration("rest", MIN_DURATION, MAX_DURATION, DEFAULT_REST),
+                        targets.fraction("leaving-share", 0),
                         targets.fraction("rack-share", 0),
                         fleet.decimal("burst", 0.1, 100, 1),
                         loads);
--- a/lab/src/main/java/org/dahliapass/lab/fleet/SimulatedRequest.java
+++ b/lab/src/main/java/org/dahliapass/lab/fleet/SimulatedRequest.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import org.dahliapass.decisions.availability.AvailabilityStatement;
 import org.dahliapass.decisions.health.Outcome;
 import org.dahliapass.decisions.limits.LimitStatement;
 import org.dahliapass.decisions.poison.TargetCrash;
@@ -49,6 +50,7 @@
         /**
          * Sends a request to a target.
          *
+         * @param arrivalMillis when the VM received the request, since the start of the run
          * @param callback receives null on success, else the failure; never called if the path or
          *     the target drops the request
          */
@@ -56,8 +58,16 @@
                 Endpoint target,
                 RequestLoad load,
                 RequestDigest digest,
+                long arrivalMillis,
                 Consumer<FailureKind> callback);
 
+        /**
+         * Returns what a response of a target to this VM says of its availability.
+         *
+         * @param isRefused whether the target turns the request away
+         */
+        AvailabilityStatement readAvailability(Endpoint target, boolean isRefused);
+
         /** Returns the target at an endpoint. */
         FleetTarget target(Endpoint target);
 
@@ -182,7 +192,12 @@
                 mScheduler.schedule(delay, this::hedge);
             }
         }
-        mNetwork.send(target, mLoad, mDigest, failure -> onAttemptEnd(slot, failure));
+        mNetwork.send(
+                target,
+                mLoad,
+                mDigest,
+                mArrivalElapsedMillis,
+                failure -> onAttemptEnd(slot, failure));
     }
 
     private void hedge() {
@@ -206,6 +221,9 @@
         }
         if (failure == null || failure.isResponse()) {
             mPlacer.onLimitStatement(slot, mNetwork.readLimit(mPlacer.target(slot)));
+            boolean isRefused = failure == FailureKind.REFUSED_NOT_PROCESSED;
+            mPlacer.onAvailabilityStatement(
+                    slot, mNetwork.readAvailability(mPlacer.target(slot), isRefused));
         }
         if (failure != null && failure.isTargetFault()) {
             mStatistics.onFailedAttempt();
--- a/lab/src/test/java/org/dahliapass/lab/fleet/FleetSimulationTest.java
+++ b/lab/src/test/java/org/dahliapass/lab/fleet/FleetSimulationTest.java
@@ -133,6 +133,50 @@
         assertTrue(refused < 0.06, "refused: " + refused);
     }
 
+    @DataProvider
+    public Object[][] restScenarios() {
+        return new Object[][] {{"resting-targets"}, {"resting-fleet"}};
+    }
+
+    /** Guards against a target that gets requests from VMs which it has asked for a rest. */
+    @Test(dataProvider = "restScenarios")
+    public void restingTargetsGetNoRequests(String scenario) {
+        double mostDuringRest =
+                mean(scenario, PlacementStrategy.PRODUCTION, FleetResult::mostDuringRest);
+        assertEquals(mostDuringRest, 0.0, "requests of one VM during a rest");
+    }
+
+    /** Guards against VMs that return together, with all that waited, at the end of a rest. */
+    @Test(dataProvider = "restScenarios")
+    public void restsDoNotEndInAStampede(String scenario) {
+        int vms = Scenario.ofName(scenario).vms();
+        for (long seed = 1; seed <= RUNS; seed++) {
+            double burst =
+                    FleetSimulation.simulate(
+                                    Scenario.ofName(scenario), PlacementStrategy.PRODUCTION, seed)
+                            .largestBurst();
+            assertTrue(burst <= vms, "seed " + seed + ", turned away in 100 ms: " + burst);
+        }
+    }
+
+    /** Guards against requests for targets that have said that they are leaving. */
+    @Test
+    public void leavingTargetsGetNoLateRequests() {
+        double late =
+                mean("leaving-targets", PlacementStrategy.PRODUCTION, FleetResult::lateToLeaving);
+        assertEquals(late, 0.0, "requests to leaving targets");
+    }
+
+    /** Guards against targets that leave or rest and take healthy ones out of use with them. */
+    @Test
+    public void othersStayInUseWhileTargetsLeaveOrRest() {
+        for (String scenario : List.of("resting-targets", "leaving-targets")) {
+            double windowsBelowFloor =
+                    mean(scenario, PlacementStrategy.PRODUCTION, FleetResult::windowsBelowFloor);
+            assertEquals(windowsBelowFloor, 0.0, scenario);
+        }
+    }
+
     @DataProvider
     public Object[][] scenarios() {
         return FleetMain.SCENARIOS.stream()
