Tell the other VMs which targets want a rest, as a hint

Cause: each VM learned of a target that turns requests away by its own requests, again after each rest.

Change: for 1 s after a rest was asked of it, a VM lists it in its periodic reports. A VM that hears it treats the target as one that has just shed load, for twice the rest: it is used only if no other acceptable target is free, or to keep the floor share in use. A later response of the target to any VM ends that. The rest itself binds only the VM that was asked.

--- a/decisions/src/main/java/org/dahliapass/decisions/availability/AvailabilityStatement.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/availability/AvailabilityStatement.java
@@ -21,7 +21,7 @@
             new AvailabilityStatement(false, OptionalLong.empty(), List.of());
 
     /** Bounds how long one response takes a target out of use, whatever value it contains. */
-    static final Duration MAX_REST = Duration.ofMinutes(5);
+    public static final Duration MAX_REST = Duration.ofMinutes(5);
 
     private static final int UNAVAILABLE = 503;
     private static final String LEAVING = "1";
--- a/decisions/src/main/java/org/dahliapass/decisions/availability/TargetAvailability.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/availability/TargetAvailability.java
@@ -23,6 +23,9 @@
     /** How long the other VMs are told that a target is leaving, since messages may be lost. */
     private static final long NEWS_MILLIS = 3_000;
 
+    /** How long the other VMs are told of a rest, which a later response of the target refutes. */
+    private static final long REST_NEWS_MILLIS = 1_000;
+
     /** Longer than an outage of the store after which the entries of targets are back. */
     private static final long RETENTION_MILLIS = 600_000;
 
@@ -32,6 +35,9 @@
     /** When each incarnation that the other VMs are told of said that it is leaving. */
     private final Map<String, Long> mNews = new ConcurrentHashMap<>();
 
+    /** When each incarnation that the other VMs are told of last asked for a rest. */
+    private final Map<String, Long> mRestNews = new ConcurrentHashMap<>();
+
     /**
      * Creates an object that knows no statement.
      *
@@ -75,6 +81,7 @@
             String incarnation, AvailabilityStatement statement, long sentMillis, long nowMillis) {
         long restMillis = statement.restMillis().orElse(0);
         if (restMillis > 0) {
+            mRestNews.put(incarnation, nowMillis);
             long endMillis = nowMillis + restMillis + jitterMillis(restMillis);
             mRecords.merge(
                     incarnation,
@@ -126,6 +133,17 @@
         return List.copyOf(mNews.keySet());
     }
 
+    /** Returns the incarnations that lately asked this VM for a rest which isn't over. */
+    public List<String> recentlyResting(long nowMillis) {
+        mRestNews
+                .entrySet()
+                .removeIf(
+                        news ->
+                                nowMillis - news.getValue() > REST_NEWS_MILLIS
+                                        || of(news.getKey()).restMillis(nowMillis) == 0);
+        return List.copyOf(mRestNews.keySet());
+    }
+
     private boolean onLeaving(String incarnation, long nowMillis) {
         boolean isKnown = of(incarnation).isLeaving();
         mRecords.merge(
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/PassiveFailureDetector.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/PassiveFailureDetector.java
@@ -25,6 +25,9 @@
      */
     private static final long COOLDOWN_MILLIS = 250;
 
+    /** A rest that a target asked another VM for counts this many times. */
+    private static final int PEER_REST_FACTOR = 2;
+
     /** Longer than several report intervals. */
     private static final long REPORT_TTL_MILLIS = 1_000;
 
@@ -60,11 +63,23 @@
         private final PendingAttempts mPending = new PendingAttempts();
         private final Map<String, PeerSilence> mPeerSilence = new HashMap<>();
         private long mCooldownUntilMillis = Long.MIN_VALUE;
+
+        /** When another VM said that the target wants a rest. */
+        private long mPeerRestMillis = Long.MIN_VALUE;
+
+        private long mPeerRestEndMillis = Long.MIN_VALUE;
         private long mLastUsedMillis = Long.MIN_VALUE / 2;
 
         private void markUsed(long millis) {
             mLastUsedMillis = Math.max(mLastUsedMillis, millis);
         }
+
+        /** Ends a rest that another VM told of, since the target took a later request. */
+        private void onAnswered(long sentMillis) {
+            if (sentMillis > mPeerRestMillis) {
+                mPeerRestEndMillis = Long.MIN_VALUE;
+            }
+        }
     }
 
     /**
@@ -153,6 +168,7 @@
         boolean suspected =
                 mTargetStates.failingProbability(target, nowMillis) > SUSPECT_PROBABILITY;
         onOwnObservation(target, Observation.ANSWERED, startedMillis);
+        state(target).onAnswered(startedMillis);
         if (suspected) {
             mObservations.add(new TargetObservation(target, Observation.ANSWERED, startedMillis));
         } else {
@@ -238,6 +254,7 @@
                     .ifPresent(
                             sent -> {
                                 state.markUsed(sent);
+                                state.onAnswered(sent);
                                 applyPeerObservation(
                                         targetReport.target(), Observation.ANSWERED, sent);
                             });
@@ -315,10 +332,25 @@
         return state == null ? Long.MIN_VALUE / 2 : state.mLastUsedMillis;
     }
 
-    /** Returns whether the target shed load recently. */
+    /**
+     * Records that a target has asked another VM for a rest.
+     *
+     * <p>Avoids the target until it responds to any VM, or for longer than the rest: the VMs that
+     * it has asked find out first whether the rest is over.
+     *
+     * @param restMillis the remaining time of the rest, in milliseconds
+     */
+    public void onPeerRest(Endpoint target, long restMillis, long nowMillis) {
+        TargetState state = state(target);
+        state.mPeerRestMillis = nowMillis;
+        state.mPeerRestEndMillis = nowMillis + PEER_REST_FACTOR * restMillis;
+    }
+
+    /** Returns whether the target shed load recently, or wants a rest from other VMs. */
     public boolean isCoolingDown(Endpoint target, long nowMillis) {
         TargetState state = mTargets.get(target);
-        return state != null && nowMillis < state.mCooldownUntilMillis;
+        return state != null
+                && nowMillis < Math.max(state.mCooldownUntilMillis, state.mPeerRestEndMillis);
     }
 
     /** Discards the state of restarted targets. */
--- a/decisions/src/test/java/org/dahliapass/decisions/availability/TargetAvailabilityTest.java
+++ b/decisions/src/test/java/org/dahliapass/decisions/availability/TargetAvailabilityTest.java
@@ -94,6 +94,15 @@
         assertEquals(mAvailability.recentlyLeaving(4_000), List.of());
     }
 
+    /** Guards against news of a rest that has ended or that was told long ago. */
+    @Test
+    public void otherVmsAreToldOfPresentRests() {
+        mAvailability.onStatement(TARGET, rest(3_000), 0, 0);
+        mAvailability.onStatement("i-2@0", rest(100), 0, 0);
+        assertEquals(mAvailability.recentlyResting(500), List.of(TARGET));
+        assertEquals(mAvailability.recentlyResting(1_500), List.of());
+    }
+
     private static AvailabilityStatement rest(long millis) {
         return new AvailabilityStatement(false, OptionalLong.of(millis), List.of());
     }
--- a/decisions/src/test/java/org/dahliapass/decisions/traffic/PassiveFailureDetectorTest.java
+++ b/decisions/src/test/java/org/dahliapass/decisions/traffic/PassiveFailureDetectorTest.java
@@ -26,6 +26,31 @@
         mDetector = new PassiveFailureDetector(new ServiceTimeEstimator(), mSlots);
     }
 
+    /** Guards against each VM sending requests to a target that turns those of others away. */
+    @Test
+    public void targetIsAvoidedWhileOtherVmsLetItRest() {
+        mDetector.onPeerRest(TARGET, 3_000, 1_000);
+        assertTrue(mDetector.isCoolingDown(TARGET, 1_000));
+        assertTrue(mDetector.isCoolingDown(TARGET, 6_999));
+        assertFalse(mDetector.isCoolingDown(TARGET, 7_000));
+    }
+
+    /** Guards against a target that stays avoided although it takes requests again. */
+    @Test
+    public void laterResponseToAnyVmEndsTheRestOfOthers() {
+        mDetector.onPeerRest(TARGET, 3_000, 1_000);
+        mDetector.onPeerReport(
+                "b", List.of(new TargetReport(TARGET, 0, 1, OptionalLong.of(900))), 1_100);
+        assertTrue(mDetector.isCoolingDown(TARGET, 1_100));
+        mDetector.onPeerReport(
+                "b", List.of(new TargetReport(TARGET, 0, 1, OptionalLong.of(1_200))), 1_300);
+        assertFalse(mDetector.isCoolingDown(TARGET, 1_300));
+        mDetector.onPeerRest(TARGET, 3_000, 1_400);
+        begin("first", 1_500);
+        end("first", 1_500, Outcome.SUCCESS, 1_600);
+        assertFalse(mDetector.isCoolingDown(TARGET, 1_600));
+    }
+
     @Test
     public void reportListsRequestsInFlightAndNewResponsesOnce() {
         begin("first", 0);
--- a/gateway/src/main/java/org/dahliapass/gateway/PeerExchange.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/PeerExchange.java
@@ -36,6 +36,7 @@
 import org.dahliapass.model.routing.FleetVm;
 import org.dahliapass.model.routing.TargetRegistration;
 import org.dahliapass.wire.message.LimitUse;
+import org.dahliapass.wire.message.TargetRest;
 import org.dahliapass.wire.message.TrustNews;
 
 /**
@@ -240,7 +241,9 @@
                 mPools.availability().recentlyLeaving(mLoop.nowMillis()).stream()
                         .filter(pool.byIncarnation()::containsKey)
                         .toList();
-        if (reports.isEmpty() && leaving.isEmpty()) {
+        List<TargetRest> rests =
+                WorkReportCodec.encodeRests(pool.runtime().recentRests(), pool.registrations());
+        if (reports.isEmpty() && leaving.isEmpty() && rests.isEmpty()) {
             return false;
         }
         byte[] datagram =
@@ -249,6 +252,7 @@
                         .setSender(mSettings.self().name())
                         .setService(service)
                         .addAllLeaving(leaving)
+                        .addAllRests(rests)
                         .addAllWork(
                                 WorkReportCodec.encode(
                                         reports, pool.registrations(), mLoop.nowMillis()))
@@ -292,6 +296,8 @@
         for (String incarnation : message.getLeavingList()) {
             mPools.onPeerLeaving(message.getService(), incarnation, message.getSender());
         }
+        WorkReportCodec.decodeRests(message.getRestsList(), pool.get().byIncarnation())
+                .forEach(pool.get().runtime()::onPeerRest);
         if (message.getWorkCount() > 0) {
             onReport(pool.get(), message);
         }
--- a/gateway/src/main/java/org/dahliapass/gateway/WorkReportCodec.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/WorkReportCodec.java
@@ -1,16 +1,19 @@
 package org.dahliapass.gateway;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.dahliapass.decisions.availability.AvailabilityStatement;
 import org.dahliapass.decisions.limits.LimitReport;
 import org.dahliapass.decisions.limits.LimitStatement;
 import org.dahliapass.decisions.traffic.Observation;
 import org.dahliapass.decisions.traffic.TargetReport;
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.model.routing.TargetRegistration;
+import org.dahliapass.wire.message.TargetRest;
 import org.dahliapass.wire.message.WorkAtTarget;
 import org.dahliapass.wire.message.WorkEnd;
 
@@ -49,6 +52,45 @@
         };
     }
 
+    /**
+     * Encodes the remaining times of rests, in milliseconds; those of other targets are omitted.
+     */
+    static List<TargetRest> encodeRests(
+            Map<Endpoint, Long> rests, Map<Endpoint, TargetRegistration> targets) {
+        List<TargetRest> encoded = new ArrayList<>();
+        rests.forEach(
+                (endpoint, remainingMillis) -> {
+                    TargetRegistration target = targets.get(endpoint);
+                    if (target != null) {
+                        encoded.add(
+                                TargetRest.newBuilder()
+                                        .setInstance(target.incarnation())
+                                        .setRemainingMillis(remainingMillis.intValue())
+                                        .build());
+                    }
+                });
+        return encoded;
+    }
+
+    /**
+     * Decodes the remaining times of rests, in milliseconds; those of other targets are omitted and
+     * those that no VM sends are limited.
+     */
+    static Map<Endpoint, Long> decodeRests(
+            List<TargetRest> rests, Map<String, TargetRegistration> byIncarnation) {
+        Map<Endpoint, Long> decoded = new HashMap<>();
+        for (TargetRest rest : rests) {
+            TargetRegistration target = byIncarnation.get(rest.getInstance());
+            if (target != null) {
+                long remainingMillis = Integer.toUnsignedLong(rest.getRemainingMillis());
+                decoded.put(
+                        target.endpoint(),
+                        Math.min(remainingMillis, AvailabilityStatement.MAX_REST.toMillis()));
+            }
+        }
+        return decoded;
+    }
+
     /** Encodes reports on registered targets; reports on other targets are omitted. */
     static List<WorkAtTarget> encode(
             List<TargetReport> reports, Map<Endpoint, TargetRegistration> targets, long nowMillis) {
--- a/gateway/src/test/java/org/dahliapass/gateway/WorkReportCodecTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/WorkReportCodecTest.java
@@ -12,6 +12,7 @@
 import org.dahliapass.decisions.traffic.TargetReport;
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.model.routing.TargetRegistration;
+import org.dahliapass.wire.message.TargetRest;
 import org.dahliapass.wire.message.WorkAtTarget;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -42,6 +43,23 @@
                 SECOND);
     }
 
+    /**
+     * Guards against a rest that another target takes over with the address, or that has no end.
+     */
+    @Test
+    public void restsAreMatchedByInstanceAndLimited() {
+        List<TargetRest> message =
+                WorkReportCodec.encodeRests(
+                        Map.of(FIRST, 3_000L, SECOND, 1_000L), at(FIRST, "i-1"));
+        assertEquals(
+                WorkReportCodec.decodeRests(message, named(SECOND, "i-1")), Map.of(SECOND, 3_000L));
+        assertEquals(WorkReportCodec.decodeRests(message, named(FIRST, "i-2")), Map.of());
+        TargetRest endless = message.get(0).toBuilder().setRemainingMillis(-1).build();
+        assertEquals(
+                WorkReportCodec.decodeRests(List.of(endless), named(FIRST, "i-1")),
+                Map.of(FIRST, 300_000L));
+    }
+
     @Test
     public void unregisteredTargetIsOmitted() {
         assertEquals(WorkReportCodec.encode(report(FIRST), Map.of(), SENT), List.of());
--- a/lab/src/main/java/org/dahliapass/lab/fleet/FleetSimulation.java
+++ b/lab/src/main/java/org/dahliapass/lab/fleet/FleetSimulation.java
@@ -185,6 +185,14 @@
     }
 
     private void broadcastReports(List<ServiceRuntime> runtimes, int self) {
+        runtimes.get(self)
+                .recentRests()
+                .forEach(
+                        (target, restMillis) ->
+                                sendToOthers(
+                                        runtimes,
+                                        self,
+                                        other -> other.onPeerRest(target, restMillis)));
         List<TargetReport> reports = runtimes.get(self).drainReport();
         if (!reports.isEmpty()) {
             VmIdentity vm = new VmIdentity(vmName(self), 0);
--- a/lab/src/test/java/org/dahliapass/lab/fleet/FleetSimulationTest.java
+++ b/lab/src/test/java/org/dahliapass/lab/fleet/FleetSimulationTest.java
@@ -146,6 +146,14 @@
         assertEquals(mostDuringRest, 0.0, "requests of one VM during a rest");
     }
 
+    /** Guards against VMs that each spend their retries on finding out which targets rest. */
+    @Test
+    public void requestsAreServedByTheTargetsThatDoNotRest() {
+        double refused =
+                mean("resting-targets", PlacementStrategy.PRODUCTION, FleetResult::refused);
+        assertTrue(refused < 0.001, "refused: " + refused);
+    }
+
     /** Guards against VMs that return together, with all that waited, at the end of a rest. */
     @Test(dataProvider = "restScenarios")
     public void restsDoNotEndInAStampede(String scenario) {
--- a/traffic/src/main/java/org/dahliapass/traffic/ServiceRuntime.java
+++ b/traffic/src/main/java/org/dahliapass/traffic/ServiceRuntime.java
@@ -455,6 +455,33 @@
         return mAvailability.of(slot.instance().incarnation()).isLeaving();
     }
 
+    /**
+     * Returns the remaining times of the rests that targets lately asked this VM for, in
+     * milliseconds, for the other VMs.
+     */
+    public synchronized Map<Endpoint, Long> recentRests() {
+        long now = mClock.millis();
+        List<String> resting = mAvailability.recentlyResting(now);
+        Map<Endpoint, Long> rests = new HashMap<>();
+        for (TargetInstance target :
+                resting.isEmpty() ? List.<TargetInstance>of() : mInstances.values()) {
+            if (resting.contains(target.incarnation())) {
+                rests.put(
+                        target.endpoint(), mAvailability.of(target.incarnation()).restMillis(now));
+            }
+        }
+        return rests;
+    }
+
+    /**
+     * Records that a target has asked another VM for a rest.
+     *
+     * @param restMillis the remaining time of the rest, in milliseconds
+     */
+    public synchronized void onPeerRest(Endpoint target, long restMillis) {
+        mFailureDetector.onPeerRest(target, restMillis, mClock.millis());
+    }
+
     /** Records that a request is written to a target; returns what is known of the target. */
     public AvailabilityRecord onWritten(Slot slot) {
         AvailabilityRecord known = mAvailability.of(slot.instance().incarnation());
