--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
@@ -3,9 +3,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.time.Clock;
-import java.util.ArrayList;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -15,13 +13,11 @@
 import org.dahliapass.decisions.access.Authentication;
 import org.dahliapass.decisions.access.CallerIdentity;
 import org.dahliapass.decisions.access.RejectionReason;
-import org.dahliapass.decisions.poison.Treatment;
 import org.dahliapass.decisions.traffic.FailedAttempt;
 import org.dahliapass.decisions.traffic.FailureKind;
 import org.dahliapass.http.ServerCall;
 import org.dahliapass.kernel.Futures;
 import org.dahliapass.model.Endpoint;
-import org.dahliapass.model.RequestDigest;
 import org.dahliapass.traffic.RefusedException;
 import org.dahliapass.traffic.Slot;
 
@@ -58,25 +54,23 @@
     private final EventLoop mLoop;
     private final ExchangeLog mLog;
     private final GatewayResponses mResponses;
-    private final PoisonGuard mGuard;
+    private final ExchangeDigest mDigest;
     private final RequestAuthenticator mAuthenticator;
     private final CustomerLimits mLimits;
     private final WaitLog mWaits;
     private final RelayAttempts mRelay;
-    private final List<Attempt> mRunningAttempts = new ArrayList<>();
+    private final RunningAttempts mRunningAttempts;
     private final Set<Endpoint> mTriedTargets = new HashSet<>();
     private final Runnable mRelayInsteadOfWaiting = this::relayInsteadOfWaiting;
     private CompletableFuture<Slot> mPendingSlot;
     private ScheduledFuture<?> mDeadlineTimer;
     private ScheduledFuture<?> mHedgeTimer;
     private Optional<AttemptResult.Responded> mErrorResponse = Optional.empty();
-    private Optional<RequestDigest> mDigest = Optional.empty();
     private int mTargetsReached;
     private int mAttempts;
     private int mConnectFailures;
     private boolean mIsCounted;
     private boolean mHoldsToken;
-    private boolean mHoldsDigestLock;
     private boolean mMayHaveExecuted;
     private boolean mFinished;
 
@@ -100,8 +94,9 @@
         mClock = clock;
         mLoop = call.loop();
         mLog = new ExchangeLog(call, request, clock, log, waits);
+        mRunningAttempts = new RunningAttempts(mLog);
         mResponses = responses;
-        mGuard = guard;
+        mDigest = new ExchangeDigest(request, guard);
         mAuthenticator = authenticator;
         mLimits = limits;
         mRelay = new RelayAttempts(relay, request, call::isClientConnected);
@@ -170,8 +165,7 @@
      * @return false if no VM is available
      */
     private boolean relay() {
-        boolean mayHaveRun =
-                mMayHaveExecuted || mRunningAttempts.stream().anyMatch(Attempt::isSent);
+        boolean mayHaveRun = mMayHaveExecuted || mRunningAttempts.sentCount() > 0;
         if (mayHaveRun && !mRequest.kind().idempotency().isRepeatable()) {
             return false;
         }
@@ -192,10 +186,6 @@
         }
     }
 
-    private boolean isRelaying() {
-        return mRunningAttempts.stream().anyMatch(RelayAttempt.class::isInstance);
-    }
-
     private void start(RelayAttempt attempt) {
         mAttempts++;
         mRunningAttempts.add(attempt);
@@ -204,7 +194,7 @@
     }
 
     private int targetsUsed() {
-        return mTargetsReached + (int) mRunningAttempts.stream().filter(Attempt::isSent).count();
+        return mTargetsReached + mRunningAttempts.sentCount();
     }
 
     private void onRelayResult(RelayAttempt attempt, AttemptResult result, Throwable failure) {
@@ -297,15 +287,14 @@
      * requests with the same digest.
      */
     private boolean isDeferredOrRejected() {
-        Treatment treatment = treatment();
-        if (!treatment.mayRun()) {
+        if (!mDigest.treatment().mayRun()) {
             rejectQuarantined();
             return true;
         }
-        if (treatment == Treatment.USUAL || !mGuard.digestLocks().isHeld(digest())) {
+        if (!mDigest.isLocked()) {
             return false;
         }
-        if (mAttempts > 0 || !mGuard.digestLocks().addWaiter(digest(), this::admit)) {
+        if (mAttempts > 0 || !mDigest.addWaiter(this::admit)) {
             finishIfIdle();
         } else {
             mWaits.start(WaitLog.Cause.DIGEST, mClock.millis());
@@ -313,12 +302,8 @@
         return true;
     }
 
-    private Treatment treatment() {
-        return mGuard.treatment(this::digest);
-    }
-
     private void rejectQuarantined() {
-        long retryAfter = mGuard.onRefused(digest());
+        long retryAfter = mDigest.onRefused();
         if (mMayHaveExecuted || !mRunningAttempts.isEmpty()) {
             finishIfIdle();
             return;
@@ -363,7 +348,7 @@
                         mClock,
                         nextCause(),
                         mCall::isClientConnected);
-        if (mFinished || isRelaying() || (mRelay.isNeeded() && relay())) {
+        if (mFinished || mRunningAttempts.isRelaying() || (mRelay.isNeeded() && relay())) {
             attempt.abort(FailureKind.CANCELLED_BY_CALLER);
             return;
         }
@@ -404,10 +389,7 @@
 
     private void start(TargetAttempt attempt, CallerIdentity identity) {
         scheduleHedge();
-        if (treatment() == Treatment.ALONE) {
-            mGuard.digestLocks().acquire(digest());
-            mHoldsDigestLock = true;
-        }
+        mDigest.lockIfAlone();
         mAttempts++;
         mTriedTargets.add(attempt.target());
         mRunningAttempts.add(attempt);
@@ -429,11 +411,7 @@
             discardResponse(result);
             return;
         }
-        boolean isChecking =
-                result instanceof AttemptResult.Failed failed && checkBrokenTarget(attempt, failed);
-        if (!isChecking) {
-            releaseDigestLock();
-        }
+        mDigest.onEnded(attempt, result);
         if (failure != null) {
             mLog.add(attempt, "failed: " + failure);
             mMayHaveExecuted = true;
@@ -453,39 +431,11 @@
         }
     }
 
-    /**
-     * Starts a liveness check of the target if the attempt's connection broke.
-     *
-     * @return whether a check was started, which releases the digest's lock when it ends
-     */
-    private boolean checkBrokenTarget(TargetAttempt attempt, AttemptResult.Failed failed) {
-        if (!failed.kind().brokeConnection()) {
-            return false;
-        }
-        mGuard.onConnectionBroken(attempt, digest(), this::releaseDigestLock);
-        return true;
-    }
-
-    private void releaseDigestLock() {
-        if (mHoldsDigestLock) {
-            mHoldsDigestLock = false;
-            mGuard.digestLocks().release(digest());
-        }
-    }
-
-    /** Computed on first use: most requests never need their digest. */
-    private RequestDigest digest() {
-        if (mDigest.isEmpty()) {
-            mDigest = Optional.of(mRequest.digest());
-        }
-        return mDigest.get();
-    }
-
     private void onResponse(AttemptResult.Responded responded) {
         mMayHaveExecuted = true;
         mTargetsReached++;
         if (responded.isComplete()) {
-            mGuard.onResponse(this::digest);
+            mDigest.onResponse();
         }
         if (mFinished) {
             // The caller disconnected while an at-most-once request was running.
@@ -572,7 +522,7 @@
         if (mTargetsReached >= mRequest.maxTargets() || mAttempts >= MAX_ATTEMPTS) {
             return false;
         }
-        if (kind.brokeConnection() && !treatment().mayRunAgain()) {
+        if (kind.brokeConnection() && !mDigest.treatment().mayRunAgain()) {
             return false;
         }
         if (mRelay.isNeeded()) {
@@ -594,13 +544,13 @@
     }
 
     private void startHedge() {
-        if (mFinished || mRunningAttempts.size() != 1 || mPendingSlot != null) {
+        if (mFinished || mRunningAttempts.count() != 1 || mPendingSlot != null) {
             return;
         }
-        if (mTargetsReached + 1 >= mRequest.maxTargets() || !treatment().mayRunAgain()) {
+        if (mTargetsReached + 1 >= mRequest.maxTargets() || !mDigest.treatment().mayRunAgain()) {
             return;
         }
-        if (isRelaying()) {
+        if (mRunningAttempts.isRelaying()) {
             return;
         }
         if (mRelay.isNeeded()) {
@@ -663,7 +613,7 @@
             abortAttempts(FailureKind.TIMED_OUT);
             return;
         }
-        mMayHaveExecuted |= mRunningAttempts.stream().anyMatch(Attempt::isSent);
+        mMayHaveExecuted |= mRunningAttempts.sentCount() > 0;
         // Set first: aborting an attempt completes it at once, which must not start another one.
         mFinished = true;
         abortAttempts(FailureKind.TIMED_OUT);
@@ -698,30 +648,13 @@
         if (mPendingSlot != null) {
             mPendingSlot.cancel(false);
         }
-        List<Attempt> aborted = List.copyOf(mRunningAttempts);
-        mRunningAttempts.clear();
-        releaseDigestLock();
-        abort(aborted, kind);
+        mDigest.unlock();
+        mRunningAttempts.abort(kind);
     }
 
-    /** Cancels the attempts that meet a condition. */
     private void cancelAttempts(Predicate<Attempt> condition) {
-        List<Attempt> cancelled = mRunningAttempts.stream().filter(condition).toList();
-        if (cancelled.isEmpty()) {
-            return;
-        }
-        mRunningAttempts.removeAll(cancelled);
-        if (mRunningAttempts.isEmpty()) {
-            releaseDigestLock();
-        }
-        abort(cancelled, FailureKind.CANCELLED_BY_CALLER);
-    }
-
-    /** Aborts attempts that are no longer listed as running, since that completes them at once. */
-    private void abort(List<Attempt> attempts, FailureKind kind) {
-        for (Attempt attempt : attempts) {
-            mLog.add(attempt, "stopped: " + kind);
-            attempt.abort(kind);
+        if (mRunningAttempts.cancel(condition) && mRunningAttempts.isEmpty()) {
+            mDigest.unlock();
         }
     }
 
@@ -747,7 +680,7 @@
         mErrorResponse
                 .filter(error -> error.response() != response)
                 .ifPresent(error -> error.response().discard());
-        mLog.write(status, outcome, outcome.equals(CALLER_LEFT), mDigest);
+        mLog.write(status, outcome, outcome.equals(CALLER_LEFT), mDigest.known());
     }
 
     private static void discardResponse(AttemptResult result) {
