--- a/gateway/src/test/java/org/dahliapass/gateway/GatewayTargetAvailabilityTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/GatewayTargetAvailabilityTest.java
@@ -3,6 +3,8 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.io.IOException;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
@@ -190,6 +192,33 @@
         }
     }
 
+    /** Guards against a statement that is lost because nobody waits for its response any more. */
+    @Test
+    public void responseToACallerThatHasLeftIsRead() throws IOException {
+        CountDownLatch hasLeft = new CountDownLatch(1);
+        try (PartitionFixture fixture = new PartitionFixture(1)) {
+            fixture.behave(
+                    seen -> {
+                        awaitUninterruptibly(hasLeft);
+                        return Behaviour.RESPOND_LEAVING;
+                    });
+            Socket caller = fixture.open(0, "POST", "/l/left");
+            GatewayFixture.await(() -> fixture.received("/l/left").size() == 1);
+            caller.close();
+            GatewayFixture.await(() -> fixture.log(0).contains("the caller left"));
+            hasLeft.countDown();
+            GatewayFixture.await(() -> fixture.log(0).contains("target_leaving_stated"));
+        }
+    }
+
+    private static void awaitUninterruptibly(CountDownLatch moment) {
+        try {
+            moment.await();
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private static boolean hasReceived(SigningTargetStandIn target, String path) {
         return target.receivedRequests().stream()
                 .anyMatch(request -> request.requestLine().contains(" " + path + " "));
@@ -220,11 +249,7 @@
         if (!seen.requestLine().contains("/crash")) {
             return Behaviour.RESPOND_LEAVING;
         }
-        try {
-            moment.await();
-        } catch (InterruptedException interrupted) {
-            Thread.currentThread().interrupt();
-        }
+        awaitUninterruptibly(moment);
         return Behaviour.CRASH;
     }
 
