Count the rest that a target asked another VM for as a cost, not as a filter

Cause: a hint that a target wants a rest put it behind all other acceptable targets, those included that probably fail half of what they get. Targets that are full for a moment and ask for a rest each time then push requests to failing ones.

Change: the hint adds 0.1 to a target's cost, as a loss probability.

TargetSelectorTest#targetThatWantsARestFromOtherVmsIsAvoided.

--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/PassiveFailureDetector.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/PassiveFailureDetector.java
@@ -335,7 +335,7 @@
     /**
      * Records that a target has asked another VM for a rest.
      *
-     * <p>Avoids the target until it responds to any VM, or for longer than the rest: the VMs that
+     * <p>That counts until the target responds to any VM, or for longer than the rest: the VMs that
      * it has asked find out first whether the rest is over.
      *
      * @param restMillis the remaining time of the rest, in milliseconds
@@ -346,11 +346,16 @@
         state.mPeerRestEndMillis = nowMillis + PEER_REST_FACTOR * restMillis;
     }
 
-    /** Returns whether the target shed load recently, or wants a rest from other VMs. */
+    /** Returns whether the target shed load recently. */
     public boolean isCoolingDown(Endpoint target, long nowMillis) {
         TargetState state = mTargets.get(target);
-        return state != null
-                && nowMillis < Math.max(state.mCooldownUntilMillis, state.mPeerRestEndMillis);
+        return state != null && nowMillis < state.mCooldownUntilMillis;
+    }
+
+    /** Returns whether the target probably wants a rest, because it asked another VM for one. */
+    public boolean isPeerResting(Endpoint target, long nowMillis) {
+        TargetState state = mTargets.get(target);
+        return state != null && nowMillis < state.mPeerRestEndMillis;
     }
 
     /** Discards the state of restarted targets. */
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/TargetSelector.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/TargetSelector.java
@@ -36,6 +36,12 @@
      */
     private static final double FULL_LOAD_COST = 0.1;
 
+    /**
+     * The cost of a target that asked another VM for a rest, as a loss probability. Less than a
+     * target that is probably failing costs, since the target may have been full for a moment.
+     */
+    private static final double PEER_REST_COST = 0.1;
+
     /**
      * The cost difference, as a loss probability, at which a target is selected e times less often.
      * Randomization keeps the VMs from all selecting the same target.
@@ -176,8 +182,9 @@
         double inFlight = mSlots.ownInFlight(endpoint) + mSlots.peersInFlight(endpoint, nowMillis);
         double load = inFlight / mSlots.slotsPerTarget() / target.weight();
         double lossProbability = mFailureDetector.lossProbability(endpoint, nowMillis);
+        double restCost = mFailureDetector.isPeerResting(endpoint, nowMillis) ? PEER_REST_COST : 0;
         if (!mayRepeat) {
-            return lossProbability + FULL_LOAD_COST * load;
+            return lossProbability + FULL_LOAD_COST * load + restCost;
         }
         double nonRepeatableShare = mFailureDetector.nonRepeatableShare();
         double lossWeight = 1 - (1 - REPEATABLE_LOSS_COST) * nonRepeatableShare;
@@ -186,6 +193,6 @@
                 EXPLORATION_VALUE
                         * nonRepeatableShare
                         * (1 - Math.exp(-age / EXPLORATION_AGE_MILLIS));
-        return lossWeight * lossProbability + FULL_LOAD_COST * load - explorationValue;
+        return lossWeight * lossProbability + FULL_LOAD_COST * load + restCost - explorationValue;
     }
 }
--- a/decisions/src/test/java/org/dahliapass/decisions/traffic/PassiveFailureDetectorTest.java
+++ b/decisions/src/test/java/org/dahliapass/decisions/traffic/PassiveFailureDetectorTest.java
@@ -30,9 +30,9 @@
     @Test
     public void targetIsAvoidedWhileOtherVmsLetItRest() {
         mDetector.onPeerRest(TARGET, 3_000, 1_000);
-        assertTrue(mDetector.isCoolingDown(TARGET, 1_000));
-        assertTrue(mDetector.isCoolingDown(TARGET, 6_999));
-        assertFalse(mDetector.isCoolingDown(TARGET, 7_000));
+        assertTrue(mDetector.isPeerResting(TARGET, 1_000));
+        assertTrue(mDetector.isPeerResting(TARGET, 6_999));
+        assertFalse(mDetector.isPeerResting(TARGET, 7_000));
     }
 
     /** Guards against a target that stays avoided although it takes requests again. */
@@ -41,14 +41,14 @@
         mDetector.onPeerRest(TARGET, 3_000, 1_000);
         mDetector.onPeerReport(
                 "b", List.of(new TargetReport(TARGET, 0, 1, OptionalLong.of(900))), 1_100);
-        assertTrue(mDetector.isCoolingDown(TARGET, 1_100));
+        assertTrue(mDetector.isPeerResting(TARGET, 1_100));
         mDetector.onPeerReport(
                 "b", List.of(new TargetReport(TARGET, 0, 1, OptionalLong.of(1_200))), 1_300);
-        assertFalse(mDetector.isCoolingDown(TARGET, 1_300));
+        assertFalse(mDetector.isPeerResting(TARGET, 1_300));
         mDetector.onPeerRest(TARGET, 3_000, 1_400);
         begin("first", 1_500);
         end("first", 1_500, Outcome.SUCCESS, 1_600);
-        assertFalse(mDetector.isCoolingDown(TARGET, 1_600));
+        assertFalse(mDetector.isPeerResting(TARGET, 1_600));
     }
 
     @Test
--- a/decisions/src/test/java/org/dahliapass/decisions/traffic/TargetSelectorTest.java
+++ b/decisions/src/test/java/org/dahliapass/decisions/traffic/TargetSelectorTest.java
@@ -64,6 +64,14 @@
         assertTrue(selections(Kinds.LOOKUP, 0, NOW + 3_000) < SELECTIONS / 100);
     }
 
+    /** Guards against requests that are turned away because a target turned other VMs away. */
+    @Test
+    public void targetThatWantsARestFromOtherVmsIsAvoided() {
+        mDetector.onPeerRest(Kinds.endpoint(0), 3_000, NOW);
+        assertTrue(selections(Kinds.SIGN_OFF, 0, NOW + 100) < SELECTIONS / 100);
+        assertTrue(selections(Kinds.SIGN_OFF, 0, NOW + 6_000) > 0);
+    }
+
     @Test
     public void targetWithRequestsInFlightIsNotExploredAgain() {
         mSlots.acquire(Kinds.endpoint(0), false);
