Tell each piece of news of targets in two reports at least

Cause: news of leaving targets was told for 3 s and of rests for 1 s, while the reports come every 12.5 ms times the VMs that take callers: with more than 80 such VMs hints of rests, and with more than 240 news of leaving, could fall between two reports.

Change: the time for which news is told grows with the interval of the reports. TargetAvailabilityTest#otherVmsAreToldByAtLeastTwoReports.

--- a/decisions/src/main/java/org/dahliapass/decisions/availability/TargetAvailability.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/availability/TargetAvailability.java
@@ -21,11 +21,14 @@
     private static final long MAX_REST_JITTER_MILLIS = 2_000;
 
     /** How long the other VMs are told that a target is leaving, since messages may be lost. */
-    private static final long NEWS_MILLIS = 3_000;
+    private static final long LEAVING_NEWS_MILLIS = 3_000;
 
     /** How long the other VMs are told of a rest, which a later response of the target refutes. */
     private static final long REST_NEWS_MILLIS = 1_000;
 
+    /** The reports that tell a piece of news at least, however rare they are. */
+    private static final int MIN_REPORTS = 2;
+
     /** Longer than an outage of the store after which the entries of targets are back. */
     private static final long RETENTION_MILLIS = 600_000;
 
@@ -33,7 +36,7 @@
     private final Map<String, AvailabilityRecord> mRecords = new ConcurrentHashMap<>();
 
     /** When each incarnation that the other VMs are told of said that it is leaving. */
-    private final Map<String, Long> mNews = new ConcurrentHashMap<>();
+    private final Map<String, Long> mLeavingNews = new ConcurrentHashMap<>();
 
     /** When each incarnation that the other VMs are told of last asked for a rest. */
     private final Map<String, Long> mRestNews = new ConcurrentHashMap<>();
@@ -93,7 +96,7 @@
         if (!statement.isLeaving() || !onLeaving(incarnation, nowMillis)) {
             return false;
         }
-        mNews.put(incarnation, nowMillis);
+        mLeavingNews.put(incarnation, nowMillis);
         return true;
     }
 
@@ -127,19 +130,29 @@
         return onLeaving(incarnation, nowMillis);
     }
 
-    /** Returns the incarnations whose responses to this VM said lately that they are leaving. */
-    public List<String> recentlyLeaving(long nowMillis) {
-        mNews.values().removeIf(statedMillis -> nowMillis - statedMillis > NEWS_MILLIS);
-        return List.copyOf(mNews.keySet());
+    /**
+     * Returns the incarnations whose responses to this VM said lately that they are leaving.
+     *
+     * @param reportIntervalMillis the interval at which the other VMs are told, in milliseconds
+     */
+    public List<String> recentlyLeaving(long reportIntervalMillis, long nowMillis) {
+        long newsMillis = Math.max(LEAVING_NEWS_MILLIS, MIN_REPORTS * reportIntervalMillis);
+        mLeavingNews.values().removeIf(statedMillis -> nowMillis - statedMillis > newsMillis);
+        return List.copyOf(mLeavingNews.keySet());
     }
 
-    /** Returns the incarnations that lately asked this VM for a rest which isn't over. */
-    public List<String> recentlyResting(long nowMillis) {
+    /**
+     * Returns the incarnations that lately asked this VM for a rest which isn't over.
+     *
+     * @param reportIntervalMillis the interval at which the other VMs are told, in milliseconds
+     */
+    public List<String> recentlyResting(long reportIntervalMillis, long nowMillis) {
+        long newsMillis = Math.max(REST_NEWS_MILLIS, MIN_REPORTS * reportIntervalMillis);
         mRestNews
                 .entrySet()
                 .removeIf(
                         news ->
-                                nowMillis - news.getValue() > REST_NEWS_MILLIS
+                                nowMillis - news.getValue() > newsMillis
                                         || of(news.getKey()).restMillis(nowMillis) == 0);
         return List.copyOf(mRestNews.keySet());
     }
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/PassiveFailureDetector.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/PassiveFailureDetector.java
@@ -25,7 +25,7 @@
      */
     private static final long COOLDOWN_MILLIS = 250;
 
-    /** A rest that a target asked another VM for counts this many times. */
+    /** How long a rest that a target asked another VM for counts, as a multiple of the rest. */
     private static final int PEER_REST_FACTOR = 2;
 
     /** Longer than several report intervals. */
--- a/decisions/src/test/java/org/dahliapass/decisions/availability/TargetAvailabilityTest.java
+++ b/decisions/src/test/java/org/dahliapass/decisions/availability/TargetAvailabilityTest.java
@@ -90,8 +90,19 @@
     public void otherVmsAreToldForAShortWhileOfOwnResponses() {
         mAvailability.onStatement(TARGET, LEAVING, 0, 0);
         assertTrue(mAvailability.onPeerLeaving("i-2@0", 0));
-        assertEquals(mAvailability.recentlyLeaving(2_000), List.of(TARGET));
-        assertEquals(mAvailability.recentlyLeaving(4_000), List.of());
+        assertEquals(mAvailability.recentlyLeaving(100, 2_000), List.of(TARGET));
+        assertEquals(mAvailability.recentlyLeaving(100, 4_000), List.of());
+    }
+
+    /** Guards against news that no report holds because many VMs share the reports. */
+    @Test
+    public void otherVmsAreToldByAtLeastTwoReports() {
+        mAvailability.onStatement(TARGET, LEAVING, 0, 0);
+        mAvailability.onStatement("i-2@0", rest(60_000), 0, 0);
+        assertEquals(mAvailability.recentlyLeaving(20_000, 40_000), List.of(TARGET));
+        assertEquals(mAvailability.recentlyResting(20_000, 40_000), List.of("i-2@0"));
+        assertEquals(mAvailability.recentlyLeaving(20_000, 40_001), List.of());
+        assertEquals(mAvailability.recentlyResting(20_000, 40_001), List.of());
     }
 
     /** Guards against news of a rest that has ended or that was told long ago. */
@@ -99,8 +110,8 @@
     public void otherVmsAreToldOfPresentRests() {
         mAvailability.onStatement(TARGET, rest(3_000), 0, 0);
         mAvailability.onStatement("i-2@0", rest(100), 0, 0);
-        assertEquals(mAvailability.recentlyResting(500), List.of(TARGET));
-        assertEquals(mAvailability.recentlyResting(1_500), List.of());
+        assertEquals(mAvailability.recentlyResting(100, 500), List.of(TARGET));
+        assertEquals(mAvailability.recentlyResting(100, 1_500), List.of());
     }
 
     private static AvailabilityStatement rest(long millis) {
--- a/gateway/src/main/java/org/dahliapass/gateway/PeerExchange.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/PeerExchange.java
@@ -219,30 +219,40 @@
         long now = mLoop.nowMillis();
         int receivers = mFollower.view().plan().advertisedVms().size();
         // Half a period early, so that the tick nearest to the due time is used.
-        double dueMillis = receivers * MIN_INTERVAL_MILLIS_PER_VM - REPORT_PERIOD.toMillis() / 2.0;
+        long intervalMillis = Math.round(receivers * MIN_INTERVAL_MILLIS_PER_VM);
+        double dueMillis = intervalMillis - REPORT_PERIOD.toMillis() / 2.0;
         if (now - mLastReportMillis < dueMillis) {
             return Optional.of(REPORT_PERIOD);
         }
         mLastReportMillis = now;
         boolean isInUse = now - mLastRequestMillis < REPORT_AFTER_USE_MILLIS;
         for (String service : mPools.serviceNames()) {
-            isInUse |= mPools.find(service).map(pool -> report(service, pool)).orElse(false);
+            isInUse |=
+                    mPools.find(service)
+                            .map(pool -> report(service, pool, intervalMillis))
+                            .orElse(false);
         }
         return isInUse ? Optional.of(REPORT_PERIOD) : Optional.empty();
     }
 
-    /** Reports the in-flight requests of one service; returns whether there are any. */
-    private boolean report(String service, ServicePool pool) {
+    /**
+     * Reports the in-flight requests of one service and what its targets said.
+     *
+     * @param intervalMillis the interval of the reports, in milliseconds
+     * @return whether there is anything to report
+     */
+    private boolean report(String service, ServicePool pool, long intervalMillis) {
         List<TargetReport> reports = pool.runtime().drainReport();
         if (!mReachability.isReached()) {
             reports = reports.stream().map(TargetReport::withoutSilence).toList();
         }
         List<String> leaving =
-                mPools.availability().recentlyLeaving(mLoop.nowMillis()).stream()
+                mPools.availability().recentlyLeaving(intervalMillis, mLoop.nowMillis()).stream()
                         .filter(pool.byIncarnation()::containsKey)
                         .toList();
         List<TargetRest> rests =
-                WorkReportCodec.encodeRests(pool.runtime().recentRests(), pool.registrations());
+                WorkReportCodec.encodeRests(
+                        pool.runtime().recentRests(intervalMillis), pool.registrations());
         if (reports.isEmpty() && leaving.isEmpty() && rests.isEmpty()) {
             return false;
         }
--- a/gateway/src/main/java/org/dahliapass/gateway/TargetAttempt.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/TargetAttempt.java
@@ -233,7 +233,7 @@
                             head.headers().getAll(HttpHeaderNames.RETRY_AFTER));
             mPool.runtime().onAvailabilityStatement(mSlot, mAvailability);
         }
-        // Only VMs may set it.
+        // Reserved for responses of VMs.
         head.headers().remove(RelayHeader.NAME);
         if (mRequest.isRelayed() && mAvailability.isLeaving()) {
             RelayHeader.setLeaving(head.headers(), instance().incarnation());
--- a/lab/src/main/java/org/dahliapass/lab/fleet/FleetSimulation.java
+++ b/lab/src/main/java/org/dahliapass/lab/fleet/FleetSimulation.java
@@ -186,7 +186,7 @@
 
     private void broadcastReports(List<ServiceRuntime> runtimes, int self) {
         runtimes.get(self)
-                .recentRests()
+                .recentRests(REPORT_MILLIS)
                 .forEach(
                         (target, restMillis) ->
                                 sendToOthers(
--- a/traffic/src/main/java/org/dahliapass/traffic/ServiceRuntime.java
+++ b/traffic/src/main/java/org/dahliapass/traffic/ServiceRuntime.java
@@ -458,13 +458,17 @@
     /**
      * Returns the remaining times of the rests that targets lately asked this VM for, in
      * milliseconds, for the other VMs.
+     *
+     * @param reportIntervalMillis the interval at which the other VMs are told, in milliseconds
      */
-    public synchronized Map<Endpoint, Long> recentRests() {
+    public synchronized Map<Endpoint, Long> recentRests(long reportIntervalMillis) {
         long now = mClock.millis();
-        List<String> resting = mAvailability.recentlyResting(now);
+        List<String> resting = mAvailability.recentlyResting(reportIntervalMillis, now);
+        if (resting.isEmpty()) {
+            return Map.of();
+        }
         Map<Endpoint, Long> rests = new HashMap<>();
-        for (TargetInstance target :
-                resting.isEmpty() ? List.<TargetInstance>of() : mInstances.values()) {
+        for (TargetInstance target : mInstances.values()) {
             if (resting.contains(target.incarnation())) {
                 rests.put(
                         target.endpoint(), mAvailability.of(target.incarnation()).restMillis(now));
