Log the store's epoch and revision behind each update, and why a 404 was sent

Epoch and revision are one value (StoreRevision), read from each response and handed on with the copies that VMs read from each other. Gauges: dahliapass_store_epoch, dahliapass_store_revision. No decision uses the epoch.

--- a/gateway/src/main/java/org/dahliapass/gateway/ChangeFeed.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ChangeFeed.java
@@ -16,6 +16,7 @@
 import org.dahliapass.http.HttpClient;
 import org.dahliapass.kernel.ControlLoop;
 import org.dahliapass.kernel.Futures;
+import org.dahliapass.kernel.JsonObject;
 import org.dahliapass.kernel.Kernel;
 import org.dahliapass.kernel.KernelService;
 import org.dahliapass.kernel.PeriodicTask;
@@ -23,15 +24,17 @@
 import org.dahliapass.model.routing.FleetVm;
 import org.dahliapass.platform.KeyValueStore;
 import org.dahliapass.platform.KeyValueStore.Consistency;
+import org.dahliapass.platform.StoreRevision;
 import org.dahliapass.platform.StoredItem;
 import org.dahliapass.platform.WatchResponse;
+import org.dahliapass.traffic.EntryMetrics;
 
 /**
  * Reads the store once and then follows its changes, either directly or through another VM.
  *
  * <p>Confined to the control thread.
  */
-final class ChangeFeed implements KernelService, StoreReader.Listener {
+final class ChangeFeed implements KernelService, StoreReader.Listener, ConfigurationStatus {
     /** The service name in the kernel. */
     static final String NAME = "change-feed";
 
@@ -93,6 +96,7 @@
     private final KeyValueStore mStore;
     private final StoreBackoff mBackoff;
     private final EventLog mLog;
+    private final EntryMetrics mMetrics;
     private final ChangeSourceSelector mSourceSelector;
     private final StoreMirror mMirror = new StoreMirror();
     private final PeerStoreClients mPeerClients;
@@ -103,7 +107,7 @@
     private StoreFollower mFollower;
     private StoreReader mReader;
     private volatile boolean mFollowsStore;
-    private String mSource = "";
+    private volatile String mSource = "";
 
     /** The time of the last update from the store or a VM that watches it, in milliseconds. */
     private volatile long mLastUpdateMillis = Long.MIN_VALUE / 2;
@@ -117,8 +121,8 @@
     /** The duration of the next watch. */
     private Duration mWatchTimeout = INITIAL_WATCH_TIMEOUT;
 
-    /** The store's revision up to which changes are applied. */
-    private long mRevision;
+    /** The position in the store's history up to which changes are applied. */
+    private volatile StoreRevision mRevision = StoreRevision.NONE;
 
     /** The number of the current watch; the response of an earlier one is ignored. */
     private int mWatchNumber;
@@ -128,11 +132,13 @@
             KeyValueStore store,
             HttpClient client,
             RandomGenerator random,
+            EntryMetrics metrics,
             EventLog log) {
         mStore = store;
         mPeerClients = new PeerStoreClients(client);
         mBackoff = new StoreBackoff(random);
         mLog = log;
+        mMetrics = metrics;
         mSeeds = settings.seeds();
         mSourceSelector = new ChangeSourceSelector(settings.self());
     }
@@ -147,14 +153,18 @@
         return mFollowsStore;
     }
 
-    /**
-     * Returns whether the last update is recent enough that a route unknown to this VM is in force
-     * nowhere; any thread may call this.
-     */
-    boolean isUpToDate() {
+    @Override
+    public boolean isUpToDate() {
         return configurationAgeMillis() <= MAX_UPDATE_AGE_MILLIS;
     }
 
+    @Override
+    public void describe(JsonObject line) {
+        new UpdateOrigin(mSource, mRevision)
+                .describe(line)
+                .put("update_age_ms", configurationAgeMillis());
+    }
+
     /**
      * Returns the time since the source of changes last responded, in milliseconds; any thread may
      * call this.
@@ -192,7 +202,7 @@
     }
 
     @Override
-    public void onSnapshot(List<StoredItem> items, long revision) {
+    public void onSnapshot(List<StoredItem> items, StoreRevision revision) {
         guard(revision, () -> follow(items, revision));
     }
 
@@ -202,20 +212,21 @@
      * <p>Guards against a VM that stays in its last known state for good after one update that it
      * can't handle.
      */
-    private void guard(long revision, Runnable step) {
+    private void guard(StoreRevision revision, Runnable step) {
         if (!mFollower.isolate(step)) {
             int watchNumber = mWatchNumber;
             mLoop.schedule(RESUME_DELAY, () -> resumeFollowing(watchNumber, revision));
         }
     }
 
-    private void follow(List<StoredItem> items, long revision) {
-        if (revision < mRevision) {
+    private void follow(List<StoredItem> items, StoreRevision revision) {
+        if (revision.number() < mRevision.number()) {
+            logIgnoredSnapshot(STORE_SOURCE, revision);
             // The snapshot is older than the state of this VM.
             follow(mRevision);
             return;
         }
-        applySnapshot(items, revision);
+        applySnapshot(items, revision, STORE_SOURCE);
     }
 
     @Override
@@ -229,17 +240,17 @@
         mFollower.onStoreResponse();
     }
 
-    private void applySnapshot(List<StoredItem> items, long revision) {
+    private void applySnapshot(List<StoredItem> items, StoreRevision revision, String source) {
         recordUpdate();
         mMirror.load(items, revision);
-        mRevision = revision;
-        mFollower.isolate(() -> mFollower.applySnapshot(items));
+        moveTo(revision);
+        mFollower.isolate(() -> mFollower.applySnapshot(items, new UpdateOrigin(source, revision)));
         notifyListeners();
         follow(revision);
     }
 
     /** Watches the selected source for changes after a revision. */
-    private void follow(long revision) {
+    private void follow(StoreRevision revision) {
         long now = mLoop.nowMillis();
         AddressPlan plan = mFollower.view().plan();
         mWatchNumber++;
@@ -314,7 +325,7 @@
         mLog.write(
                 EventLog.Kind.DEPENDENCY,
                 "following",
-                line -> line.put("source", name).put("before", previous));
+                line -> new UpdateOrigin(name, mRevision).describe(line).put("before", previous));
     }
 
     private void removeUnusedClients() {
@@ -326,7 +337,7 @@
         mPeerClients.retain(endpoints);
     }
 
-    private void followStore(long revision) {
+    private void followStore(StoreRevision revision) {
         int watchNumber = mWatchNumber;
         StoreReader.onControlThread(
                 mLoop,
@@ -343,7 +354,7 @@
                                 }));
     }
 
-    private void onWatched(int watchNumber, long revision, WatchResponse response) {
+    private void onWatched(int watchNumber, StoreRevision revision, WatchResponse response) {
         onStoreResponse();
         extendWatchTimeout(response);
         if (watchNumber == mWatchNumber) {
@@ -363,13 +374,13 @@
     }
 
     /** Continues to follow, unless a newer watch was started meanwhile. */
-    private void resumeFollowing(int watchNumber, long revision) {
+    private void resumeFollowing(int watchNumber, StoreRevision revision) {
         if (watchNumber == mWatchNumber) {
             follow(revision);
         }
     }
 
-    private void followPeer(FleetVm peer, long revision) {
+    private void followPeer(FleetVm peer, StoreRevision revision) {
         int watchNumber = mWatchNumber;
         stopServingFollowers();
         StoreReader.onControlThread(
@@ -412,17 +423,18 @@
     }
 
     /** Reads the mirror of another VM and ignores it if it is older than the state of this VM. */
-    private void readPeer(FleetVm peer, long revision) {
+    private void readPeer(FleetVm peer, StoreRevision revision) {
         StoreReader.onControlThread(
                 mLoop,
                 mPeerClients
                         .clientFor(peer.peerEndpoint())
                         .range(StoreReader.ALL_KEYS, "", Consistency.STALE_ALLOWED),
                 page -> {
-                    if (page.revision() >= revision) {
-                        applySnapshot(page.items(), page.revision());
+                    if (page.revision().number() >= revision.number()) {
+                        applySnapshot(page.items(), page.revision(), peer.name());
                         return;
                     }
+                    logIgnoredSnapshot(peer.name(), page.revision());
                     mSourceSelector.onUnavailable(peer, mLoop.nowMillis());
                     readStore();
                 },
@@ -432,6 +444,34 @@
                 });
     }
 
+    /** Sets the position up to which changes are applied. */
+    private void moveTo(StoreRevision revision) {
+        StoreRevision previous = mRevision;
+        mRevision = revision;
+        mMetrics.onStoreRevision(revision.epoch(), revision.number());
+        if (previous.epoch() != revision.epoch()) {
+            mLog.write(
+                    EventLog.Kind.DEPENDENCY,
+                    "store_epoch",
+                    line ->
+                            new UpdateOrigin(mSource, revision)
+                                    .describe(line)
+                                    .put("before_epoch", previous.epoch())
+                                    .put("before_revision", previous.number()));
+        }
+    }
+
+    private void logIgnoredSnapshot(String source, StoreRevision revision) {
+        mLog.write(
+                EventLog.Kind.DEPENDENCY,
+                "older_snapshot_ignored",
+                line ->
+                        new UpdateOrigin(source, revision)
+                                .describe(line)
+                                .put("known_epoch", mRevision.epoch())
+                                .put("known_revision", mRevision.number()));
+    }
+
     private void recordUpdate() {
         long now = mLoop.nowMillis();
         if (now - mLastUpdateMillis > MAX_UPDATE_AGE_MILLIS) {
@@ -450,14 +490,19 @@
     }
 
     private void applyWatchResponse(
-            long revision, WatchResponse response, Runnable readAgain, Duration delay) {
+            StoreRevision revision, WatchResponse response, Runnable readAgain, Duration delay) {
         recordUpdate();
         if (response instanceof WatchResponse.Changes changes) {
             mMirror.apply(changes.events(), changes.revision());
-            mFollower.isolate(() -> mFollower.applyEvents(changes.events()));
+            mFollower.isolate(
+                    () ->
+                            mFollower.applyEvents(
+                                    changes.events(),
+                                    new UpdateOrigin(mSource, changes.revision())));
             notifyListeners();
-            long nextRevision = Math.max(revision, changes.revision());
-            mRevision = nextRevision;
+            StoreRevision nextRevision =
+                    changes.revision().number() > revision.number() ? changes.revision() : revision;
+            moveTo(nextRevision);
             if (changes.events().isEmpty() || delay.isZero()) {
                 follow(nextRevision);
             } else {
@@ -469,7 +514,10 @@
         mLog.write(
                 EventLog.Kind.DEPENDENCY,
                 "history_lost",
-                line -> line.put("source", mSource).put("revision", revision));
+                line ->
+                        new UpdateOrigin(mSource, revision)
+                                .describe(line)
+                                .put("source_epoch", ((WatchResponse.Compacted) response).epoch()));
         if (delay.isZero()) {
             readAgain.run();
         } else {
--- a/gateway/src/main/java/org/dahliapass/gateway/CountedStore.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/CountedStore.java
@@ -10,6 +10,7 @@
 import org.dahliapass.kernel.PeriodicTask;
 import org.dahliapass.platform.KeyValueStore;
 import org.dahliapass.platform.RangePage;
+import org.dahliapass.platform.StoreRevision;
 import org.dahliapass.platform.WatchResponse;
 import org.dahliapass.traffic.EntryMetrics;
 
@@ -80,7 +81,8 @@
     }
 
     @Override
-    public CompletableFuture<WatchResponse> watch(String prefix, long revision, Duration wait) {
+    public CompletableFuture<WatchResponse> watch(
+            String prefix, StoreRevision revision, Duration wait) {
         count(Call.WATCH);
         return mStore.watch(prefix, revision, wait);
     }
--- a/gateway/src/main/java/org/dahliapass/gateway/GatewayResponses.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewayResponses.java
@@ -9,6 +9,7 @@
 /** The responses that a gateway VM creates itself instead of forwarding those of targets. */
 final class GatewayResponses {
     static final int UNAUTHENTICATED = 401;
+    static final int NOT_FOUND = 404;
     static final int TOO_MANY_REQUESTS = 429;
     static final int BAD_GATEWAY = 502;
     static final int UNAVAILABLE = 503;
--- a/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
@@ -71,7 +71,8 @@
         KeyValueStore store = store(settings, connections, metrics, log);
         StoreFollower follower = new StoreFollower(settings.vmsPerZone(), log);
         record(connections.failures(), follower);
-        ChangeFeed feed = new ChangeFeed(settings, store, connections.client(), random, log);
+        ChangeFeed feed =
+                new ChangeFeed(settings, store, connections.client(), random, metrics, log);
         LimitingVmsSource limitingVms = new LimitingVmsSource(settings, follower, feed);
         ServicePools pools = pools(settings, clock, metrics, log, connections, limitingVms);
         mRegistration = registration(settings, store, feed, connections, log);
@@ -94,7 +95,7 @@
                         log,
                         new GatewayResponses(random),
                         mLoadReporter,
-                        feed::isUpToDate,
+                        feed,
                         () -> onRequest(pools, exchange, waiting),
                         guard,
                         authenticator(settings, follower, feed),
@@ -107,7 +108,7 @@
                         metrics,
                         proxy,
                         new DiscoveryHandler(settings, mState, follower),
-                        new MirrorService(mLoop, feed, mLoadReporter),
+                        new MirrorService(mLoop, feed, mLoadReporter, log),
                         connections,
                         clock,
                         follower);
--- a/gateway/src/main/java/org/dahliapass/gateway/MirrorService.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/MirrorService.java
@@ -9,7 +9,9 @@
 import org.dahliapass.http.ServerCall;
 import org.dahliapass.http.ServerResponse;
 import org.dahliapass.kernel.ControlLoop;
+import org.dahliapass.platform.RangePage;
 import org.dahliapass.platform.StoreCalls;
+import org.dahliapass.platform.StoreRevision;
 import org.dahliapass.platform.WatchResponse;
 
 /**
@@ -25,14 +27,16 @@
     private final ControlLoop mLoop;
     private final ChangeFeed mFeed;
     private final LoadReporter mLoadReporter;
+    private final EventLog mLog;
     private final List<PendingWatch> mPendingWatches = new ArrayList<>();
 
     private record PendingWatch(long revision, ServerCall call) {}
 
-    MirrorService(ControlLoop loop, ChangeFeed feed, LoadReporter load) {
+    MirrorService(ControlLoop loop, ChangeFeed feed, LoadReporter load, EventLog log) {
         mLoop = loop;
         mFeed = feed;
         mLoadReporter = load;
+        mLog = log;
         feed.addListener(this::completeWatches);
     }
 
@@ -45,7 +49,15 @@
         if (!mFeed.mirror().isLoaded()) {
             return unavailable();
         }
-        return json(StoreCalls.encode(mFeed.mirror().snapshot()));
+        RangePage snapshot = mFeed.mirror().snapshot();
+        mLog.write(
+                EventLog.Kind.DEPENDENCY,
+                "copy_handed_on",
+                line ->
+                        line.put("epoch", snapshot.revision().epoch())
+                                .put("revision", snapshot.revision().number())
+                                .put("items", snapshot.items().size()));
+        return json(StoreCalls.encode(snapshot));
     }
 
     /** Responds with the next changes, or with none when the wait of the caller ends. */
@@ -78,7 +90,8 @@
     private void onWatchTimeout(PendingWatch pending) {
         if (mPendingWatches.remove(pending)) {
             WatchResponse.Changes noChanges =
-                    new WatchResponse.Changes(List.of(), pending.revision());
+                    new WatchResponse.Changes(
+                            List.of(), mFeed.mirror().revision().withNumber(pending.revision()));
             send(pending.call(), json(StoreCalls.encode(noChanges)));
         }
     }
@@ -101,7 +114,15 @@
                 watchResponse ->
                         watchResponse instanceof WatchResponse.Changes newer
                                 ? json(StoreCalls.encode(newer))
-                                : ServerResponse.of(HttpResponseStatus.GONE));
+                                : withEpoch(ServerResponse.of(HttpResponseStatus.GONE)));
+    }
+
+    private ServerResponse withEpoch(ServerResponse response) {
+        long epoch = mFeed.mirror().revision().epoch();
+        if (epoch != StoreRevision.UNKNOWN_EPOCH) {
+            response.headers().set(StoreCalls.EPOCH_HEADER, Long.toString(epoch));
+        }
+        return response;
     }
 
     private static void send(ServerCall call, ServerResponse response) {
@@ -114,6 +135,6 @@
 
     private ServerResponse json(String body) {
         mLoadReporter.onMirrorSent(body.length());
-        return ServerResponse.json(HttpResponseStatus.OK, body);
+        return withEpoch(ServerResponse.json(HttpResponseStatus.OK, body));
     }
 }
--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyHandler.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyHandler.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.function.BooleanSupplier;
 import org.dahliapass.decisions.access.Authentication;
 import org.dahliapass.decisions.access.CallerIdentity;
 import org.dahliapass.decisions.access.Credentials;
@@ -21,6 +20,7 @@
 import org.dahliapass.http.RequestHandler;
 import org.dahliapass.http.RequestTarget;
 import org.dahliapass.http.ServerCall;
+import org.dahliapass.kernel.JsonObject;
 import org.dahliapass.model.routing.Customer;
 import org.dahliapass.model.routing.RequestLimits;
 import org.dahliapass.model.routing.RouteRule;
@@ -60,7 +60,7 @@
     private final EventLog mLog;
     private final GatewayResponses mResponses;
     private final LoadReporter mLoadReporter;
-    private final BooleanSupplier mIsUpToDate;
+    private final ConfigurationStatus mConfigurationStatus;
     private final Runnable mOnRequest;
     private final PoisonGuard mGuard;
     private final RequestAuthenticator mAuthenticator;
@@ -83,7 +83,7 @@
             EventLog log,
             GatewayResponses responses,
             LoadReporter loadReporter,
-            BooleanSupplier isUpToDate,
+            ConfigurationStatus configurationStatus,
             Runnable onRequestRead,
             PoisonGuard guard,
             RequestAuthenticator authenticator,
@@ -100,7 +100,7 @@
         mLog = log;
         mResponses = responses;
         mLoadReporter = loadReporter;
-        mIsUpToDate = isUpToDate;
+        mConfigurationStatus = configurationStatus;
         mOnRequest = onRequestRead;
         mGuard = guard;
         mAuthenticator = authenticator;
@@ -481,7 +481,11 @@
      * short of processor time or its source is silent.
      */
     private void respondNotFoundOrRetry(ServerCall call, RouteTable routes) {
-        if (mIsUpToDate.getAsBoolean()) {
+        if (mConfigurationStatus.isUpToDate()) {
+            mLog.write(
+                    EventLog.Kind.REQUEST,
+                    "route_unknown",
+                    line -> describe(line, call, routes).put("status", GatewayResponses.NOT_FOUND));
             mResponses.noRoute().send(call);
             return;
         }
@@ -494,17 +498,14 @@
      * <p>Guards against a final 401 for a new key from a VM whose updates are late.
      */
     private void rejectUnauthenticated(ServerCall call, RouteTable routes, RejectionReason reason) {
-        if (!reason.isDefinite() || !mIsUpToDate.getAsBoolean()) {
+        if (!reason.isDefinite() || !mConfigurationStatus.isUpToDate()) {
             refuseUnsure(call, routes, "key_unsure", reason.description());
             return;
         }
         mLog.write(
                 EventLog.Kind.REQUEST,
                 "request_unauthenticated",
-                line ->
-                        line.put("id", call.head().headers().get(TargetHeaders.ATTEMPT_ID, ""))
-                                .put("version", routes.configuration().version())
-                                .put("cause", reason.description()));
+                line -> describe(line, call, routes).put("cause", reason.description()));
         mResponses.unauthenticated().send(call);
     }
 
@@ -516,13 +517,20 @@
                 EventLog.Kind.REQUEST,
                 event,
                 line ->
-                        line.put("id", headers.get(TargetHeaders.ATTEMPT_ID, ""))
-                                .put("version", routes.configuration().version())
+                        describe(line, call, routes)
                                 .put("come_back_ms", retryAfter)
                                 .put("cause", cause));
         mResponses.refused(retryAfter).send(call);
     }
 
+    /** Adds a request and the configuration that it was judged by to a line of the log. */
+    private JsonObject describe(JsonObject line, ServerCall call, RouteTable routes) {
+        line.put("id", call.head().headers().get(TargetHeaders.ATTEMPT_ID, ""))
+                .put("version", routes.configuration().version());
+        mConfigurationStatus.describe(line);
+        return line;
+    }
+
     /**
      * Refuses a request before its body is read, so that the caller can retry at another VM in time
      * and this VM can work off its backlog.
--- a/gateway/src/main/java/org/dahliapass/gateway/StoreFollower.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/StoreFollower.java
@@ -75,6 +75,9 @@
     /** The listeners that threw at the latest change. */
     private final Set<Runnable> mFailedListeners = new LinkedHashSet<>();
 
+    /** The origin of the latest update. */
+    private UpdateOrigin mOrigin = UpdateOrigin.NONE;
+
     /** Whether the state could not be published. */
     private boolean mIsUnpublished;
 
@@ -234,7 +237,8 @@
     }
 
     /** Replaces the state by a snapshot of the store; control thread only. */
-    void applySnapshot(List<StoredItem> items) {
+    void applySnapshot(List<StoredItem> items, UpdateOrigin origin) {
+        mOrigin = origin;
         Set<String> keys = new HashSet<>();
         List<StoreEvent> events = new ArrayList<>();
         for (StoredItem item : items) {
@@ -254,7 +258,8 @@
                 EventLog.Kind.BELIEF,
                 "store_read",
                 line ->
-                        line.put("targets", mTargets.entries().size())
+                        mOrigin.describe(line)
+                                .put("targets", mTargets.entries().size())
                                 .put("vms", mVms.entries().size()));
     }
 
@@ -275,7 +280,8 @@
     }
 
     /** Applies changes in order; control thread only. */
-    void applyEvents(List<StoreEvent> events) {
+    void applyEvents(List<StoreEvent> events, UpdateOrigin origin) {
+        mOrigin = origin;
         if (events.isEmpty()) {
             return;
         }
@@ -427,7 +433,8 @@
                 EventLog.Kind.BELIEF,
                 "version_in_force",
                 line ->
-                        line.put("version", configuration.version())
+                        mOrigin.describe(line)
+                                .put("version", configuration.version())
                                 .put("before", knownVersion)
                                 .put("routes", configuration.routes().size()));
     }
--- a/gateway/src/main/java/org/dahliapass/gateway/StoreMirror.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/StoreMirror.java
@@ -8,6 +8,7 @@
 import java.util.TreeMap;
 import org.dahliapass.platform.RangePage;
 import org.dahliapass.platform.StoreEvent;
+import org.dahliapass.platform.StoreRevision;
 import org.dahliapass.platform.StoredItem;
 import org.dahliapass.platform.WatchResponse;
 
@@ -23,19 +24,19 @@
     private final TreeMap<String, StoredItem> mItems = new TreeMap<>();
     private final Deque<StoreEvent> mEvents = new ArrayDeque<>();
     private long mCompactedRevision;
-    private long mRevision;
+    private StoreRevision mRevision = StoreRevision.NONE;
 
     /** Replaces the contents by a snapshot; earlier changes are unavailable. */
-    void load(List<StoredItem> items, long revision) {
+    void load(List<StoredItem> items, StoreRevision revision) {
         mItems.clear();
         items.forEach(item -> mItems.put(item.key(), item));
         mEvents.clear();
-        mCompactedRevision = revision;
+        mCompactedRevision = revision.number();
         mRevision = revision;
     }
 
     /** Applies changes in order, up to a revision. */
-    void apply(List<StoreEvent> events, long revision) {
+    void apply(List<StoreEvent> events, StoreRevision revision) {
         for (StoreEvent event : events) {
             if (event instanceof StoreEvent.Written written) {
                 mItems.put(event.key(), written.item());
@@ -44,7 +45,9 @@
             }
             mEvents.addLast(event);
         }
-        mRevision = Math.max(mRevision, revision);
+        if (revision.number() > mRevision.number()) {
+            mRevision = revision;
+        }
         while (mEvents.size() > MAX_EVENTS) {
             mCompactedRevision = revisionOf(mEvents.removeFirst());
         }
@@ -52,7 +55,12 @@
 
     /** Returns whether a snapshot was loaded. */
     boolean isLoaded() {
-        return mRevision > 0;
+        return mRevision.number() > 0;
+    }
+
+    /** Returns the position up to which the contents are complete. */
+    StoreRevision revision() {
+        return mRevision;
     }
 
     /** Returns all items at the current revision. */
@@ -63,7 +71,7 @@
     /** Returns the changes after a revision; empty if there are none yet. */
     Optional<WatchResponse> changesAfter(long revision) {
         if (revision < mCompactedRevision) {
-            return Optional.of(new WatchResponse.Compacted());
+            return Optional.of(new WatchResponse.Compacted(mRevision.epoch()));
         }
         List<StoreEvent> newer =
                 mEvents.stream().filter(event -> revisionOf(event) > revision).toList();
--- a/gateway/src/main/java/org/dahliapass/gateway/StoreReader.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/StoreReader.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.dahliapass.decisions.routing.StoreBackoff;
@@ -12,6 +13,7 @@
 import org.dahliapass.platform.KeyValueStore;
 import org.dahliapass.platform.KeyValueStore.Consistency;
 import org.dahliapass.platform.RangePage;
+import org.dahliapass.platform.StoreRevision;
 import org.dahliapass.platform.StoredItem;
 
 /**
@@ -46,7 +48,7 @@
         boolean hasSnapshot();
 
         /** Called with the complete snapshot and its revision. */
-        void onSnapshot(List<StoredItem> items, long revision);
+        void onSnapshot(List<StoredItem> items, StoreRevision revision);
     }
 
     /**
@@ -73,11 +75,14 @@
 
     /** Reads a snapshot from the store, or from a seed while the store is unavailable. */
     void read(Consistency consistency) {
-        readPage(new ArrayList<>(), Long.MAX_VALUE, "", consistency);
+        readPage(new ArrayList<>(), Optional.empty(), "", consistency);
     }
 
     private void readPage(
-            List<StoredItem> items, long oldestRevision, String after, Consistency consistency) {
+            List<StoredItem> items,
+            Optional<StoreRevision> oldestRevision,
+            String after,
+            Consistency consistency) {
         onControlThread(
                 mLoop,
                 mStore.range(ALL_KEYS, after, consistency),
@@ -95,12 +100,22 @@
      * the oldest revision of all pages, and may repeat some changes.
      */
     private void onPage(
-            List<StoredItem> items, long oldestRevision, RangePage page, Consistency consistency) {
+            List<StoredItem> items,
+            Optional<StoreRevision> oldestRevision,
+            RangePage page,
+            Consistency consistency) {
         mListener.onStoreResponse();
-        long revision = Math.min(oldestRevision, page.revision());
+        StoreRevision revision =
+                oldestRevision
+                        .filter(oldest -> oldest.number() < page.revision().number())
+                        .orElse(page.revision());
         items.addAll(page.items());
         if (page.hasMore() && !page.items().isEmpty()) {
-            readPage(items, revision, page.items().get(page.items().size() - 1).key(), consistency);
+            readPage(
+                    items,
+                    Optional.of(revision),
+                    page.items().get(page.items().size() - 1).key(),
+                    consistency);
             return;
         }
         mListener.onSnapshot(items, revision);
--- a/gateway/src/test/java/org/dahliapass/gateway/ChangeFeedTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/ChangeFeedTest.java
@@ -27,10 +27,12 @@
 import org.dahliapass.platform.KeyValueStore.Consistency;
 import org.dahliapass.platform.RangePage;
 import org.dahliapass.platform.StoreEvent;
+import org.dahliapass.platform.StoreRevision;
 import org.dahliapass.platform.StoredItem;
 import org.dahliapass.platform.VmEntry;
 import org.dahliapass.platform.WatchResponse;
 import org.dahliapass.standins.GatewayFixtures;
+import org.dahliapass.traffic.EntryMetrics;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -67,6 +69,7 @@
                         new HttpClient(
                                 mLoops, mClock, Duration.ofSeconds(1), Duration.ofSeconds(1)),
                         new SplittableRandom(1),
+                        new EntryMetrics(),
                         log);
         mKernel =
                 new Kernel()
@@ -141,7 +144,9 @@
     /** Removals before the compaction are visible in an up-to-date read only. */
     @Test
     public void readAfterCompactionIsLinearizable() {
-        mStore.mPendingWatches.get(0).complete(new WatchResponse.Compacted());
+        mStore.mPendingWatches
+                .get(0)
+                .complete(new WatchResponse.Compacted(StoreRevision.UNKNOWN_EPOCH));
         GatewayFixture.await(() -> mStore.mWatchCount.get() == 2);
         assertEquals(mStore.mConsistencies.get(2), Consistency.LINEARIZABLE);
     }
@@ -230,6 +235,10 @@
         return mLoop.submit(mFeed::isCurrent).join();
     }
 
+    private static StoreRevision revision(long number) {
+        return StoreRevision.NONE.withNumber(number);
+    }
+
     /** A store whose watches complete only when the test responds to them. */
     private static final class FakeStore implements KeyValueStore {
         private final AtomicInteger mWatchCount = new AtomicInteger();
@@ -243,7 +252,7 @@
         private void completeWatch(int number, List<StoreEvent> events) {
             mPendingWatches
                     .get(number)
-                    .complete(new WatchResponse.Changes(events, 3 + events.size()));
+                    .complete(new WatchResponse.Changes(events, revision(3 + events.size())));
         }
 
         /** Returns two pages; the second one has an older revision. */
@@ -253,15 +262,16 @@
             mConsistencies.add(consistency);
             RangePage page =
                     after.isEmpty()
-                            ? new RangePage(List.of(mSelfEntry), true, 3)
-                            : new RangePage(List.of(), false, 1);
+                            ? new RangePage(List.of(mSelfEntry), true, revision(3))
+                            : new RangePage(List.of(), false, revision(1));
             return CompletableFuture.completedFuture(page);
         }
 
         @Override
-        public CompletableFuture<WatchResponse> watch(String prefix, long revision, Duration wait) {
+        public CompletableFuture<WatchResponse> watch(
+                String prefix, StoreRevision revision, Duration wait) {
             CompletableFuture<WatchResponse> response = new CompletableFuture<>();
-            mWatchedRevisions.add(revision);
+            mWatchedRevisions.add(revision.number());
             mWatchTimeouts.add(wait);
             mPendingWatches.add(response);
             mWatchCount.incrementAndGet();
--- a/gateway/src/test/java/org/dahliapass/gateway/StoreFollowerTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/StoreFollowerTest.java
@@ -40,7 +40,7 @@
         mKernel = new Kernel();
         mKernel.register(ControlLoop.NAME, mLoop).register(StoreFollower.NAME, mFollower);
         mKernel.start().join();
-        run(() -> mFollower.applySnapshot(List.of(item("i-1"), item("i-2"))));
+        run(() -> mFollower.applySnapshot(List.of(item("i-1"), item("i-2")), UpdateOrigin.NONE));
     }
 
     @AfterMethod(alwaysRun = true)
@@ -61,7 +61,11 @@
                 });
         Duration remaining = Duration.ofMillis(300);
         mClock.advance(GRACE.minus(remaining));
-        run(() -> mFollower.applyEvents(List.of(new StoreEvent.Removed("servers/i-1", 9))));
+        run(
+                () ->
+                        mFollower.applyEvents(
+                                List.of(new StoreEvent.Removed("servers/i-1", 9)),
+                                UpdateOrigin.NONE));
         mClock.advance(remaining);
         // The control loop runs overdue tasks in the order of their due times.
         assertEquals(targetsAfter(GRACE.minus(remaining)), Set.of("i-2"));
@@ -82,7 +86,8 @@
         run(
                 () -> {
                     for (String instance : List.of("i-3", "i-4")) {
-                        mFollower.applyEvents(List.of(new StoreEvent.Written(item(instance))));
+                        mFollower.applyEvents(
+                                List.of(new StoreEvent.Written(item(instance))), UpdateOrigin.NONE);
                     }
                     assertEquals(updates.get(), 2);
                     assertEquals(failures.size(), 2);
@@ -100,7 +105,8 @@
         run(
                 () -> {
                     mFollower.onStoreResponse();
-                    mFollower.applyEvents(List.of(new StoreEvent.Removed("servers/i-1", 9)));
+                    mFollower.applyEvents(
+                            List.of(new StoreEvent.Removed("servers/i-1", 9)), UpdateOrigin.NONE);
                 });
         assertEquals(targetsAfter(Duration.ZERO), Set.of("i-2"));
     }
@@ -117,7 +123,8 @@
         run(
                 () -> {
                     mFollower.onStoreResponse();
-                    mFollower.applyEvents(List.of(new StoreEvent.Removed("servers/i-1", 9)));
+                    mFollower.applyEvents(
+                            List.of(new StoreEvent.Removed("servers/i-1", 9)), UpdateOrigin.NONE);
                 });
         assertEquals(targetsAfter(Duration.ZERO), Set.of("i-1", "i-2"));
     }
--- a/gateway/src/test/java/org/dahliapass/gateway/StoreRetryTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/StoreRetryTest.java
@@ -37,7 +37,7 @@
         mKernel = new Kernel();
         mKernel.register(ControlLoop.NAME, mLoop).register(StoreFollower.NAME, mFollower);
         mKernel.start().join();
-        run(() -> mFollower.applySnapshot(List.of(item("i-1"), item("i-2"))));
+        run(() -> mFollower.applySnapshot(List.of(item("i-1"), item("i-2")), UpdateOrigin.NONE));
     }
 
     @AfterMethod(alwaysRun = true)
@@ -49,7 +49,10 @@
     @Test
     public void registrationThatThrewIsAppliedAgain() {
         mClock.armIn(StoreFollower.class, "applyTarget");
-        run(() -> mFollower.applyEvents(List.of(new StoreEvent.Written(item("i-3")))));
+        run(
+                () ->
+                        mFollower.applyEvents(
+                                List.of(new StoreEvent.Written(item("i-3"))), UpdateOrigin.NONE));
         assertFalse(mClock.isArmedIn());
         GatewayFixture.await(() -> targets().equals(Set.of("i-1", "i-2", "i-3")));
     }
@@ -58,7 +61,11 @@
     @Test
     public void removalThatThrewIsAppliedAgain() {
         mClock.armIn(StoreFollower.class, "remove");
-        run(() -> mFollower.applyEvents(List.of(new StoreEvent.Removed("servers/i-1", 9))));
+        run(
+                () ->
+                        mFollower.applyEvents(
+                                List.of(new StoreEvent.Removed("servers/i-1", 9)),
+                                UpdateOrigin.NONE));
         assertFalse(mClock.isArmedIn());
         GatewayFixture.await(() -> targets().equals(Set.of("i-2")));
     }
@@ -70,7 +77,8 @@
                 () -> {
                     mFollower.onStoreFailure(new IllegalStateException("unavailable"));
                     mFollower.onStoreResponse();
-                    mFollower.applyEvents(List.of(new StoreEvent.Removed("servers/i-1", 9)));
+                    mFollower.applyEvents(
+                            List.of(new StoreEvent.Removed("servers/i-1", 9)), UpdateOrigin.NONE);
                 });
         assertEquals(targets(), Set.of("i-1", "i-2"));
         mClock.armIn(StoreFollower.class, "evictExpired");
@@ -84,7 +92,10 @@
     public void listenerThatThrewIsCalledAgain() {
         AtomicInteger calls = new AtomicInteger();
         mFollower.addChangeListener(() -> throwAtFirst(calls));
-        run(() -> mFollower.applyEvents(List.of(new StoreEvent.Written(item("i-3")))));
+        run(
+                () ->
+                        mFollower.applyEvents(
+                                List.of(new StoreEvent.Written(item("i-3"))), UpdateOrigin.NONE));
         GatewayFixture.await(() -> calls.get() == 2);
     }
 
@@ -96,11 +107,13 @@
         mClock.armIn(StoreFollower.class, "remove");
         run(
                 () -> {
-                    mFollower.applyEvents(List.of(new StoreEvent.Removed("servers/i-1", 9)));
+                    mFollower.applyEvents(
+                            List.of(new StoreEvent.Removed("servers/i-1", 9)), UpdateOrigin.NONE);
                     mFollower.applyEvents(
                             List.of(
                                     new StoreEvent.Written(item("i-1")),
-                                    new StoreEvent.Written(item("i-3"))));
+                                    new StoreEvent.Written(item("i-3"))),
+                            UpdateOrigin.NONE);
                 });
         assertFalse(mClock.isArmedIn());
         // The listener is called again with all that is to be applied again.
--- a/http/src/main/java/org/dahliapass/http/ResponseAggregator.java
+++ b/http/src/main/java/org/dahliapass/http/ResponseAggregator.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -21,6 +22,7 @@
     private final ByteBuf mBody = Unpooled.buffer(INITIAL_BODY_BYTES);
     private ScheduledFuture<?> mTimeoutTask;
     private int mStatus;
+    private HttpHeaders mHeaders = EmptyHttpHeaders.INSTANCE;
 
     ResponseAggregator(EventLoop loop, Duration timeLimit) {
         mLoop = loop;
@@ -52,6 +54,7 @@
     @Override
     public void onHead(HttpResponse head) {
         mStatus = head.status().code();
+        mHeaders = head.headers();
     }
 
     @Override
@@ -62,7 +65,7 @@
     @Override
     public void onEnd(HttpHeaders trailers) {
         cancelTimeout();
-        mResponse.complete(new ClientResponse(mStatus, mBody));
+        mResponse.complete(new ClientResponse(mStatus, mHeaders, mBody));
     }
 
     @Override
--- a/traffic/src/main/java/org/dahliapass/traffic/EntryMetrics.java
+++ b/traffic/src/main/java/org/dahliapass/traffic/EntryMetrics.java
@@ -279,6 +279,16 @@
                     .name("dahliapass_configuration_number")
                     .help("Number of the newest configuration change that this VM knows.")
                     .register(mRegistry);
+    private final Gauge mStoreEpoch =
+            Gauge.builder()
+                    .name("dahliapass_store_epoch")
+                    .help("How often the store was restored, as of this VM's state; -1 unknown.")
+                    .register(mRegistry);
+    private final Gauge mStoreRevision =
+            Gauge.builder()
+                    .name("dahliapass_store_revision")
+                    .help("The store's revision up to which this VM knows all changes.")
+                    .register(mRegistry);
     private final Gauge mMembers =
             Gauge.builder()
                     .name("dahliapass_members")
@@ -472,6 +482,12 @@
         mConfigurationNumber.set((double) number);
     }
 
+    /** Sets the position in the store's history up to which this VM knows all changes. */
+    public void onStoreRevision(long epoch, long number) {
+        mStoreEpoch.set((double) epoch);
+        mStoreRevision.set((double) number);
+    }
+
     /** Sets the number of members in a state. */
     public void onMemberCount(String state, int count) {
         mMembers.labelValues(state).set(count);
