Add failing tests: a configuration is missed after the store was restored from a copy

The stand-in of the store can be restored from a backup: revisions go back and are given out again, a watch from one that it doesn't have gets 410, leases and entries written since are gone, and the header Store-Era, in all its responses, rises by one. Stale reads can return an earlier state with its epoch; the header can be changed or left out.

Three tests fail on this code, each at the configuration written after the restore, which isn't served within 20 s: with a revision far below the one before (the watch gets 410, the read is ignored as older, without end), with a revision that was given out before (the watch waits at it for changes), and at VMs that follow others.

--- a/gateway/src/test/java/org/dahliapass/gateway/FleetFixture.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/FleetFixture.java
@@ -41,6 +41,17 @@
 
     /** Starts another VM and waits until it has served a read and all VMs know each other. */
     void startVm() {
+        startUnadvertisedVm();
+        int number = mVms.size() - 1;
+        for (int queried = 0; queried <= number; queried++) {
+            awaitAdvertised(queried, number + 1);
+        }
+    }
+
+    /**
+     * Starts another VM, which callers may not be told of, and waits until it has served a read.
+     */
+    void startUnadvertisedVm() {
         int number = mVms.size();
         String text =
                 GatewayFixtures.settings(mStore.endpoint())
@@ -56,9 +67,6 @@
         mVms.add(vm);
         vm.start().join();
         GatewayFixture.await(() -> CallerStandIn.status(get(number, "/r/warm")) == 200);
-        for (int queried = 0; queried <= number; queried++) {
-            awaitAdvertised(queried, number + 1);
-        }
     }
 
     /** Waits until a VM advertises the given number of VMs to callers. */
--- /dev/null
+++ b/gateway/src/test/java/org/dahliapass/gateway/GatewayStoreRestoreTest.java
@@ -0,0 +1,81 @@
+package org.dahliapass.gateway;
+
+import org.dahliapass.standins.CallerStandIn;
+import org.dahliapass.standins.GatewayFixtures;
+import org.dahliapass.standins.MetadataTable;
+import org.testng.annotations.Test;
+
+/** Tests of gateway VMs whose store is restored from an older copy. */
+public final class GatewayStoreRestoreTest {
+    private static final String CONFIGURATION = "op/config";
+
+    /** Enough that the store doesn't reach its revision of before the restore again. */
+    private static final int LOST_WRITES = 500;
+
+    /** More than the VMs that watch the store, so that some follow others. */
+    private static final int VMS = 5;
+
+    /** Guards against a configuration that is ignored because its revision is lower than before. */
+    @Test(groups = "known-red")
+    public void configurationWrittenAfterRestoreIsInForce() {
+        try (GatewayFixture fixture = new GatewayFixture()) {
+            MetadataTable.Backup backup = fixture.mStore.backup();
+            for (int write = 0; write < LOST_WRITES; write++) {
+                fixture.mStore.put("op/other", "value " + write);
+            }
+            fixture.mStore.put(CONFIGURATION, GatewayFixtures.configuration(2, "/second/"));
+            awaitServed(fixture, "/second/");
+            fixture.mStore.restore(backup);
+            fixture.mStore.put(CONFIGURATION, GatewayFixtures.configuration(3, "/third/"));
+            awaitServed(fixture, "/third/");
+        }
+    }
+
+    /** Guards against a configuration that is missed because its revision was given out before. */
+    @Test(groups = "known-red")
+    public void configurationWithReusedRevisionIsInForce() {
+        try (GatewayFixture fixture = new GatewayFixture()) {
+            MetadataTable.Backup backup = fixture.mStore.backup();
+            fixture.mStore.put(CONFIGURATION, GatewayFixtures.configuration(2, "/second/"));
+            awaitServed(fixture, "/second/");
+            long revision = fixture.mStore.revision();
+            fixture.mStore.restore(backup);
+            fixture.mStore.put(CONFIGURATION, GatewayFixtures.configuration(3, "/third/"));
+            while (fixture.mStore.revision() < revision) {
+                fixture.mStore.put("op/other", "value");
+            }
+            awaitServed(fixture, "/third/");
+        }
+    }
+
+    /** Guards against VMs that follow another one and miss its state after a restore. */
+    @Test(groups = "known-red")
+    public void configurationWrittenAfterRestoreReachesFollowers() {
+        try (FleetFixture fleet = new FleetFixture(1)) {
+            for (int vm = 1; vm < VMS; vm++) {
+                fleet.startUnadvertisedVm();
+            }
+            MetadataTable.Backup backup = fleet.mStore.backup();
+            fleet.mStore.put(CONFIGURATION, GatewayFixtures.configuration(2, "/second/"));
+            awaitServed(fleet, "/second/");
+            long revision = fleet.mStore.revision();
+            fleet.mStore.restore(backup);
+            fleet.mStore.put(CONFIGURATION, GatewayFixtures.configuration(3, "/third/"));
+            while (fleet.mStore.revision() < revision) {
+                fleet.mStore.put("op/other", "value");
+            }
+            awaitServed(fleet, "/third/");
+        }
+    }
+
+    private static void awaitServed(GatewayFixture fixture, String path) {
+        GatewayFixture.await(() -> CallerStandIn.status(fixture.get(path)) == 200);
+    }
+
+    private static void awaitServed(FleetFixture fleet, String path) {
+        for (int number = 0; number < VMS; number++) {
+            int vm = number;
+            GatewayFixture.await(() -> CallerStandIn.status(fleet.get(vm, path)) == 200);
+        }
+    }
+}
--- a/standins/src/main/java/org/dahliapass/standins/MetadataStoreStandIn.java
+++ b/standins/src/main/java/org/dahliapass/standins/MetadataStoreStandIn.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import java.util.function.Supplier;
+import java.util.function.UnaryOperator;
 import org.dahliapass.model.Endpoint;
 
 /** An in-memory stand-in for the platform's metadata store, with its published HTTP API. */
@@ -28,6 +29,7 @@
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final long WATCH_POLL_PERIOD_MILLIS = 5;
     private static final double MILLIS_PER_SECOND = 1000.0;
+    private static final String EPOCH_HEADER = "Store-Era";
 
     private final Clock mClock;
     private final MetadataTable mTable = new MetadataTable();
@@ -35,6 +37,12 @@
     private final AtomicInteger mWatchCount = new AtomicInteger();
     private volatile boolean mUnavailable;
 
+    /** Changes the epoch that responses name; none is named if the result is empty. */
+    private volatile UnaryOperator<String> mEpochHeader = UnaryOperator.identity();
+
+    /** The earlier state that stale reads return, if any. */
+    private volatile Optional<MetadataTable.Backup> mStaleState = Optional.empty();
+
     /**
      * Creates the stand-in.
      *
@@ -89,6 +97,31 @@
         mUnavailable = unavailable;
     }
 
+    /** Returns a copy of the current state. */
+    public MetadataTable.Backup backup() {
+        return mTable.backup(mClock.millis());
+    }
+
+    /** Returns to a copy of an earlier state; all that was written since is gone. */
+    public void restore(MetadataTable.Backup backup) {
+        mTable.restore(backup, mClock.millis());
+    }
+
+    /** Lets stale reads return an earlier state, with its epoch. */
+    public void setStaleState(MetadataTable.Backup state) {
+        mStaleState = Optional.of(state);
+    }
+
+    /** Changes the epoch that responses name; none is named if the result is empty. */
+    public void setEpochHeader(UnaryOperator<String> header) {
+        mEpochHeader = header;
+    }
+
+    /** Returns the current revision. */
+    public long revision() {
+        return mTable.revision(mClock.millis());
+    }
+
     /** Removes the change history, so that watches from older revisions fail with status 410. */
     public void compactHistory() {
         mTable.compactHistory();
@@ -100,7 +133,23 @@
     }
 
     private HttpResponse ifAvailable(Supplier<HttpResponse> call) {
-        return mUnavailable ? HttpResponse.of(HttpStatus.SERVICE_UNAVAILABLE) : call.get();
+        return mUnavailable
+                ? withEpoch(HttpResponse.of(HttpStatus.SERVICE_UNAVAILABLE))
+                : call.get();
+    }
+
+    private HttpResponse withEpoch(HttpResponse response) {
+        return withEpoch(response, mTable.epoch());
+    }
+
+    private HttpResponse withEpoch(HttpResponse response, long epoch) {
+        String header = mEpochHeader.apply(Long.toString(epoch));
+        return header.isEmpty()
+                ? response
+                : response.mapHeaders(
+                        headers ->
+                                headers.withMutations(
+                                        mutable -> mutable.set(EPOCH_HEADER, header)));
     }
 
     private HttpResponse withBody(HttpRequest call, Function<JsonNode, HttpResponse> response) {
@@ -120,11 +169,15 @@
         ObjectNode body = JSON.createObjectNode();
         ArrayNode items = body.putArray("items");
         long now = mClock.millis();
+        String prefix = context.queryParams().get("prefix", "");
         MetadataTable.Snapshot snapshot =
-                mTable.range(context.queryParams().get("prefix", ""), now);
+                mStaleState
+                        .filter(state -> context.queryParams().contains("allow_stale"))
+                        .map(state -> MetadataTable.range(state, prefix))
+                        .orElseGet(() -> mTable.range(prefix, now));
         snapshot.entries().forEach(entry -> put(items.addObject(), entry));
         body.put("has_more", false).put("as_of", snapshot.revision());
-        return HttpResponses.json(body);
+        return withEpoch(HttpResponses.json(body), snapshot.epoch());
     }
 
     private HttpResponse watch(ServiceRequestContext context) {
@@ -147,11 +200,12 @@
         long now = mClock.millis();
         Optional<MetadataTable.History> history = mTable.changes(prefix, afterRevision, now);
         if (mUnavailable) {
-            response.complete(HttpResponse.of(HttpStatus.SERVICE_UNAVAILABLE));
+            response.complete(withEpoch(HttpResponse.of(HttpStatus.SERVICE_UNAVAILABLE)));
         } else if (history.isEmpty()) {
-            response.complete(HttpResponse.of(HttpStatus.GONE));
+            response.complete(withEpoch(HttpResponse.of(HttpStatus.GONE)));
         } else if (!history.get().changes().isEmpty() || now >= untilMillis) {
-            response.complete(HttpResponses.json(toJson(history.get())));
+            response.complete(
+                    withEpoch(HttpResponses.json(toJson(history.get())), history.get().epoch()));
         } else {
             Future<?> unused =
                     context.eventLoop()
@@ -188,7 +242,7 @@
         for (JsonNode condition : body.path("expect")) {
             long revision = mTable.revisionOf(condition.path("key").asText(), now);
             if (revision != condition.path("revision").asLong()) {
-                return HttpResponse.of(HttpStatus.PRECONDITION_FAILED);
+                return withEpoch(HttpResponse.of(HttpStatus.PRECONDITION_FAILED));
             }
         }
         for (JsonNode put : body.path("puts")) {
@@ -199,32 +253,37 @@
                             put.path("lease").asLong(),
                             now);
             if (!known) {
-                return HttpResponse.of(HttpStatus.NOT_FOUND);
+                return withEpoch(HttpResponse.of(HttpStatus.NOT_FOUND));
             }
         }
         body.path("remove").forEach(key -> mTable.remove(key.asText(), now));
-        return HttpResponses.json(JSON.createObjectNode().put("revision", mTable.revision(now)));
+        return withEpoch(
+                HttpResponses.json(JSON.createObjectNode().put("revision", mTable.revision(now))));
     }
 
     private HttpResponse grant(JsonNode body) {
         double seconds = body.path("ttl_s_time").asDouble();
         long lease = mTable.grant((long) (seconds * MILLIS_PER_SECOND), mClock.millis());
-        return HttpResponses.json(
-                JSON.createObjectNode().put("lease", lease).put("ttl_s_time", seconds));
+        return withEpoch(
+                HttpResponses.json(
+                        JSON.createObjectNode().put("lease", lease).put("ttl_s_time", seconds)));
     }
 
     private HttpResponse renew(ServiceRequestContext context) {
         long lease = Long.parseLong(context.pathParam("lease"));
-        return mTable.renew(lease, mClock.millis())
-                ? HttpResponses.json(JSON.createObjectNode())
-                : HttpResponse.of(HttpStatus.NOT_FOUND);
+        return leaseResponse(mTable.renew(lease, mClock.millis()));
     }
 
     private HttpResponse revoke(ServiceRequestContext context) {
         long lease = Long.parseLong(context.pathParam("lease"));
-        return mTable.revoke(lease, mClock.millis())
-                ? HttpResponses.json(JSON.createObjectNode())
-                : HttpResponse.of(HttpStatus.NOT_FOUND);
+        return leaseResponse(mTable.revoke(lease, mClock.millis()));
+    }
+
+    private HttpResponse leaseResponse(boolean isKnown) {
+        return withEpoch(
+                isKnown
+                        ? HttpResponses.json(JSON.createObjectNode())
+                        : HttpResponse.of(HttpStatus.NOT_FOUND));
     }
 
     private static void put(ObjectNode node, MetadataTable.Entry entry) {
--- a/standins/src/main/java/org/dahliapass/standins/MetadataTable.java
+++ b/standins/src/main/java/org/dahliapass/standins/MetadataTable.java
@@ -25,6 +25,7 @@
     private long mRevision;
     private long mCompactedRevision;
     private long mLastLeaseId;
+    private long mEpoch = 1;
 
     /**
      * A key and its value.
@@ -51,16 +52,33 @@
      *
      * @param entries the entries
      * @param revision the revision up to which they hold all changes
+     * @param epoch the epoch of the revision
      */
-    public record Snapshot(List<Entry> entries, long revision) {}
+    public record Snapshot(List<Entry> entries, long revision, long epoch) {}
 
     /**
      * Changes up to a revision.
      *
      * @param changes the changes, in order
      * @param revision the revision up to which they are complete
+     * @param epoch the epoch of the revision
      */
-    public record History(List<Change> changes, long revision) {}
+    public record History(List<Change> changes, long revision, long epoch) {}
+
+    /** A copy of a table, from which it can be restored. */
+    public static final class Backup {
+        private final Map<String, Entry> mEntries;
+        private final Map<Long, Lease> mLeases;
+        private final long mRevision;
+        private final long mEpoch;
+
+        private Backup(MetadataTable table) {
+            mEntries = new TreeMap<>(table.mEntries);
+            mLeases = new HashMap<>(table.mLeases);
+            mRevision = table.mRevision;
+            mEpoch = table.mEpoch;
+        }
+    }
 
     private record Lease(long timeToLiveMillis, long expiresAtMillis) {}
 
@@ -75,13 +93,56 @@
         expireLeases(nowMillis);
         return new Snapshot(
                 mEntries.values().stream().filter(entry -> entry.key().startsWith(prefix)).toList(),
-                mRevision);
+                mRevision,
+                mEpoch);
+    }
+
+    /** Returns the number of restores so far, counted from 1. */
+    public synchronized long epoch() {
+        return mEpoch;
+    }
+
+    /** Returns a copy of the current state. */
+    public synchronized Backup backup(long nowMillis) {
+        expireLeases(nowMillis);
+        return new Backup(this);
+    }
+
+    /** Returns the entries of a copy with the key prefix, in key order. */
+    public static Snapshot range(Backup backup, String prefix) {
+        return new Snapshot(
+                backup.mEntries.values().stream()
+                        .filter(entry -> entry.key().startsWith(prefix))
+                        .toList(),
+                backup.mRevision,
+                backup.mEpoch);
+    }
+
+    /**
+     * Returns to a copy of an earlier state and raises the epoch. All that was written since is
+     * gone, and its revisions are given out again; the leases of the copy run from now.
+     */
+    public synchronized void restore(Backup backup, long nowMillis) {
+        mEntries.clear();
+        mEntries.putAll(backup.mEntries);
+        mLeases.clear();
+        backup.mLeases.forEach(
+                (id, lease) ->
+                        mLeases.put(
+                                id,
+                                new Lease(
+                                        lease.timeToLiveMillis(),
+                                        nowMillis + lease.timeToLiveMillis())));
+        mRevision = backup.mRevision;
+        mChanges.removeIf(change -> change.revision() > mRevision);
+        mCompactedRevision = Math.min(mCompactedRevision, mRevision);
+        mEpoch++;
     }
 
-    /** Returns the changes after the revision; empty if that history has been compacted. */
+    /** Returns the changes after the revision; empty if that history is not available. */
     public synchronized Optional<History> changes(String prefix, long revision, long nowMillis) {
         expireLeases(nowMillis);
-        if (revision < mCompactedRevision) {
+        if (revision < mCompactedRevision || revision > mRevision) {
             return Optional.empty();
         }
         return Optional.of(
@@ -90,7 +151,8 @@
                                 .filter(change -> change.revision() > revision)
                                 .filter(change -> change.key().startsWith(prefix))
                                 .toList(),
-                        mRevision));
+                        mRevision,
+                        mEpoch));
     }
 
     /** Writes the key; returns false if the lease doesn't exist. */
