Keep what is known to be newer than a restored store's copy

Cause: a VM took what the copy holds as the present. A target that had said that it leaves, or whose entry had been removed, since the copy was made got requests again until it wrote again, or its entry expired once more. A VM that starts after the restore served the copy's older configuration, although others knew a newer one.

Change: the writers' own counts order the values of a key, as revisions don't: the version of a configuration, the start and the sequence number of a target (ItemKind). A mirror keeps a value that is newer than the copy's, and a removal of the last minute (RemovedItems), until its writer has written again. Followers that read the store themselves are told of both, and so is a VM that watches the store before its first watch. Changes of another VM are checked likewise, as that VM may have started after the restore and know less.

--- a/decisions/src/main/java/org/dahliapass/decisions/routing/ChangeSourceSelector.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/routing/ChangeSourceSelector.java
@@ -85,23 +85,32 @@
         if (watcher && storeAvailable) {
             return new ChangeSource.Store();
         }
-        Optional<FleetVm> source =
-                plan.watchers().stream()
-                        .filter(vm -> !vm.name().equals(mSelf.name()))
-                        .filter(vm -> !isSkipped(vm, nowMillis))
-                        .min(
-                                Comparator.comparingInt(this::distance)
-                                        .thenComparing(this::tieBreaker));
+        Optional<FleetVm> source = nearestWatcher(plan, nowMillis);
         if (source.isPresent()) {
             return new ChangeSource.Vm(source.get());
         }
-        boolean waits =
-                !watcher
-                        && nowMillis - lastReceivedMillis < STORE_FALLBACK_MILLIS
-                        && nowMillis - mUnavailableMillis >= STORE_FALLBACK_MILLIS;
+        boolean waits = !watcher && isRecentlyServed(lastReceivedMillis, nowMillis);
         return waits ? new ChangeSource.RetryLater(RETRY_DELAY_MILLIS) : new ChangeSource.Store();
     }
 
+    /**
+     * Returns the nearest other watcher that is not skipped.
+     *
+     * @param plan lists the watchers of the store
+     * @param nowMillis the current time, in milliseconds
+     */
+    public Optional<FleetVm> nearestWatcher(AddressPlan plan, long nowMillis) {
+        return plan.watchers().stream()
+                .filter(vm -> !vm.name().equals(mSelf.name()))
+                .filter(vm -> !isSkipped(vm, nowMillis))
+                .min(Comparator.comparingInt(this::distance).thenComparing(this::tieBreaker));
+    }
+
+    private boolean isRecentlyServed(long lastReceivedMillis, long nowMillis) {
+        return nowMillis - lastReceivedMillis < STORE_FALLBACK_MILLIS
+                && nowMillis - mUnavailableMillis >= STORE_FALLBACK_MILLIS;
+    }
+
     private int distance(FleetVm vm) {
         if (vm.availabilityZone().equals(mSelf.availabilityZone())) {
             return 0;
--- a/gateway/src/main/java/org/dahliapass/gateway/ChangeFeed.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ChangeFeed.java
@@ -88,6 +88,9 @@
      */
     private static final Duration PEER_DISCOVERY_DELAY = Duration.ofSeconds(1);
 
+    /** Exceeds the delay with which a VM that watches the store reads a change. */
+    private static final Duration JOIN_TIMEOUT = Duration.ofMillis(400);
+
     /** How long a VM follows others that name an older epoch than the store has named to it. */
     private static final long MAX_OUTDATED_MILLIS = 5_000;
 
@@ -106,6 +109,12 @@
     private StoreReader mReader;
     private volatile boolean mFollowsStore;
 
+    /** Whether the state comes from the store, and not from a VM that knew the state before. */
+    private boolean mIsFromStore;
+
+    /** Whether this VM has asked another one for what it knows from before a restore. */
+    private boolean mHasJoined;
+
     /** The duration of the next watch. */
     private Duration mWatchTimeout = INITIAL_WATCH_TIMEOUT;
 
@@ -197,8 +206,10 @@
             resumeAfter(BATCH_DELAY);
             return;
         }
-        mMirror.load(snapshot.items(), revision);
-        applySnapshot(snapshot.items(), new UpdateOrigin(STORE_SOURCE, revision));
+        mIsFromStore = true;
+        applySnapshot(
+                mMirror.load(snapshot.items(), revision, mLoop.nowMillis()),
+                new UpdateOrigin(STORE_SOURCE, revision));
     }
 
     private boolean isOutdated(StoreRevision revision) {
@@ -249,7 +260,40 @@
             return;
         }
         switchSource(STORE_SOURCE);
-        followStore();
+        Optional<FleetVm> peer =
+                mHasJoined ? Optional.empty() : mSourceSelector.nearestWatcher(plan, now);
+        mHasJoined = true;
+        peer.ifPresentOrElse(this::join, this::followStore);
+    }
+
+    /**
+     * Asks a VM that watches the store for what it knows from before a restore, before this VM
+     * watches the store itself.
+     */
+    private void join(FleetVm peer) {
+        int watchNumber = mWatchNumber;
+        StoreReader.onControlThread(
+                mLoop,
+                mPeerClients
+                        .clientFor(peer.peerEndpoint())
+                        .watch(mStatus.revision(), mIsFromStore, JOIN_TIMEOUT),
+                response ->
+                        guard(
+                                () -> {
+                                    if (watchNumber == mWatchNumber) {
+                                        onJoined(response);
+                                    }
+                                }),
+                failure -> guard(() -> resumeFollowing(watchNumber)));
+    }
+
+    private void onJoined(WatchResponse response) {
+        boolean isCurrent = mStatus.resolve(response.epoch()) == mStatus.revision().epoch();
+        if (isCurrent && response instanceof WatchResponse.Changes changes) {
+            applyPeerChanges(changes);
+            return;
+        }
+        follow();
     }
 
     private boolean isStoreSilent() {
@@ -411,7 +455,9 @@
         stopServingFollowers();
         StoreReader.onControlThread(
                 mLoop,
-                mPeerClients.clientFor(peer.peerEndpoint()).watch(revision, PEER_WATCH_TIMEOUT),
+                mPeerClients
+                        .clientFor(peer.peerEndpoint())
+                        .watch(revision, mIsFromStore, PEER_WATCH_TIMEOUT),
                 response ->
                         guard(
                                 () -> {
@@ -468,8 +514,10 @@
                 page -> {
                     StoreRevision revision = mStatus.resolve(page.revision());
                     if (revision.compareTo(mStatus.revision()) >= 0) {
-                        mMirror.load(page.items(), revision);
-                        applySnapshot(page.items(), new UpdateOrigin(peer.name(), revision));
+                        mIsFromStore = false;
+                        applySnapshot(
+                                mMirror.loadFromPeer(page.items(), revision, mLoop.nowMillis()),
+                                new UpdateOrigin(peer.name(), revision));
                         return;
                     }
                     logIgnoredSnapshot(peer.name(), revision);
@@ -484,7 +532,7 @@
 
     private void applyStoreChanges(WatchResponse.Changes changes) {
         StoreRevision revision = positionAfter(changes);
-        mMirror.apply(changes.events(), revision);
+        mMirror.apply(changes.events(), revision, mLoop.nowMillis());
         publish(changes.events(), revision);
         if (changes.events().isEmpty()) {
             follow();
@@ -494,9 +542,9 @@
     }
 
     private void applyPeerChanges(WatchResponse.Changes changes) {
+        mIsFromStore = false;
         StoreRevision revision = positionAfter(changes);
-        mMirror.apply(changes.events(), revision);
-        publish(changes.events(), revision);
+        publish(mMirror.applyFromPeer(changes.events(), revision, mLoop.nowMillis()), revision);
         follow();
     }
 
@@ -543,7 +591,8 @@
                         new UpdateOrigin(mStatus.source(), revision)
                                 .describe(line)
                                 .put("before_epoch", previous.epoch())
-                                .put("before_revision", previous.number()));
+                                .put("before_revision", previous.number())
+                                .put("carried_over", mMirror.carriedOverCount()));
     }
 
     private void logIgnoredSnapshot(String source, StoreRevision revision) {
--- a/gateway/src/main/java/org/dahliapass/gateway/MirrorService.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/MirrorService.java
@@ -34,8 +34,9 @@
      * A watch that waits for changes.
      *
      * @param after the position of the follower
+     * @param isFromStore whether the follower read its state from the store
      */
-    private record PendingWatch(StoreRevision after, ServerCall call) {}
+    private record PendingWatch(StoreRevision after, boolean isFromStore, ServerCall call) {}
 
     MirrorService(ControlLoop loop, ChangeFeed feed, LoadReporter load, EventLog log) {
         mLoop = loop;
@@ -72,8 +73,9 @@
                 new StoreRevision(
                         number(query, StoreCalls.EPOCH, StoreRevision.UNKNOWN_EPOCH),
                         number(query, StoreCalls.AFTER, 0));
+        boolean isFromStore = query.parameters().containsKey(StoreCalls.FROM_STORE);
         Duration wait = Duration.ofMillis(number(query, StoreCalls.WAIT_MILLIS, 0));
-        mLoop.execute(() -> addWatch(new PendingWatch(after, call), wait));
+        mLoop.execute(() -> addWatch(new PendingWatch(after, isFromStore, call), wait));
     }
 
     /** Returns the value of a numeric parameter, or a default if it is missing. */
@@ -130,7 +132,8 @@
         if (!mFeed.isCurrent() || isBehind) {
             return Optional.of(unavailable());
         }
-        Optional<WatchResponse> changes = mirror.changesAfter(pending.after());
+        Optional<WatchResponse> changes =
+                mirror.changesAfter(pending.after(), pending.isFromStore());
         return changes.map(
                 watchResponse ->
                         watchResponse instanceof WatchResponse.Changes newer
--- a/gateway/src/main/java/org/dahliapass/gateway/StoreMirror.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/StoreMirror.java
@@ -3,10 +3,13 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import org.dahliapass.platform.ItemKind;
 import org.dahliapass.platform.RangePage;
 import org.dahliapass.platform.StoreEvent;
 import org.dahliapass.platform.StoreRevision;
@@ -16,7 +19,8 @@
 /**
  * An in-memory copy of the store with its latest changes, from which other VMs read.
  *
- * <p>Followers receive a restore of the store as a list of changes.
+ * <p>A value that is known to be newer than the store's is kept when the store was restored from an
+ * older copy, and so is a removal. Followers receive a restore as a list of changes.
  *
  * <p>Not thread-safe; confined to the control thread.
  */
@@ -24,8 +28,15 @@
     /** The maximum number of changes kept for followers, which read them every second. */
     private static final int MAX_EVENTS = 2_000;
 
+    /** Stands for an epoch in which nothing was removed yet. */
+    private static final long NEW_EPOCH = Long.MAX_VALUE;
+
     private final TreeMap<String, StoredItem> mItems = new TreeMap<>();
     private final Deque<LoggedEvent> mEvents = new ArrayDeque<>();
+    private final RemovedItems mRemoved = new RemovedItems();
+
+    /** The keys whose state here is newer than in the restored store. */
+    private final Set<String> mCarriedOver = new LinkedHashSet<>();
 
     /** The known part of each earlier epoch from which followers may continue. */
     private final TreeMap<Long, EpochSpan> mEarlierEpochs = new TreeMap<>();
@@ -52,18 +63,79 @@
     /** A change and the position that includes it. */
     private record LoggedEvent(StoreRevision position, StoreEvent event) {}
 
-    /** Moves to a snapshot. */
-    void load(List<StoredItem> items, StoreRevision revision) {
+    /**
+     * Moves to a snapshot of the store.
+     *
+     * @return the items after the move, which differ from the snapshot where the state known before
+     *     is newer
+     */
+    List<StoredItem> load(List<StoredItem> items, StoreRevision revision, long nowMillis) {
+        boolean isSameHistory =
+                revision.epoch() == mRevision.epoch() && revision.compareTo(mRevision) >= 0;
+        return load(items, revision, isSameHistory, nowMillis);
+    }
+
+    /**
+     * Moves to a snapshot of another VM's mirror, which may lack an item that the store holds.
+     *
+     * @return the items after the move, which differ from the snapshot where the state known before
+     *     is newer
+     */
+    List<StoredItem> loadFromPeer(List<StoredItem> items, StoreRevision revision, long nowMillis) {
+        return load(items, revision, false, nowMillis);
+    }
+
+    private List<StoredItem> load(
+            List<StoredItem> items, StoreRevision revision, boolean isSameHistory, long nowMillis) {
         Map<String, StoredItem> previous = new TreeMap<>(mItems);
+        List<String> carriedOver = List.copyOf(mCarriedOver);
         mItems.clear();
-        items.forEach(item -> mItems.put(item.key(), item));
+        mCarriedOver.clear();
+        items.forEach(item -> merge(item, previous.get(item.key()), isSameHistory, nowMillis));
+        previous.values().forEach(item -> keepOrRemove(item, isSameHistory, nowMillis));
         boolean isNextEpoch = isLoaded() && revision.epoch() > mRevision.epoch();
         moveTo(revision);
         if (isNextEpoch) {
             logDifferences(previous);
+            logStates(carriedOver);
         } else {
             discardLog();
         }
+        return List.copyOf(mItems.values());
+    }
+
+    private void merge(StoredItem item, StoredItem known, boolean isSameHistory, long nowMillis) {
+        boolean isKnownNewer = known != null && ItemKind.isOlder(item, known);
+        long epoch = isSameHistory ? mRevision.epoch() : NEW_EPOCH;
+        boolean isRemoved = known == null && mRemoved.contains(item, epoch, nowMillis);
+        if (isKnownNewer || isRemoved) {
+            mCarriedOver.add(item.key());
+        }
+        if (!isRemoved) {
+            mItems.put(item.key(), isKnownNewer ? known : item);
+        }
+    }
+
+    /** Handles an item that a snapshot lacks. */
+    private void keepOrRemove(StoredItem known, boolean isSameHistory, long nowMillis) {
+        if (mItems.containsKey(known.key())) {
+            return;
+        }
+        if (ItemKind.of(known.key()) == ItemKind.CONFIGURATION) {
+            mItems.put(known.key(), known);
+            mCarriedOver.add(known.key());
+            return;
+        }
+        recordRemoval(known, isSameHistory, nowMillis);
+    }
+
+    /** Records a removal, or that an item is missing since a restore. */
+    private void recordRemoval(StoredItem item, boolean isSameHistory, long nowMillis) {
+        if (isSameHistory) {
+            mRemoved.add(item, mRevision.epoch(), nowMillis);
+        } else {
+            mRemoved.addLost(item, mRevision.epoch(), nowMillis);
+        }
     }
 
     private void moveTo(StoreRevision revision) {
@@ -97,27 +169,75 @@
         }
     }
 
-    /** Applies changes in order, up to a position. */
-    void apply(List<StoreEvent> events, StoreRevision revision) {
+    /**
+     * Logs the states of keys in which this mirror differed from the store of the epoch before, so
+     * that a follower which knew the store's state then gets them.
+     */
+    private void logStates(List<String> keys) {
+        keys.forEach(key -> log(currentState(key), mRevision));
+    }
+
+    /** Applies changes of the store in order, up to a position. */
+    void apply(List<StoreEvent> events, StoreRevision revision, long nowMillis) {
         StoreRevision before = mRevision;
-        events.forEach(this::apply);
+        boolean isSameHistory = revision.epoch() == before.epoch();
+        List<String> carriedOver = List.copyOf(mCarriedOver);
+        events.forEach(event -> apply(event, isSameHistory, nowMillis));
         if (revision.compareTo(before) > 0) {
             moveTo(revision);
         }
         events.forEach(event -> log(event, positionOf(event, before, revision)));
+        if (!isSameHistory) {
+            logStates(carriedOver);
+        }
     }
 
-    private void apply(StoreEvent event) {
+    /**
+     * Applies changes that another VM handed on, up to a position. That VM may have started after a
+     * restore, and know older values than this one.
+     *
+     * @return the changes that were applied
+     */
+    List<StoreEvent> applyFromPeer(
+            List<StoreEvent> events, StoreRevision revision, long nowMillis) {
+        List<StoreEvent> newer = new ArrayList<>();
+        for (StoreEvent event : events) {
+            if (isOutdated(event, nowMillis)) {
+                mCarriedOver.add(event.key());
+            } else {
+                newer.add(event);
+            }
+        }
+        apply(newer, revision, nowMillis);
+        return newer;
+    }
+
+    private boolean isOutdated(StoreEvent event, long nowMillis) {
+        if (event instanceof StoreEvent.Written written) {
+            StoredItem known = mItems.get(event.key());
+            return known == null
+                    ? mRemoved.contains(written.item(), NEW_EPOCH, nowMillis)
+                    : ItemKind.isOlder(written.item(), known);
+        }
+        return ItemKind.of(event.key()) == ItemKind.CONFIGURATION;
+    }
+
+    private void apply(StoreEvent event, boolean isSameHistory, long nowMillis) {
+        mCarriedOver.remove(event.key());
         if (event instanceof StoreEvent.Written written) {
             mItems.put(event.key(), written.item());
-        } else {
-            mItems.remove(event.key());
+            mRemoved.remove(event.key());
+            return;
+        }
+        StoredItem removed = mItems.remove(event.key());
+        if (removed != null) {
+            recordRemoval(removed, isSameHistory, nowMillis);
         }
     }
 
     /**
      * Returns the position that includes a change: its own revision if that lies between both
-     * positions; a change between two epochs has none in the later one.
+     * positions; a change that was carried over from another epoch has none there.
      */
     private static StoreRevision positionOf(
             StoreEvent event, StoreRevision before, StoreRevision after) {
@@ -148,6 +268,21 @@
         return mRevision;
     }
 
+    /** Returns the item with a key. */
+    Optional<StoredItem> item(String key) {
+        return Optional.ofNullable(mItems.get(key));
+    }
+
+    /** Returns the keys with a prefix. */
+    Set<String> keys(String prefix) {
+        return Set.copyOf(mItems.subMap(prefix, prefix + Character.MAX_VALUE).keySet());
+    }
+
+    /** Returns the number of keys whose state here is newer than in the restored store. */
+    int carriedOverCount() {
+        return mCarriedOver.size();
+    }
+
     /** Returns all items at the current revision. */
     RangePage snapshot() {
         return new RangePage(new ArrayList<>(mItems.values()), false, mRevision);
@@ -157,8 +292,10 @@
      * Returns the changes after a position; empty if there are none yet.
      *
      * @param after the position of the follower, whose epoch may be unknown but not newer
+     * @param isFromStore whether the follower read its state from the store, which may lack what is
+     *     carried over here
      */
-    Optional<WatchResponse> changesAfter(StoreRevision after) {
+    Optional<WatchResponse> changesAfter(StoreRevision after, boolean isFromStore) {
         StoreRevision position =
                 after.epoch() == StoreRevision.UNKNOWN_EPOCH
                         ? mRevision.withNumber(after.number())
@@ -172,6 +309,9 @@
                 changes.add(logged.event());
             }
         }
+        if (isFromStore && position.compareTo(mRevision) <= 0) {
+            mCarriedOver.forEach(key -> changes.add(currentState(key)));
+        }
         return changes.isEmpty()
                 ? Optional.empty()
                 : Optional.of(new WatchResponse.Changes(changes, mRevision));
@@ -189,6 +329,13 @@
         return span != null && span.contains(position.number());
     }
 
+    private StoreEvent currentState(String key) {
+        StoredItem item = mItems.get(key);
+        return item == null
+                ? new StoreEvent.Removed(key, mRevision.number())
+                : new StoreEvent.Written(item);
+    }
+
     private static long numberOf(StoreEvent event) {
         if (event instanceof StoreEvent.Written written) {
             return written.item().revision();
--- a/gateway/src/test/java/org/dahliapass/gateway/GatewayStoreRestoreTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/GatewayStoreRestoreTest.java
@@ -1,8 +1,11 @@
 package org.dahliapass.gateway;
 
+import static org.testng.Assert.assertEquals;
+
 import org.dahliapass.standins.CallerStandIn;
 import org.dahliapass.standins.GatewayFixtures;
 import org.dahliapass.standins.MetadataTable;
+import org.dahliapass.standins.SigningTargetStandIn;
 import org.testng.annotations.Test;
 
 /** Tests of gateway VMs whose store is restored from an older copy. */
@@ -15,6 +18,8 @@
     /** More than the VMs that watch the store, so that some follow others. */
     private static final int VMS = 5;
 
+    private static final int REQUESTS = 20;
+
     /** Guards against a configuration that is ignored because its revision is lower than before. */
     @Test
     public void configurationWrittenAfterRestoreIsInForce() {
@@ -68,6 +73,64 @@
         }
     }
 
+    /** Guards against a target that gets requests again because the copy says that it is ready. */
+    @Test
+    public void leavingTargetGetsNoRequestsAfterRestore() {
+        try (GatewayFixture fixture = new GatewayFixture()) {
+            MetadataTable.Backup backup = fixture.mStore.backup();
+            SigningTargetStandIn target = fixture.mTargets.get(0);
+            fixture.mStore.put(
+                    target.key(),
+                    target.registration("x", "draining").replace("\"seq_no\":1", "\"seq_no\":2"));
+            restoreWhenOneTargetIsLeft(fixture, backup, target);
+        }
+    }
+
+    /** Guards against a target that gets requests again because the copy still has its entry. */
+    @Test
+    public void removedTargetGetsNoRequestsAfterRestore() {
+        try (GatewayFixture fixture = new GatewayFixture()) {
+            MetadataTable.Backup backup = fixture.mStore.backup();
+            SigningTargetStandIn target = fixture.mTargets.get(0);
+            fixture.mStore.remove(target.key());
+            restoreWhenOneTargetIsLeft(fixture, backup, target);
+        }
+    }
+
+    private static void restoreWhenOneTargetIsLeft(
+            GatewayFixture fixture, MetadataTable.Backup backup, SigningTargetStandIn target) {
+        fixture.mStore.put(CONFIGURATION, GatewayFixtures.configuration(2, "/second/"));
+        awaitServed(fixture, "/second/");
+        fixture.mStore.restore(backup);
+        fixture.mStore.put(CONFIGURATION, GatewayFixtures.configuration(3, "/third/"));
+        awaitServed(fixture, "/third/");
+        int before = target.receivedRequests().size();
+        for (int number = 0; number < REQUESTS; number++) {
+            assertEquals(CallerStandIn.status(fixture.get("/third/" + number)), 200);
+        }
+        assertEquals(target.receivedRequests().size(), before);
+    }
+
+    /** Guards against a VM that starts after the restore and serves only what the copy holds. */
+    @Test
+    public void vmThatStartsAfterRestoreServesTheNewestConfiguration() {
+        try (FleetFixture fleet = new FleetFixture(1)) {
+            for (int vm = 1; vm < VMS - 1; vm++) {
+                fleet.startUnadvertisedVm();
+            }
+            MetadataTable.Backup backup = fleet.mStore.backup();
+            fleet.mStore.put(CONFIGURATION, GatewayFixtures.configuration(2, "/second/"));
+            awaitServed(fleet, VMS - 1, "/second/");
+            fleet.mStore.restore(backup);
+            for (int number = 0; number < VMS - 1; number++) {
+                int vm = number;
+                GatewayFixture.await(() -> fleet.metrics(vm).contains("store_epoch 2.0"));
+            }
+            fleet.startUnadvertisedVm();
+            awaitServed(fleet, VMS, "/second/");
+        }
+    }
+
     private static void awaitServed(GatewayFixture fixture, String path) {
         GatewayFixture.await(() -> CallerStandIn.status(fixture.get(path)) == 200);
     }
