Keep targets and VMs for a while that a restored store lacks

Cause: entries written since the copy was made are missing after the restore, until their writers write them again. A VM kept them only if it had noticed an outage, or if a quarter of all entries vanished at once; otherwise sound targets were dropped.

--- a/decisions/src/main/java/org/dahliapass/decisions/routing/LeasedEntryCache.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/routing/LeasedEntryCache.java
@@ -1,5 +1,6 @@
 package org.dahliapass.decisions.routing;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
@@ -63,6 +64,19 @@
         mGraceUntilMillis = nowMillis + mGraceMillis;
     }
 
+    /**
+     * Starts or extends the grace period after the store was restored from an older copy, which
+     * lacks entries until their writers write them again.
+     *
+     * @param nowMillis the current time, in milliseconds
+     * @param writeWindow the time over which the writers spread their writes
+     */
+    public void onStoreRestored(long nowMillis, Duration writeWindow) {
+        mGraceUntilMillis =
+                Math.max(mGraceUntilMillis, nowMillis + mGraceMillis + writeWindow.toMillis());
+        mEvictAtMillis.replaceAll((name, millis) -> Math.max(millis, mGraceUntilMillis));
+    }
+
     /**
      * Evicts entries that expired in the store at the same time, or retains them for the grace
      * period if a store outage is the likely cause.
--- a/decisions/src/test/java/org/dahliapass/decisions/routing/LeasedEntryCacheTest.java
+++ b/decisions/src/test/java/org/dahliapass/decisions/routing/LeasedEntryCacheTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Set;
 import org.testng.annotations.BeforeMethod;
@@ -49,6 +50,25 @@
         assertEquals(mCache.entries().keySet(), Set.of("b", "d"));
     }
 
+    /** Guards against entries that are dropped because the store's copy lacks them. */
+    @Test
+    public void entriesMissingAfterARestoreAreRetainedUntilRewritten() {
+        mCache.onStoreRestored(1_000, Duration.ofMillis(500));
+        mCache.onExpired(Set.of("a"), OUTAGE_THRESHOLD, 1_100);
+        assertEquals(mCache.evictExpired(1_000 + GRACE_MILLIS), List.of());
+        assertEquals(mCache.evictExpired(1_500 + GRACE_MILLIS), List.of("a"));
+    }
+
+    /** Guards against entries that are dropped because a second restore came at once. */
+    @Test
+    public void secondRestoreExtendsTheGracePeriod() {
+        mCache.onStoreRestored(1_000, Duration.ZERO);
+        mCache.onExpired(Set.of("a"), OUTAGE_THRESHOLD, 1_100);
+        mCache.onStoreRestored(3_000, Duration.ZERO);
+        assertEquals(mCache.evictExpired(1_000 + GRACE_MILLIS), List.of());
+        assertEquals(mCache.evictExpired(3_000 + GRACE_MILLIS), List.of("a"));
+    }
+
     @Test
     public void lastWrittenEntryComesLast() {
         mCache.put("a", "newer");
--- a/gateway/src/main/java/org/dahliapass/gateway/ChangeFeed.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ChangeFeed.java
@@ -228,7 +228,12 @@
     }
 
     private void applySnapshot(List<StoredItem> items, UpdateOrigin origin) {
-        publish(origin, () -> mFollower.applySnapshot(items, origin));
+        StoreRevision previous = mStatus.revision();
+        boolean isRestored =
+                previous.number() > 0
+                        && (origin.revision().epoch() != previous.epoch()
+                                || origin.revision().compareTo(previous) < 0);
+        publish(origin, isRestored, () -> mFollower.applySnapshot(items, origin));
         follow();
     }
 
@@ -555,14 +560,25 @@
 
     private void publish(List<StoreEvent> events, StoreRevision revision) {
         UpdateOrigin origin = new UpdateOrigin(mStatus.source(), revision);
-        publish(origin, () -> mFollower.applyEvents(events, origin));
+        boolean isRestored = revision.epoch() != mStatus.revision().epoch();
+        publish(origin, isRestored, () -> mFollower.applyEvents(events, origin));
     }
 
-    /** Hands an update on to the state of this VM and to its followers. */
-    private void publish(UpdateOrigin origin, Runnable update) {
+    /**
+     * Hands an update on to the state of this VM and to its followers.
+     *
+     * @param isRestored whether the store was restored since the update before
+     */
+    private void publish(UpdateOrigin origin, boolean isRestored, Runnable update) {
         moveTo(origin.revision());
         mStatus.recordUpdate();
-        mFollower.isolate(update);
+        mFollower.isolate(
+                () -> {
+                    if (isRestored) {
+                        mFollower.onStoreRestored();
+                    }
+                    update.run();
+                });
         notifyListeners();
     }
 
--- a/gateway/src/main/java/org/dahliapass/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewaySettings.java
@@ -11,6 +11,7 @@
 import org.dahliapass.decisions.admission.CustomerSharing;
 import org.dahliapass.decisions.limits.LimitSharing;
 import org.dahliapass.decisions.limits.LimitTolerance;
+import org.dahliapass.decisions.routing.RegistrationPacing;
 import org.dahliapass.decisions.traffic.TrafficPolicy;
 import org.dahliapass.kernel.IniFile;
 import org.dahliapass.kernel.IniSection;
@@ -31,6 +32,7 @@
  * @param seeds the endpoints of mirrors, possibly stale, to read if the store is unavailable at
  *     startup
  * @param store the endpoint of the platform's store
+ * @param registrationPacing how the VMs spread the writes of their entries
  * @param stopTimeout the time between SIGTERM and the end of the process
  * @param addressTimeToLive how long a caller may cache a discovery response
  * @param vmsPerZone the minimum number of VMs that serve the callers of one availability zone
@@ -50,6 +52,7 @@
         Endpoint control,
         List<Endpoint> seeds,
         Endpoint store,
+        RegistrationPacing registrationPacing,
         Duration stopTimeout,
         Duration addressTimeToLive,
         int vmsPerZone,
@@ -79,6 +82,8 @@
     private static final double MAX_WINDOW = 3_600;
     private static final int MAX_PIPELINED_REQUESTS = 64;
     private static final long MAX_STARTUP_WAIT_MILLIS = 10_000;
+    private static final int DEFAULT_WRITES_PER_SECOND = 400;
+    private static final int MAX_WRITES_PER_SECOND = 1_000_000;
     private static final long MAX_MEGABYTES = 1_000_000;
     private static final long MAX_DESCRIPTORS = 10_000_000;
 
@@ -103,6 +108,7 @@
     public static GatewaySettings from(IniFile file) {
         IniSection vm = file.section("vm");
         IniSection policy = file.section("policy");
+        IniSection store = file.section("store");
         GatewaySettings settings =
                 new GatewaySettings(
                         new FleetVm(
@@ -117,7 +123,14 @@
                         vm.has("metrics") ? Optional.of(endpoint(vm, "metrics")) : Optional.empty(),
                         endpoint(vm, "control"),
                         seeds(vm),
-                        endpoint(file.section("store"), "address"),
+                        endpoint(store, "address"),
+                        new RegistrationPacing(
+                                (int)
+                                        store.number(
+                                                "writes-per-second",
+                                                1,
+                                                MAX_WRITES_PER_SECOND,
+                                                DEFAULT_WRITES_PER_SECOND)),
                         seconds(vm, "stop-grace-seconds"),
                         policy.duration("ask-time-to-live", Duration.ofMillis(100), MINUTE),
                         (int) policy.number("vms-per-zone", 1, MAX_VMS_PER_ZONE),
--- a/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
@@ -70,7 +70,8 @@
                         log,
                         new RequestMemory(settings.load(), clock, metrics, log));
         KeyValueStore store = store(settings, connections, metrics, log);
-        StoreFollower follower = new StoreFollower(settings.vmsPerZone(), log);
+        StoreFollower follower =
+                new StoreFollower(settings.vmsPerZone(), settings.registrationPacing(), log);
         record(connections.failures(), follower);
         ChangeFeed feed =
                 new ChangeFeed(
--- a/gateway/src/main/java/org/dahliapass/gateway/StoreFollower.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/StoreFollower.java
@@ -16,6 +16,7 @@
 import org.dahliapass.decisions.routing.AddressPlan;
 import org.dahliapass.decisions.routing.DemandEstimator;
 import org.dahliapass.decisions.routing.LeasedEntryCache;
+import org.dahliapass.decisions.routing.RegistrationPacing;
 import org.dahliapass.decisions.routing.RouteTable;
 import org.dahliapass.kernel.ControlLoop;
 import org.dahliapass.kernel.Kernel;
@@ -59,6 +60,7 @@
     private static final Duration RETRY_DELAY = Duration.ofMillis(500);
 
     private final int mVmsPerZone;
+    private final RegistrationPacing mRegistrationPacing;
     private final EventLog mLog;
     private final LeasedEntryCache<TargetRegistration> mTargets =
             new LeasedEntryCache<>(EXPIRY_GRACE_MILLIS);
@@ -111,9 +113,11 @@
      * Creates a follower with an empty state.
      *
      * @param vmsPerZone the minimum number of VMs that serve the callers of one availability zone
+     * @param registrationPacing how VMs spread the writes of their entries
      */
-    StoreFollower(int vmsPerZone, EventLog log) {
+    StoreFollower(int vmsPerZone, RegistrationPacing registrationPacing, EventLog log) {
         mVmsPerZone = vmsPerZone;
+        mRegistrationPacing = registrationPacing;
         mView = new RoutingView(Optional.empty(), List.of(), planFor(List.of()));
         mLog = log;
     }
@@ -229,6 +233,16 @@
                                 .put("heard_all_meanwhile", isComplete));
     }
 
+    /**
+     * Keeps entries for a while that the restored store lacks, because their writers have to write
+     * them again; control thread only.
+     */
+    void onStoreRestored() {
+        long now = mLoop.nowMillis();
+        mTargets.onStoreRestored(now, Duration.ZERO);
+        mVms.onStoreRestored(now, mRegistrationPacing.window(mVms.entries().size()));
+    }
+
     @Override
     public CompletableFuture<Void> start(Kernel kernel) {
         mLoop = kernel.find(ControlLoop.NAME, ControlLoop.class);
--- a/gateway/src/test/java/org/dahliapass/gateway/ChangeFeedTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/ChangeFeedTest.java
@@ -62,7 +62,7 @@
                 StoredItem.of(
                         VmEntry.key(settings.self().name()), VmEntry.encode(settings.self()), 1);
         mLoop = new ControlLoop(mClock);
-        mFollower = new StoreFollower(settings.vmsPerZone(), log);
+        mFollower = new StoreFollower(settings.vmsPerZone(), settings.registrationPacing(), log);
         mFeed =
                 new ChangeFeed(
                         settings,
--- a/gateway/src/test/java/org/dahliapass/gateway/StoreFollowerTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/StoreFollowerTest.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.dahliapass.decisions.routing.RegistrationPacing;
 import org.dahliapass.kernel.ControlLoop;
 import org.dahliapass.kernel.Kernel;
 import org.dahliapass.kernel.ManualClock;
@@ -36,7 +37,7 @@
         mClock = new ManualClock(Instant.ofEpochSecond(1_000));
         mLoop = new ControlLoop(mClock);
         EventLog log = new EventLog(mClock, "vm", new PrintStream(OutputStream.nullOutputStream()));
-        mFollower = new StoreFollower(2, log);
+        mFollower = new StoreFollower(2, new RegistrationPacing(400), log);
         mKernel = new Kernel();
         mKernel.register(ControlLoop.NAME, mLoop).register(StoreFollower.NAME, mFollower);
         mKernel.start().join();
