Let VMs that don't watch the store wait for those that do after a restore

Cause: a store that is away sends the followers of the watchers to the store itself. When it returned from a copy, each of them would read all of it at once: 3,700 reads of every page where 2,000 a second are allowed.

Change: a VM that isn't a watcher tries the watchers again when it learns of a restore, and falls back to the store only after 1.6 s and up to 1 s more at random; a watcher calls a store that was away after at most 1.5 s. ChangeSourceSelectorTest#restoreIsReadThroughAWatcher.

--- a/decisions/src/main/java/org/dahliapass/decisions/routing/ChangeSourceSelector.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/routing/ChangeSourceSelector.java
@@ -35,6 +35,7 @@
     private final FleetVm mSelf;
     private final Map<String, Long> mSkippedUntilMillis = new HashMap<>();
     private long mUnavailableMillis = Long.MIN_VALUE / 2;
+    private long mAvoidStoreUntilMillis = Long.MIN_VALUE / 2;
 
     /**
      * Creates a selector.
@@ -66,6 +67,18 @@
         mUnavailableMillis = nowMillis;
     }
 
+    /**
+     * Prefers watchers for a while after the store was restored from a copy, as all VMs learn of it
+     * at once. The watchers are tried again, because they were skipped for the outage of the store.
+     *
+     * @param avoidStoreUntilMillis the time until which this VM doesn't fall back to the store, in
+     *     milliseconds
+     */
+    public void onStoreRestored(long avoidStoreUntilMillis) {
+        mSkippedUntilMillis.clear();
+        mAvoidStoreUntilMillis = avoidStoreUntilMillis;
+    }
+
     /** Returns whether this VM is a watcher. */
     public boolean isWatcher(AddressPlan plan) {
         return plan.watchers().stream().anyMatch(vm -> vm.name().equals(mSelf.name()));
@@ -89,7 +102,10 @@
         if (source.isPresent()) {
             return new ChangeSource.Vm(source.get());
         }
-        boolean waits = !watcher && isRecentlyServed(lastReceivedMillis, nowMillis);
+        boolean waits =
+                !watcher
+                        && (nowMillis < mAvoidStoreUntilMillis
+                                || isRecentlyServed(lastReceivedMillis, nowMillis));
         return waits ? new ChangeSource.RetryLater(RETRY_DELAY_MILLIS) : new ChangeSource.Store();
     }
 
--- a/decisions/src/test/java/org/dahliapass/decisions/routing/ChangeSourceSelectorTest.java
+++ b/decisions/src/test/java/org/dahliapass/decisions/routing/ChangeSourceSelectorTest.java
@@ -124,6 +124,20 @@
         return new ChangeSourceSelector(self);
     }
 
+    /** Guards against a fleet that reads the whole store at once after a restore. */
+    @Test
+    public void restoreIsReadThroughAWatcher() {
+        ChangeSourceSelector selector = selector(follower());
+        mAddressPlan.watchers().forEach(watcher -> selector.onUnavailable(watcher, 10_000));
+        assertEquals(selector.choose(mAddressPlan, true, 0, 10_100), STORE);
+        selector.onStoreRestored(12_000);
+        assertTrue(selector.choose(mAddressPlan, true, 0, 10_100) instanceof ChangeSource.Vm);
+        mAddressPlan.watchers().forEach(watcher -> selector.onUnavailable(watcher, 11_900));
+        assertTrue(
+                selector.choose(mAddressPlan, true, 0, 11_950) instanceof ChangeSource.RetryLater);
+        assertEquals(selector.choose(mAddressPlan, true, 0, 12_000), STORE);
+    }
+
     private FleetVm follower() {
         Set<FleetVm> watchers = mAddressPlan.watchers();
         return mVms.stream().filter(vm -> !watchers.contains(vm)).findFirst().orElseThrow();
--- a/gateway/src/main/java/org/dahliapass/gateway/ChangeFeed.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ChangeFeed.java
@@ -31,7 +31,8 @@
 /**
  * Reads the store once and then follows its changes, either directly or through another VM.
  *
- * <p>A store that was restored from a copy is read again by the VMs that watch it.
+ * <p>A store that was restored from a copy is read again by the VMs that watch it; the others wait
+ * for these.
  *
  * <p>Confined to the control thread.
  */
@@ -88,12 +89,21 @@
      */
     private static final Duration PEER_DISCOVERY_DELAY = Duration.ofSeconds(1);
 
+    /**
+     * How long a VM that doesn't watch the store waits, after a restore, for the VMs that do. They
+     * call a store that was away again after at most 1.5 s.
+     */
+    private static final long MIN_RESTORE_WAIT_MILLIS = 1_600;
+
     /** Exceeds the delay with which a VM that watches the store reads a change. */
     private static final Duration JOIN_TIMEOUT = Duration.ofMillis(400);
 
     /** How long a VM follows others that name an older epoch than the store has named to it. */
     private static final long MAX_OUTDATED_MILLIS = 5_000;
 
+    /** Spreads the reads of VMs that wait in vain. */
+    private static final int MAX_RESTORE_JITTER_MILLIS = 1_000;
+
     private final KeyValueStore mStore;
     private final StoreBackoff mBackoff;
     private final EventLog mLog;
@@ -102,6 +112,7 @@
     private final StoreMirror mMirror = new StoreMirror();
     private final PeerStoreClients mPeerClients;
     private final List<Endpoint> mSeeds;
+    private final RandomGenerator mRandom;
     private final List<Runnable> mListeners = new ArrayList<>();
     private ControlLoop mLoop;
     private PeriodicTask mSilenceCheck;
@@ -133,6 +144,7 @@
         mBackoff = new StoreBackoff(random);
         mLog = log;
         mStatus = status;
+        mRandom = random;
         mSeeds = settings.seeds();
         mSourceSelector = new ChangeSourceSelector(settings.self());
     }
@@ -424,17 +436,29 @@
         }
     }
 
-    /** Reads a restored store, if this VM watches it. */
+    /**
+     * Moves to the state of a restored store: reads it if this VM watches the store, and waits for
+     * a VM that does otherwise.
+     *
+     * <p>Guards against all VMs of a fleet that read the whole store at once.
+     */
     private void onStoreRestored() {
         if (mStatus.revision().epoch() == StoreRevision.UNKNOWN_EPOCH && !mMirror.isLoaded()) {
             return;
         }
-        if (!isWatcher() && !mStatus.source().equals(STORE_SOURCE)) {
+        boolean isWatcher = isWatcher();
+        if (!isWatcher && !mStatus.source().equals(STORE_SOURCE)) {
             return;
         }
         recordMissedChanges(mStatus.newestEpoch());
-        mWatchNumber++;
-        readStore();
+        if (isWatcher) {
+            mWatchNumber++;
+            readStore();
+            return;
+        }
+        long waitMillis = MIN_RESTORE_WAIT_MILLIS + mRandom.nextLong(MAX_RESTORE_JITTER_MILLIS + 1);
+        mSourceSelector.onStoreRestored(mLoop.nowMillis() + waitMillis);
+        follow();
     }
 
     private boolean isWatcher() {
