Write a VM's own entry again if the store lacks it

Cause: a VM renews its lease and believes its entry. A copy may hold the lease and lack the entry that was written under it, or hold the entry as it was under an earlier lease; then the other VMs drop a VM that goes on renewing. A fleet whose leases are all gone registers again at once, with two writes a VM: beyond the writes that the store allows at 3,700 VMs.

Change: SelfRegistration compares its entry with the mirror's, while that is up to date, and writes it again. After a lease that was granted in another epoch is gone, a VM waits a random time of RegistrationPacing before it registers again. GatewayStoreRestoreTest#missingOwnEntryIsWrittenAgain.

--- a/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
@@ -86,11 +86,7 @@
         ServicePools pools = pools(settings, clock, metrics, log, connections, limitingVms);
         mRegistration =
                 new SelfRegistration(
-                        store,
-                        settings.self(),
-                        feed::followsStore,
-                        connections.reachability(),
-                        log);
+                        store, settings, feed, connections.reachability(), random, log);
         mLoadReporter = new LoadReporter(clock, metrics, log, connections);
         PeerExchange exchange = new PeerExchange(settings, connections, log);
         WaitingReporter waiting = new WaitingReporter(log);
--- a/gateway/src/main/java/org/dahliapass/gateway/SelfRegistration.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/SelfRegistration.java
@@ -3,9 +3,10 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.BooleanSupplier;
+import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
 import org.dahliapass.decisions.routing.AddressPlan;
+import org.dahliapass.decisions.routing.RegistrationPacing;
 import org.dahliapass.kernel.ControlLoop;
 import org.dahliapass.kernel.Futures;
 import org.dahliapass.kernel.Kernel;
@@ -13,6 +14,8 @@
 import org.dahliapass.kernel.PeriodicTask;
 import org.dahliapass.model.routing.FleetVm;
 import org.dahliapass.platform.KeyValueStore;
+import org.dahliapass.platform.StoreRevision;
+import org.dahliapass.platform.StoredItem;
 import org.dahliapass.platform.VmEntry;
 
 /**
@@ -62,17 +65,33 @@
      */
     private static final long STABLE_MILLIS = 3_000;
 
+    /** How long the write of an entry takes until its VM reads it from the store. */
+    private static final long ENTRY_VISIBLE_MILLIS = 2_500;
+
     private static final long NO_LEASE = 0;
+    private static final long NOT_SCHEDULED = Long.MAX_VALUE;
+    private static final CompletableFuture<Void> DONE = CompletableFuture.completedFuture(null);
 
     private final KeyValueStore mStore;
     private final FleetVm mSelf;
-    private final BooleanSupplier mIsFollowed;
+    private final ChangeFeed mFeed;
+    private final RegistrationPacing mPacing;
+    private final RandomGenerator mRandom;
     private final TargetReachability mReachability;
     private final EventLog mLog;
     private ControlLoop mLoop;
     private StoreFollower mFollower;
     private long mLease = NO_LEASE;
     private LeaseTerm mLeaseTerm = LeaseTerm.SPARE;
+
+    /** The epoch of the store in which the lease was granted. */
+    private long mLeaseEpoch = StoreRevision.UNKNOWN_EPOCH;
+
+    private long mEntryWrittenMillis = Long.MIN_VALUE / 2;
+
+    /** When the entry has to be written again; {@link #NOT_SCHEDULED} if it doesn't. */
+    private long mWriteAtMillis = NOT_SCHEDULED;
+
     private long mLastRenewalMillis = Long.MIN_VALUE / 2;
     private boolean mIsRenewing;
     private boolean mIsDeregistered;
@@ -83,19 +102,22 @@
     /**
      * Creates the service.
      *
-     * @param isFollowed returns whether other VMs may follow this one; called on the control thread
+     * @param feed knows whether other VMs may follow this one, and what the store holds
      * @param reachability knows whether this VM reaches the targets
      */
     SelfRegistration(
             KeyValueStore store,
-            FleetVm self,
-            BooleanSupplier isFollowed,
+            GatewaySettings settings,
+            ChangeFeed feed,
             TargetReachability reachability,
+            RandomGenerator random,
             EventLog log) {
         mStore = store;
-        mSelf = self;
+        mSelf = settings.self();
+        mPacing = settings.registrationPacing();
+        mFeed = feed;
         mReachability = reachability;
-        mIsFollowed = isFollowed;
+        mRandom = random;
         mLog = log;
     }
 
@@ -126,14 +148,17 @@
     }
 
     private Optional<Duration> renewIfDue() {
-        Duration interval = mIsFollowed.getAsBoolean() ? FOLLOWED_RENEWAL_INTERVAL : CHECK_INTERVAL;
+        Duration interval = mFeed.followsStore() ? FOLLOWED_RENEWAL_INTERVAL : CHECK_INTERVAL;
         Duration renewal =
-                mIsFollowed.getAsBoolean()
-                        ? FOLLOWED_RENEWAL_INTERVAL
-                        : leaseTerm().mRenewalInterval;
+                mFeed.followsStore() ? FOLLOWED_RENEWAL_INTERVAL : leaseTerm().mRenewalInterval;
         // Half an interval early, so that the check nearest to the due time is used.
         long dueMillis = mLastRenewalMillis + renewal.toMillis() - interval.toMillis() / 2;
-        if (mLoop.nowMillis() >= dueMillis || isLeaseTooLong() || isEntryOutdated()) {
+        scheduleRewriteIfMissing();
+        if (isRegistrationDelayed()) {
+            return Optional.of(interval);
+        }
+        boolean isDue = mLoop.nowMillis() >= Math.min(dueMillis, mWriteAtMillis);
+        if (isDue || isLeaseTooLong() || isEntryOutdated()) {
             renewOrRegister();
         }
         return mIsDeregistered ? Optional.empty() : Optional.of(interval);
@@ -163,6 +188,58 @@
         return mReachability.sincePartitionMillis() >= STABLE_MILLIS;
     }
 
+    /** Returns whether the lease was lost in a restore and this VM is not due to register again. */
+    private boolean isRegistrationDelayed() {
+        return mLease == NO_LEASE
+                && mWriteAtMillis != NOT_SCHEDULED
+                && mLoop.nowMillis() < mWriteAtMillis;
+    }
+
+    /**
+     * Schedules a write of the entry if the store doesn't hold it as this VM wrote it.
+     *
+     * <p>Guards against a VM that renews a lease without an entry: a store that is restored from a
+     * copy may have the lease and lack the entry that was written under it.
+     */
+    private void scheduleRewriteIfMissing() {
+        boolean isKnown = mLease != NO_LEASE && mFeed.status().isUpToDate();
+        if (!isKnown) {
+            return;
+        }
+        if (isEntryStored()) {
+            mWriteAtMillis = NOT_SCHEDULED;
+            return;
+        }
+        if (mWriteAtMillis != NOT_SCHEDULED) {
+            return;
+        }
+        long visibleMillis = mEntryWrittenMillis + ENTRY_VISIBLE_MILLIS;
+        mWriteAtMillis = Math.max(visibleMillis, mLoop.nowMillis() + writeDelayMillis());
+        mLog.write(
+                EventLog.Kind.BELIEF,
+                "own_entry_missing",
+                line ->
+                        line.put("lease", mLease)
+                                .put("write_in_ms", mWriteAtMillis - mLoop.nowMillis()));
+    }
+
+    private boolean isEntryStored() {
+        StoredItem expected =
+                StoredItem.of(
+                        VmEntry.key(mSelf.name()),
+                        VmEntry.encode(mSelf.withReachesTargets(mIsEntryReaching)),
+                        0);
+        return mFeed.mirror()
+                .item(expected.key())
+                .filter(item -> item.encoded().equals(expected.encoded()))
+                .isPresent();
+    }
+
+    /** Returns a random delay, so that the VMs of a fleet don't write at once after a restore. */
+    private long writeDelayMillis() {
+        return mPacing.delayMillis(mFollower.view().vms().size(), mRandom);
+    }
+
     /** Renews the lease, or grants one and writes the entry if there is none. */
     private void renewOrRegister() {
         if (mIsRenewing || mIsDeregistered) {
@@ -188,16 +265,20 @@
     private CompletableFuture<?> startRenewal() {
         try {
             if (mLease == NO_LEASE || isLeaseTooLong()) {
+                mWriteAtMillis = NOT_SCHEDULED;
                 return register();
             }
-            return isEntryOutdated() ? writeEntry(mLease) : renew();
+            boolean isRewriteDue = mLoop.nowMillis() >= mWriteAtMillis;
+            mWriteAtMillis = NOT_SCHEDULED;
+            return isRewriteDue || isEntryOutdated() ? rewriteEntry() : renew();
         } catch (RuntimeException failure) {
             return CompletableFuture.failedFuture(failure);
         }
     }
 
-    private CompletableFuture<?> register() {
+    private CompletableFuture<Void> register() {
         LeaseTerm leaseTerm = leaseTerm();
+        long epoch = mFeed.status().newestEpoch();
         return mStore.grantLease(leaseTerm.mTimeToLive)
                 .thenCompose(
                         lease ->
@@ -206,7 +287,8 @@
                                                 isWritten ->
                                                         setLease(
                                                                 isWritten ? lease : NO_LEASE,
-                                                                leaseTerm)));
+                                                                leaseTerm,
+                                                                epoch)));
     }
 
     /** Writes the entry; the future tells whether the lease exists. */
@@ -226,6 +308,7 @@
     }
 
     private void onEntryWritten(boolean isReaching) {
+        mEntryWrittenMillis = mLoop.nowMillis();
         if (isReaching == mIsEntryReaching) {
             return;
         }
@@ -236,30 +319,47 @@
                 line -> line.put("lease", mLease));
     }
 
+    /** Writes the entry again under the current lease, or registers again if that has ended. */
+    private CompletableFuture<?> rewriteEntry() {
+        long epoch = mLeaseEpoch;
+        return writeEntry(mLease).thenCompose(isWritten -> isWritten ? DONE : registerAgain(epoch));
+    }
+
     private CompletableFuture<?> renew() {
+        long epoch = mLeaseEpoch;
         return mStore.renewLease(mLease)
-                .thenCompose(
-                        isRenewed ->
-                                isRenewed
-                                        ? CompletableFuture.completedFuture(null)
-                                        : registerAgain());
+                .thenCompose(isRenewed -> isRenewed ? DONE : registerAgain(epoch));
     }
 
-    /** Registers again after the lease expired while the store was unavailable. */
-    private CompletableFuture<?> registerAgain() {
-        setLease(NO_LEASE, LeaseTerm.SPARE);
-        return register();
+    /**
+     * Registers again after the lease expired while the store was unavailable; after a random delay
+     * if the store was restored, since all VMs may have lost their leases.
+     *
+     * @param leaseEpoch the epoch of the store in which the lease was granted
+     */
+    private CompletableFuture<Void> registerAgain(long leaseEpoch) {
+        long epoch = mFeed.status().newestEpoch();
+        setLease(NO_LEASE, LeaseTerm.SPARE, epoch);
+        if (epoch == leaseEpoch) {
+            return register();
+        }
+        mLoop.execute(() -> mWriteAtMillis = mLoop.nowMillis() + writeDelayMillis());
+        return DONE;
     }
 
-    private void setLease(long lease, LeaseTerm leaseTerm) {
+    private void setLease(long lease, LeaseTerm leaseTerm, long epoch) {
         mLoop.execute(
                 () -> {
                     mLease = lease;
                     mLeaseTerm = leaseTerm;
+                    mLeaseEpoch = epoch;
                     mLog.write(
                             EventLog.Kind.BELIEF,
                             lease == NO_LEASE ? "own_entry_lost" : "own_entry_written",
-                            line -> line.put("lease", lease).put("tenure", leaseTerm.name()));
+                            line ->
+                                    line.put("lease", lease)
+                                            .put("epoch", epoch)
+                                            .put("tenure", leaseTerm.name()));
                 });
     }
 }
--- a/gateway/src/test/java/org/dahliapass/gateway/GatewayStoreRestoreTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/GatewayStoreRestoreTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 
+import org.dahliapass.platform.VmEntry;
 import org.dahliapass.standins.CallerStandIn;
 import org.dahliapass.standins.GatewayFixtures;
 import org.dahliapass.standins.MetadataTable;
@@ -131,6 +132,30 @@
         }
     }
 
+    /** Guards against a VM that renews its lease while the store lacks the entry under it. */
+    @Test
+    public void missingOwnEntryIsWrittenAgain() {
+        try (GatewayFixture fixture = new GatewayFixture()) {
+            GatewayFixture.await(() -> fixture.mStore.keys(VmEntry.PREFIX).size() == 1);
+            String key = fixture.mStore.keys(VmEntry.PREFIX).get(0);
+            fixture.mStore.remove(key);
+            GatewayFixture.await(() -> fixture.mStore.keys(VmEntry.PREFIX).contains(key));
+        }
+    }
+
+    /** Guards against VMs whose leases and entries are gone with the restore. */
+    @Test
+    public void ownEntriesLostInARestoreAreWrittenAgain() {
+        try (FleetFixture fleet = new FleetFixture(1)) {
+            MetadataTable.Backup backup = fleet.mStore.backup();
+            for (int vm = 1; vm < VMS; vm++) {
+                fleet.startUnadvertisedVm();
+            }
+            fleet.mStore.restore(backup);
+            GatewayFixture.await(() -> fleet.mStore.keys(VmEntry.PREFIX).size() == VMS);
+        }
+    }
+
     private static void awaitServed(GatewayFixture fixture, String path) {
         GatewayFixture.await(() -> CallerStandIn.status(fixture.get(path)) == 200);
     }
