Write quarantined requests again that a restored store lacks

Cause: a VM writes the entry of a quarantined request once. When the store forgets it, VMs that start later send the request to targets, which it ends.

Change: after a restore VMs forget the entries that the store lacks (QuarantineStore#retainEntries); the next refusal of the request writes it again, at most one entry a VM and second, as before. GatewayStoreRestoreTest#quarantineLostInARestoreIsWrittenAgain.

--- a/gateway/src/main/java/org/dahliapass/gateway/ChangeFeed.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ChangeFeed.java
@@ -114,6 +114,7 @@
     private final List<Endpoint> mSeeds;
     private final RandomGenerator mRandom;
     private final List<Runnable> mListeners = new ArrayList<>();
+    private final List<Runnable> mRestoreListeners = new ArrayList<>();
     private ControlLoop mLoop;
     private PeriodicTask mSilenceCheck;
     private StoreFollower mFollower;
@@ -169,6 +170,14 @@
         mListeners.add(listener);
     }
 
+    /**
+     * Registers a listener that runs once the state of a store is applied that was restored from a
+     * copy; to be called before the start.
+     */
+    void addRestoreListener(Runnable listener) {
+        mRestoreListeners.add(listener);
+    }
+
     @Override
     public CompletableFuture<Void> start(Kernel kernel) {
         mLoop = kernel.find(ControlLoop.NAME, ControlLoop.class);
@@ -604,6 +613,9 @@
                     update.run();
                 });
         notifyListeners();
+        if (isRestored) {
+            mRestoreListeners.forEach(mFollower::isolate);
+        }
     }
 
     private void recordMissedChanges(long sourceEpoch) {
--- a/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
@@ -11,6 +11,7 @@
 import org.dahliapass.kernel.Kernel;
 import org.dahliapass.platform.HttpKeyValueStore;
 import org.dahliapass.platform.KeyValueStore;
+import org.dahliapass.platform.QuarantineEntry;
 import org.dahliapass.traffic.EntryMetrics;
 
 /**
@@ -93,6 +94,8 @@
         PoisonGuard guard =
                 new PoisonGuard(
                         settings, clock, connections, store, follower, exchange, metrics, log);
+        feed.addRestoreListener(
+                () -> guard.onStoreRestored(feed.mirror().keys(QuarantineEntry.PREFIX)));
         CustomerLimits limits = new CustomerLimits(settings, limitingVms, exchange, random);
         ProxyHandler proxy =
                 new ProxyHandler(
--- a/gateway/src/main/java/org/dahliapass/gateway/PoisonGuard.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/PoisonGuard.java
@@ -4,6 +4,7 @@
 import java.time.Clock;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
 import java.util.function.Supplier;
 import org.dahliapass.decisions.poison.DigestLocks;
 import org.dahliapass.decisions.poison.PoisonDetector;
@@ -199,6 +200,16 @@
         }
     }
 
+    /**
+     * Forgets the entries that a restored store lacks, so that they are written again when their
+     * requests are refused; any thread may call this.
+     *
+     * @param keys the keys of the entries that the store holds
+     */
+    void onStoreRestored(Set<String> keys) {
+        mLoop.execute(() -> mStore.retainEntries(keys));
+    }
+
     private void onEntry(RequestDigest digest) {
         long now = mClock.millis();
         Treatment previous = mDetector.treatment(digest, now);
--- a/gateway/src/main/java/org/dahliapass/gateway/QuarantineStore.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/QuarantineStore.java
@@ -4,6 +4,7 @@
 import java.time.Clock;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.dahliapass.decisions.poison.PoisonDetector;
 import org.dahliapass.kernel.Futures;
@@ -50,6 +51,11 @@
         addEntry(digest, mLeases.getOrDefault(digest, FOREIGN_LEASE));
     }
 
+    /** Forgets the entries whose keys are not among the given ones. */
+    void retainEntries(Set<String> keys) {
+        mLeases.keySet().removeIf(digest -> !keys.contains(QuarantineEntry.key(digest)));
+    }
+
     private void addEntry(RequestDigest digest, long lease) {
         mLeases.put(digest, lease);
         if (mLeases.size() > MAX_ENTRIES) {
--- a/gateway/src/test/java/org/dahliapass/gateway/GatewayStoreRestoreTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/GatewayStoreRestoreTest.java
@@ -2,11 +2,13 @@
 
 import static org.testng.Assert.assertEquals;
 
+import org.dahliapass.platform.QuarantineEntry;
 import org.dahliapass.platform.VmEntry;
 import org.dahliapass.standins.CallerStandIn;
 import org.dahliapass.standins.GatewayFixtures;
 import org.dahliapass.standins.MetadataTable;
 import org.dahliapass.standins.SigningTargetStandIn;
+import org.dahliapass.standins.SigningTargetStandIn.Behaviour;
 import org.testng.annotations.Test;
 
 /** Tests of gateway VMs whose store is restored from an older copy. */
@@ -156,6 +158,31 @@
         }
     }
 
+    /** Guards against a quarantine that VMs which start later don't learn of. */
+    @Test
+    public void quarantineLostInARestoreIsWrittenAgain() {
+        try (FleetFixture fleet = new FleetFixture(1)) {
+            MetadataTable.Backup backup = fleet.mStore.backup();
+            fleet.behave(
+                    request ->
+                            request.requestLine().contains("/l/poison")
+                                    ? Behaviour.CRASH
+                                    : Behaviour.RESPOND);
+            awaitQuarantined(fleet);
+            fleet.mStore.restore(backup);
+            assertEquals(fleet.mStore.keys(QuarantineEntry.PREFIX).size(), 0);
+            awaitQuarantined(fleet);
+        }
+    }
+
+    private static void awaitQuarantined(FleetFixture fleet) {
+        GatewayFixture.await(
+                () -> {
+                    fleet.post(0, "/l/poison", "body");
+                    return fleet.mStore.keys(QuarantineEntry.PREFIX).size() == 1;
+                });
+    }
+
     private static void awaitServed(GatewayFixture fixture, String path) {
         GatewayFixture.await(() -> CallerStandIn.status(fixture.get(path)) == 200);
     }
