--- a/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
@@ -43,6 +43,7 @@
     private static final Duration IDLE_POLL_INTERVAL = Duration.ofMillis(50);
 
     private final GatewaySettings mSettings;
+    private final Clock mClock;
     private final GatewayState mState = new GatewayState();
     private final EventLog mLog;
     private final ControlLoop mLoop;
@@ -61,6 +62,7 @@
     public GatewayVm(GatewaySettings settings, Clock clock, EventLog log) {
         RandomGenerator random = new SplittableRandom();
         mSettings = settings;
+        mClock = clock;
         mLog = log;
         mLoop = new ControlLoop(clock);
         EntryMetrics metrics = new EntryMetrics();
@@ -74,14 +76,7 @@
         StoreFollower follower =
                 new StoreFollower(settings.vmsPerZone(), settings.registrationPacing(), log);
         record(connections.failures(), follower);
-        ChangeFeed feed =
-                new ChangeFeed(
-                        settings,
-                        store,
-                        connections.client(),
-                        random,
-                        new UpdateStatus(clock, metrics),
-                        log);
+        ChangeFeed feed = feed(settings, store, connections, random, metrics);
         mFeed = feed;
         LimitingVmsSource limitingVms = new LimitingVmsSource(settings, follower, feed);
         ServicePools pools = pools(settings, clock, metrics, log, connections, limitingVms);
@@ -115,22 +110,44 @@
                         authenticator(settings, follower, feed),
                         limits,
                         new RequestRelay(settings, follower, pools, connections, clock, metrics));
-        GatewayServers servers =
-                new GatewayServers(
-                        settings,
-                        mState,
-                        metrics,
-                        proxy,
-                        new DiscoveryHandler(settings, mState, follower),
-                        new MirrorService(mLoop, feed, mLoadReporter, log),
-                        connections,
-                        clock,
-                        follower);
+        GatewayServers servers = servers(metrics, proxy, connections, follower);
         follower.addChangeListener(() -> serveOnceConfigured(follower, proxy));
         register(metrics, connections, servers, follower, feed, pools, exchange, limits);
         mKernel.register(WaitingReporter.NAME, waiting);
     }
 
+    private ChangeFeed feed(
+            GatewaySettings settings,
+            KeyValueStore store,
+            TargetConnections connections,
+            RandomGenerator random,
+            EntryMetrics metrics) {
+        return new ChangeFeed(
+                settings,
+                store,
+                connections.client(),
+                random,
+                new UpdateStatus(mClock, metrics),
+                mLog);
+    }
+
+    private GatewayServers servers(
+            EntryMetrics metrics,
+            ProxyHandler proxy,
+            TargetConnections connections,
+            StoreFollower follower) {
+        return new GatewayServers(
+                mSettings,
+                mState,
+                metrics,
+                proxy,
+                new DiscoveryHandler(mSettings, mState, follower),
+                new MirrorService(mLoop, mFeed, mLoadReporter, mLog),
+                connections,
+                mClock,
+                follower);
+    }
+
     /** Records the exceptions of events and of updates from the store. */
     private void record(UnexpectedFailures failures, StoreFollower follower) {
         mLoop.setFailureListener(
--- a/gateway/src/main/java/org/dahliapass/gateway/StoreSnapshot.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/StoreSnapshot.java
@@ -19,7 +19,6 @@
         StoreRevision revision,
         Consistency consistency,
         StoreRevision knownBefore) {
-    /** Copies the list of items. */
     StoreSnapshot {
         items = List.copyOf(items);
     }
