--- a/standins/src/main/java/org/dahliapass/standins/MetadataStoreStandIn.java
+++ b/standins/src/main/java/org/dahliapass/standins/MetadataStoreStandIn.java
@@ -35,6 +35,7 @@
     private final MetadataTable mTable = new MetadataTable();
     private final LoopbackServer mServer;
     private final AtomicInteger mWatchCount = new AtomicInteger();
+    private final AtomicInteger mReadCount = new AtomicInteger();
     private volatile boolean mUnavailable;
 
     /** Changes the epoch that responses name; none is named if the result is empty. */
@@ -127,6 +128,11 @@
         mTable.compactHistory();
     }
 
+    /** Returns the number of reads of key ranges so far. */
+    public int readCount() {
+        return mReadCount.get();
+    }
+
     /** Returns the number of watches started so far. */
     public int watchCount() {
         return mWatchCount.get();
@@ -169,6 +175,7 @@
         ObjectNode body = JSON.createObjectNode();
         ArrayNode items = body.putArray("items");
         long now = mClock.millis();
+        mReadCount.incrementAndGet();
         String prefix = context.queryParams().get("prefix", "");
         MetadataTable.Snapshot snapshot =
                 mStaleState
