Choose a source again after a read of the store failed

Cause: a VM that had to read the store again, after a restore or a dropped history, repeated the read until it succeeded and followed nothing meanwhile. A store that is silent to this VM only kept it in its last known state, although others received changes.

Any other chooses a source again, which is another VM that watches the store while the store doesn't respond, or a new watch, which leads to the next read. ChangeFeedTest#sourceIsChosenAgainAfterAReadThatFailed: without the change, the second read comes before any watch (by reading; not run on the code before).

--- a/gateway/src/main/java/org/dahliapass/gateway/ChangeFeed.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ChangeFeed.java
@@ -233,6 +233,17 @@
                 new UpdateOrigin(STORE_SOURCE, revision));
     }
 
+    /**
+     * Chooses a source again.
+     *
+     * <p>Guards against a VM that reads in vain from a store that is silent to it, while other VMs
+     * still receive changes.
+     */
+    @Override
+    public void onReadFailed() {
+        guard(this::follow);
+    }
+
     private boolean isOutdated(StoreRevision revision) {
         return revision.compareTo(mStatus.revision()) < 0 || mStatus.isOutdated(revision.epoch());
     }
@@ -526,7 +537,6 @@
         if (mStatus.outdatedMillis() > MAX_OUTDATED_MILLIS) {
             // Either no watcher has noticed the restore, or there was none.
             readStore();
-            return;
         }
         applyPeerChanges((WatchResponse.Changes) response);
     }
--- a/gateway/src/main/java/org/dahliapass/gateway/StoreReader.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/StoreReader.java
@@ -17,7 +17,8 @@
 import org.dahliapass.platform.StoredItem;
 
 /**
- * Reads a snapshot from the store or from the mirror of another VM, and retries until one responds.
+ * Reads a snapshot from the store or from the mirror of another VM. A VM that knows none yet
+ * retries until one responds.
  *
  * <p>Confined to the control thread.
  */
@@ -51,6 +52,9 @@
          */
         boolean hasSnapshot();
 
+        /** Called after a read failed of a VM that knows a snapshot; it is not repeated. */
+        void onReadFailed();
+
         /** Called with the complete snapshot. */
         void onSnapshot(StoreSnapshot snapshot);
     }
@@ -137,6 +141,11 @@
                 page -> onPage(progress, page),
                 failure -> {
                     mListener.onStoreFailure(failure);
+                    if (mListener.hasSnapshot()) {
+                        mIsReading = false;
+                        mListener.onReadFailed();
+                        return;
+                    }
                     mLoop.schedule(backoff(), () -> readSeed(progress));
                 });
     }
@@ -173,7 +182,7 @@
      * respond.
      */
     private void readSeed(Progress progress) {
-        if (mListener.hasSnapshot() || mSeeds.isEmpty()) {
+        if (mSeeds.isEmpty()) {
             start(progress);
             return;
         }
--- a/gateway/src/test/java/org/dahliapass/gateway/ChangeFeedTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/ChangeFeedTest.java
@@ -286,6 +286,19 @@
         GatewayFixture.await(() -> mFeed.status().revision().epoch() == 2);
     }
 
+    /** Guards against a VM that reads again and again from a store that is silent to it only. */
+    @Test
+    public void sourceIsChosenAgainAfterAReadThatFailed() {
+        startEpoch(1);
+        mStore.mHoldsReads = true;
+        mFeed.onStoreEpoch(2);
+        GatewayFixture.await(() -> mStore.mHeldReads.size() == 1);
+        int watches = mStore.mWatchCount.get();
+        mStore.mHeldReads.get(0).completeExceptionally(new IllegalStateException("silent"));
+        GatewayFixture.await(() -> advanceClock() && mStore.mWatchCount.get() > watches);
+        assertEquals(mStore.mHeldReads.size(), 1);
+    }
+
     /** Guards against a snapshot whose pages come from before and after a restore. */
     @Test
     public void readStartsAgainIfTheStoreIsRestoredBetweenPages() {
