Keep the time at which an own entry is written again

Each renewal of the lease cleared the scheduled write of an entry that the store lacks, and the next check drew a new time: with a window of 12 s for 3,700 VMs and renewals every 1 to 3 s, some VMs would have written long after the window. Found by reading; the time stays now until the write is made. No test: with the window of a small fleet, which ends before the next renewal, both behave alike.

--- a/gateway/src/main/java/org/dahliapass/gateway/SelfRegistration.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/SelfRegistration.java
@@ -269,7 +269,9 @@
                 return register();
             }
             boolean isRewriteDue = mLoop.nowMillis() >= mWriteAtMillis;
-            mWriteAtMillis = NOT_SCHEDULED;
+            if (isRewriteDue) {
+                mWriteAtMillis = NOT_SCHEDULED;
+            }
             return isRewriteDue || isEntryOutdated() ? rewriteEntry() : renew();
         } catch (RuntimeException failure) {
             return CompletableFuture.failedFuture(failure);
