Read a restored store if no VM that watches it responds

Cause: a VM that doesn't watch the store drew a new time to wait for the watchers with each response that named the newer epoch, so that it waited for good if they were gone or cut off from it. A follower whose watch ended while its source missed changes was forgotten until the next change.

Change: a VM waits once for each epoch and then reads the store; the empty response of a watch is given once the source has read what it missed. ChangeFeedTest#restoredStoreIsReadIfNoWatcherResponds failed without the first change after 21 s and passes; the second has no test.

--- a/gateway/src/main/java/org/dahliapass/gateway/ChangeFeed.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ChangeFeed.java
@@ -457,8 +457,8 @@
     }
 
     /**
-     * Moves to the state of a restored store: reads it if this VM watches the store, and waits for
-     * a VM that does otherwise.
+     * Moves to the state of a restored store: reads it if this VM watches the store, and otherwise
+     * waits for a while for a VM that does.
      *
      * <p>Guards against all VMs of a fleet that read the whole store at once.
      */
@@ -471,7 +471,7 @@
             return;
         }
         recordMissedChanges(mStatus.newestEpoch());
-        if (isWatcher) {
+        if (isWatcher || mStatus.outdatedMillis() >= MIN_RESTORE_WAIT_MILLIS) {
             mWatchNumber++;
             readStore();
             return;
--- a/gateway/src/main/java/org/dahliapass/gateway/MirrorService.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/MirrorService.java
@@ -24,6 +24,9 @@
  * starting VM. Pending calls are confined to the control thread.
  */
 final class MirrorService {
+    /** The delay of an empty response while this VM misses changes. */
+    private static final Duration MISSED_CHANGES_DELAY = Duration.ofMillis(100);
+
     private final ControlLoop mLoop;
     private final ChangeFeed mFeed;
     private final LoadReporter mLoadReporter;
@@ -99,8 +102,12 @@
     }
 
     private void onWatchTimeout(PendingWatch pending) {
-        if (mFeed.status().hasMissedChanges() || !mPendingWatches.remove(pending)) {
-            // Completed once this VM has read what it missed, or has lost the store.
+        if (mFeed.status().hasMissedChanges() && mPendingWatches.contains(pending)) {
+            // This VM is about to read what it missed, or to lose the store.
+            mLoop.schedule(MISSED_CHANGES_DELAY, () -> onWatchTimeout(pending));
+            return;
+        }
+        if (!mPendingWatches.remove(pending)) {
             return;
         }
         StoreRevision current = mFeed.mirror().revision();
--- a/gateway/src/test/java/org/dahliapass/gateway/ChangeFeedTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/ChangeFeedTest.java
@@ -23,6 +23,8 @@
 import org.dahliapass.kernel.Kernel;
 import org.dahliapass.kernel.ManualClock;
 import org.dahliapass.model.Endpoint;
+import org.dahliapass.model.routing.FleetVm;
+import org.dahliapass.model.routing.VmCapacity;
 import org.dahliapass.platform.ConfigurationDocument;
 import org.dahliapass.platform.KeyValueStore;
 import org.dahliapass.platform.KeyValueStore.Consistency;
@@ -299,6 +301,29 @@
         assertEquals(mStore.mHeldReads.size(), 1);
     }
 
+    /** Guards against a VM that waits for good for others to read a restored store. */
+    @Test
+    public void restoredStoreIsReadIfNoWatcherResponds() {
+        startEpoch(1);
+        mStore.completeLastWatch(
+                List.of(otherVm("vm-1", 2), otherVm("vm-2", 3), otherVm("vm-3", 4)), 4);
+        mStore.mEpoch = 2;
+        GatewayFixture.await(
+                () -> {
+                    mStore.mPendingWatches.forEach(
+                            watch -> watch.complete(new WatchResponse.Compacted(2)));
+                    return advanceClock() && mFeed.status().revision().epoch() == 2;
+                });
+    }
+
+    /** Returns the entry of a VM that watches the store before this one, and doesn't respond. */
+    private static StoreEvent otherVm(String name, long revision) {
+        Endpoint closed = new Endpoint("127.0.0.1", 9);
+        FleetVm vm = new FleetVm(name, "zone-a", "r", closed, closed, new VmCapacity(64, 100_000));
+        return new StoreEvent.Written(
+                StoredItem.of(VmEntry.key(name), VmEntry.encode(vm), revision));
+    }
+
     /** Guards against a snapshot whose pages come from before and after a restore. */
     @Test
     public void readStartsAgainIfTheStoreIsRestoredBetweenPages() {
