Begin to watch the store while another VM is asked what it knows

Cause: a VM that watches the store for the first time asked another one first, for up to 0.8 s, and got no news meanwhile; with the first watch that exceeds 1.5 s on a busy machine, and unknown routes got 503 in place of 404.

Change: the watch of the store begins at once; what the other VM tells is applied when it comes, without a change of position.

--- a/gateway/src/main/java/org/dahliapass/gateway/ChangeFeed.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ChangeFeed.java
@@ -297,40 +297,38 @@
             return;
         }
         switchSource(STORE_SOURCE);
-        Optional<FleetVm> peer =
-                mHasJoined ? Optional.empty() : mSourceSelector.nearestWatcher(plan, now);
-        mHasJoined = true;
-        peer.ifPresentOrElse(this::join, this::followStore);
+        if (!mHasJoined) {
+            mHasJoined = true;
+            mSourceSelector.nearestWatcher(plan, now).ifPresent(this::join);
+        }
+        followStore();
     }
 
     /**
-     * Asks a VM that watches the store for what it knows from before a restore, before this VM
-     * watches the store itself.
+     * Asks a VM that watches the store for what it knows from before a restore, while this VM
+     * begins to watch the store itself.
      */
     private void join(FleetVm peer) {
-        int watchNumber = mWatchNumber;
         StoreReader.onControlThread(
                 mLoop,
                 mPeerClients
                         .clientFor(peer.peerEndpoint())
                         .watch(mStatus.revision(), mIsFromStore, JOIN_TIMEOUT),
-                response ->
-                        guard(
-                                () -> {
-                                    if (watchNumber == mWatchNumber) {
-                                        onJoined(response);
-                                    }
-                                }),
-                failure -> guard(() -> resumeFollowing(watchNumber)));
+                response -> guard(() -> onJoined(response)),
+                failure -> {});
     }
 
+    /** Applies what another VM knows; the position of this VM stays that of its own watch. */
     private void onJoined(WatchResponse response) {
         boolean isCurrent = mStatus.resolve(response.epoch()) == mStatus.revision().epoch();
-        if (isCurrent && response instanceof WatchResponse.Changes changes) {
-            applyPeerChanges(changes);
+        if (!isCurrent || mStatus.hasMissedChanges()) {
             return;
         }
-        follow();
+        if (response instanceof WatchResponse.Changes changes) {
+            mIsFromStore = false;
+            StoreRevision revision = mStatus.revision();
+            publish(mMirror.applyFromPeer(changes.events(), revision, mLoop.nowMillis()), revision);
+        }
     }
 
     private boolean isStoreSilent() {
--- a/gateway/src/test/java/org/dahliapass/gateway/FreezableClock.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/FreezableClock.java
@@ -7,7 +7,7 @@
 import org.dahliapass.kernel.MonotonicClock;
 
 /** A clock that can hold up the traffic thread, as a VM that is short of processor time does. */
-final class FreezableClock extends Clock {
+final class FreezableClock extends Clock implements AutoCloseable {
     private static final String THREAD = "traffic";
 
     private final Clock mClock = new MonotonicClock();
@@ -23,6 +23,12 @@
         mResumed.countDown();
     }
 
+    /** Resumes, so that a test that fails while the clock is frozen doesn't hang. */
+    @Override
+    public void close() {
+        resume();
+    }
+
     @Override
     public ZoneId getZone() {
         return mClock.getZone();
--- a/gateway/src/test/java/org/dahliapass/gateway/GatewayPartitionTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/GatewayPartitionTest.java
@@ -165,8 +165,8 @@
     @Test
     public void requestIsNotSentToATargetAfterItsCallerLeft() throws IOException {
         FreezableClock clock = new FreezableClock();
-        try (PartitionFixture fixture =
-                new PartitionFixture(List.of(new MonotonicClock(), clock))) {
+        try (PartitionFixture fixture = new PartitionFixture(List.of(new MonotonicClock(), clock));
+                clock) {
             fixture.partition(CUT, Partition.RESET);
             assertEquals(CallerStandIn.status(fixture.post(CUT, "/l/first")), 200);
             clock.freeze();
