--- a/review/standins/MassLeave.java
+++ b/review/standins/MassLeave.java
@@ -10,7 +10,7 @@
     private static final String HOST = "rankings.example";
     private static final String SERVICE = "rankings-core";
     private static final int SERVERS = 16;
-    private static final int CLIENTS = 30;
+    private static final int CLIENTS = 60;
     private static final long DRAIN_MILLIS = 2_000;
 
     /** How much longer than the drain time a server that leaves goes on serving. */
@@ -49,7 +49,7 @@
                     new Server("i-" + index, SERVICE, "zone-a", 6, store, observer(record)) {
                         @Override
                         long workMillis(java.util.Random random) {
-                            return 150 + random.nextInt(200);
+                            return 300 + random.nextInt(260);
                         }
                     };
             server.start();
@@ -169,19 +169,22 @@
     private static int judge(Record record, List<String[]> all, Fleet fleet, int leavers) {
         int served = 0;
         int lost = 0;
+        int lostLate = 0;
         for (String[] got : all) {
             served += got[2].equals("200") ? 1 : 0;
             boolean ran = RUNS.containsKey(got[0]);
             if (got[1].equals("POST") && ran && !got[2].equals("200")) {
                 lost++;
+                boolean late = LATE.contains(got[0]);
+                lostLate += late ? 1 : 0;
                 record.say("accepted and lost: " + got[0] + " ran at " + RUNS.get(got[0])
-                        + ", the client got " + got[2]);
+                        + (late ? ", which it reached late" : "") + ", the client got " + got[2]);
             }
         }
         record.say("requests " + all.size() + ", served " + served + ", leaving "
                 + LEFT_MILLIS.size() + " of " + SERVERS + ", reached them later than "
                 + DRAIN_MILLIS + " ms: " + LATE.size() + ", unsafe requests that ran and were lost: "
-                + lost + ", VMs ended " + fleet.ended());
+                + lost + ", of these late: " + lostLate + ", VMs ended " + fleet.ended());
         if (all.size() < 500 || served < all.size() / 2) {
             record.say("too little was served to judge");
             return 2;
