--- a/review/standins/Client.java
+++ b/review/standins/Client.java
@@ -28,7 +28,7 @@
     record Answer(Message message, String failure) {}
 
     Client(List<String> directory, String host, String zone) {
-        mDirectory = directory;
+        mDirectory = directory.stream().limit(3).toList();
         mHost = host;
         mZone = zone;
     }
@@ -112,6 +112,12 @@
         return mAddresses.get(ThreadLocalRandom.current().nextInt(mAddresses.size()));
     }
 
+    /** Returns whether the newest answer of a VM still names an address. */
+    boolean names(String address) throws IOException {
+        resolve();
+        return mAddresses.contains(address);
+    }
+
     InputStream input() {
         return mInput;
     }
--- a/review/standins/Fleet.java
+++ b/review/standins/Fleet.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -120,6 +121,11 @@
         builder.redirectOutput(
                 ProcessBuilder.Redirect.appendTo(mWork.resolve(vm.mName + ".log").toFile()));
         vm.mProcess = builder.start();
+        Files.writeString(
+                mWork.resolve("pids"),
+                vm.mProcess.pid() + "\n",
+                StandardOpenOption.CREATE,
+                StandardOpenOption.APPEND);
     }
 
     /** Fills in the template of the deploy file, as the platform does. */
--- a/review/standins/Server.java
+++ b/review/standins/Server.java
@@ -153,12 +153,12 @@
             write(output, head(400, "X-Dahliapass-Not-Executed: 1\r\n", "", "", 0), "");
             return;
         }
-        mObserver.onArrival(this, id, request.path());
         String expected = request.header("X-Dahliapass-Expect-Instance");
         if (expected != null && !expected.equals(mName)) {
             write(output, head(421, "X-Dahliapass-Not-Executed: 1\r\n", id, "", 0), "");
             return;
         }
+        mObserver.onArrival(this, id, request.path());
         if (mWaiting.get() >= QUEUE) {
             respond(id, output, refusal(id), "");
             return;
@@ -218,6 +218,11 @@
         return java.util.concurrent.ThreadLocalRandom.current();
     }
 
+    /** Tells of an answer. */
+    final void answered(String id, String seal, int status) {
+        mObserver.onAnswer(this, id, seal, status);
+    }
+
     final String seal() {
         return mName + "." + mAnswers.incrementAndGet();
     }
