Evict removed targets at once unless the store was away

Cause: LeasedEntryCache took four entries or more, and a quarter of those known, that vanish in one batch for an outage of the store, and kept them for 2.1 s. The number of entries says nothing of the store.

Change: entries are retained only within 2.1 s of the store's return from an outage. Each VM records the answers to all its calls, and a VM that serves its mirror names the period in which the store answered it (header Store-Answered), so followers, VMs that start, and VMs that were cut off judge by the same evidence. A watcher that sees a gap asks another watcher whether the store answered that one. Entries that were retained are evicted once it is known that there was no outage. Entries of VMs use the same cache. The log says with each removal for how long the store had answered, and how many entries are retained.

LeasedEntryCacheTest#entriesExpiredTogetherAreRetainedForTheGracePeriod demanded the fault, retention by number alone; it now asks for the same after an outage, and StoreFollowerTest for an outage in which no call failed. StoreFollowerTest#removedEntryIsEvictedIfNoUpdatesWereMissed gets the evidence of another VM in place of a time without missed updates.

--- a/decisions/src/main/java/org/dahliapass/decisions/routing/LeasedEntryCache.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/routing/LeasedEntryCache.java
@@ -1,11 +1,9 @@
 package org.dahliapass.decisions.routing;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Collections;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
@@ -16,9 +14,8 @@
  *
  * <p>During an outage the leases of healthy writers expire, and the writers need about two seconds
  * after the recovery to write their entries again. Without the grace period, services would lose
- * all targets and the fleet all VMs. Entries that expire together are also retained, because the
- * outage may end before it is detected. A single expired entry was removed on purpose and is
- * evicted at once.
+ * all targets and the fleet all VMs. Entries that are missing at any other time were removed on
+ * purpose, or their writers have failed; they are evicted at once, however many they are.
  *
  * <p>Not thread-safe.
  *
@@ -27,8 +24,12 @@
 public final class LeasedEntryCache<T> {
     private final long mGraceMillis;
     private final Map<String, T> mEntries = new LinkedHashMap<>();
-    private final Map<String, Long> mEvictAtMillis = new HashMap<>();
-    private long mGraceUntilMillis = Long.MIN_VALUE;
+
+    /** The names of the expired entries that are retained until the grace period ends. */
+    private final Set<String> mRetained = new LinkedHashSet<>();
+
+    private long mReturnGraceEndMillis = Long.MIN_VALUE;
+    private long mRestoreGraceEndMillis = Long.MIN_VALUE;
     private long mModificationCount;
 
     /**
@@ -48,7 +49,7 @@
         if (!entry.equals(previous)) {
             mModificationCount++;
         }
-        mEvictAtMillis.remove(name);
+        mRetained.remove(name);
     }
 
     /** Evicts an entry at once, without a grace period. */
@@ -56,12 +57,18 @@
         if (mEntries.remove(name) != null) {
             mModificationCount++;
         }
-        mEvictAtMillis.remove(name);
+        mRetained.remove(name);
     }
 
-    /** Starts the grace period after the store recovered from an outage. */
-    public void onStoreRecovered(long nowMillis) {
-        mGraceUntilMillis = nowMillis + mGraceMillis;
+    /**
+     * Sets the time at which the store returned from its latest outage; replaces an earlier value,
+     * as other VMs may show that there was no outage.
+     *
+     * @param returnMillis the time of the return, in milliseconds; empty without an outage
+     */
+    public void setStoreReturn(OptionalLong returnMillis) {
+        mReturnGraceEndMillis =
+                returnMillis.isPresent() ? returnMillis.getAsLong() + mGraceMillis : Long.MIN_VALUE;
     }
 
     /**
@@ -72,57 +79,54 @@
      * @param writeWindow the time over which the writers spread their writes
      */
     public void onStoreRestored(long nowMillis, Duration writeWindow) {
-        mGraceUntilMillis =
-                Math.max(mGraceUntilMillis, nowMillis + mGraceMillis + writeWindow.toMillis());
-        mEvictAtMillis.replaceAll((name, millis) -> Math.max(millis, mGraceUntilMillis));
+        mRestoreGraceEndMillis =
+                Math.max(mRestoreGraceEndMillis, nowMillis + mGraceMillis + writeWindow.toMillis());
     }
 
     /**
-     * Evicts entries that expired in the store at the same time, or retains them for the grace
-     * period if a store outage is the likely cause.
+     * Evicts entries that are missing in the store, or retains them until the end of the grace
+     * period.
      *
-     * @param names the names of the expired entries
-     * @param outageThreshold the number of entries whose simultaneous expiry indicates an outage
+     * @param names the names of the missing entries
      * @param nowMillis the current time, in milliseconds
      */
-    public void onExpired(Set<String> names, int outageThreshold, long nowMillis) {
-        Set<String> known = new HashSet<>(names);
-        known.retainAll(mEntries.keySet());
-        boolean outage = nowMillis < mGraceUntilMillis || known.size() >= outageThreshold;
-        for (String name : known) {
-            if (outage) {
-                long evictAtMillis =
-                        nowMillis < mGraceUntilMillis
-                                ? mGraceUntilMillis
-                                : nowMillis + mGraceMillis;
-                mEvictAtMillis.putIfAbsent(name, evictAtMillis);
+    public void onRemoved(Set<String> names, long nowMillis) {
+        for (String name : names) {
+            if (!mEntries.containsKey(name)) {
+                continue;
+            }
+            if (nowMillis < graceEndMillis()) {
+                mRetained.add(name);
             } else {
                 evict(name);
             }
         }
     }
 
-    /** Evicts the entries whose grace period is over and returns their names. */
+    private long graceEndMillis() {
+        return Math.max(mReturnGraceEndMillis, mRestoreGraceEndMillis);
+    }
+
+    /** Evicts the retained entries if the grace period is over and returns their names. */
     public List<String> evictExpired(long nowMillis) {
-        List<String> expired = new ArrayList<>();
-        mEvictAtMillis.forEach(
-                (name, evictAtMillis) -> {
-                    if (evictAtMillis <= nowMillis) {
-                        expired.add(name);
-                    }
-                });
-        for (String name : expired) {
-            evict(name);
+        if (nowMillis < graceEndMillis()) {
+            return List.of();
         }
+        List<String> expired = List.copyOf(mRetained);
+        expired.forEach(this::evict);
         return expired;
     }
 
     /**
-     * Returns when the next grace period ends, in milliseconds; empty if no expired entry is
-     * retained.
+     * Returns when the grace period ends, in milliseconds; empty if no expired entry is retained.
      */
     public OptionalLong nextEvictionMillis() {
-        return mEvictAtMillis.values().stream().mapToLong(Long::longValue).min();
+        return mRetained.isEmpty() ? OptionalLong.empty() : OptionalLong.of(graceEndMillis());
+    }
+
+    /** Returns the number of expired entries that are retained. */
+    public int retainedCount() {
+        return mRetained.size();
     }
 
     /**
--- a/decisions/src/test/java/org/dahliapass/decisions/routing/LeasedEntryCacheTest.java
+++ b/decisions/src/test/java/org/dahliapass/decisions/routing/LeasedEntryCacheTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -11,7 +12,6 @@
 /** Tests of {@link LeasedEntryCache}. */
 public final class LeasedEntryCacheTest {
     private static final long GRACE_MILLIS = 2_500;
-    private static final int OUTAGE_THRESHOLD = 3;
 
     private LeasedEntryCache<String> mCache;
 
@@ -23,38 +23,53 @@
         }
     }
 
+    /** Guards against a removed target that gets requests, because others left together with it. */
     @Test
-    public void singleExpiredEntryIsEvictedAtOnce() {
-        mCache.onExpired(Set.of("a"), OUTAGE_THRESHOLD, 1_000);
+    public void anyNumberOfRemovedEntriesIsEvictedAtOnce() {
+        mCache.setStoreReturn(OptionalLong.of(0));
+        mCache.onRemoved(Set.of("a"), GRACE_MILLIS);
         assertEquals(mCache.entries().keySet(), Set.of("b", "c", "d"));
+        mCache.onRemoved(Set.of("b", "c", "d"), GRACE_MILLIS);
+        assertEquals(mCache.entries().keySet(), Set.of());
     }
 
     /** Guards against a service without targets after leases expired during a store outage. */
     @Test
     public void entriesExpiredInAnOutageAreRetainedUntilRewritten() {
-        mCache.onStoreRecovered(1_000);
-        mCache.onExpired(Set.of("a"), OUTAGE_THRESHOLD, 1_100);
+        mCache.setStoreReturn(OptionalLong.of(1_000));
+        mCache.onRemoved(Set.of("a"), 1_100);
         assertEquals(mCache.evictExpired(2_000), List.of());
         mCache.put("a", "entry of a");
         assertEquals(mCache.evictExpired(10_000), List.of());
         assertEquals(mCache.entries().size(), 4);
     }
 
-    /** Guards against the same failure after an outage that this VM did not observe. */
+    /** Guards against the same failure if all leases expired. */
     @Test
     public void entriesExpiredTogetherAreRetainedForTheGracePeriod() {
-        mCache.onExpired(Set.of("a", "b", "c"), OUTAGE_THRESHOLD, 1_000);
+        mCache.setStoreReturn(OptionalLong.of(1_000));
+        mCache.onRemoved(Set.of("a", "b", "c"), 1_100);
         assertEquals(mCache.entries().size(), 4);
         mCache.put("b", "entry of b");
+        assertEquals(mCache.evictExpired(1_000 + GRACE_MILLIS - 1), List.of());
         assertEquals(Set.copyOf(mCache.evictExpired(1_000 + GRACE_MILLIS)), Set.of("a", "c"));
         assertEquals(mCache.entries().keySet(), Set.of("b", "d"));
     }
 
+    /** Guards against a removed target that is retained although the store was not away. */
+    @Test
+    public void retainedEntriesAreEvictedOnceTheOutageIsDisproved() {
+        mCache.setStoreReturn(OptionalLong.of(9_000));
+        mCache.onRemoved(Set.of("a"), 9_100);
+        mCache.setStoreReturn(OptionalLong.empty());
+        assertEquals(mCache.evictExpired(9_200), List.of("a"));
+    }
+
     /** Guards against entries that are dropped because the store's copy lacks them. */
     @Test
     public void entriesMissingAfterARestoreAreRetainedUntilRewritten() {
         mCache.onStoreRestored(1_000, Duration.ofMillis(500));
-        mCache.onExpired(Set.of("a"), OUTAGE_THRESHOLD, 1_100);
+        mCache.onRemoved(Set.of("a"), 1_100);
         assertEquals(mCache.evictExpired(1_000 + GRACE_MILLIS), List.of());
         assertEquals(mCache.evictExpired(1_500 + GRACE_MILLIS), List.of("a"));
     }
@@ -63,7 +78,7 @@
     @Test
     public void secondRestoreExtendsTheGracePeriod() {
         mCache.onStoreRestored(1_000, Duration.ZERO);
-        mCache.onExpired(Set.of("a"), OUTAGE_THRESHOLD, 1_100);
+        mCache.onRemoved(Set.of("a"), 1_100);
         mCache.onStoreRestored(3_000, Duration.ZERO);
         assertEquals(mCache.evictExpired(1_000 + GRACE_MILLIS), List.of());
         assertEquals(mCache.evictExpired(3_000 + GRACE_MILLIS), List.of("a"));
@@ -84,7 +99,7 @@
         assertEquals(mCache.modificationCount(), before);
         mCache.put("a", "newer");
         mCache.evict("b");
-        mCache.onExpired(Set.of("c"), OUTAGE_THRESHOLD, 1_000);
+        mCache.onRemoved(Set.of("c"), 1_000);
         assertEquals(mCache.modificationCount(), before + 3);
     }
 }
--- a/gateway/src/main/java/org/dahliapass/gateway/ChangeFeed.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ChangeFeed.java
@@ -10,6 +10,7 @@
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.dahliapass.decisions.routing.AddressPlan;
+import org.dahliapass.decisions.routing.AnswerPeriod;
 import org.dahliapass.decisions.routing.ChangeSource;
 import org.dahliapass.decisions.routing.ChangeSourceSelector;
 import org.dahliapass.decisions.routing.StoreBackoff;
@@ -21,6 +22,7 @@
 import org.dahliapass.kernel.PeriodicTask;
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.model.routing.FleetVm;
+import org.dahliapass.platform.AnswerAges;
 import org.dahliapass.platform.KeyValueStore;
 import org.dahliapass.platform.KeyValueStore.Consistency;
 import org.dahliapass.platform.StoreEvent;
@@ -141,7 +143,7 @@
             UpdateStatus status,
             EventLog log) {
         mStore = store;
-        mPeerClients = new PeerStoreClients(client);
+        mPeerClients = new PeerStoreClients(client, this::onStoreAnsweredPeer);
         mBackoff = new StoreBackoff(random);
         mLog = log;
         mStatus = status;
@@ -182,7 +184,7 @@
     public CompletableFuture<Void> start(Kernel kernel) {
         mLoop = kernel.find(ControlLoop.NAME, ControlLoop.class);
         mFollower = kernel.find(StoreFollower.NAME, StoreFollower.class);
-        mFollower.setUpToDateSince(mStatus::upToDateSinceMillis);
+        mFollower.setStoreReturnListener(this::onStoreReturned);
         mStatus.setConfirmedMillis(
                 () -> mFollowsStore ? mFollower.lastResponseMillis() : Long.MIN_VALUE / 2);
         mReader = new StoreReader(mLoop, mStore, mPeerClients, mSeeds, mBackoff, mLog, this);
@@ -299,14 +301,20 @@
         switchSource(STORE_SOURCE);
         if (!mHasJoined) {
             mHasJoined = true;
-            mSourceSelector.nearestWatcher(plan, now).ifPresent(this::join);
+            joinNearestWatcher();
         }
         followStore();
     }
 
+    private void joinNearestWatcher() {
+        mSourceSelector
+                .nearestWatcher(mFollower.view().plan(), mLoop.nowMillis())
+                .ifPresent(this::join);
+    }
+
     /**
-     * Asks a VM that watches the store for what it knows from before a restore, while this VM
-     * begins to watch the store itself.
+     * Asks a VM that watches the store for what it knows from before a restore and when the store
+     * answered it, while this VM watches the store itself.
      */
     private void join(FleetVm peer) {
         StoreReader.onControlThread(
@@ -331,6 +339,42 @@
         }
     }
 
+    /**
+     * Asks another watcher whether the store answered it while it didn't answer this VM.
+     *
+     * <p>Guards against a VM that was busy or cut off, takes that for an outage of the store, and
+     * retains removed targets.
+     */
+    private void onStoreReturned() {
+        if (mFollowsStore) {
+            joinNearestWatcher();
+        }
+    }
+
+    /** Records when the store answered another VM; any thread may call this. */
+    private void onStoreAnsweredPeer(AnswerAges ages) {
+        long now = mLoop.nowMillis();
+        AnswerPeriod period =
+                new AnswerPeriod(
+                        now - ages.sinceAgeMillis(),
+                        now - ages.untilAgeMillis(),
+                        ages.isAfterOutage());
+        mLoop.execute(() -> mFollower.onStoreAnswered(period));
+    }
+
+    /** Returns when the store answered; empty if no answer is known. Control thread only. */
+    Optional<AnswerAges> answerAges() {
+        long now = mLoop.nowMillis();
+        return mFollower
+                .answerPeriod()
+                .map(
+                        period ->
+                                new AnswerAges(
+                                        now - period.sinceMillis(),
+                                        now - period.untilMillis(),
+                                        period.isAfterOutage()));
+    }
+
     private boolean isStoreSilent() {
         return mLoop.nowMillis() - mFollower.lastResponseMillis() > STORE_SILENCE_LIMIT_MILLIS;
     }
--- a/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
@@ -226,7 +226,7 @@
             EntryMetrics metrics,
             EventLog log) {
         KeyValueStore store =
-                new HttpKeyValueStore(
+                HttpKeyValueStore.of(
                         settings.store(), STORE_TIMEOUT, connections.client(), this::onStoreEpoch);
         return new CountedStore(store, mLoop, metrics, log);
     }
--- a/gateway/src/main/java/org/dahliapass/gateway/MirrorService.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/MirrorService.java
@@ -113,7 +113,7 @@
         StoreRevision current = mFeed.mirror().revision();
         if (pending.after().number() > current.number()) {
             // Guards against a follower that waits for numbers that the store counts again.
-            send(pending.call(), withEpoch(ServerResponse.of(HttpResponseStatus.GONE)));
+            send(pending.call(), withStoreState(ServerResponse.of(HttpResponseStatus.GONE)));
             return;
         }
         send(
@@ -145,14 +145,17 @@
                 watchResponse ->
                         watchResponse instanceof WatchResponse.Changes newer
                                 ? json(StoreCalls.encode(newer))
-                                : withEpoch(ServerResponse.of(HttpResponseStatus.GONE)));
+                                : withStoreState(ServerResponse.of(HttpResponseStatus.GONE)));
     }
 
-    private ServerResponse withEpoch(ServerResponse response) {
+    private ServerResponse withStoreState(ServerResponse response) {
         long epoch = mFeed.mirror().revision().epoch();
         if (epoch != StoreRevision.UNKNOWN_EPOCH) {
             response.headers().set(StoreCalls.EPOCH_HEADER, Long.toString(epoch));
         }
+        mFeed.answerAges()
+                .ifPresent(
+                        ages -> response.headers().set(StoreCalls.ANSWERED_HEADER, ages.encode()));
         return response;
     }
 
@@ -160,12 +163,12 @@
         call.loop().execute(() -> call.respond(response));
     }
 
-    private static ServerResponse unavailable() {
-        return ServerResponse.of(HttpResponseStatus.SERVICE_UNAVAILABLE);
+    private ServerResponse unavailable() {
+        return withStoreState(ServerResponse.of(HttpResponseStatus.SERVICE_UNAVAILABLE));
     }
 
     private ServerResponse json(String body) {
         mLoadReporter.onMirrorSent(body.length());
-        return withEpoch(ServerResponse.json(HttpResponseStatus.OK, body));
+        return withStoreState(ServerResponse.json(HttpResponseStatus.OK, body));
     }
 }
--- a/gateway/src/main/java/org/dahliapass/gateway/PeerStoreClients.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/PeerStoreClients.java
@@ -4,8 +4,10 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.dahliapass.http.HttpClient;
 import org.dahliapass.model.Endpoint;
+import org.dahliapass.platform.AnswerAges;
 import org.dahliapass.platform.MirrorClient;
 
 /** The clients for the store mirrors of other VMs. Confined to the control thread. */
@@ -14,16 +16,24 @@
     private static final Duration TIMEOUT = Duration.ofMillis(400);
 
     private final HttpClient mClient;
+    private final Consumer<AnswerAges> mAnswersListener;
     private final Map<Endpoint, MirrorClient> mClients = new HashMap<>();
 
-    PeerStoreClients(HttpClient client) {
+    /**
+     * Creates the clients.
+     *
+     * @param answersListener receives when the store answered another VM, on the thread of the
+     *     response and before its future completes
+     */
+    PeerStoreClients(HttpClient client, Consumer<AnswerAges> answersListener) {
         mClient = client;
+        mAnswersListener = answersListener;
     }
 
     /** Returns the client for the mirror of a VM. */
     MirrorClient clientFor(Endpoint vm) {
         return mClients.computeIfAbsent(
-                vm, endpoint -> new MirrorClient(endpoint, TIMEOUT, mClient));
+                vm, endpoint -> new MirrorClient(endpoint, TIMEOUT, mClient, mAnswersListener));
     }
 
     /** Removes the clients for all VMs except the given ones. */
--- a/gateway/src/main/java/org/dahliapass/gateway/StoreFollower.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/StoreFollower.java
@@ -12,12 +12,13 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
-import java.util.function.LongSupplier;
 import org.dahliapass.decisions.routing.AddressPlan;
+import org.dahliapass.decisions.routing.AnswerPeriod;
 import org.dahliapass.decisions.routing.DemandEstimator;
 import org.dahliapass.decisions.routing.LeasedEntryCache;
 import org.dahliapass.decisions.routing.RegistrationPacing;
 import org.dahliapass.decisions.routing.RouteTable;
+import org.dahliapass.decisions.routing.StoreAvailability;
 import org.dahliapass.kernel.ControlLoop;
 import org.dahliapass.kernel.Kernel;
 import org.dahliapass.kernel.KernelService;
@@ -46,11 +47,6 @@
     /** Targets restore their entries within about two seconds after an outage of the store. */
     private static final long EXPIRY_GRACE_MILLIS = 2_100;
 
-    /** The share of entries that counts as an outage of the store if they expire at once. */
-    private static final double OUTAGE_SHARE = 0.25;
-
-    private static final int MIN_OUTAGE_ENTRIES = 4;
-
     /**
      * Bounds the memory for malformed items of other writers; beyond it, items are logged again.
      */
@@ -65,6 +61,7 @@
     private final LeasedEntryCache<TargetRegistration> mTargets =
             new LeasedEntryCache<>(EXPIRY_GRACE_MILLIS);
     private final LeasedEntryCache<FleetVm> mVms = new LeasedEntryCache<>(EXPIRY_GRACE_MILLIS);
+    private final StoreAvailability mAvailability = new StoreAvailability();
     private final List<Runnable> mListeners = new ArrayList<>();
     private final List<Runnable> mPlanListeners = new ArrayList<>();
 
@@ -97,7 +94,6 @@
     /** The time of the next eviction; {@link Long#MAX_VALUE} if none is scheduled. */
     private long mEvictionMillis = Long.MAX_VALUE;
 
-    private LongSupplier mUpToDateSince = () -> Long.MAX_VALUE;
     private volatile long mLastResponseMillis = Long.MIN_VALUE / 2;
     private double mDemand;
 
@@ -108,6 +104,7 @@
     private volatile RoutingView mView;
     private volatile Consumer<RequestDigest> mQuarantineListener = digest -> {};
     private Consumer<Throwable> mFailureListener = failure -> {};
+    private Runnable mStoreReturnListener = () -> {};
 
     /**
      * Creates a follower with an empty state.
@@ -149,11 +146,11 @@
     }
 
     /**
-     * Sets the supplier of the time since when this VM has received all changes without a gap, in
-     * milliseconds; {@link Long#MAX_VALUE} if it has not. Called on the control thread.
+     * Sets the listener that runs on the control thread when the store answers this VM after a gap
+     * in which entries may have expired; to be called before the start of the feed.
      */
-    void setUpToDateSince(LongSupplier upToDateSince) {
-        mUpToDateSince = upToDateSince;
+    void setStoreReturnListener(Runnable listener) {
+        mStoreReturnListener = listener;
     }
 
     /** Sets the listener for quarantined requests; to be called before the start of the feed. */
@@ -197,6 +194,7 @@
 
     /** Records a failed call to the store from any service of this VM; control thread only. */
     void onStoreFailure(Throwable failure) {
+        mAvailability.onFailure();
         if (mIsUnavailable) {
             return;
         }
@@ -214,23 +212,58 @@
     void onStoreResponse() {
         long now = mLoop.nowMillis();
         mLastResponseMillis = now;
-        if (!mIsUnavailable) {
-            return;
+        boolean isReturn = onStoreAnswered(AnswerPeriod.at(now));
+        if (mIsUnavailable) {
+            mIsUnavailable = false;
+            mLog.write(
+                    EventLog.Kind.DEPENDENCY,
+                    "store_back",
+                    line ->
+                            line.put("away_ms", now - mUnavailableSinceMillis)
+                                    .put("answering_ms", answeringMillis()));
+        }
+        if (isReturn) {
+            isolate(mStoreReturnListener);
         }
-        mIsUnavailable = false;
-        // No entries expired if only this VM could not reach the store, because it received all
-        // changes through its peers.
-        boolean isComplete = mUpToDateSince.getAsLong() <= mUnavailableSinceMillis;
-        if (!isComplete) {
-            mTargets.onStoreRecovered(now);
-            mVms.onStoreRecovered(now);
+    }
+
+    /**
+     * Records a period in which the store answered this or another VM; control thread only.
+     *
+     * @return whether the store is known to answer since another time than before
+     */
+    boolean onStoreAnswered(AnswerPeriod period) {
+        long answeringMillis = answeringMillis();
+        if (!mAvailability.add(period)) {
+            return false;
         }
+        mTargets.setStoreReturn(mAvailability.latestReturnMillis());
+        mVms.setStoreReturn(mAvailability.latestReturnMillis());
+        scheduleEviction();
         mLog.write(
                 EventLog.Kind.DEPENDENCY,
-                "store_back",
+                "store_answering",
                 line ->
-                        line.put("away_ms", now - mUnavailableSinceMillis)
-                                .put("heard_all_meanwhile", isComplete));
+                        line.put("answering_ms", answeringMillis())
+                                .put("answering_before_ms", answeringMillis)
+                                .put("returned", mAvailability.latestReturnMillis().isPresent())
+                                .put("retained_targets", mTargets.retainedCount())
+                                .put("retained_vms", mVms.retainedCount()));
+        return true;
+    }
+
+    /** Returns the latest period in which the store answered; control thread only. */
+    Optional<AnswerPeriod> answerPeriod() {
+        return mAvailability.period();
+    }
+
+    private long sinceMillis() {
+        return mAvailability.period().map(AnswerPeriod::sinceMillis).orElse(mLoop.nowMillis());
+    }
+
+    /** Returns for how long the store has answered without an outage, in milliseconds. */
+    private long answeringMillis() {
+        return mLoop.nowMillis() - sinceMillis();
     }
 
     /**
@@ -490,8 +523,8 @@
 
     private void remove(Set<String> targets, Set<String> vms) {
         long now = mLoop.nowMillis();
-        mTargets.onExpired(targets, outageThreshold(mTargets.entries().size()), now);
-        mVms.onExpired(vms, outageThreshold(mVms.entries().size()), now);
+        mTargets.onRemoved(targets, now);
+        mVms.onRemoved(vms, now);
         if (targets.isEmpty() && vms.isEmpty()) {
             return;
         }
@@ -500,12 +533,12 @@
                 EventLog.Kind.BELIEF,
                 "entries_removed",
                 line ->
-                        line.putList("targets", List.copyOf(targets))
-                                .putList("vms", List.copyOf(vms)));
-    }
-
-    private static int outageThreshold(int entries) {
-        return Math.max(MIN_OUTAGE_ENTRIES, (int) Math.ceil(OUTAGE_SHARE * entries));
+                        mOrigin.describe(
+                                line.putList("targets", List.copyOf(targets))
+                                        .putList("vms", List.copyOf(vms))
+                                        .put("store_answering_ms", answeringMillis())
+                                        .put("retained_targets", mTargets.retainedCount())
+                                        .put("retained_vms", mVms.retainedCount())));
     }
 
     /** Schedules the next eviction. */
@@ -518,7 +551,8 @@
             return;
         }
         mEvictionMillis = next;
-        long delayMillis = Math.max(0, next - mLoop.nowMillis());
+        long now = mLoop.nowMillis();
+        long delayMillis = Math.max(next, now) - now;
         mLoop.schedule(Duration.ofMillis(delayMillis), this::evictExpired);
     }
 
--- a/gateway/src/main/java/org/dahliapass/gateway/UpdateStatus.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/UpdateStatus.java
@@ -37,9 +37,6 @@
     /** Returns the time of the latest response of the store while this VM watches it. */
     private volatile LongSupplier mConfirmedMillis = () -> Long.MIN_VALUE / 2;
 
-    /** The start of the current period without a gap in updates, in milliseconds. */
-    private long mUpToDateSinceMillis;
-
     UpdateStatus(Clock clock, EntryMetrics metrics) {
         mClock = clock;
         mMetrics = metrics;
@@ -130,12 +127,8 @@
 
     /** Records that all changes up to now are applied. */
     void recordUpdate() {
-        long now = mClock.millis();
-        if (now - mLastUpdateMillis > MAX_UPDATE_AGE_MILLIS) {
-            mUpToDateSinceMillis = now;
-        }
         mHasMissedChanges = false;
-        mLastUpdateMillis = now;
+        mLastUpdateMillis = mClock.millis();
     }
 
     /** Records that the changes since the current position are not available. */
@@ -152,15 +145,6 @@
         return mLastUpdateMillis;
     }
 
-    /**
-     * Returns the start of the current period without a gap in updates, in milliseconds, or {@link
-     * Long#MAX_VALUE} if the last update is too old; control thread only.
-     */
-    long upToDateSinceMillis() {
-        boolean isRecent = mClock.millis() - mLastUpdateMillis <= MAX_UPDATE_AGE_MILLIS;
-        return isRecent && !hasMissedChanges() ? mUpToDateSinceMillis : Long.MAX_VALUE;
-    }
-
     /** Returns the time since this VM last knew the newest configuration, in milliseconds. */
     long ageMillis() {
         long knownMillis =
--- a/gateway/src/test/java/org/dahliapass/gateway/FleetFixture.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/FleetFixture.java
@@ -4,9 +4,13 @@
 import java.io.PrintStream;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Function;
 import java.util.stream.IntStream;
+import org.dahliapass.decisions.routing.AnswerPeriod;
+import org.dahliapass.kernel.ControlLoop;
 import org.dahliapass.kernel.IniFile;
+import org.dahliapass.kernel.Kernel;
 import org.dahliapass.kernel.MonotonicClock;
 import org.dahliapass.platform.DiscoveryCalls;
 import org.dahliapass.standins.CallerStandIn;
@@ -87,6 +91,15 @@
         return CallerStandIn.get(mSettings.get(vm).self().peerEndpoint(), "/metrics");
     }
 
+    /** Returns when the store answered, as far as a VM knows. */
+    Optional<AnswerPeriod> answerPeriod(int vm) {
+        Kernel kernel = mVms.get(vm).kernel();
+        StoreFollower follower = kernel.find(StoreFollower.NAME, StoreFollower.class);
+        return kernel.find(ControlLoop.NAME, ControlLoop.class)
+                .submit(follower::answerPeriod)
+                .join();
+    }
+
     /** Sets the behaviour of all targets. */
     void behave(Function<ReceivedRequest, Behaviour> behaviour) {
         mTargets.forEach(target -> target.setBehaviour(behaviour));
--- a/gateway/src/test/java/org/dahliapass/gateway/StoreFollowerTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/StoreFollowerTest.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.dahliapass.decisions.routing.AnswerPeriod;
 import org.dahliapass.decisions.routing.RegistrationPacing;
 import org.dahliapass.kernel.ControlLoop;
 import org.dahliapass.kernel.Kernel;
@@ -26,6 +27,8 @@
 /** Tests of {@link StoreFollower}. */
 public final class StoreFollowerTest {
     private static final Duration GRACE = Duration.ofMillis(2_100);
+    private static final Duration ANSWER_INTERVAL = Duration.ofMillis(400);
+    private static final Set<String> TARGETS = Set.of("i-1", "i-2", "i-3", "i-4");
 
     private ManualClock mClock;
     private Kernel mKernel;
@@ -99,12 +102,14 @@
      * Guards against keeping a removed target because the store was unavailable to this VM only.
      */
     @Test
-    public void removedEntryIsEvictedIfNoUpdatesWereMissed() {
+    public void removedEntryIsEvictedIfTheStoreAnsweredAnotherVm() {
+        run(mFollower::onStoreResponse);
         run(() -> mFollower.onStoreFailure(new IllegalStateException("unavailable")));
         mClock.advance(GRACE);
-        mFollower.setUpToDateSince(() -> 0);
         run(
                 () -> {
+                    long now = mLoop.nowMillis();
+                    mFollower.onStoreAnswered(new AnswerPeriod(now - GRACE.toMillis(), now, false));
                     mFollower.onStoreResponse();
                     mFollower.applyEvents(
                             List.of(new StoreEvent.Removed("servers/i-1", 9)), UpdateOrigin.NONE);
@@ -112,15 +117,59 @@
         assertEquals(targetsAfter(Duration.ZERO), Set.of("i-2"));
     }
 
-    /**
-     * Guards against a service without targets after an outage of the store in which updates were
-     * missed.
-     */
+    /** Guards against a removed target that stays because it is known late that it must go. */
+    @Test
+    public void retainedEntryIsEvictedOnceTheStoreIsKnownToHaveAnswered() {
+        run(mFollower::onStoreResponse);
+        mClock.advance(GRACE);
+        run(
+                () -> {
+                    mFollower.onStoreResponse();
+                    mFollower.applyEvents(
+                            List.of(new StoreEvent.Removed("servers/i-1", 9)), UpdateOrigin.NONE);
+                });
+        assertEquals(targetsAfter(Duration.ZERO), Set.of("i-1", "i-2"));
+        run(
+                () -> {
+                    long now = mLoop.nowMillis();
+                    mFollower.onStoreAnswered(new AnswerPeriod(now - GRACE.toMillis(), now, false));
+                });
+        assertEquals(targetsAfter(Duration.ofMillis(1)), Set.of("i-2"));
+    }
+
+    /** Guards against targets that get requests after they have left together. */
     @Test
-    public void expiredEntryIsKeptIfUpdatesWereMissed() {
+    public void targetsThatLeaveTogetherAreEvictedAtOnce() {
+        run(this::addTargets);
+        run(mFollower::onStoreResponse);
+        for (long waited = 0; waited < GRACE.toMillis(); waited += ANSWER_INTERVAL.toMillis()) {
+            mClock.advance(ANSWER_INTERVAL);
+            run(mFollower::onStoreResponse);
+        }
+        run(() -> mFollower.applyEvents(removals(), UpdateOrigin.NONE));
+        assertEquals(targetsAfter(Duration.ZERO), Set.of());
+    }
+
+    /** Guards against a service without targets after an outage in which no call failed. */
+    @Test
+    public void targetsThatExpireInASilentOutageAreKept() {
+        run(this::addTargets);
+        run(mFollower::onStoreResponse);
+        mClock.advance(GRACE);
+        run(
+                () -> {
+                    mFollower.onStoreResponse();
+                    mFollower.applyEvents(removals(), UpdateOrigin.NONE);
+                });
+        assertEquals(targetsAfter(Duration.ZERO), TARGETS);
+    }
+
+    /** Guards against a service without targets after an outage of the store. */
+    @Test
+    public void expiredEntryIsKeptAfterAnOutage() {
+        run(mFollower::onStoreResponse);
         run(() -> mFollower.onStoreFailure(new IllegalStateException("unavailable")));
         mClock.advance(GRACE);
-        mFollower.setUpToDateSince(mClock::millis);
         run(
                 () -> {
                     mFollower.onStoreResponse();
@@ -136,6 +185,17 @@
         return targets.join();
     }
 
+    private void addTargets() {
+        mFollower.applySnapshot(
+                TARGETS.stream().map(StoreFollowerTest::item).toList(), UpdateOrigin.NONE);
+    }
+
+    private static List<StoreEvent> removals() {
+        List<StoreEvent> removals = new ArrayList<>();
+        TARGETS.forEach(name -> removals.add(new StoreEvent.Removed("servers/" + name, 9)));
+        return removals;
+    }
+
     private void run(Runnable task) {
         mLoop.submit(
                         () -> {
