Read on after the last response of a connection until its client closes

Cause: a connection was closed as soon as its last response was handed to the kernel. The kernel answers bytes that arrive at a closed socket, such as a request sent ahead, with a reset, and drops what it has not delivered (RFC 9112, 9.6).

Change: LingeringClose closes the sending half only, and discards what the client sends until it closes its half. It is used for all closes by which a client can lose something: after the last response, after rejections, after a response whose request body isn't read, for timeouts and malformed bodies behind a response, for aborted responses whose length is known (the whole ones before them were lost, too), and for idle connections that make room for others within a second of their response. A response without a length whose end is the close is still reset. A body that goes on behind a kept connection's response has the same bounds; it had none. A VM that stops waits for these connections within its stop timeout. Connections that have been idle for longer are closed as before, so that an unread request is known not to have run.

--- a/gateway/src/main/java/org/dahliapass/gateway/GatewayServers.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewayServers.java
@@ -144,6 +144,11 @@
                 limits.headerTimeout(), limits.idleTimeout(), limits.idleTimeout());
     }
 
+    /** Returns whether a client may not have received all of the last response. */
+    boolean hasLingeringConnections() {
+        return mCallerServer.lingeringConnections() + mInternalServer.lingeringConnections() > 0;
+    }
+
     private HttpResponseStatus readiness() {
         return mState.phase().isReady()
                 ? HttpResponseStatus.OK
--- a/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
@@ -244,7 +244,8 @@
      * Drains the VM: removes it from discovery responses and serves the remaining requests for a
      * limited time.
      *
-     * @return a future that completes when no requests are in flight and the process may exit
+     * @return a future that completes when no requests are in flight, no response is on its way,
+     *     and the process may exit
      */
     public CompletableFuture<Void> drain() {
         mState.advance(GatewayState.Phase.DRAINING);
@@ -273,13 +274,18 @@
     }
 
     /**
-     * Completes once no requests are in flight, or at the given time.
+     * Completes once no requests are in flight and all responses are delivered as far as that is
+     * known, or at the given time.
      *
      * <p>Guards against a process that is killed at the end of its stop timeout because it waits
      * for that time on a VM whose timers run late.
      */
     private CompletableFuture<Void> whenIdle(long endMillis) {
-        if (!mLoadReporter.hasRequestsInFlight() || mLoop.nowMillis() >= endMillis) {
+        boolean isIdle =
+                !mLoadReporter.hasRequestsInFlight()
+                        && !mKernel.find(GatewayServers.NAME, GatewayServers.class)
+                                .hasLingeringConnections();
+        if (isIdle || mLoop.nowMillis() >= endMillis) {
             return CompletableFuture.completedFuture(null);
         }
         return delay(IDLE_POLL_INTERVAL).thenCompose(ignored -> whenIdle(endMillis));
--- a/gateway/src/test/java/org/dahliapass/gateway/GatewayLifecycleTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/GatewayLifecycleTest.java
@@ -1,11 +1,17 @@
 package org.dahliapass.gateway;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Instant;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import org.dahliapass.kernel.ManualClock;
+import org.dahliapass.model.Endpoint;
 import org.dahliapass.platform.DiscoveryCalls;
 import org.dahliapass.platform.StoreCalls;
 import org.dahliapass.standins.CallerStandIn;
@@ -18,6 +24,9 @@
 
 /** Tests of a gateway VM during changes of targets, the store and its own lifecycle. */
 public final class GatewayLifecycleTest {
+    /** The stop timeout of the VM. */
+    private static final long STOP_MILLIS = 3_500;
+
     private static final int EARLY_BODY_BYTES = 50;
 
     private GatewayFixture mFixture;
@@ -217,6 +226,27 @@
         drained.join();
     }
 
+    /** Guards against a response that is cut, because its VM exits while the client reads it. */
+    @Test
+    public void drainEndsAfterTheClientHasClosedItsConnection() throws Exception {
+        ManualClock clock = new ManualClock(Instant.EPOCH);
+        try (GatewayFixture fixture = new GatewayFixture(clock);
+                Socket client = new Socket()) {
+            Endpoint callers = fixture.mSettings.self().callerEndpoint();
+            client.connect(new InetSocketAddress(callers.host(), callers.port()));
+            CompletableFuture<Void> drained = fixture.mVm.drain();
+            String request = "GET /r/last HTTP/1.1\r\nHost: a.example\r\n\r\n";
+            client.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            byte[] response = client.getInputStream().readAllBytes();
+            assertTrue(response.length > 0);
+            // Long enough for the drain to end, if it doesn't wait for the client.
+            Thread.sleep(STOP_MILLIS);
+            assertFalse(drained.isDone());
+            client.shutdownOutput();
+            drained.join();
+        }
+    }
+
     @Test
     public void discoveryReturnsThisVm() {
         GatewayFixture.await(
--- a/http/src/main/java/org/dahliapass/http/CallResponse.java
+++ b/http/src/main/java/org/dahliapass/http/CallResponse.java
@@ -46,6 +46,14 @@
         return mWriting;
     }
 
+    /**
+     * Returns whether the client would take the written part for the whole response if the
+     * connection ended now without a reset.
+     */
+    boolean wouldLookComplete() {
+        return mWriting && mFraming.endsWithConnection();
+    }
+
     /** Returns whether the last part was written. */
     boolean isWritten() {
         return mWritten;
--- a/http/src/main/java/org/dahliapass/http/HttpServer.java
+++ b/http/src/main/java/org/dahliapass/http/HttpServer.java
@@ -53,6 +53,7 @@
     private final Set<ServerConnection> mConnections = new HashSet<>();
 
     private final IdleConnections mIdle = new IdleConnections();
+    private final LingeringConnections mLingering = new LingeringConnections();
 
     private boolean mCheckScheduled;
 
@@ -142,6 +143,14 @@
         return started;
     }
 
+    /**
+     * Returns the number of connections whose clients may not have received all of the last
+     * response; any thread may call this.
+     */
+    public int lingeringConnections() {
+        return mLingering.count();
+    }
+
     /** Closes all listeners and connections; completes once they are closed. */
     public CompletableFuture<Void> stop() {
         CompletableFuture<Void> stopped = new CompletableFuture<>();
@@ -167,7 +176,13 @@
             channel.closeFuture().addListener(closed -> onClosed.run());
             ServerConnection connection =
                     new ServerConnection(
-                            mHandler, mClock, mMonitor, mPipelineLimits, mPipelineListener, mIdle);
+                            mHandler,
+                            mClock,
+                            mMonitor,
+                            mPipelineLimits,
+                            mPipelineListener,
+                            mIdle,
+                            mLingering);
             channel.pipeline().addLast(connection.handlers());
             mConnections.add(connection);
             channel.closeFuture().addListener(closed -> mConnections.remove(connection));
@@ -187,13 +202,15 @@
      * @return whether it is
      */
     private boolean makeRoom() {
-        while (!mConnectionListener.accepts(mConnections.size())) {
+        while (!mConnectionListener.accepts(mConnections.size() - mLingering.count())) {
             Optional<ServerConnection> idle = mIdle.removeLongestIdle();
             if (idle.isEmpty()) {
                 return false;
             }
-            mConnections.remove(idle.get());
-            idle.get().close();
+            idle.get().closeIdle();
+            if (!mLingering.contains(idle.get())) {
+                mConnections.remove(idle.get());
+            }
         }
         return true;
     }
--- /dev/null
+++ b/http/src/main/java/org/dahliapass/http/LingeringClose.java
@@ -0,0 +1,61 @@
+package org.dahliapass.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.DuplexChannel;
+
+/**
+ * Closes the sending half of a connection, and discards what the client still sends until it closes
+ * the other half (RFC 9112, section 9.6).
+ *
+ * <p>The kernel answers bytes that arrive at a closed socket with a reset, and the client then
+ * loses the part of the last response that it has not received yet.
+ */
+final class LingeringClose extends ChannelInboundHandlerAdapter {
+    private final DuplexChannel mChannel;
+    private final DiscardLimit mLimit;
+
+    private LingeringClose(DuplexChannel channel, DiscardLimit limit) {
+        mChannel = channel;
+        mLimit = limit;
+    }
+
+    /**
+     * Begins to close a connection. What was written and not yet accepted by the kernel is dropped.
+     */
+    static LingeringClose begin(DuplexChannel channel, long nowMillis) {
+        LingeringClose close = new LingeringClose(channel, new DiscardLimit(nowMillis));
+        channel.pipeline().addFirst(close);
+        channel.shutdownOutput()
+                .addListener(
+                        done -> {
+                            if (!done.isSuccess()) {
+                                close.end();
+                            }
+                        });
+        return close;
+    }
+
+    /** Ends the connection if the client has not closed it in time. */
+    void endIfExpired(long nowMillis) {
+        if (mLimit.isExpired(nowMillis)) {
+            end();
+        }
+    }
+
+    private void end() {
+        ChannelFuture unused = mChannel.close();
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        ByteBuf bytes = (ByteBuf) message;
+        long count = bytes.readableBytes();
+        bytes.release();
+        if (mLimit.exceedsWith(count)) {
+            end();
+        }
+    }
+}
--- a/http/src/main/java/org/dahliapass/http/ReadTimer.java
+++ b/http/src/main/java/org/dahliapass/http/ReadTimer.java
@@ -33,6 +33,11 @@
 
     /** Returns whether the current phase has exceeded its timeout. */
     boolean isExpired(ServerTimeouts timeouts) {
-        return mClock.millis() - mStartMillis > mPhase.maxMillis(timeouts);
+        return elapsedMillis() > mPhase.maxMillis(timeouts);
+    }
+
+    /** Returns the time in the current phase, in milliseconds. */
+    long elapsedMillis() {
+        return mClock.millis() - mStartMillis;
     }
 }
--- a/http/src/main/java/org/dahliapass/http/RequestInput.java
+++ b/http/src/main/java/org/dahliapass/http/RequestInput.java
@@ -131,6 +131,11 @@
         return mTimer.phase() == ReadPhase.IDLE;
     }
 
+    /** Returns for how long the connection has waited for the next request, in milliseconds. */
+    long idleMillis() {
+        return isIdle() ? mTimer.elapsedMillis() : 0;
+    }
+
     /** Returns whether the client has exceeded the timeout of what the connection waits for. */
     boolean isTimedOut(ServerTimeouts timeouts) {
         return mTimer.isExpired(timeouts);
--- a/http/src/main/java/org/dahliapass/http/ResponseFraming.java
+++ b/http/src/main/java/org/dahliapass/http/ResponseFraming.java
@@ -10,6 +10,7 @@
     private final HttpVersion mRequestVersion;
     private final boolean mHeadRequest;
     private boolean mChunked;
+    private boolean mEndsWithConnection;
     private boolean mClosesAfter;
     private long mBodyBytes;
 
@@ -53,8 +54,13 @@
      */
     void setLength(long length) {
         mChunked = length < 0 && mRequestVersion.equals(HttpVersion.HTTP_1_1);
-        // Without a length and without chunks, the close of the connection ends the body.
-        mClosesAfter |= length < 0 && !mChunked;
+        mEndsWithConnection = length < 0 && !mChunked;
+        mClosesAfter |= mEndsWithConnection;
+    }
+
+    /** Returns whether nothing but the close of the connection ends the body. */
+    boolean endsWithConnection() {
+        return mEndsWithConnection;
     }
 
     /** Marks the response as the connection's last, with {@code Connection: close}. */
--- a/http/src/main/java/org/dahliapass/http/ServerCall.java
+++ b/http/src/main/java/org/dahliapass/http/ServerCall.java
@@ -231,7 +231,7 @@
             return;
         }
         if (mResponse.hasTurn()) {
-            mConnection.close();
+            mConnection.closeAfterWritten();
             return;
         }
         mResponseStarted = true;
--- a/http/src/main/java/org/dahliapass/http/ServerConnection.java
+++ b/http/src/main/java/org/dahliapass/http/ServerConnection.java
@@ -1,12 +1,12 @@
 package org.dahliapass.http;
 
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.EventLoop;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
@@ -27,8 +27,14 @@
  * to the calls before it, and is dropped if one of those closes the connection. Discarded input
  * ({@link RequestInput#discardAll()}) without a rejection means that the connection is closed
  * without a further response. {@link RequestInput#isDiscarded()} covers all three.
+ *
+ * <p>Where the client may not have received all that was written, {@link LingeringClose} ends the
+ * connection.
  */
 final class ServerConnection extends ChannelInboundHandlerAdapter {
+    /** The time in which a client has usually read a response that was written. */
+    private static final long MAX_DELIVERY_MILLIS = 1_000;
+
     private final IsolatedHandler mHandler;
     private final Clock mClock;
     private final PollMonitor mMonitor;
@@ -40,6 +46,7 @@
     private final CallQueue mCalls = new CallQueue();
     private final RequestInput mInput;
     private final IdleConnections mIdle;
+    private final LingeringConnections mLingering;
     private Channel mChannel;
     private ResponseWriter mWriter;
 
@@ -48,19 +55,27 @@
 
     private boolean mHandlesRead;
 
+    /** The end of the connection, once nothing more is sent. */
+    private Optional<LingeringClose> mClose = Optional.empty();
+
+    /** Bounds the rest of a request's body after its response was written. */
+    private Optional<DiscardLimit> mBodyLimit = Optional.empty();
+
     ServerConnection(
             RequestHandler handler,
             Clock clock,
             PollMonitor monitor,
             PipelineLimits limits,
             PipelineListener listener,
-            IdleConnections idle) {
+            IdleConnections idle,
+            LingeringConnections lingering) {
         mHandler = new IsolatedHandler(handler);
         mClock = clock;
         mMonitor = monitor;
         mLimits = limits;
         mListener = listener;
         mIdle = idle;
+        mLingering = lingering;
         mReadPause = new ReadPause(listener);
         mInput = new RequestInput(mCalls, limits, clock, monitor, listener.waitingBytes());
     }
@@ -161,16 +176,14 @@
     }
 
     private void updateIdle() {
-        mIdle.update(this, isOpen() && mInput.isIdle());
+        mIdle.update(this, isOpen() && mClose.isEmpty() && mInput.isIdle());
     }
 
     private void removeFinishedCalls() {
         while (!mCalls.isEmpty() && mCalls.first().isFinished()) {
             ServerCall call = mCalls.removeFirst();
             if (call.closesAfterResponse()) {
-                mInput.discardAll();
-                mRejection = Optional.empty();
-                close();
+                closeAfterWritten();
                 return;
             }
         }
@@ -231,8 +244,14 @@
     }
 
     private void onContent(ServerCall call, HttpContent content) {
+        long bytes = content.content().readableBytes();
         mHandler.onContent(call, content.content());
+        if (mBodyLimit.filter(limit -> limit.exceedsWith(bytes)).isPresent()) {
+            closeAfterWritten();
+            return;
+        }
         if (content instanceof LastHttpContent) {
+            mBodyLimit = Optional.empty();
             mInput.endReading();
             mHandler.onBodyEnd(call);
             mAdvance.run();
@@ -242,8 +261,7 @@
     /** Rejects a malformed request and discards all later bytes, whose framing is unknown. */
     private void rejectMalformed(Throwable cause) {
         if (mInput.reading().filter(ServerCall::isResponseStarted).isPresent()) {
-            mInput.discardAll();
-            close();
+            closeAfterWritten();
             return;
         }
         reject(RequestRule.rejectionOfMalformed(cause));
@@ -269,7 +287,7 @@
         if (mCalls.isEmpty() && mRejection.isPresent()) {
             HttpResponseStatus status = mRejection.get();
             mRejection = Optional.empty();
-            mWriter.writeLast(status).addListener(ChannelFutureListener.CLOSE);
+            mWriter.writeLast(status).addListener(done -> closeAfterWritten());
         }
     }
 
@@ -286,25 +304,73 @@
     }
 
     private void proceedAfterWrite(ServerCall call, boolean success) {
+        if (mClose.isPresent()) {
+            return;
+        }
         if (!success) {
             close();
         } else if (call.isFinished()) {
             mAdvance.run();
-        } else if (call.expectsContinue()) {
-            // No 100 Continue was sent, so the body isn't expected.
-            mInput.discardAll();
-            close();
+        } else if (call.closesAfterResponse() || call.expectsContinue()) {
+            // Without a 100 Continue, the body isn't expected either.
+            closeAfterWritten();
+        } else {
+            mBodyLimit = Optional.of(new DiscardLimit(mClock.millis()));
         }
     }
 
     /** Closes the connection if the client exceeds the timeout of the current phase. */
     void closeIfTimedOut(ServerTimeouts timeouts) {
-        if (!mInput.isTimedOut(timeouts)) {
-            return;
+        long now = mClock.millis();
+        if (mClose.isPresent()) {
+            mClose.get().endIfExpired(now);
+        } else if (mBodyLimit.filter(limit -> limit.isExpired(now)).isPresent()) {
+            closeAfterWritten();
+        } else if (mInput.isTimedOut(timeouts)) {
+            onTimeout();
         }
+    }
+
+    private void onTimeout() {
         if (mInput.isRequestIncomplete()) {
             // 408 is safe: the request is incomplete, so it has not been processed.
             reject(HttpResponseStatus.REQUEST_TIMEOUT);
+        } else if (mInput.isIdle()) {
+            close();
+        } else {
+            closeAfterWritten();
+        }
+    }
+
+    /**
+     * Closes the connection so that the client receives what was written, even if it sends more
+     * meanwhile. Cancels all calls and discards all input.
+     */
+    void closeAfterWritten() {
+        if (mClose.isPresent()) {
+            return;
+        }
+        mInput.discardAll();
+        mRejection = Optional.empty();
+        mBodyLimit = Optional.empty();
+        boolean mayLookComplete =
+                !mCalls.isEmpty() && mCalls.first().response().wouldLookComplete();
+        if (mayLookComplete || !isOpen() || !(mChannel instanceof DuplexChannel duplex)) {
+            close();
+            return;
+        }
+        mReadPause.update(false);
+        mClose = Optional.of(LingeringClose.begin(duplex, mClock.millis()));
+        mLingering.add(this);
+        updateIdle();
+        // Later, because a handler may be calling.
+        loop().execute(this::cancelCalls);
+    }
+
+    /** Closes a connection without a call, of which the client may not have read all. */
+    void closeIdle() {
+        if (mInput.idleMillis() < MAX_DELIVERY_MILLIS) {
+            closeAfterWritten();
         } else {
             close();
         }
@@ -334,14 +400,24 @@
         mInput.discardAll();
         updateIdle();
         mRejection = Optional.empty();
+        mLingering.remove(this);
+        cancelCalls();
+    }
+
+    private void cancelCalls() {
         List<ServerCall> calls = mCalls.removeAll();
         calls.forEach(call -> call.setMaxUnnoticedMillis(mMonitor.maxReadyMillis()));
         mHandler.cancel(calls);
     }
 
-    /** Closes the connection, usually after a reset by the client. */
+    /**
+     * Closes the connection, usually after a reset by the client. A connection that is being closed
+     * reports the writes that it dropped; its channel closes by itself after a reset.
+     */
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable failure) {
-        close();
+        if (mClose.isEmpty()) {
+            close();
+        }
     }
 }
--- a/http/src/test/java/org/dahliapass/http/ServerFixture.java
+++ b/http/src/test/java/org/dahliapass/http/ServerFixture.java
@@ -74,7 +74,8 @@
                         monitor,
                         limits,
                         listener,
-                        new IdleConnections());
+                        new IdleConnections(),
+                        new LingeringConnections());
         mChannel = new EmbeddedChannel(mConnection.handlers());
     }
 
