Keep the abort of an ended call from the next request of its connection

Cause: a call kept its connection after its response was complete; the abort of a caller that left then reset the connection, which carried another request.

Change: a call forgets its connection at the end of its response, so abort and back pressure can't touch the next one.

Test: AbortedRequestTest#abortAfterTheEndDoesNotResetTheNextRequest; without the change, the second request ends with a reset.

--- a/http/src/main/java/org/dahliapass/http/ClientCall.java
+++ b/http/src/main/java/org/dahliapass/http/ClientCall.java
@@ -38,7 +38,10 @@
         mListener = listener;
     }
 
-    /** Aborts the call and resets its connection; the listener is not called again. */
+    /**
+     * Aborts the call and resets its connection; the listener is not called again. Has no effect
+     * after the end of the response.
+     */
     public void abort() {
         mFinished = true;
         if (mConnection != null) {
@@ -100,7 +103,9 @@
         }
     }
 
+    /** Ends the call, whose connection may carry another one from now on. */
     void complete(HttpHeaders trailers) {
+        mConnection = null;
         if (!mFinished) {
             mFinished = true;
             mListener.onEnd(trailers);
--- a/http/src/test/java/org/dahliapass/http/AbortedRequestTest.java
+++ b/http/src/test/java/org/dahliapass/http/AbortedRequestTest.java
@@ -17,6 +17,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.concurrent.CompletableFuture;
@@ -91,9 +92,57 @@
         }
     }
 
+    /** Guards against a caller that leaves late and resets the request of another one. */
+    @Test
+    public void abortAfterTheEndDoesNotResetTheNextRequest() throws IOException {
+        CompletableFuture<ClientCall> first = new CompletableFuture<>();
+        CompletableFuture<Void> firstEnd = new CompletableFuture<>();
+        CompletableFuture<Void> secondEnd = new CompletableFuture<>();
+        mClient.loop().execute(() -> first.complete(get(firstEnd)));
+        try (Socket connection = mServer.accept()) {
+            answer(connection);
+            firstEnd.join();
+            mClient.loop()
+                    .execute(
+                            () -> {
+                                get(secondEnd);
+                                first.join().abort();
+                            });
+            answer(connection);
+            secondEnd.join();
+        }
+    }
+
+    private ClientCall get(CompletableFuture<Void> end) {
+        return mClient.send(
+                address(),
+                HttpMethod.GET,
+                "/read",
+                new DefaultHttpHeaders().set("host", "a"),
+                Unpooled.EMPTY_BUFFER,
+                new EndListener(end));
+    }
+
+    /** Reads a request without a body and responds to it. */
+    private static void answer(Socket connection) throws IOException {
+        StringBuilder request = new StringBuilder();
+        while (request.indexOf("\r\n\r\n") < 0) {
+            int next = connection.getInputStream().read();
+            assertTrue(next >= 0, "The connection ended after: " + request);
+            request.append((char) next);
+        }
+        byte[] response =
+                "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+        connection.getOutputStream().write(response);
+    }
+
+    private Endpoint address() {
+        return new Endpoint(mServer.getInetAddress().getHostAddress(), mServer.getLocalPort());
+    }
+
     private ClientCall send() {
         return mClient.send(
-                new Endpoint(mServer.getInetAddress().getHostAddress(), mServer.getLocalPort()),
+                address(),
                 HttpMethod.POST,
                 "/lock",
                 new DefaultHttpHeaders().set("host", "a"),
@@ -110,8 +159,27 @@
         }
     }
 
+    /** Completes a future with the end of the response. */
+    private static final class EndListener extends NoOpListener {
+        private final CompletableFuture<Void> mEnd;
+
+        private EndListener(CompletableFuture<Void> end) {
+            mEnd = end;
+        }
+
+        @Override
+        public void onEnd(HttpHeaders trailers) {
+            mEnd.complete(null);
+        }
+
+        @Override
+        public void onFailure(Throwable failure) {
+            mEnd.completeExceptionally(failure);
+        }
+    }
+
     /** Ignores the response. */
-    private static final class NoOpListener implements ResponseListener {
+    private static class NoOpListener implements ResponseListener {
         @Override
         public void onHead(HttpResponse head) {}
 
