Bound the bytes of a response that belong to no body

Seen in tests on the code before (time limit 5 s): empty lines, interim responses and extensions of small chunks were read until the time limit of the request; three kinds of endless bodies filled the buffer of a collected response until then. Status lines, headers, chunk sizes and trailers were limited by the decoder.

--- a/http/src/main/java/org/dahliapass/http/ClientCall.java
+++ b/http/src/main/java/org/dahliapass/http/ClientCall.java
@@ -49,6 +49,14 @@
         }
     }
 
+    /**
+     * Ignores the rest of the response; the listener is not called again. The connection is reused
+     * if the rest is short and arrives soon, and closed otherwise.
+     */
+    public void discardRest() {
+        mFinished = true;
+    }
+
     /** Pauses or resumes reading the response, to apply backpressure to the server. */
     public void setAutoRead(boolean reading) {
         if (mConnection != null) {
--- a/http/src/main/java/org/dahliapass/http/ClientCodec.java
+++ b/http/src/main/java/org/dahliapass/http/ClientCodec.java
@@ -1,10 +1,19 @@
 package org.dahliapass.http;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.CombinedChannelDuplexHandler;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import java.util.List;
 
 /** A codec that encodes requests and strictly decodes responses of one connection. */
 final class ClientCodec
@@ -22,13 +31,19 @@
         mDecoder = decoder;
     }
 
-    /** Sets whether the next response has no body because it answers a HEAD request. */
-    void setBodiless(boolean bodiless) {
+    /**
+     * Prepares for the response to the next request.
+     *
+     * @param bodiless whether it has no body because it answers a HEAD request
+     */
+    void beginResponse(boolean bodiless) {
         mDecoder.mBodiless = bodiless;
+        mDecoder.mResponse = new ResponseBytes();
     }
 
     private static final class Decoder extends HttpResponseDecoder {
         private boolean mBodiless;
+        private ResponseBytes mResponse = new ResponseBytes();
 
         private Decoder() {
             super(
@@ -37,6 +52,31 @@
                             .setMaxHeaderSize(MAX_HEAD_BYTES));
         }
 
+        /** Decodes the next part, and fails if too many bytes belong to no body. */
+        @Override
+        protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> parts)
+                throws Exception {
+            int from = bytes.readerIndex();
+            int before = parts.size();
+            super.decode(context, bytes, parts);
+            mResponse.onDecoded(bytes.readerIndex() - from);
+            parts.subList(before, parts.size()).forEach(this::count);
+            if (mResponse.exceedsLimit()) {
+                HttpObject failed = new DefaultHttpContent(Unpooled.EMPTY_BUFFER);
+                failed.setDecoderResult(
+                        DecoderResult.failure(
+                                new TooLongFrameException(
+                                        "Too many bytes outside of the response's body.")));
+                parts.add(failed);
+            }
+        }
+
+        private void count(Object part) {
+            if (part instanceof HttpContent content) {
+                mResponse.onBody(content.content().readableBytes());
+            }
+        }
+
         @Override
         protected boolean isContentAlwaysEmpty(HttpMessage response) {
             return mBodiless || super.isContentAlwaysEmpty(response);
--- a/http/src/main/java/org/dahliapass/http/ClientConnection.java
+++ b/http/src/main/java/org/dahliapass/http/ClientConnection.java
@@ -14,9 +14,12 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 import java.net.ProtocolException;
 import java.nio.channels.ClosedChannelException;
 import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /** A connection to a server that carries one request at a time. */
@@ -26,6 +29,11 @@
 
     private static final long MILLIS_PER_SECOND = 1_000;
 
+    /** The bytes of a response that are discarded rather than opening another connection. */
+    private static final long MAX_DISCARDED_BYTES = 64 * 1024;
+
+    private static final long MAX_DISCARD_MILLIS = 500;
+
     private final Consumer<ClientConnection> mOnIdle;
     private final ClientCodec mCodec = new ClientCodec();
     private Channel mChannel;
@@ -35,6 +43,8 @@
     private boolean mKeepAlive;
     private boolean mRequestWritten;
     private boolean mResponseComplete;
+    private long mDiscardedBytes;
+    private Optional<Future<?>> mDiscardTimer = Optional.empty();
     private long mServerIdleMillis = Long.MAX_VALUE;
     private long mIdleSinceMillis;
 
@@ -115,7 +125,9 @@
         mResponseComplete = false;
         mRequestWritten = false;
         call.attach(this);
-        mCodec.setBodiless(HttpMethod.HEAD.equals(call.method()));
+        mCodec.beginResponse(HttpMethod.HEAD.equals(call.method()));
+        mDiscardedBytes = 0;
+        mDiscardTimer = Optional.empty();
         mChannel.writeAndFlush(call.toHttpRequest())
                 .addListener(
                         written -> {
@@ -214,9 +226,15 @@
         if (mInformational || !mHeadReceived) {
             return;
         }
-        if (content.content().isReadable() && !mCall.isFinished()) {
+        if (mCall.isFinished()) {
+            mDiscardedBytes += content.content().readableBytes();
+        } else if (content.content().isReadable()) {
             mCall.listener().onData(content.content());
         }
+        if (mDiscardedBytes > MAX_DISCARDED_BYTES) {
+            close();
+            return;
+        }
         if (content instanceof LastHttpContent last) {
             mResponseComplete = true;
             mCall.complete(last.trailingHeaders());
@@ -231,7 +249,11 @@
      */
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
-        if (mCall == null || !mResponseComplete) {
+        if (mCall == null) {
+            return;
+        }
+        if (!mResponseComplete) {
+            limitDiscarding();
             return;
         }
         mCall = null;
@@ -243,6 +265,27 @@
         }
     }
 
+    /** Closes the connection after a time if the rest of a response is discarded. */
+    private void limitDiscarding() {
+        if (!mCall.isFinished() || mDiscardTimer.isPresent()) {
+            return;
+        }
+        ClientCall call = mCall;
+        mDiscardTimer =
+                Optional.of(
+                        mChannel.eventLoop()
+                                .schedule(
+                                        () -> closeIfCarrying(call),
+                                        MAX_DISCARD_MILLIS,
+                                        TimeUnit.MILLISECONDS));
+    }
+
+    private void closeIfCarrying(ClientCall call) {
+        if (mCall == call) {
+            close();
+        }
+    }
+
     /** Fails the call, since a reset must not look like the end of a response without a length. */
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable failure) {
--- a/http/src/main/java/org/dahliapass/http/ResponseAggregator.java
+++ b/http/src/main/java/org/dahliapass/http/ResponseAggregator.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.net.ProtocolException;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -16,10 +17,14 @@
 final class ResponseAggregator implements ResponseListener {
     private static final int INITIAL_BODY_BYTES = 1_024;
 
+    /** Exceeds a copy of the largest configuration and all entries. */
+    private static final int MAX_BODY_BYTES = 32 * 1024 * 1024;
+
     private final EventLoop mLoop;
     private final Duration mTimeLimit;
     private final CompletableFuture<ClientResponse> mResponse = new CompletableFuture<>();
     private final ByteBuf mBody = Unpooled.buffer(INITIAL_BODY_BYTES);
+    private ClientCall mCall;
     private ScheduledFuture<?> mTimeoutTask;
     private int mStatus;
     private HttpHeaders mHeaders = EmptyHttpHeaders.INSTANCE;
@@ -34,6 +39,7 @@
     }
 
     void startTimeout(ClientCall call) {
+        mCall = call;
         if (mResponse.isDone()) {
             return;
         }
@@ -59,6 +65,11 @@
 
     @Override
     public void onData(ByteBuf chunk) {
+        if (mBody.readableBytes() + chunk.readableBytes() > MAX_BODY_BYTES) {
+            mCall.abort();
+            onFailure(new ProtocolException("The body exceeds " + MAX_BODY_BYTES + " bytes."));
+            return;
+        }
         mBody.writeBytes(chunk);
     }
 
--- a/standins/src/main/java/org/dahliapass/standins/SigningTargetStandIn.java
+++ b/standins/src/main/java/org/dahliapass/standins/SigningTargetStandIn.java
@@ -33,6 +33,10 @@
     private static final long RESET_DELAY_NANOS = 100_000_000;
 
     private final String mInstance;
+
+    /** Lets the bytes without end come faster than any limit of their number. */
+    private static final long CHUNK_INTERVAL_NANOS = 1_000_000;
+
     private final ServerSocket mSocket;
     private final List<ReceivedRequest> mReceivedRequests = new CopyOnWriteArrayList<>();
     private final List<Socket> mConnections = new CopyOnWriteArrayList<>();
@@ -150,6 +154,27 @@
             @Override
             void act(Socket connection, ReceivedRequest request) {}
         },
+        /** Sends a successful response whose chunks go on until the connection is closed. */
+        RESPOND_ENDLESS {
+            @Override
+            void act(Socket connection, ReceivedRequest request) throws IOException {
+                writeWithoutEnd(connection, head(request, 200, ""));
+            }
+        },
+        /** Sends a failure whose chunks go on until the connection is closed. */
+        FAIL_ENDLESS {
+            @Override
+            void act(Socket connection, ReceivedRequest request) throws IOException {
+                writeWithoutEnd(connection, head(request, 500, ""));
+            }
+        },
+        /** Sheds the request, with chunks that go on until the connection is closed. */
+        SHED_ENDLESS {
+            @Override
+            void act(Socket connection, ReceivedRequest request) throws IOException {
+                writeWithoutEnd(connection, head(request, 503, "X-Dahliapass-Not-Executed: 1\r\n"));
+            }
+        },
         /** Closes the connection without a response. */
         CLOSE {
             @Override
@@ -215,6 +240,17 @@
             return "answer to " + request.headers().get("x-dahliapass-attempt-id");
         }
 
+        private static void writeWithoutEnd(Socket connection, String head) throws IOException {
+            String chunked =
+                    head.replaceFirst("Content-Length: \\d+\r\n", "Transfer-Encoding: chunked\r\n");
+            write(connection, chunked);
+            String chunk = "10000\r\n" + "x".repeat(0x10000) + "\r\n";
+            while (true) {
+                write(connection, chunk);
+                java.util.concurrent.locks.LockSupport.parkNanos(CHUNK_INTERVAL_NANOS);
+            }
+        }
+
         private static void write(Socket connection, String bytes) throws IOException {
             OutputStream output = connection.getOutputStream();
             output.write(bytes.getBytes(StandardCharsets.ISO_8859_1));
