Close a connection to a target on bytes behind a response

Cause: a connection was reused whatever its decoder still held. Bytes that arrive after the next request was sent can't be told by their time; they end up in the head of its response.

Change: a connection whose decoder has read or holds anything behind the end of a response is closed. A head that contains a second status line, in its reason or a header, or has another protocol version, is malformed (ResponseHeadRule).

Tests: EndlessResponseTest#connectionWithAdditionalBytesIsNotReused, 4 of 6 cases fail on the code before; #headWithAnotherStatusLineFails, 2 of 5.

--- a/http/src/main/java/org/dahliapass/http/ClientCodec.java
+++ b/http/src/main/java/org/dahliapass/http/ClientCodec.java
@@ -12,7 +12,10 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.LastHttpContent;
 import java.util.List;
 
 /** A codec that encodes requests and strictly decodes responses of one connection. */
@@ -41,8 +44,14 @@
         mDecoder.mResponse = new ResponseBytes();
     }
 
+    /** Returns whether bytes have arrived behind the response, which belong to no request. */
+    boolean hasBytesBehindResponse() {
+        return mDecoder.hasBytesBehindResponse();
+    }
+
     private static final class Decoder extends HttpResponseDecoder {
         private boolean mBodiless;
+        private boolean mInterim;
         private ResponseBytes mResponse = new ResponseBytes();
 
         private Decoder() {
@@ -52,6 +61,10 @@
                             .setMaxHeaderSize(MAX_HEAD_BYTES));
         }
 
+        private boolean hasBytesBehindResponse() {
+            return mResponse.hasBytesBehind() || actualReadableBytes() > 0;
+        }
+
         /** Decodes the next part, and fails if too many bytes belong to no body. */
         @Override
         protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> parts)
@@ -72,9 +85,15 @@
         }
 
         private void count(Object part) {
+            if (part instanceof HttpResponse head) {
+                mInterim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+            }
             if (part instanceof HttpContent content) {
                 mResponse.onBody(content.content().readableBytes());
             }
+            if (part instanceof LastHttpContent && !mInterim) {
+                mResponse.onEnd();
+            }
         }
 
         @Override
--- a/http/src/main/java/org/dahliapass/http/ClientConnection.java
+++ b/http/src/main/java/org/dahliapass/http/ClientConnection.java
@@ -166,6 +166,11 @@
     }
 
     private void onHead(HttpResponse head) {
+        Optional<String> problem = ResponseHeadRule.problem(head);
+        if (problem.isPresent()) {
+            fail(new ProtocolException(problem.get()));
+            return;
+        }
         if (head.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
             fail(
                     new ProtocolException(
@@ -244,8 +249,8 @@
     /**
      * Releases the connection for reuse after a complete response.
      *
-     * <p>By now any bytes after the response have been read. If the server responded before the
-     * request was fully written, the connection is closed.
+     * <p>By now any bytes after the response have been read. If there are some, or if the server
+     * responded before the request was fully written, the connection is closed.
      */
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
@@ -258,7 +263,8 @@
         }
         mCall = null;
         mChannel.config().setAutoRead(true);
-        if (mKeepAlive && mRequestWritten && isOpen()) {
+        boolean isReusable = mKeepAlive && mRequestWritten && !mCodec.hasBytesBehindResponse();
+        if (isReusable && isOpen()) {
             mOnIdle.accept(this);
         } else {
             close();
--- a/http/src/main/java/org/dahliapass/http/ResponseBytes.java
+++ b/http/src/main/java/org/dahliapass/http/ResponseBytes.java
@@ -1,6 +1,6 @@
 package org.dahliapass.http;
 
-/** Counts the bytes of one response with its interim responses. */
+/** Counts the bytes of one response, its interim responses and what arrives behind it. */
 final class ResponseBytes {
     /** Exceeds two heads of the maximum size. */
     private static final long MAX_OVERHEAD_BYTES = 160 * 1024;
@@ -10,10 +10,13 @@
 
     private long mDecoded;
     private long mBody;
+    private boolean mEnded;
+    private boolean mHasBytesBehind;
 
     /** Adds bytes that were decoded. */
     void onDecoded(long bytes) {
         mDecoded += bytes;
+        mHasBytesBehind |= mEnded && bytes > 0;
     }
 
     /** Adds the decoded bytes that belong to the body. */
@@ -21,6 +24,16 @@
         mBody += bytes;
     }
 
+    /** Records the end of the response. */
+    void onEnd() {
+        mEnded = true;
+    }
+
+    /** Returns whether bytes were decoded behind the end of the response. */
+    boolean hasBytesBehind() {
+        return mHasBytesBehind;
+    }
+
     /**
      * Returns whether too many bytes belong to no body: interim responses, empty lines, heads,
      * chunk sizes with their extensions, and trailers, each of which could go on without end.
--- /dev/null
+++ b/http/src/main/java/org/dahliapass/http/ResponseHeadRule.java
@@ -0,0 +1,40 @@
+package org.dahliapass.http;
+
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.Map;
+import java.util.Optional;
+import java.util.regex.Pattern;
+
+/**
+ * Rejects a response head that begins with bytes of another one.
+ *
+ * <p>A faulty server may send the start of a second response, which arrives after the next request
+ * was sent. Its last line then continues with the status line of the next response, and the head
+ * combines the status of one with the headers of the other.
+ */
+final class ResponseHeadRule {
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5]\\d\\d");
+
+    private ResponseHeadRule() {}
+
+    /** Returns what is wrong with a head; empty if nothing is. */
+    static Optional<String> problem(HttpResponse head) {
+        HttpVersion version = head.protocolVersion();
+        if (!version.equals(HttpVersion.HTTP_1_1) && !version.equals(HttpVersion.HTTP_1_0)) {
+            return Optional.of("Unsupported protocol version " + version);
+        }
+        boolean containsStatusLine = containsStatusLine(head.status().reasonPhrase());
+        for (Map.Entry<String, String> header : head.headers()) {
+            containsStatusLine |= containsStatusLine(header.getValue());
+        }
+        return containsStatusLine
+                ? Optional.of("The head contains a second status line.")
+                : Optional.empty();
+    }
+
+    private static boolean containsStatusLine(String text) {
+        // A substring search is enough for nearly all heads.
+        return text.contains("HTTP/1.") && STATUS_LINE.matcher(text).find();
+    }
+}
--- a/http/src/test/java/org/dahliapass/http/EndlessResponseTest.java
+++ b/http/src/test/java/org/dahliapass/http/EndlessResponseTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
@@ -131,6 +132,41 @@
         assertEquals(takeSentBytes(), (long) CHUNKED.length());
     }
 
+    @DataProvider
+    public Object[][] additionalBytes() {
+        return new Object[][] {
+            {"\r\n"},
+            {"H"},
+            {"HTTP/1.1 503 Service Unavailable\r\nA: b"},
+            {"HTTP/1.1 102 Processing\r\n\r\n"},
+            {"HTTP/1.1 102 Processing\r\nA"},
+            {"1\r\n"},
+        };
+    }
+
+    /** Guards against a response that is read with the status of bytes behind the one before. */
+    @Test(dataProvider = "additionalBytes")
+    public void connectionWithAdditionalBytesIsNotReused(String additional) throws Exception {
+        serve(COMPLETE + additional, "");
+        assertEquals(fetch().join().status(), 200);
+        assertEquals(takeSentBytes(), (long) COMPLETE.length() + additional.length());
+    }
+
+    @DataProvider
+    public Object[][] mixedHeads() {
+        String start = "HTTP/1.1 503 Service Unavailable\r\nDate: Fri,";
+        return new Object[][] {
+            {"HTT"}, {"HTTP/1.1 50"}, {"HTTP/1.1 503 Serv"}, {start}, {start + "\r\n"},
+        };
+    }
+
+    /** Guards against the same if those bytes arrive after the next request was sent. */
+    @Test(dataProvider = "mixedHeads")
+    public void headWithAnotherStatusLineFails(String additional) throws Exception {
+        serve(additional + COMPLETE, "");
+        assertThrows(CompletionException.class, () -> fetch().join());
+    }
+
     private CompletableFuture<ClientResponse> fetch() {
         return mClient.fetch(
                 address(),
