End a streamed response that its target doesn't complete in time

Seen (review): answers of 3 MB that stop after 2.5 MB had no end; none of 12 had ended when their clients left after 20 s.

Cause: the deadline of a request was cancelled once its response began to be streamed.

Change: the deadline stays until the target's last byte has come. It then ends the attempt and the caller's connection, so the response doesn't look complete, and the log names the limit (response_cut). The time in which the caller didn't read doesn't count, up to 30 s: SmallMemoryLimitTest#largeResponseArrivesWhole, whose caller reads slowly, was cut without that. The rest of a response that states that the request wasn't executed, or that another VM's refusal has, is discarded within the limits of ClientCall#discardRest; it was read without any.

--- a/gateway/src/main/java/org/dahliapass/gateway/CallerResponse.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/CallerResponse.java
@@ -8,6 +8,22 @@
     /** Sends the response. */
     void send(ServerCall call);
 
+    /** Returns whether a part of the response has not come from the target yet. */
+    default boolean isArriving() {
+        return false;
+    }
+
+    /**
+     * Returns for how long the response could not be read from the target because the caller didn't
+     * read it, in milliseconds.
+     */
+    default long pausedMillis() {
+        return 0;
+    }
+
+    /** Ends a response that the target has not completed in time. */
+    default void endLate() {}
+
     /** Releases a response that is not sent. */
     void discard();
 
--- a/gateway/src/main/java/org/dahliapass/gateway/ExchangeLog.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ExchangeLog.java
@@ -64,4 +64,18 @@
                     digest.ifPresent(known -> line.put("digest", known.hex()));
                 });
     }
+
+    /** Writes that a response was cut, because its target didn't complete it in time. */
+    void writeCut() {
+        long tookMillis = mClock.millis() - mRequest.arrivalMillis();
+        long timeoutMillis = mRequest.route().timeout().toMillis();
+        mLog.write(
+                EventLog.Kind.REQUEST,
+                "response_cut",
+                line ->
+                        line.put("id", mRequest.id())
+                                .put("route", mRequest.route().name())
+                                .put("took_ms", tookMillis)
+                                .put("limit", tookMillis < timeoutMillis ? "caller" : "route"));
+    }
 }
--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
@@ -47,6 +47,9 @@
      */
     private static final long HEDGE_RETRY_MILLIS = 100;
 
+    /** The time that a caller may add to a response by reading it slowly. */
+    private static final long MAX_PAUSED_MILLIS = 30_000;
+
     private static final String CALLER_LEFT = "the caller left";
 
     private static final String UNEXPECTED = "an unexpected exception";
@@ -76,6 +79,10 @@
     private ScheduledFuture<?> mDeadlineTimer;
     private ScheduledFuture<?> mHedgeTimer;
     private Optional<AttemptResult.Responded> mErrorResponse = Optional.empty();
+
+    /** The response that was sent, while a part of it has not come from the target. */
+    private Optional<CallerResponse> mArriving = Optional.empty();
+
     private int mTargetsReached;
     private int mAttempts;
     private int mConnectFailures;
@@ -889,6 +896,7 @@
     private void onDeadline() {
         if (mFinished) {
             abortAttempts(FailureKind.TIMED_OUT);
+            endArriving();
             return;
         }
         mMayHaveExecuted |= mRunningAttempts.sentCount() > 0;
@@ -910,6 +918,30 @@
         }
     }
 
+    /**
+     * Ends a response that is forwarded as it arrives, and that its target didn't complete in time.
+     * The time in which the caller didn't read doesn't count, up to a limit.
+     */
+    private void endArriving() {
+        Optional<CallerResponse> late = mArriving.filter(CallerResponse::isArriving);
+        if (late.isEmpty()) {
+            return;
+        }
+        long pausedMillis = Math.min(late.get().pausedMillis(), MAX_PAUSED_MILLIS);
+        long leftMillis = mRequest.deadlineMillis() + pausedMillis - mClock.millis();
+        if (leftMillis > 0) {
+            mDeadlineTimer =
+                    mLoop.schedule(
+                            () -> guard(Step.END, this::endArriving),
+                            leftMillis,
+                            TimeUnit.MILLISECONDS);
+            return;
+        }
+        mArriving = Optional.empty();
+        late.get().endLate();
+        mLog.writeCut();
+    }
+
     /**
      * Ends the exchange after the caller disconnected. Repeatable requests are aborted at their
      * targets; at-most-once requests that were sent run until their deadline, because aborting one
@@ -954,7 +986,8 @@
         }
         cancelPendingSlot();
         cancelAttempts(Attempt::endsWithCaller);
-        if (mRunningAttempts.isEmpty()) {
+        mArriving = Optional.ofNullable(response).filter(CallerResponse::isArriving);
+        if (mRunningAttempts.isEmpty() && mArriving.isEmpty()) {
             mDeadlineTimer.cancel(false);
         }
         mErrorResponse
--- a/gateway/src/main/java/org/dahliapass/gateway/RelayAttempt.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/RelayAttempt.java
@@ -185,12 +185,10 @@
             head.headers().remove(RelayHeader.NAME);
             mCollector =
                     new ResponseCollector(
-                            head,
-                            mCall::setAutoRead,
-                            () -> abort(FailureKind.CANCELLED_BY_CALLER),
-                            mConnections.memory());
+                            head, mCall::setAutoRead, this::abort, mConnections.memory());
             return;
         }
+        mCall.discardRest();
         if (check != ResponseCheck.MISMATCHED && NOT_EXECUTED_STATUSES.contains(status)) {
             mResult.complete(
                     new AttemptResult.Refused(
--- a/gateway/src/main/java/org/dahliapass/gateway/RequestMemory.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/RequestMemory.java
@@ -109,6 +109,11 @@
         return isExact ? bytes : Math.max(1, Long.highestOneBit(2 * bytes - 1));
     }
 
+    /** Returns the current time, in milliseconds. */
+    long nowMillis() {
+        return mClock.millis();
+    }
+
     /** Starts to hold the memory for the buffer of a response, in bytes. */
     MemoryAccount.Holding holdResponse(long bytes) {
         return mAccount.hold(MemoryReason.RESPONSE, bytes);
--- a/gateway/src/main/java/org/dahliapass/gateway/ResponseCollector.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ResponseCollector.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.dahliapass.decisions.memory.MemoryAccount;
+import org.dahliapass.decisions.traffic.FailureKind;
 import org.dahliapass.http.HopByHopHeaders;
 import org.dahliapass.http.ServerResponse;
 
@@ -23,7 +24,7 @@
 
     private final HttpResponse mHead;
     private final Consumer<Boolean> mSetReading;
-    private final Runnable mAbort;
+    private final Consumer<FailureKind> mAbort;
     private final RequestMemory mMemory;
     private final MemoryAccount.Holding mHolding;
     private final int mMaxBufferedBytes;
@@ -39,7 +40,10 @@
      * @param memory accounts for the buffer
      */
     ResponseCollector(
-            HttpResponse head, Consumer<Boolean> setReading, Runnable abort, RequestMemory memory) {
+            HttpResponse head,
+            Consumer<Boolean> setReading,
+            Consumer<FailureKind> abort,
+            RequestMemory memory) {
         mMemory = memory;
         mHead = head;
         mSetReading = setReading;
--- a/gateway/src/main/java/org/dahliapass/gateway/StreamedResponse.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/StreamedResponse.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.function.Consumer;
 import org.dahliapass.decisions.memory.MemoryAccount;
+import org.dahliapass.decisions.traffic.FailureKind;
 import org.dahliapass.http.ServerCall;
 
 /**
@@ -19,10 +20,14 @@
     private final long mLength;
     private final ByteBuf mFirstChunk;
     private final Consumer<Boolean> mSetReading;
-    private final Runnable mAbort;
+    private final Consumer<FailureKind> mAbort;
     private final RequestMemory mMemory;
     private final MemoryAccount.Holding mHolding;
     private ServerCall mCall;
+    private boolean mEnded;
+    private boolean mIsPaused;
+    private long mPauseStartMillis;
+    private long mPausedMillis;
 
     /**
      * Creates a response.
@@ -40,7 +45,7 @@
             long length,
             ByteBuf firstChunk,
             Consumer<Boolean> setReading,
-            Runnable abort,
+            Consumer<FailureKind> abort,
             RequestMemory memory,
             MemoryAccount.Holding holding) {
         mMemory = memory;
@@ -56,22 +61,49 @@
     @Override
     public void send(ServerCall call) {
         mCall = call;
-        call.onDisconnect(mAbort);
+        call.onDisconnect(() -> mAbort.accept(FailureKind.CANCELLED_BY_CALLER));
         call.onWritable(this::onWritable);
         mMemory.onResponse(call, mHolding);
         call.startResponse(mStatus, mHeaders, mLength);
         write(mFirstChunk);
     }
 
+    @Override
+    public boolean isArriving() {
+        return !mEnded;
+    }
+
+    /** Ends the response at the target and towards the caller. */
+    @Override
+    public void endLate() {
+        mAbort.accept(FailureKind.TIMED_OUT);
+        abort();
+    }
+
+    @Override
+    public long pausedMillis() {
+        return mPausedMillis + (mIsPaused ? mMemory.nowMillis() - mPauseStartMillis : 0);
+    }
+
+    private void setPaused(boolean isPaused) {
+        if (isPaused == mIsPaused) {
+            return;
+        }
+        mPausedMillis = pausedMillis();
+        mPauseStartMillis = mMemory.nowMillis();
+        mIsPaused = isPaused;
+        mSetReading.accept(!isPaused);
+    }
+
     @Override
     public void discard() {
         mHolding.release();
-        mAbort.run();
+        mAbort.accept(FailureKind.CANCELLED_BY_CALLER);
     }
 
     private void onWritable() {
         mHolding.resize(mCall.unwrittenBytes());
-        mSetReading.accept(true);
+        setPaused(false);
     }
 
     /** Writes a chunk of the body to the caller; takes ownership of the buffer. */
@@ -83,11 +115,12 @@
         mCall.write(chunk);
         mHolding.resize(mCall.unwrittenBytes());
         if (!mCall.isWritable()) {
-            mSetReading.accept(false);
+            setPaused(true);
         }
     }
 
     void end(HttpHeaders trailers) {
+        mEnded = true;
         if (mCall != null) {
             mCall.endResponse(trailers);
         }
@@ -95,6 +128,7 @@
 
     /** Aborts the response to the caller, so that it does not appear complete. */
     void abort() {
+        mEnded = true;
         if (mCall != null) {
             mCall.abort();
         }
--- a/gateway/src/main/java/org/dahliapass/gateway/TargetAttempt.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/TargetAttempt.java
@@ -303,24 +303,24 @@
         if (check == ResponseCheck.VALID) {
             mCollector =
                     new ResponseCollector(
-                            head,
-                            mCall::setAutoRead,
-                            () -> abort(FailureKind.CANCELLED_BY_CALLER),
-                            mConnections.memory());
+                            head, mCall::setAutoRead, this::abort, mConnections.memory());
             return;
         }
         if (check.isFromOtherInstance(status) && mPool.runtime().tracksReplacedTargets()) {
             mPool.runtime().onReplaced(mSlot);
             release(check.failureKind());
+            mCall.discardRest();
             mResult.complete(new AttemptResult.Replaced(target()));
             return;
         }
-        fail(check.failureKind(), check.cause() + " (status " + status + ")");
-        if (check != ResponseCheck.NOT_EXECUTED) {
+        if (check == ResponseCheck.NOT_EXECUTED) {
+            mCall.discardRest();
+        } else {
             // Guards against further bytes of unknown origin on a connection that serves the next
             // request.
             mCall.abort();
         }
+        fail(check.failureKind(), check.cause() + " (status " + status + ")");
     }
 
     @Override
--- a/gateway/src/test/java/org/dahliapass/gateway/SmallMemoryLimitTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/SmallMemoryLimitTest.java
@@ -64,7 +64,7 @@
             HttpUtil.setContentLength(head, bytes);
         }
         ResponseCollector collector =
-                new ResponseCollector(head, isReading -> {}, () -> {}, mMemory);
+                new ResponseCollector(head, isReading -> {}, kind -> {}, mMemory);
         Optional<CallerResponse> response = Optional.empty();
         for (int sent = 0; sent < bytes; sent += CHUNK_BYTES) {
             ByteBuf chunk = Unpooled.wrappedBuffer(new byte[CHUNK_BYTES]);
