Keep the runtime of a service when its number of slots changes

Seen (review): 8 targets of 6 slots, a ninth of 8 that joins, then one of the first drains: with 250, 400 and 600 clients 4, 22 and 24 requests reached it later than the drain time, 0, 10 and 12 unsafe ones ended 502.

Cause: a new runtime was made when the highest number of slots changed. Requests that wait or run kept the old one, which learned of no later change.

Change: the runtime outlives the change; its slots, like its queue limits, follow the service (SlotTable#setSlotsPerTarget). The services of the entry VM had the same fault.

Test: GatewayLifecycleTest#serviceKeepsItsRuntimeWhenSlotsChange. The review's trial wasn't played again.

--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/LoadBalancer.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/LoadBalancer.java
@@ -54,7 +54,7 @@
     private final SlotTable mSlots;
     private final PassiveFailureDetector mFailureDetector;
     private final TrafficPolicy mPolicy;
-    private final int mBulkySlotsPerTarget;
+    private final double mBulkyShare;
     private final TargetSelector mSelector;
     private final TargetLimits mLimits;
     private final TargetAvailability mAvailability;
@@ -170,7 +170,7 @@
         mLimits = limits;
         mAvailability = availability;
         mAcceptance = acceptance;
-        mBulkySlotsPerTarget = Math.max(1, (int) (slots.slotsPerTarget() * bulkyShare));
+        mBulkyShare = bulkyShare;
         mSelector =
                 new TargetSelector(
                         zone, policy, acceptance, floorShare, slots, failureDetector, random);
@@ -534,8 +534,12 @@
         return target.acceptsAtMostOnce() || kind.idempotency() != Idempotency.AT_MOST_ONCE;
     }
 
+    private int bulkySlotsPerTarget() {
+        return Math.max(1, (int) (mSlots.slotsPerTarget() * mBulkyShare));
+    }
+
     private boolean hasBulkyRoom(WeightedTarget target, RequestKind kind) {
-        return !kind.bulky() || mSlots.ownBulkyInFlight(target.endpoint()) < mBulkySlotsPerTarget;
+        return !kind.bulky() || mSlots.ownBulkyInFlight(target.endpoint()) < bulkySlotsPerTarget();
     }
 
     /**
@@ -601,10 +605,10 @@
      * totals only, so each VM limits itself to its share of the bulky slots of all targets.
      */
     private int bulkyLimit() {
-        if (mBulkySlotsPerTarget >= mSlots.slotsPerTarget()) {
+        if (bulkySlotsPerTarget() >= mSlots.slotsPerTarget()) {
             return Integer.MAX_VALUE;
         }
-        int bulkySlots = mBulkySlotsPerTarget * mTargets.size();
+        int bulkySlots = bulkySlotsPerTarget() * mTargets.size();
         return Math.max(1, bulkySlots / mSlots.cellSize());
     }
 }
--- a/decisions/src/main/java/org/dahliapass/decisions/traffic/SlotTable.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/traffic/SlotTable.java
@@ -18,10 +18,10 @@
     /** Reports older than this many half-lives are dropped. */
     private static final int MAX_HALF_LIVES = 4;
 
-    private final int mSlotsPerTarget;
     private final long mHalfLifeMillis;
     private final Map<Endpoint, OwnSlots> mOwnSlots = new HashMap<>();
     private final Map<Endpoint, Map<VmIdentity, PeerReport>> mReports = new HashMap<>();
+    private int mSlotsPerTarget;
     private int mOwnTotal;
     private int mOwnBulkyTotal;
     private int mCellSize = 1;
@@ -39,6 +39,11 @@
         mHalfLifeMillis = halfLifeMillis;
     }
 
+    /** Sets the requests that a target processes concurrently. */
+    public void setSlotsPerTarget(int slotsPerTarget) {
+        mSlotsPerTarget = slotsPerTarget;
+    }
+
     /** Sets the live members of the cell, including this VM; drops the reports of all others. */
     public void onCell(VmIdentity self, List<VmIdentity> members) {
         TreeSet<VmIdentity> sorted = new TreeSet<>(members);
--- a/entry/src/main/java/org/dahliapass/entry/ServiceTable.java
+++ b/entry/src/main/java/org/dahliapass/entry/ServiceTable.java
@@ -186,7 +186,9 @@
             ServiceTemplate template, VmIdentity self, List<VmIdentity> cell) {
         ServiceTemplate before = mTemplates.put(template.id(), template);
         ServiceRuntime runtime = mRuntimes.get(template.id());
-        if (runtime == null || !runtime.isCompatibleWith(template)) {
+        if (runtime != null) {
+            runtime.onTemplate(template);
+        } else {
             runtime =
                     new ServiceRuntime(
                             mSettings.availabilityZone(),
--- a/gateway/src/main/java/org/dahliapass/gateway/ServicePools.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ServicePools.java
@@ -455,11 +455,8 @@
             removeReplaced(health, template, previous, targets, now);
             health.update(template, now);
         }
-        boolean isReusable =
-                previous != null
-                        && previousTemplate != null
-                        && previousTemplate.slotsPerTarget() == template.slotsPerTarget();
-        ServiceRuntime runtime = isReusable ? previous.runtime() : newRuntime(template);
+        // Requests that wait or run keep the runtime, and must learn of all later changes.
+        ServiceRuntime runtime = previous == null ? newRuntime(template) : previous.runtime();
         runtime.onTemplate(template);
         if (previous != null) {
             runtime.forget(replaced(previous, targets));
--- a/gateway/src/test/java/org/dahliapass/gateway/GatewayLifecycleTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/GatewayLifecycleTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertSame;
 import static org.testng.Assert.assertTrue;
 
 import java.net.InetSocketAddress;
@@ -18,6 +19,7 @@
 import org.dahliapass.standins.GatewayFixtures;
 import org.dahliapass.standins.SigningTargetStandIn;
 import org.dahliapass.standins.SigningTargetStandIn.Behaviour;
+import org.dahliapass.traffic.ServiceRuntime;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -226,6 +228,30 @@
         drained.join();
     }
 
+    /**
+     * Guards against requests that wait or run and learn of no drain, because a target joined with
+     * another number of slots.
+     */
+    @Test
+    public void serviceKeepsItsRuntimeWhenSlotsChange() {
+        ServicePools pools = mFixture.mVm.kernel().find(ServicePools.NAME, ServicePools.class);
+        ServiceRuntime runtime = pools.find("x").orElseThrow().runtime();
+        try (SigningTargetStandIn joining = new SigningTargetStandIn("i-more-slots")) {
+            joining.start();
+            String registration = joining.registration("x", "ready");
+            mFixture.mStore.put(joining.key(), registration.replace("\"slots\":3", "\"slots\":8"));
+            GatewayFixture.await(
+                    () -> {
+                        String unused = mFixture.get("/r/more");
+                        return pools.find("x")
+                                .orElseThrow()
+                                .registrationAt(joining.endpoint())
+                                .isPresent();
+                    });
+            assertSame(pools.find("x").orElseThrow().runtime(), runtime);
+        }
+    }
+
     /** Guards against a response that is cut, because its VM exits while the client reads it. */
     @Test
     public void drainEndsAfterTheClientHasClosedItsConnection() throws Exception {
--- a/traffic/src/main/java/org/dahliapass/traffic/ServiceRuntime.java
+++ b/traffic/src/main/java/org/dahliapass/traffic/ServiceRuntime.java
@@ -81,7 +81,6 @@
     private static final int SUMMARY_CUSTOMERS = 3;
 
     private final ServiceId mId;
-    private final int mSlotsPerTarget;
     private final TrafficPolicy mPolicy;
     private final Clock mClock;
     private final TargetEventListener mEventListener;
@@ -153,7 +152,6 @@
         mPolicy = policy;
         mBudget = new RetryBudget(policy.hedgesByAge());
         mId = template.id();
-        mSlotsPerTarget = template.slotsPerTarget();
         mClock = clock;
         mEventListener = eventListener;
         mMetrics = metrics;
@@ -198,11 +196,6 @@
         return mPolicy;
     }
 
-    /** Returns whether this runtime can apply a new revision of the service. */
-    public boolean isCompatibleWith(ServiceTemplate template) {
-        return template.slotsPerTarget() == mSlotsPerTarget;
-    }
-
     /**
      * Acquires a slot for a request's first attempt, at once or after queueing.
      *
@@ -492,12 +485,13 @@
     }
 
     /**
-     * Applies a compatible new revision of the service.
+     * Applies a new revision of the service.
      *
-     * <p>Updates the queue limits, since those computed before the targets were known may be too
-     * low.
+     * <p>Updates the slots and the queue limits, since those computed before the targets were known
+     * may be too low.
      */
     public synchronized void onTemplate(ServiceTemplate template) {
+        mSlots.setSlotsPerTarget(template.slotsPerTarget());
         mQueue.setLimits(QueueLimits.forService(template));
     }
 
@@ -723,7 +717,7 @@
                 mFailureDetector.failingProbability(target, now),
                 load,
                 mSlots.ownInFlight(target) - 1 + mSlots.peersInFlight(target, now),
-                mSlotsPerTarget);
+                mSlots.slotsPerTarget());
     }
 
     /**
