Keep a connection that ends until its client closes it if writes were dropped

Cause: the writes that fail when the sending half is closed closed the connection at once, because the close was recorded only after it had begun. An aborted response that the kernel had not accepted whole was followed by a reset on the client's next bytes.

Change: the close is recorded before it begins.

Test: LingeringCloseTest#partOfAnAbortedResponseIsFollowedByTheEnd fails with a reset in the order before.

--- a/http/src/main/java/org/dahliapass/http/LingeringClose.java
+++ b/http/src/main/java/org/dahliapass/http/LingeringClose.java
@@ -17,25 +17,24 @@
     private final DuplexChannel mChannel;
     private final DiscardLimit mLimit;
 
-    private LingeringClose(DuplexChannel channel, DiscardLimit limit) {
+    LingeringClose(DuplexChannel channel, long nowMillis) {
         mChannel = channel;
-        mLimit = limit;
+        mLimit = new DiscardLimit(nowMillis);
     }
 
     /**
-     * Begins to close a connection. What was written and not yet accepted by the kernel is dropped.
+     * Begins to close the connection. What was written and not yet accepted by the kernel is
+     * dropped, and its writes fail before this method returns.
      */
-    static LingeringClose begin(DuplexChannel channel, long nowMillis) {
-        LingeringClose close = new LingeringClose(channel, new DiscardLimit(nowMillis));
-        channel.pipeline().addFirst(close);
-        channel.shutdownOutput()
+    void begin() {
+        mChannel.pipeline().addFirst(this);
+        mChannel.shutdownOutput()
                 .addListener(
                         done -> {
                             if (!done.isSuccess()) {
-                                close.end();
+                                end();
                             }
                         });
-        return close;
     }
 
     /** Ends the connection if the client has not closed it in time. */
--- a/http/src/main/java/org/dahliapass/http/ServerConnection.java
+++ b/http/src/main/java/org/dahliapass/http/ServerConnection.java
@@ -360,8 +360,11 @@
             return;
         }
         mReadPause.update(false);
-        mClose = Optional.of(LingeringClose.begin(duplex, mClock.millis()));
+        LingeringClose close = new LingeringClose(duplex, mClock.millis());
+        // Set first, because the writes that fail must not close the connection.
+        mClose = Optional.of(close);
         mLingering.add(this);
+        close.begin();
         updateIdle();
         // Later, because a handler may be calling.
         loop().execute(this::cancelCalls);
--- a/http/src/test/java/org/dahliapass/http/LingeringCloseTest.java
+++ b/http/src/test/java/org/dahliapass/http/LingeringCloseTest.java
@@ -34,9 +34,12 @@
     private static final int RECEIVE_BUFFER_BYTES = 8_192;
     private static final int READ_TIMEOUT_MILLIS = 20_000;
 
-    /** Exceeds what the kernel accepts for a client that doesn't read. */
+    /** Exceeds what the client's window admits. */
     private static final byte[] BODY = new byte[1_000_000];
 
+    /** More than the kernel accepts for a client that doesn't read. */
+    private static final int LARGE_BYTES = 16 * 1024 * 1024;
+
     private static final String REQUEST = "GET /PATH HTTP/1.1\r\nHost: a\r\n\r\n";
     private static final String CHUNKED =
             "POST /PATH HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -86,6 +89,15 @@
                 call.write(Unpooled.wrappedBuffer(new byte[1]));
                 call.abort();
             }
+        },
+        /** The response is aborted while a part of it waits for the kernel. */
+        ABORTED_WITHIN {
+            @Override
+            void respond(ServerCall call) {
+                call.startResponse(HttpResponseStatus.OK, EmptyHttpHeaders.INSTANCE, LARGE_BYTES);
+                call.write(Unpooled.wrappedBuffer(new byte[LARGE_BYTES - 1]));
+                call.abort();
+            }
         };
 
         abstract void respond(ServerCall call);
@@ -170,6 +182,18 @@
         assertEquals(input.readAllBytes().length, 1);
     }
 
+    /** Guards against the same if the kernel has not accepted all of the aborted response. */
+    @Test
+    public void partOfAnAbortedResponseIsFollowedByTheEnd() throws IOException {
+        Socket client = open();
+        send(client, REQUEST, Answer.ABORTED_WITHIN);
+        await(1);
+        client.getOutputStream().write(new byte[10_000]);
+        InputStream input = client.getInputStream();
+        readHead(input);
+        assertTrue(input.readAllBytes().length < LARGE_BYTES);
+    }
+
     @DataProvider
     public Object[][] endlessBodies() {
         return new Object[][] {{Answer.CLOSED}, {Answer.KEPT}, {Answer.TOO_LARGE}};
