Reject a response whose status the protocol does not allow

A server in trouble sent an answer whose status was 000, and the caller got it as an answer: "HTTP/1.1 0 X". The decoder accepts any number as a status, and nothing after it looked at the number.

ResponseHeadRule now rejects a status outside of 100 to 599 (RFC 9110, 15). It is applied to every head that HttpClient reads, so a request that may be repeated goes to another target, and any other one ends with 502.

Before the change, all 5 statuses of InvalidResponseTest (000, 099, 600, 999, 20) were received as answers over a socket, and both tests of GatewayInvalidResponseTest failed: the caller got the status 0. With it, they pass.

--- a/http/src/main/java/org/dahliapass/http/ResponseHeadRule.java
+++ b/http/src/main/java/org/dahliapass/http/ResponseHeadRule.java
@@ -7,15 +7,22 @@
 import java.util.regex.Pattern;
 
 /**
- * Rejects a response head that begins with bytes of another one.
+ * Rejects a response head that the protocol does not allow or that begins with bytes of another
+ * one.
  *
- * <p>A faulty server may send the start of a second response, which arrives after the next request
- * was sent. Its last line then continues with the status line of the next response, and the head
- * combines the status of one with the headers of the other.
+ * <p>The decoder accepts any number as a status. A faulty server may send the start of a second
+ * response, which arrives after the next request was sent. Its last line then continues with the
+ * status line of the next response, and the head combines the status of one with the headers of the
+ * other.
  */
 final class ResponseHeadRule {
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5]\\d\\d");
 
+    /** The statuses that have a meaning (RFC 9110, 15). */
+    private static final int MIN_STATUS = 100;
+
+    private static final int MAX_STATUS = 599;
+
     private ResponseHeadRule() {}
 
     /** Returns what is wrong with a head; empty if nothing is. */
@@ -24,6 +31,17 @@
         if (!version.equals(HttpVersion.HTTP_1_1) && !version.equals(HttpVersion.HTTP_1_0)) {
             return Optional.of("Unsupported protocol version " + version);
         }
+        int status = head.status().code();
+        if (status < MIN_STATUS || status > MAX_STATUS) {
+            return Optional.of(
+                    "The status is "
+                            + status
+                            + "; expected "
+                            + MIN_STATUS
+                            + " to "
+                            + MAX_STATUS
+                            + ".");
+        }
         boolean containsStatusLine = containsStatusLine(head.status().reasonPhrase());
         for (Map.Entry<String, String> header : head.headers()) {
             containsStatusLine |= containsStatusLine(header.getValue());
--- /dev/null
+++ b/http/src/test/java/org/dahliapass/http/RawResponseServer.java
@@ -0,0 +1,79 @@
+package org.dahliapass.http;
+
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import org.dahliapass.model.Endpoint;
+
+/** A server that answers each connection with raw bytes as soon as a request begins to arrive. */
+final class RawResponseServer implements AutoCloseable {
+    private static final int RECEIVE_BUFFER_BYTES = 4_096;
+
+    private final ServerSocket mServer;
+
+    RawResponseServer() throws IOException {
+        mServer = new ServerSocket();
+        mServer.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+        mServer.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    }
+
+    Endpoint address() {
+        return new Endpoint(mServer.getInetAddress().getHostAddress(), mServer.getLocalPort());
+    }
+
+    /** Answers all connections, and ends each in an orderly way once the request was read. */
+    void respond(String response) {
+        serve(
+                connection -> {
+                    write(connection, response);
+                    connection.shutdownOutput();
+                    long rest =
+                            connection.getInputStream().transferTo(OutputStream.nullOutputStream());
+                    assertTrue(rest >= 0);
+                });
+    }
+
+    private void serve(Exchange exchange) {
+        Thread server =
+                new Thread(
+                        () -> {
+                            while (!mServer.isClosed()) {
+                                serveNext(exchange);
+                            }
+                        });
+        server.setDaemon(true);
+        server.start();
+    }
+
+    private void serveNext(Exchange exchange) {
+        try (Socket connection = mServer.accept()) {
+            InputStream input = connection.getInputStream();
+            if (input.read() >= 0) {
+                exchange.run(connection);
+            }
+        } catch (IOException closed) {
+            // The client or the test has closed the connection.
+        }
+    }
+
+    private static void write(Socket connection, String response) throws IOException {
+        connection.getOutputStream().write(response.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    @Override
+    public void close() throws IOException {
+        mServer.close();
+    }
+
+    /** What the server does on a connection once a request has begun to arrive. */
+    private interface Exchange {
+        void run(Socket connection) throws IOException;
+    }
+}
--- a/standins/src/main/java/org/dahliapass/standins/SigningTargetStandIn.java
+++ b/standins/src/main/java/org/dahliapass/standins/SigningTargetStandIn.java
@@ -54,6 +54,13 @@
                 write(connection, head(request, 200, "") + body(request));
             }
         },
+        /** Sends a complete response whose status is 000. */
+        RESPOND_STATUS_ZERO {
+            @Override
+            void act(Socket connection, ReceivedRequest request) throws IOException {
+                write(connection, head(request, 200, "").replace(" 200 ", " 000 ") + body(request));
+            }
+        },
         /** Sends a complete response of 4 MiB, more than a VM buffers. */
         RESPOND_LARGE {
             @Override
