Let only the server's orderly end complete a body without length

A server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

The codec ends a body without a length whenever its channel becomes inactive. A reset that is found by a read raises an exception first, which fails the call. One that is found by a write closes the channel at once, without any exception, and the codec then reports the end of the body. The same happens when this side closes the connection.

Connections of HttpClient now use half-closure, so that the end which the server sent arrives as an event of its own. OrderlyEndHandler passes that event on to the codec, unless a reset came first, and keeps every other end of the channel from the codec, so the call fails.

ClientConnectionTest had a test that counted a close by this side as the end of the body, since an embedded channel has no other end. It is replaced by two: the server's end completes the body, a close by this side fails it.

--- a/http/src/main/java/org/dahliapass/http/HttpClient.java
+++ b/http/src/main/java/org/dahliapass/http/HttpClient.java
@@ -256,7 +256,12 @@
 
         @Override
         protected void initChannel(SocketChannel channel) {
-            channel.pipeline().addLast(mConnection.idleGuard(), mConnection.codec(), mConnection);
+            channel.pipeline()
+                    .addLast(
+                            new OrderlyEndHandler(),
+                            mConnection.idleGuard(),
+                            mConnection.codec(),
+                            mConnection);
             mOpen.add(mConnection);
             channel.closeFuture().addListener(closed -> mOpen.remove(mConnection));
         }
--- a/http/src/test/java/org/dahliapass/http/ClientConnectionTest.java
+++ b/http/src/test/java/org/dahliapass/http/ClientConnectionTest.java
@@ -7,6 +7,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -34,7 +35,12 @@
         mIdle = new ArrayList<>();
         mEvents = new ArrayList<>();
         mConnection = new ClientConnection(mIdle::add);
-        mChannel = new EmbeddedChannel(mConnection.idleGuard(), mConnection.codec(), mConnection);
+        mChannel =
+                new EmbeddedChannel(
+                        new OrderlyEndHandler(),
+                        mConnection.idleGuard(),
+                        mConnection.codec(),
+                        mConnection);
         mCall =
                 new ClientCall(
                         HttpMethod.GET,
@@ -106,10 +112,19 @@
     }
 
     @Test
-    public void responseWithoutLengthEndsWhenTheConnectionCloses() {
+    public void responseWithoutLengthEndsWhenTheServerEndsTheConnection() {
         receive("HTTP/1.1 200 OK\r\n\r\nhi");
-        mChannel.close().syncUninterruptibly();
+        mChannel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
         assertEquals(mEvents, List.of("head 200", "hi", "end"));
+        assertFalse(mChannel.isActive());
+    }
+
+    /** A response that this side cuts off must not look complete. */
+    @Test
+    public void responseWithoutLengthFailsWhenThisSideCloses() {
+        receive("HTTP/1.1 200 OK\r\n\r\nhi");
+        mChannel.close().syncUninterruptibly();
+        assertEquals(mEvents, List.of("head 200", "hi", "failed"));
     }
 
     /** A truncated response must not look complete. */
--- a/http/src/test/java/org/dahliapass/http/RawResponseServer.java
+++ b/http/src/test/java/org/dahliapass/http/RawResponseServer.java
@@ -10,6 +10,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
 import org.dahliapass.model.Endpoint;
 
 /** A server that answers each connection with raw bytes as soon as a request begins to arrive. */
@@ -17,6 +18,7 @@
     private static final int RECEIVE_BUFFER_BYTES = 4_096;
 
     private final ServerSocket mServer;
+    private final CompletableFuture<Void> mClosed = new CompletableFuture<>();
 
     RawResponseServer() throws IOException {
         mServer = new ServerSocket();
@@ -40,6 +42,26 @@
                 });
     }
 
+    /** Answers all connections, and resets each after the client has received the response. */
+    void respondAndReset(String response, CompletableFuture<Void> received) {
+        serve(
+                connection -> {
+                    write(connection, response);
+                    received.join();
+                    connection.setSoLinger(true, 0);
+                });
+    }
+
+    /** Answers all connections, and ends its side of each without reading the request. */
+    void respondAndEnd(String response) {
+        serve(
+                connection -> {
+                    write(connection, response);
+                    connection.shutdownOutput();
+                    mClosed.join();
+                });
+    }
+
     private void serve(Exchange exchange) {
         Thread server =
                 new Thread(
@@ -69,6 +91,7 @@
 
     @Override
     public void close() throws IOException {
+        mClosed.complete(null);
         mServer.close();
     }
 
