Validate the responses that Armeria's clients read

The entry VM's requests to targets, the operator's and the report's requests to VMs, and the clients of the configuration store and the VM list read responses by Armeria, whose decoder tolerates what ours did: a caller of the entry VM got the same broken answers, and a report counted a VM that had sent one.

ResponseValidation installs the validation of HttpClient in any client pipeline. Armeria's factories install it by their pipeline customizer. The report asked with the scheme http, which tries HTTP/2 first; it asks by HTTP/1.1 now, as all other clients do.

The raw server of the tests is a stand-in now, since five modules use it.

--- a/entry/src/main/java/org/dahliapass/entry/TargetClients.java
+++ b/entry/src/main/java/org/dahliapass/entry/TargetClients.java
@@ -1,6 +1,7 @@
 package org.dahliapass.entry;
 
 import com.linecorp.armeria.client.ClientFactory;
+import com.linecorp.armeria.client.ClientFactoryOptions;
 import com.linecorp.armeria.client.ClientRequestContext;
 import com.linecorp.armeria.client.ClientRequestContextCaptor;
 import com.linecorp.armeria.client.Clients;
@@ -16,6 +17,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import org.dahliapass.http.ResponseValidation;
 import org.dahliapass.kernel.ControlLoop;
 import org.dahliapass.kernel.Futures;
 import org.dahliapass.kernel.Kernel;
@@ -50,6 +52,9 @@
                     .useHttp1Pipelining(false)
                     .workerGroup(mEventLoops, false)
                     .eventLoopSchedulerFactory(SameLoopScheduler::new)
+                    .option(
+                            ClientFactoryOptions.CHANNEL_PIPELINE_CUSTOMIZER,
+                            ResponseValidation::install)
                     .build();
 
     TargetClients(Clock clock) {
--- a/http/src/main/java/org/dahliapass/http/HttpClient.java
+++ b/http/src/main/java/org/dahliapass/http/HttpClient.java
@@ -256,12 +256,8 @@
 
         @Override
         protected void initChannel(SocketChannel channel) {
-            channel.pipeline()
-                    .addLast(
-                            new OrderlyEndHandler(),
-                            new ResponseValidationHandler(),
-                            mConnection.codec(),
-                            mConnection);
+            ResponseValidation.install(channel.pipeline());
+            channel.pipeline().addLast(mConnection.codec(), mConnection);
             mOpen.add(mConnection);
             channel.closeFuture().addListener(closed -> mOpen.remove(mConnection));
         }
--- a/http/src/test/java/org/dahliapass/http/BrokenUploadTest.java
+++ b/http/src/test/java/org/dahliapass/http/BrokenUploadTest.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.dahliapass.kernel.ManualClock;
+import org.dahliapass.standins.RawServerStandIn;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -35,7 +36,7 @@
 
     private EventLoopGroup mLoops;
     private HttpClient mClient;
-    private RawResponseServer mServer;
+    private RawServerStandIn mServer;
 
     @BeforeMethod
     public void start() throws IOException {
@@ -46,7 +47,7 @@
                         new ManualClock(Instant.EPOCH),
                         Duration.ofSeconds(20),
                         Duration.ofSeconds(20));
-        mServer = new RawResponseServer();
+        mServer = new RawServerStandIn();
     }
 
     @AfterMethod(alwaysRun = true)
--- a/http/src/test/java/org/dahliapass/http/InvalidResponseTest.java
+++ b/http/src/test/java/org/dahliapass/http/InvalidResponseTest.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import org.dahliapass.kernel.ManualClock;
+import org.dahliapass.standins.RawServerStandIn;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -32,7 +33,7 @@
 
     private EventLoopGroup mLoops;
     private HttpClient mClient;
-    private RawResponseServer mServer;
+    private RawServerStandIn mServer;
 
     @BeforeMethod
     public void start() throws IOException {
@@ -43,7 +44,7 @@
                         new ManualClock(Instant.EPOCH),
                         Duration.ofSeconds(20),
                         Duration.ofSeconds(20));
-        mServer = new RawResponseServer();
+        mServer = new RawServerStandIn();
     }
 
     @AfterMethod(alwaysRun = true)
--- a/operator/src/main/java/org/dahliapass/operator/HttpVmClient.java
+++ b/operator/src/main/java/org/dahliapass/operator/HttpVmClient.java
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.linecorp.armeria.client.ClientFactory;
+import com.linecorp.armeria.client.ClientFactoryOptions;
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpMethod;
@@ -17,6 +18,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import org.dahliapass.http.ResponseValidation;
 import org.dahliapass.kernel.OperationException;
 import org.dahliapass.model.Endpoint;
 
@@ -26,6 +28,13 @@
     private static final ObjectMapper JSON =
             JsonMapper.builder().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES).build();
 
+    private static final ClientFactory CLIENT_FACTORY =
+            ClientFactory.builder()
+                    .option(
+                            ClientFactoryOptions.CHANNEL_PIPELINE_CUSTOMIZER,
+                            ResponseValidation::install)
+                    .build();
+
     private final Duration mTimeout;
 
     /** Creates a client with a timeout for each call. */
@@ -79,7 +88,7 @@
         return WebClient.builder(
                         SessionProtocol.H1C,
                         com.linecorp.armeria.client.Endpoint.of(vm.host(), vm.port()))
-                .factory(ClientFactory.ofDefault())
+                .factory(CLIENT_FACTORY)
                 .responseTimeout(mTimeout)
                 .build()
                 .prepare()
--- a/registry/src/main/java/org/dahliapass/registry/PlatformHttpClient.java
+++ b/registry/src/main/java/org/dahliapass/registry/PlatformHttpClient.java
@@ -3,6 +3,8 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.linecorp.armeria.client.ClientFactory;
+import com.linecorp.armeria.client.ClientFactoryOptions;
 import com.linecorp.armeria.client.UnprocessedRequestException;
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
@@ -19,6 +21,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.stream.Collectors;
+import org.dahliapass.http.ResponseValidation;
 import org.dahliapass.kernel.OperationException;
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.platform.OutcomeUnknownException;
@@ -32,6 +35,13 @@
 
     private static final String INDEX_HEADER = "x-consul-index";
 
+    private static final ClientFactory CLIENT_FACTORY =
+            ClientFactory.builder()
+                    .option(
+                            ClientFactoryOptions.CHANNEL_PIPELINE_CUSTOMIZER,
+                            ResponseValidation::install)
+                    .build();
+
     private final WebClient mClient;
     private final String mPeer;
     private final Duration mTimeout;
@@ -43,6 +53,7 @@
                 WebClient.builder(
                                 SessionProtocol.H1C,
                                 com.linecorp.armeria.client.Endpoint.of(peer.host(), peer.port()))
+                        .factory(CLIENT_FACTORY)
                         .build();
     }
 
--- a/report/src/main/java/org/dahliapass/report/BurnCollector.java
+++ b/report/src/main/java/org/dahliapass/report/BurnCollector.java
@@ -3,6 +3,8 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.linecorp.armeria.client.ClientFactory;
+import com.linecorp.armeria.client.ClientFactoryOptions;
 import com.linecorp.armeria.client.ResponseTimeoutException;
 import com.linecorp.armeria.client.UnprocessedRequestException;
 import com.linecorp.armeria.client.WebClient;
@@ -18,6 +20,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import org.dahliapass.http.ResponseValidation;
 import org.dahliapass.kernel.OperationException;
 import org.dahliapass.model.burn.ErrorBudgetSnapshot;
 
@@ -28,6 +31,13 @@
     private static final ObjectMapper JSON =
             new ObjectMapper().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
 
+    private static final ClientFactory CLIENT_FACTORY =
+            ClientFactory.builder()
+                    .option(
+                            ClientFactoryOptions.CHANNEL_PIPELINE_CUSTOMIZER,
+                            ResponseValidation::install)
+                    .build();
+
     private final WebClient mClient;
     private final Optional<String> mCustomer;
 
@@ -40,6 +50,7 @@
     BurnCollector(Duration timeout, Optional<String> customer) {
         mClient =
                 WebClient.builder()
+                        .factory(CLIENT_FACTORY)
                         .responseTimeout(timeout)
                         .maxResponseLength(MAX_RESPONSE_BYTES)
                         .build();
@@ -135,7 +146,7 @@
     /** Queries one VM; an invalid address fails the future like an unreachable VM. */
     private <T> CompletableFuture<T> get(
             String operation, String address, String path, Class<T> type) {
-        return CompletableFuture.completedFuture("http://" + address + path)
+        return CompletableFuture.completedFuture("h1c://" + address + path)
                 .thenCompose(url -> mClient.get(url).aggregate())
                 .thenApply(response -> parse(operation, address, response, type));
     }
--- a/report/src/test/java/org/dahliapass/report/ReportMainTest.java
+++ b/report/src/test/java/org/dahliapass/report/ReportMainTest.java
@@ -11,6 +11,7 @@
 import com.linecorp.armeria.common.MediaType;
 import com.linecorp.armeria.server.Server;
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -24,9 +25,12 @@
 import org.dahliapass.model.burn.ErrorBudgetSnapshot;
 import org.dahliapass.model.burn.Outcome;
 import org.dahliapass.model.burn.OutcomeHistory;
+import org.dahliapass.standins.InvalidResponse;
+import org.dahliapass.standins.RawServerStandIn;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests {@link ReportMain} against an HTTP server on loopback. */
@@ -117,6 +121,23 @@
         assertFalse(output().contains("himal"), output());
     }
 
+    @DataProvider
+    public Object[] invalidResponses() {
+        return InvalidResponse.values();
+    }
+
+    /** Guards against an invalid response that is reported as that of a VM. */
+    @Test(dataProvider = "invalidResponses")
+    public void vmWithInvalidResponseIsListedAsUnresponsive(InvalidResponse response)
+            throws IOException {
+        try (RawServerStandIn server = new RawServerStandIn()) {
+            server.respond(response.format("[]"));
+            assertEquals(run("--vm", server.address().toString(), "--vm", mAddress), ExitCode.OK);
+            String address = server.address().toString();
+            assertTrue(output().contains(address + " (" + address + ") didn't respond"), output());
+        }
+    }
+
     // Unreachable VMs must not prevent the report; they are listed with the reason.
     @Test
     public void unresponsiveVmsAreListedAndOthersReported() {
--- a/http/src/test/java/org/dahliapass/http/RawResponseServer.java
+++ b/standins/src/main/java/org/dahliapass/standins/RawServerStandIn.java
@@ -1,10 +1,7 @@
-package org.dahliapass.http;
-
-import static org.testng.Assert.assertTrue;
+package org.dahliapass.standins;
 
 import java.io.IOException;
 import java.io.InputStream;
-import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -13,37 +10,40 @@
 import java.util.concurrent.CompletableFuture;
 import org.dahliapass.model.Endpoint;
 
-/** A server that answers each connection with raw bytes as soon as a request begins to arrive. */
-final class RawResponseServer implements AutoCloseable {
+/**
+ * A server stand-in that answers each connection with raw bytes as soon as a request begins to
+ * arrive.
+ */
+public final class RawServerStandIn implements AutoCloseable {
     private static final int RECEIVE_BUFFER_BYTES = 4_096;
 
     private final ServerSocket mServer;
     private final CompletableFuture<Void> mClosed = new CompletableFuture<>();
 
-    RawResponseServer() throws IOException {
+    /** Listens on a free port of the loopback address. */
+    public RawServerStandIn() throws IOException {
         mServer = new ServerSocket();
         mServer.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
         mServer.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
     }
 
-    Endpoint address() {
+    /** Returns the address of the server. */
+    public Endpoint address() {
         return new Endpoint(mServer.getInetAddress().getHostAddress(), mServer.getLocalPort());
     }
 
     /** Answers all connections, and ends each in an orderly way once the request was read. */
-    void respond(String response) {
+    public void respond(String response) {
         serve(
                 connection -> {
                     write(connection, response);
                     connection.shutdownOutput();
-                    long rest =
-                            connection.getInputStream().transferTo(OutputStream.nullOutputStream());
-                    assertTrue(rest >= 0);
+                    readToEnd(connection);
                 });
     }
 
     /** Answers all connections, and resets each after the client has received the response. */
-    void respondAndReset(String response, CompletableFuture<Void> received) {
+    public void respondAndReset(String response, CompletableFuture<Void> received) {
         serve(
                 connection -> {
                     write(connection, response);
@@ -53,7 +53,7 @@
     }
 
     /** Answers all connections, and ends its side of each without reading the request. */
-    void respondAndEnd(String response) {
+    public void respondAndEnd(String response) {
         serve(
                 connection -> {
                     write(connection, response);
@@ -85,6 +85,15 @@
         }
     }
 
+    private static void readToEnd(Socket connection) throws IOException {
+        byte[] buffer = new byte[RECEIVE_BUFFER_BYTES];
+        InputStream input = connection.getInputStream();
+        int read = input.read(buffer);
+        while (read >= 0) {
+            read = input.read(buffer);
+        }
+    }
+
     private static void write(Socket connection, String response) throws IOException {
         connection.getOutputStream().write(response.getBytes(StandardCharsets.ISO_8859_1));
     }
