Reject odd entries of targets as malformed where they are read

Another writer can leave an odd entry among those of the targets. The machines of other operators ended or stopped following the store by it.

An endless or huge warm-up, two billion slots, "127.0.0.256" (which the resolver takes as a name and looks up, blocking), the port "+80" and a key that no header can carry were taken as they were.

--- a/model/src/main/java/org/dahliapass/model/Endpoint.java
+++ b/model/src/main/java/org/dahliapass/model/Endpoint.java
@@ -1,6 +1,7 @@
 package org.dahliapass.model;
 
 import java.util.Optional;
+import java.util.regex.Pattern;
 
 /**
  * An IP address and port.
@@ -11,20 +12,19 @@
 public record Endpoint(String host, int port) implements Comparable<Endpoint> {
     private static final int MAX_PORT = 65_535;
 
+    private static final Pattern PORT_PATTERN = Pattern.compile("[0-9]{1,5}");
+
     /** Parses an endpoint of the form {@code host:port}; returns empty for any other format. */
     public static Optional<Endpoint> parse(String text) {
         int colon = text.lastIndexOf(':');
-        if (colon <= 0) {
-            return Optional.empty();
-        }
-        try {
-            int port = Integer.parseInt(text.substring(colon + 1));
-            return port > 0 && port <= MAX_PORT
-                    ? Optional.of(new Endpoint(text.substring(0, colon), port))
-                    : Optional.empty();
-        } catch (NumberFormatException expected) {
+        String digits = text.substring(colon + 1);
+        if (colon <= 0 || !PORT_PATTERN.matcher(digits).matches()) {
             return Optional.empty();
         }
+        int port = Integer.parseInt(digits);
+        return port > 0 && port <= MAX_PORT
+                ? Optional.of(new Endpoint(text.substring(0, colon), port))
+                : Optional.empty();
     }
 
     @Override
