Answer every request that a VM still holds at the end of its stop

In a planned stop, requests that came in the first part of the grace were taken, waited for a slot, and were passed on as late as just before the exit. What was unanswered at the end of the drain was cut without an answer, among it requests that may not be repeated and had not run.

The drain only waited until nothing was in flight or its time was over; nothing ended the requests that were left.

A second before the end of the drain, requests that were not sent to a target are refused now, with 503, so that their callers go elsewhere; a target could no longer serve them. At its end, all that is left gets its answer: 503 if it was not sent, 504 if it may have run. 100 ms of the 900 ms that are reserved for the exit are for delivering these.

Before the change, GatewayStopTest failed: six requests at work and one that waited got a closed connection and no byte. With it, the first six get 504, the other one 503 and no target sees it.

--- a/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/GatewayVm.java
@@ -39,6 +39,12 @@
      */
     private static final Duration EXIT_RESERVE = Duration.ofMillis(900);
 
+    /** The last part of the drain, in which a target could no longer serve a request. */
+    private static final Duration LAST_SEND_RESERVE = Duration.ofSeconds(1);
+
+    /** The part of the exit reserve in which the last responses are delivered. */
+    private static final Duration DELIVERY_PERIOD = Duration.ofMillis(100);
+
     /** The polling interval for the end of the last request. */
     private static final Duration IDLE_POLL_INTERVAL = Duration.ofMillis(50);
 
@@ -50,6 +56,7 @@
     private final ChangeFeed mFeed;
     private final SelfRegistration mRegistration;
     private final LoadReporter mLoadReporter;
+    private final ProxyHandler mProxy;
     private final Kernel mKernel = new Kernel();
 
     /**
@@ -110,6 +117,7 @@
                         authenticator(settings, follower, feed),
                         limits,
                         new RequestRelay(settings, follower, pools, connections, clock, metrics));
+        mProxy = proxy;
         GatewayServers servers = servers(metrics, proxy, connections, follower);
         follower.addChangeListener(() -> serveOnceConfigured(follower, proxy));
         register(metrics, connections, servers, follower, feed, pools, exchange, limits);
@@ -242,7 +250,8 @@
 
     /**
      * Drains the VM: removes it from discovery responses and serves the remaining requests for a
-     * limited time.
+     * limited time. Those that remain are refused if they were not sent to a target, and otherwise
+     * get a response that leaves open whether they ran.
      *
      * @return a future that completes when no requests are in flight, no response is on its way,
      *     and the process may exit
@@ -263,10 +272,20 @@
         Duration maxDrain = mSettings.stopTimeout().minus(EXIT_RESERVE);
         Duration accepting = min(DISCOVERY_EXPIRY, mSettings.stopTimeout().minus(CLOSING_PERIOD));
         long endMillis = mLoop.nowMillis() + maxDrain.toMillis();
+        mLoop.schedule(maxDrain.minus(LAST_SEND_RESERVE), mProxy::refuseUnsent);
         return delay(accepting)
                 .thenRun(() -> mState.advance(GatewayState.Phase.CLOSING))
                 .thenCompose(ignored -> delay(min(DISCOVERY_EXPIRY, maxDrain).minus(accepting)))
-                .thenCompose(ignored -> whenIdle(endMillis));
+                .thenCompose(ignored -> whenIdle(endMillis))
+                .thenCompose(ignored -> endRemaining(endMillis));
+    }
+
+    private CompletableFuture<Void> endRemaining(long endMillis) {
+        if (!mLoadReporter.hasRequestsInFlight()) {
+            return CompletableFuture.completedFuture(null);
+        }
+        mProxy.endBeforeStop();
+        return whenIdle(endMillis + DELIVERY_PERIOD.toMillis());
     }
 
     private static Duration min(Duration first, Duration second) {
--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
@@ -50,6 +50,8 @@
     /** The time that a caller may add to a response by reading it slowly. */
     private static final long MAX_PAUSED_MILLIS = 30_000;
 
+    private static final String VM_STOPS = "the VM stops";
+
     private static final String CALLER_LEFT = "the caller left";
 
     private static final String UNEXPECTED = "an unexpected exception";
@@ -928,17 +930,49 @@
             endArriving();
             return;
         }
+        end(FailureKind.TIMED_OUT, "the time is over");
+    }
+
+    /** Refuses a request that was not sent, since the VM stops before a target could serve it. */
+    void refuseUnsent() {
+        guard(
+                Step.END,
+                () -> {
+                    boolean isSent = mMayHaveExecuted || mRunningAttempts.sentCount() > 0;
+                    if (!mFinished && !isSent) {
+                        refuse(VM_STOPS);
+                    }
+                });
+    }
+
+    /** Responds before the VM stops, whatever its targets are doing. */
+    void endBeforeStop() {
+        guard(
+                Step.END,
+                () -> {
+                    if (!mFinished) {
+                        end(FailureKind.CANCELLED_BY_CALLER, VM_STOPS);
+                    }
+                });
+    }
+
+    /**
+     * Ends the exchange without a response of a target.
+     *
+     * @param kind what the attempts are recorded as
+     */
+    private void end(FailureKind kind, String cause) {
         mMayHaveExecuted |= mRunningAttempts.sentCount() > 0;
         // Set first: aborting an attempt completes it at once, which must not start another one.
         mFinished = true;
-        abortAttempts(FailureKind.TIMED_OUT);
+        abortAttempts(kind);
         if (mErrorResponse.isPresent()) {
             finish(
                     mErrorResponse.get().response(),
                     mErrorResponse.get().status(),
                     "the target's own failure");
         } else if (mMayHaveExecuted) {
-            finish(mResponses.timedOut(), GatewayResponses.TIMEOUT, "the time is over");
+            finish(mResponses.timedOut(), GatewayResponses.TIMEOUT, cause);
         } else {
             finish(
                     mResponses.refused(0),
--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyHandler.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyHandler.java
@@ -6,9 +6,12 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import java.time.Clock;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.dahliapass.decisions.access.Authentication;
 import org.dahliapass.decisions.access.CallerIdentity;
 import org.dahliapass.decisions.access.Credentials;
@@ -70,6 +73,10 @@
     private final StartupQueue mStartupQueue;
     private final UnexpectedFailures mFailures;
     private final RequestMemory mMemory;
+
+    /** The requests that are not delivered; traffic thread only. */
+    private final Set<ProxyExchange> mExchanges = new LinkedHashSet<>();
+
     private RouteTable mRoutes;
 
     ProxyHandler(
@@ -597,7 +604,8 @@
                                 + Math.min(timeoutMillis, callerTimeout(headers, timeoutMillis)),
                         match.holdsToken(),
                         match.relay());
-        new ProxyExchange(
+        ProxyExchange exchange =
+                new ProxyExchange(
                         call,
                         request,
                         pool.get(),
@@ -610,8 +618,24 @@
                         mLimits,
                         new RelayAttempts(
                                 mRelay, request, call::isClientConnected, match.passOnCause()),
-                        waits)
-                .start();
+                        waits);
+        mExchanges.add(exchange);
+        call.onDelivered(delivery -> mExchanges.remove(exchange));
+        exchange.start();
+    }
+
+    /** Refuses all requests that were not sent to a target; any thread may call this. */
+    void refuseUnsent() {
+        mConnections
+                .loop()
+                .execute(() -> List.copyOf(mExchanges).forEach(ProxyExchange::refuseUnsent));
+    }
+
+    /** Responds to all requests before the VM stops; any thread may call this. */
+    void endBeforeStop() {
+        mConnections
+                .loop()
+                .execute(() -> List.copyOf(mExchanges).forEach(ProxyExchange::endBeforeStop));
     }
 
     private static boolean hasService(RouteRule route, String service) {
