Test that a response whose head is cut fails everywhere

Reported by other operators: a server stopped within its answer's head and closed, and callers got a 200 with an empty or short body that looked whole.

This does not happen here: InvalidResponseTest cuts six heads after each byte, GatewayInvalidResponseTest closes a target's connection within the head, and InvalidResponse has four cut heads for the clients of the entry VM, operator, registry and report.

--- a/gateway/src/test/java/org/dahliapass/gateway/GatewayInvalidResponseTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/GatewayInvalidResponseTest.java
@@ -31,6 +31,7 @@
             {Behaviour.RESPOND_BLANK_IN_LENGTH_NAME},
             {Behaviour.RESPOND_CONTROL_BYTE_IN_FIELD_NAME},
             {Behaviour.RESPOND_CONTROL_BYTE_IN_CHUNK_SIZE},
+            {Behaviour.TRUNCATE_HEAD},
         };
     }
 
--- a/http/src/test/java/org/dahliapass/http/InvalidResponseTest.java
+++ b/http/src/test/java/org/dahliapass/http/InvalidResponseTest.java
@@ -195,6 +195,26 @@
         assertFails(name, response);
     }
 
+    @DataProvider
+    public Object[] heads() {
+        return new Object[] {
+            HEAD + LENGTH,
+            CHUNKED,
+            HEAD + "A: a\r\n\r\n",
+            "HTTP/1.0 200 OK\r\n\r\n",
+            "HTTP/1.1 204 No Content\r\n\r\n",
+            "HTTP/1.1 103 Early Hints\r\nA: a\r\n\r\n" + HEAD + LENGTH,
+        };
+    }
+
+    /** Guards against a cut head whose missing body looks complete. */
+    @Test(dataProvider = "heads")
+    public void responseWhoseHeadIsCutFails(String head) {
+        for (int length = 0; length < head.length(); length++) {
+            assertFails(length + " bytes", head.substring(0, length));
+        }
+    }
+
     @DataProvider
     public Object[][] chunks() {
         return new Object[][] {
--- a/standins/src/main/java/org/dahliapass/standins/InvalidResponse.java
+++ b/standins/src/main/java/org/dahliapass/standins/InvalidResponse.java
@@ -1,6 +1,6 @@
 package org.dahliapass.standins;
 
-/** Complete responses that the protocol does not allow, but that decoders accept. */
+/** Responses that the protocol does not allow, but that decoders may accept. */
 public enum InvalidResponse {
     STATUS_ZERO("HTTP/1.1 000 Unknown\r\n" + Format.LENGTH),
     STATUS_WITH_SIGN("HTTP/1.1 +200 OK\r\n" + Format.LENGTH),
@@ -15,7 +15,11 @@
     CONTROL_BYTE_AFTER_CHUNK_SIZE(Format.CHUNKED + "%x\u0001" + Format.LAST_CHUNK + "\r\n"),
     CHUNK_SIZE_THAT_OVERFLOWS(Format.CHUNKED + "1%08x" + Format.LAST_CHUNK + "\r\n"),
     BLANK_IN_TRAILER_NAME(Format.CHUNKED + "%x" + Format.LAST_CHUNK + "A b: c\r\n\r\n"),
-    LENGTH_IN_TRAILER(Format.CHUNKED + "%x" + Format.LAST_CHUNK + "Content-Length: 2\r\n\r\n");
+    LENGTH_IN_TRAILER(Format.CHUNKED + "%x" + Format.LAST_CHUNK + "Content-Length: 2\r\n\r\n"),
+    CUT_IN_STATUS_LINE("HTTP/1.1 200 O"),
+    CUT_AFTER_STATUS_LINE(Format.HEAD),
+    CUT_IN_FIELD_NAME(Format.HEAD + "A: b\r\nContent-Le"),
+    CUT_BEFORE_END_OF_HEAD(Format.HEAD + "Content-Length: %d\r\n");
 
     private final String mFormat;
 
--- a/standins/src/main/java/org/dahliapass/standins/SigningTargetStandIn.java
+++ b/standins/src/main/java/org/dahliapass/standins/SigningTargetStandIn.java
@@ -222,6 +222,15 @@
                 connection.close();
             }
         },
+        /** Closes the connection within the field of the head that announces the body. */
+        TRUNCATE_HEAD {
+            @Override
+            void act(Socket connection, ReceivedRequest request) throws IOException {
+                String head = head(request, 200, "");
+                write(connection, head.substring(0, head.indexOf("Length: ")));
+                connection.close();
+            }
+        },
         /** Closes the connection before the end of the body. */
         TRUNCATE_BODY {
             @Override
