--- a/review/standins-2/stage/Store.java
+++ b/review/standins-2/stage/Store.java
@@ -30,6 +30,7 @@
     private static final class Lease {
         long ttlMillis;
         long endMillis;
+        int renewals;
     }
 
     private final TreeMap<String, Item> items = new TreeMap<>();
@@ -96,6 +97,18 @@
         notifyAll();
     }
 
+    /** Returns how often the lease of each key with a prefix was renewed, by key. */
+    public synchronized Map<String, Integer> renewals(String prefix) {
+        Map<String, Integer> renewals = new HashMap<>();
+        items.forEach(
+                (key, item) -> {
+                    if (key.startsWith(prefix) && leases.containsKey(item.lease)) {
+                        renewals.put(key, leases.get(item.lease).renewals);
+                    }
+                });
+        return renewals;
+    }
+
     /** Returns the keys with a prefix. */
     public synchronized List<String> keys(String prefix) {
         return items.keySet().stream().filter(key -> key.startsWith(prefix)).toList();
@@ -159,6 +172,7 @@
                 Lease lease = leases.get(id);
                 known = lease != null;
                 if (known) {
+                    lease.renewals++;
                     lease.endMillis = System.nanoTime() / 1_000_000 + lease.ttlMillis;
                 }
             }
