--- a/review/standins-2/cases/DoubledRejection.java
+++ b/review/standins-2/cases/DoubledRejection.java
@@ -1,7 +1,6 @@
 package cases;
 
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
@@ -97,7 +96,7 @@
     }
 
     private int run() throws IOException {
-        Path folder = Files.createTempDirectory("review");
+        Path folder = Stage.folder();
         Faulty faulty = new Faulty();
         faulty.workMillis = 8;
         Target other = new Target(store, events, "i-other-0", "desk", 3);
--- a/review/standins-2/cases/FrozenReaders.java
+++ b/review/standins-2/cases/FrozenReaders.java
@@ -1,7 +1,6 @@
 package cases;
 
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -25,7 +24,8 @@
  */
 public final class FrozenReaders {
     private static final int MACHINES = 28;
-    private static final int FROZEN = 3;
+    private static final int FROZEN =
+            Integer.parseInt(System.getenv().getOrDefault("FROZEN", "3"));
     private static final int ROUNDS = 4;
     private static final long FREEZE_MILLIS = 3_500;
 
@@ -90,7 +90,7 @@
     }
 
     private int run() throws IOException {
-        Path folder = Files.createTempDirectory("review");
+        Path folder = Stage.folder();
         for (int number = 1; number <= 3; number++) {
             new Server("i-desk-" + number, "desk");
             new Server("i-vault-" + number, "vault");
--- a/review/standins-2/cases/LargeEntries.java
+++ b/review/standins-2/cases/LargeEntries.java
@@ -1,7 +1,6 @@
 package cases;
 
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -86,7 +85,7 @@
     }
 
     private int run() throws IOException {
-        Path folder = Files.createTempDirectory("review");
+        Path folder = Stage.folder();
         Server leaving = new Server("i-1", "desk", true);
         for (int number = 2; number <= 4; number++) {
             new Server("i-" + number, "desk", false);
--- a/review/standins-2/cases/SilentWatch.java
+++ b/review/standins-2/cases/SilentWatch.java
@@ -1,7 +1,6 @@
 package cases;
 
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -89,7 +88,7 @@
     }
 
     private int run() throws IOException {
-        Path folder = Files.createTempDirectory("review");
+        Path folder = Stage.folder();
         for (int number = 1; number <= 3; number++) {
             new Server("i-desk-" + number, "desk");
             new Server("i-vault-" + number, "vault");
--- a/review/standins-2/stage/Stage.java
+++ b/review/standins-2/stage/Stage.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -37,6 +38,26 @@
         return !"0".equals(System.getenv("TROUBLE"));
     }
 
+    /** Creates a temporary folder, which is deleted at the end unless KEEP_LOGS is 1. */
+    public static Path folder() throws IOException {
+        Path folder = Files.createTempDirectory("review");
+        if (!"1".equals(System.getenv("KEEP_LOGS"))) {
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> delete(folder)));
+        }
+        return folder;
+    }
+
+    private static void delete(Path folder) {
+        try (DirectoryStream<Path> files = Files.newDirectoryStream(folder)) {
+            for (Path file : files) {
+                Files.delete(file);
+            }
+            Files.delete(folder);
+        } catch (IOException failure) {
+            System.err.println("The temporary folder was not deleted: " + failure);
+        }
+    }
+
     private static int nextPort = 20_000 + (int) (ProcessHandle.current().pid() % 1_000) * 10;
 
     /** Returns free ports below those that connections get, so that none of these takes one. */
