--- a/review/standins-2/stage/Link.java
+++ b/review/standins-2/stage/Link.java
@@ -53,6 +53,20 @@
         return silenced + " of " + open;
     }
 
+    /** Waits until nothing has passed on an open connection for a time, but not for much longer. */
+    public void awaitIdle(long idleMillis, long toleranceMillis, long maxMillis) {
+        long end = System.nanoTime() + maxMillis * 1_000_000;
+        while (System.nanoTime() < end) {
+            for (Pair pair : pairs) {
+                long idle = (System.nanoTime() - pair.lastNanos) / 1_000_000;
+                if (!pair.silent && idle >= idleMillis && idle < idleMillis + toleranceMillis) {
+                    return;
+                }
+            }
+            Stage.sleep(10);
+        }
+    }
+
     private void accept() {
         while (true) {
             try {
