--- a/review/standins-2/cases/DoubledRejection.java
+++ b/review/standins-2/cases/DoubledRejection.java
@@ -4,6 +4,8 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 import stage.Client;
@@ -31,33 +33,41 @@
     private final Record events;
     private final Store store = new Store();
     private final AtomicInteger sent = new AtomicInteger();
-    private final AtomicInteger broken = new AtomicInteger();
+    private final Map<String, Integer> refused = new ConcurrentHashMap<>();
+    private final Set<String> ran = ConcurrentHashMap.newKeySet();
     private volatile boolean ends;
 
     /** Whether the faulty server fails a part of its requests now. */
     private volatile boolean fails;
 
-    private DoubledRejection(Path folder) throws IOException {
-        events = new Record(folder.resolve("record.txt"));
+    private DoubledRejection(Record events) throws IOException {
+        this.events = events;
     }
 
-    public static void main(String[] arguments) throws IOException {
-        int code = 2;
-        try {
-            code = new DoubledRejection(Path.of(arguments[0])).run();
-        } catch (IOException | RuntimeException failure) {
-            failure.printStackTrace();
+    public static void main(String[] arguments) {
+        Stage.play(arguments, (events, work) -> new DoubledRejection(events).run(work));
+    }
+
+    /** Notes what it runs. */
+    private class Server extends Target {
+        Server(String instance) throws IOException {
+            super(store, events, instance, "desk", 3);
+        }
+
+        @Override
+        protected void run(Connection connection, Message request) throws IOException {
+            ran.add(request.id());
+            super.run(connection, request);
         }
-        System.exit(code);
     }
 
     /** Rejects a part of its requests and doubles a part of the rejections. */
-    private final class Faulty extends Target {
+    private final class Faulty extends Server {
         private int answers;
         private int doubled;
 
         Faulty() throws IOException {
-            super(store, events, "i-faulty", "desk", 3);
+            super("i-faulty");
         }
 
         @Override
@@ -95,11 +105,10 @@
         }
     }
 
-    private int run() throws IOException {
-        Path folder = Stage.folder();
+    private boolean run(Path folder) throws IOException {
         Faulty faulty = new Faulty();
         faulty.workMillis = 8;
-        Target other = new Target(store, events, "i-other-0", "desk", 3);
+        Target other = new Server("i-other-0");
         String[] route = {"r1", "h.example", "/w/", "desk", "unsafe", "3", "1"};
         store.put("op/config", Stage.configuration(5, List.<String[]>of(route), "desk"));
         try (Stage.Machine machine =
@@ -108,7 +117,7 @@
             machine.awaitReady(20_000);
             Stage.sleep(2_000);
             for (int client = 0; client < CLIENTS; client++) {
-                Stage.daemon("client", () -> request(machine, faulty));
+                Stage.daemon("client", () -> request(machine));
             }
             for (int round = 1; round <= ROUNDS; round++) {
                 Stage.sleep(3_500);
@@ -119,21 +128,21 @@
                 Stage.sleep(4_500);
                 fails = false;
                 if (Stage.trouble()) {
-                    other = new Target(store, events, "i-other-" + round, "desk", 3);
+                    other = new Server("i-other-" + round);
                 }
             }
             ends = true;
             Stage.sleep(3_500);
         }
+        int broken = countBroken();
         String outcome = "REFUSED broken by " + broken + " of " + sent + " requests";
         events.write("outcome", outcome);
-        events.close();
         System.out.println(outcome);
-        return broken.get() > 0 ? 1 : 0;
+        return broken > 0;
     }
 
     /** Sends requests one after the other, each with its own id, on one connection. */
-    private void request(Stage.Machine machine, Target faulty) {
+    private void request(Stage.Machine machine) {
         while (!ends) {
             try (Client client = new Client(machine.front)) {
                 while (!ends) {
@@ -145,7 +154,7 @@
                     if (answer == null) {
                         break;
                     }
-                    check(id, answer, faulty);
+                    check(id, answer);
                     Stage.sleep(5);
                 }
             } catch (IOException failure) {
@@ -155,13 +164,23 @@
         }
     }
 
-    private void check(String id, Message answer, Target faulty) {
-        boolean promisesNotRun = answer.status() == 503 || answer.status() == 429;
-        if (promisesNotRun
-                && answer.header("X-Dahliapass-Server-Seal") == null
-                && faulty.runs.containsKey(id)) {
-            broken.incrementAndGet();
-            events.write("BROKEN", id + " was answered " + answer.status() + " and has run");
+    private void check(String id, Message answer) {
+        boolean promisesNotRun = Set.of(408, 421, 429, 503).contains(answer.status());
+        if (promisesNotRun && answer.header("X-Dahliapass-Server-Seal") == null) {
+            refused.put(id, answer.status());
+        }
+    }
+
+    /** Counts what was refused and has run, also later, at any server. */
+    private int countBroken() {
+        int broken = 0;
+        for (Map.Entry<String, Integer> entry : refused.entrySet()) {
+            if (ran.contains(entry.getKey())) {
+                broken++;
+                events.write(
+                        "BROKEN", entry.getKey() + " was answered " + entry.getValue() + " and has run");
+            }
         }
+        return broken;
     }
 }
--- a/review/standins-2/cases/FrozenReaders.java
+++ b/review/standins-2/cases/FrozenReaders.java
@@ -1,6 +1,7 @@
 package cases;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -41,26 +42,29 @@
     private final Store store = new Store();
     private final List<Stage.Machine> machines = new ArrayList<>();
     private final Map<String, Long> sentNanos = new ConcurrentHashMap<>();
+    private final AtomicInteger brokenNamed = new AtomicInteger();
+
+    /** The machines that the directory names to clients of all zones. */
+    private final Set<String> named = ConcurrentHashMap.newKeySet();
+
     private final Set<String> disturbed = ConcurrentHashMap.newKeySet();
     private final AtomicInteger sent = new AtomicInteger();
     private final AtomicInteger checked = new AtomicInteger();
     private final AtomicInteger broken = new AtomicInteger();
     private volatile boolean ends;
-    private volatile long boundNanos = Long.MAX_VALUE;
-    private volatile String service = "desk";
+    /** From when on a request must be run by which service; null while the bound is open. */
+    private volatile Bound bound;
+
+    private record Bound(long nanos, String service) {}
+
+    private String service = "desk";
 
-    private FrozenReaders(Path folder) throws IOException {
-        events = new Record(folder.resolve("record.txt"));
+    private FrozenReaders(Record events) throws IOException {
+        this.events = events;
     }
 
-    public static void main(String[] arguments) throws IOException {
-        int code = 2;
-        try {
-            code = new FrozenReaders(Path.of(arguments[0])).run();
-        } catch (IOException | RuntimeException failure) {
-            failure.printStackTrace();
-        }
-        System.exit(code);
+    public static void main(String[] arguments) {
+        Stage.play(arguments, (events, work) -> new FrozenReaders(events).run(work));
     }
 
     /** Checks that a request that is sent after the bound is run by the new service. */
@@ -71,26 +75,28 @@
 
         @Override
         protected void run(Connection connection, Message request) throws IOException {
-            long bound = boundNanos;
+            Bound bound = FrozenReaders.this.bound;
             long sentAt = sentNanos.getOrDefault(request.id(), 0L);
             String machine = request.id().split("/")[0];
-            if (bound != Long.MAX_VALUE && sentAt >= bound && !disturbed.contains(machine)) {
+            if (bound != null && sentAt >= bound.nanos() && !disturbed.contains(machine)) {
                 checked.incrementAndGet();
-                if (!service.equals(FrozenReaders.this.service)) {
+                if (!service.equals(bound.service())) {
                     broken.incrementAndGet();
+                    if (named.contains(machine)) {
+                        brokenNamed.incrementAndGet();
+                    }
                     events.write(
                             "BROKEN",
                             String.format(
                                     "%s, sent %.2f s after the bound, was run by the old service",
-                                    request.id(), (sentAt - bound) / 1e9));
+                                    request.id(), (sentAt - bound.nanos()) / 1e9));
                 }
             }
             super.run(connection, request);
         }
     }
 
-    private int run() throws IOException {
-        Path folder = Stage.folder();
+    private boolean run(Path folder) throws IOException {
         for (int number = 1; number <= 3; number++) {
             new Server("i-desk-" + number, "desk");
             new Server("i-vault-" + number, "vault");
@@ -118,6 +124,7 @@
             Stage.sleep(8_000);
             for (int round = 1; round <= ROUNDS; round++) {
                 List<Stage.Machine> frozen = mostRenewing();
+                askWhoIsNamed();
                 disturbed.clear();
                 if (Stage.trouble()) {
                     for (Stage.Machine machine : frozen) {
@@ -126,11 +133,12 @@
                         events.write("freeze", machine.name);
                     }
                 }
-                boundNanos = Long.MAX_VALUE;
+                bound = null;
                 service = round % 2 == 1 ? "vault" : "desk";
                 store.put("op/config", configuration(5 + 4 * round));
-                boundNanos =
+                long nanos =
                         System.nanoTime() + (APPLY_MILLIS + MARGIN_MILLIS) * 1_000_000;
+                bound = new Bound(nanos, service);
                 events.write("operator", "version " + (5 + 4 * round) + ": now " + service);
                 Stage.sleep(FREEZE_MILLIS);
                 for (Stage.Machine machine : frozen) {
@@ -149,11 +157,30 @@
                         + broken
                         + " of "
                         + checked
-                        + " requests past the bound at undisturbed machines";
+                        + " requests past the bound at undisturbed machines, "
+                        + brokenNamed
+                        + " of them at machines that the directory names";
         events.write("outcome", outcome);
-        events.close();
         System.out.println(outcome);
-        return broken.get() > 0 ? 1 : 0;
+        return broken.get() > 0;
+    }
+
+    private void askWhoIsNamed() throws IOException {
+        named.clear();
+        for (int zone = 1; zone <= 3; zone++) {
+            String directory = machines.get(0).directory;
+            try (Client client = new Client(directory)) {
+                String path = "/api/resolve?name=h.example&region=area&zone=zone-" + zone;
+                client.send("GET", path, directory, null, 0, "", new byte[0]);
+                String answer = new String(client.receive(1_000).body, StandardCharsets.UTF_8);
+                for (Stage.Machine machine : machines) {
+                    if (answer.contains('"' + machine.front + '"')) {
+                        named.add(machine.name);
+                    }
+                }
+            }
+        }
+        events.write("directory", "names " + named);
     }
 
     /** Returns the machines that renewed their lease most often within two seconds. */
--- a/review/standins-2/cases/LargeEntries.java
+++ b/review/standins-2/cases/LargeEntries.java
@@ -43,18 +43,12 @@
     private volatile long changedNanos = Long.MAX_VALUE;
     private volatile boolean ends;
 
-    private LargeEntries(Path folder) throws IOException {
-        events = new Record(folder.resolve("record.txt"));
+    private LargeEntries(Record events) throws IOException {
+        this.events = events;
     }
 
-    public static void main(String[] arguments) throws IOException {
-        int code = 2;
-        try {
-            code = new LargeEntries(Path.of(arguments[0])).run();
-        } catch (IOException | RuntimeException failure) {
-            failure.printStackTrace();
-        }
-        System.exit(code);
+    public static void main(String[] arguments) {
+        Stage.play(arguments, (events, work) -> new LargeEntries(events).run(work));
     }
 
     /** Checks what it runs against the bounds. */
@@ -84,8 +78,7 @@
         }
     }
 
-    private int run() throws IOException {
-        Path folder = Stage.folder();
+    private boolean run(Path folder) throws IOException {
         Server leaving = new Server("i-1", "desk", true);
         for (int number = 2; number <= 4; number++) {
             new Server("i-" + number, "desk", false);
@@ -135,9 +128,8 @@
                         + ", DRAIN by "
                         + lateDrain;
         events.write("outcome", outcome);
-        events.close();
         System.out.println(outcome);
-        return lateConfiguration.get() + lateDrain.get() > 0 ? 1 : 0;
+        return lateConfiguration.get() + lateDrain.get() > 0;
     }
 
     private static String configuration(long version, String movedTo) {
--- a/review/standins-2/cases/SilentWatch.java
+++ b/review/standins-2/cases/SilentWatch.java
@@ -43,23 +43,19 @@
     private final AtomicInteger broken = new AtomicInteger();
     private volatile boolean ends;
 
-    /** From when on a request must be run by {@link #service}. */
-    private volatile long boundNanos = Long.MAX_VALUE;
+    /** From when on a request must be run by which service; null while the bound is open. */
+    private volatile Bound bound;
 
-    private volatile String service = "desk";
+    private record Bound(long nanos, String service) {}
 
-    private SilentWatch(Path folder) throws IOException {
-        events = new Record(folder.resolve("record.txt"));
+    private String service = "desk";
+
+    private SilentWatch(Record events) throws IOException {
+        this.events = events;
     }
 
-    public static void main(String[] arguments) throws IOException {
-        int code = 2;
-        try {
-            code = new SilentWatch(Path.of(arguments[0])).run();
-        } catch (IOException | RuntimeException failure) {
-            failure.printStackTrace();
-        }
-        System.exit(code);
+    public static void main(String[] arguments) {
+        Stage.play(arguments, (events, work) -> new SilentWatch(events).run(work));
     }
 
     /** Checks that a request that is sent after the bound is run by the new service. */
@@ -70,25 +66,24 @@
 
         @Override
         protected void run(Connection connection, Message request) throws IOException {
-            long bound = boundNanos;
+            Bound bound = SilentWatch.this.bound;
             long sentAt = sentNanos.getOrDefault(request.id(), 0L);
-            if (bound != Long.MAX_VALUE && sentAt >= bound) {
+            if (bound != null && sentAt >= bound.nanos()) {
                 checked.incrementAndGet();
-                if (!service.equals(SilentWatch.this.service)) {
+                if (!service.equals(bound.service())) {
                     broken.incrementAndGet();
                     events.write(
                             "BROKEN",
                             String.format(
                                     "%s, sent %.2f s after the bound, was run by the old service",
-                                    request.id(), (sentAt - bound) / 1e9));
+                                    request.id(), (sentAt - bound.nanos()) / 1e9));
                 }
             }
             super.run(connection, request);
         }
     }
 
-    private int run() throws IOException {
-        Path folder = Stage.folder();
+    private boolean run(Path folder) throws IOException {
         for (int number = 1; number <= 3; number++) {
             new Server("i-desk-" + number, "desk");
             new Server("i-vault-" + number, "vault");
@@ -121,16 +116,17 @@
                     events.write("link", link.silenceIdle(IDLE_MILLIS) + " connections go silent");
                 }
                 Stage.sleep(300);
-                boundNanos = Long.MAX_VALUE;
+                bound = null;
                 service = round % 2 == 1 ? "vault" : "desk";
                 store.put("op/config", configuration(5 + 4 * round));
                 long acknowledgedNanos = System.nanoTime();
                 events.write("operator", "version " + (5 + 4 * round) + ": now " + service);
-                boundNanos =
+                long nanos =
                         Math.max(
                                         acknowledgedNanos + APPLY_MILLIS * 1_000_000,
                                         silenceNanos + STABLE_MILLIS * 1_000_000)
                                 + MARGIN_MILLIS * 1_000_000;
+                bound = new Bound(nanos, service);
                 Stage.sleep(10_200);
             }
             ends = true;
@@ -140,9 +136,8 @@
         }
         String outcome = "CONFIG broken by " + broken + " of " + checked + " requests past the bound";
         events.write("outcome", outcome);
-        events.close();
         System.out.println(outcome);
-        return broken.get() > 0 ? 1 : 0;
+        return broken.get() > 0;
     }
 
     private String configuration(long version) {
--- a/review/standins-2/stage/Stage.java
+++ b/review/standins-2/stage/Stage.java
@@ -3,14 +3,15 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
-import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -38,27 +39,60 @@
         return !"0".equals(System.getenv("TROUBLE"));
     }
 
-    /** Creates a temporary folder, which is deleted at the end unless KEEP_LOGS is 1. */
-    public static Path folder() throws IOException {
-        Path folder = Files.createTempDirectory("review");
-        if (!"1".equals(System.getenv("KEEP_LOGS"))) {
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> delete(folder)));
-        }
-        return folder;
+    /** A case: plays and returns whether the rule was broken. */
+    public interface Case {
+        boolean play(Record events, Path work) throws IOException;
     }
 
-    private static void delete(Path folder) {
-        try (DirectoryStream<Path> files = Files.newDirectoryStream(folder)) {
-            for (Path file : files) {
-                Files.delete(file);
+    private static Path machines;
+
+    /** Plays a case and ends with 10 if the rule held, 11 if it was broken, 12 if it couldn't run. */
+    public static void play(String[] arguments, Case played) {
+        int code = 12;
+        Path work = Path.of(arguments[1]);
+        machines = work.resolve("machines");
+        try (Record events = new Record(Path.of(arguments[0]))) {
+            try {
+                code = played.play(events, work) ? 11 : 10;
+            } catch (Throwable failure) {
+                events.write("failed", failure.toString());
+                failure.printStackTrace();
             }
-            Files.delete(folder);
         } catch (IOException failure) {
-            System.err.println("The temporary folder was not deleted: " + failure);
+            failure.printStackTrace();
+        }
+        System.exit(code);
+    }
+
+    private static synchronized void started(Process process) throws IOException {
+        Files.writeString(
+                machines,
+                process.pid() + "\n",
+                StandardOpenOption.CREATE,
+                StandardOpenOption.APPEND);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> end(process)));
+    }
+
+    /** Kills a process, waits for its end, and takes it from the list of those that may be left. */
+    private static synchronized void end(Process process) {
+        process.destroyForcibly();
+        try {
+            process.waitFor(5, TimeUnit.SECONDS);
+            String left =
+                    Files.readString(machines)
+                            .lines()
+                            .filter(line -> !line.equals(Long.toString(process.pid())))
+                            .map(line -> line + "\n")
+                            .reduce("", String::concat);
+            Files.writeString(machines, left);
+        } catch (IOException failure) {
+            System.err.println("The list of machines can't be written: " + failure);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
     }
 
-    private static int nextPort = 20_000 + (int) (ProcessHandle.current().pid() % 1_000) * 10;
+    private static int nextPort = ThreadLocalRandom.current().nextInt(20_000, 31_500);
 
     /** Returns free ports below those that connections get, so that none of these takes one. */
     public static synchronized int[] ports(int count) throws IOException {
@@ -138,9 +172,7 @@
             builder.environment().keySet()
                     .retainAll(List.of("PATH", "HOME", "JAVA_HOME", "LANG"));
             process = builder.start();
-            Process started = process;
-            Runtime.getRuntime()
-                    .addShutdownHook(new Thread(started::destroyForcibly));
+            started(process);
         }
 
         public boolean isAlive() {
@@ -197,8 +229,7 @@
         @Override
         public void close() {
             if (process != null) {
-                process.destroyForcibly();
-                awaitEnd(5_000);
+                end(process);
             }
         }
     }
