--- a/review/standins-2/cases/DoubledRejection.java
+++ b/review/standins-2/cases/DoubledRejection.java
@@ -26,6 +26,7 @@
     /** The largest dose of {@code garble}, "extra late", in the site file. */
     private static final double DOUBLED_SHARE = 0.03;
 
+    private static final String FAULTY = "i-faulty";
     private static final int ROUNDS = 5;
     private static final int CLIENTS = 1;
     private static final byte[] BODY = "x".repeat(400).getBytes();
@@ -54,6 +55,12 @@
             super(store, events, instance, "desk", 3);
         }
 
+        /** The faulty server is alone in its zone, and so is the one that crashes. */
+        @Override
+        protected String zone() {
+            return instance.equals(FAULTY) ? "zone-a" : "zone-b";
+        }
+
         @Override
         protected void run(Connection connection, Message request) throws IOException {
             ran.add(request.id());
@@ -67,7 +74,7 @@
         private int doubled;
 
         Faulty() throws IOException {
-            super("i-faulty");
+            super(FAULTY);
         }
 
         @Override
--- a/review/standins-2/stage/Target.java
+++ b/review/standins-2/stage/Target.java
@@ -66,6 +66,10 @@
         return "127.0.0.1:" + port;
     }
 
+    protected String zone() {
+        return "zone-a";
+    }
+
     protected String state() {
         return draining ? "draining" : "ready";
     }
@@ -81,10 +85,10 @@
         store.put(
                 "servers/" + instance,
                 String.format(
-                        "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"zone-a\",\"version\":\"1\","
+                        "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"1\","
                                 + "\"slots\":%d,\"state\":\"%s\",\"warmup_left_s\":0,\"seq_no\":%d,"
                                 + "\"born\":%d}",
-                        service, address(), slots, state(), ++sequence, born));
+                        service, address(), zone(), slots, state(), ++sequence, born));
     }
 
     /** Ends the process of the server: nothing listens, connections are reset. */
