Don't send a request twice on one connection

Cause: the attempt id is all that tells the answer to a request from a copy of an earlier answer. A request that one target refused and whose other target refused the connection returned to the first one, mostly on the connection that had carried it before. A copy of the first refusal then bears the right id.

Evidence: the log line of the request in ResentRequestTest, on the code before: i-1 REFUSED_NOT_PROCESSED, i-2 CONNECT_FAILED, i-1 REFUSED_NOT_PROCESSED on a connection that was open, 503, while i-1 ran the second send.

Change: an exchange remembers the connections that its request was written to, and the client passes them over, whatever ended the first send. They stay in the pool for other requests. Related: a refusal without an id may be a copy of any earlier one, and is no longer taken as proof that the request has not run; a connection to another VM whose answer has a foreign id is closed.

The test of a 421 without an id in ResponseCheckTest expected that proof; it now expects INVALID for all refusals without an id, and NOT_EXECUTED with one. SigningTargetStandIn#close waits until the port has stopped listening; a run of ResentRequestTest failed because a target that it had closed accepted one more connection.

--- a/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ProxyExchange.java
@@ -19,6 +19,7 @@
 import org.dahliapass.decisions.traffic.FailureKind;
 import org.dahliapass.gateway.UnexpectedFailures.Step;
 import org.dahliapass.http.ServerCall;
+import org.dahliapass.http.UsedConnections;
 import org.dahliapass.kernel.Futures;
 import org.dahliapass.model.Endpoint;
 import org.dahliapass.traffic.RefusedException;
@@ -73,6 +74,7 @@
     private final UnexpectedFailures mFailures;
     private final RequestCharges mCharges;
     private final Set<Endpoint> mTriedTargets = new HashSet<>();
+    private final UsedConnections mUsedConnections = new UsedConnections();
     private final Runnable mRelayInsteadOfWaiting = this::relayInsteadOfWaiting;
     private CompletableFuture<Slot> mPendingSlot;
 
@@ -559,7 +561,8 @@
                         mClock,
                         nextCause(),
                         mCall::isClientConnected,
-                        mCharges);
+                        mCharges,
+                        mUsedConnections);
         mLatestAttempt = attempt;
         if (mFinished || mRunningAttempts.isRelaying() || (mRelay.isNeeded() && relay())) {
             attempt.abort(FailureKind.CANCELLED_BY_CALLER);
--- a/gateway/src/main/java/org/dahliapass/gateway/RelayAttempt.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/RelayAttempt.java
@@ -205,8 +205,13 @@
                             head, mCall::setAutoRead, this::abort, mConnections.memory());
             return;
         }
+        if (check == ResponseCheck.MISMATCHED) {
+            mCall.abort();
+            fail(check.failureKind(), check.cause() + " (status " + status + ")");
+            return;
+        }
         mCall.discardRest();
-        if (check != ResponseCheck.MISMATCHED && NOT_EXECUTED_STATUSES.contains(status)) {
+        if (NOT_EXECUTED_STATUSES.contains(status)) {
             mResult.complete(
                     new AttemptResult.Refused(
                             endpoint(),
--- a/gateway/src/main/java/org/dahliapass/gateway/ResponseCheck.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ResponseCheck.java
@@ -69,7 +69,11 @@
      */
     static ResponseCheck of(int status, HttpHeaders headers, String id) {
         String receivedId = headers.get(TargetHeaders.ATTEMPT_ID);
-        if (receivedId != null && !receivedId.equals(id)) {
+        if (receivedId == null) {
+            // Not even a refusal proves anything: it may be a copy of one to an earlier request.
+            return INVALID;
+        }
+        if (!receivedId.equals(id)) {
             return MISMATCHED;
         }
         boolean refused =
@@ -79,6 +83,6 @@
         }
         boolean signed = headers.contains(TargetHeaders.SIGNATURE);
         boolean encoded = headers.contains(HttpHeaderNames.CONTENT_ENCODING);
-        return receivedId == null || !signed || encoded ? INVALID : VALID;
+        return !signed || encoded ? INVALID : VALID;
     }
 }
--- a/gateway/src/main/java/org/dahliapass/gateway/TargetAttempt.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/TargetAttempt.java
@@ -21,6 +21,7 @@
 import org.dahliapass.http.ClientCall;
 import org.dahliapass.http.NotSentException;
 import org.dahliapass.http.ResponseListener;
+import org.dahliapass.http.UsedConnections;
 import org.dahliapass.kernel.Futures;
 import org.dahliapass.kernel.JsonObject;
 import org.dahliapass.model.Endpoint;
@@ -52,6 +53,7 @@
     private final Clock mClock;
     private final BooleanSupplier mIsCallerConnected;
     private final RequestCharges mCharges;
+    private final UsedConnections mUsedConnections;
     private final CompletableFuture<AttemptResult> mResult = new CompletableFuture<>();
     private ClientCall mCall;
     private ResponseCollector mCollector;
@@ -68,6 +70,11 @@
     private boolean mDropped;
     private boolean mWithdrawn;
 
+    /**
+     * Creates an attempt.
+     *
+     * @param usedConnections the connections that earlier attempts of the request have used
+     */
     TargetAttempt(
             ProxyRequest request,
             Slot slot,
@@ -76,9 +83,11 @@
             Clock clock,
             AttemptCause cause,
             BooleanSupplier isCallerConnected,
-            RequestCharges charges) {
+            RequestCharges charges,
+            UsedConnections usedConnections) {
         mCause = cause;
         mCharges = charges;
+        mUsedConnections = usedConnections;
         mIsCallerConnected = isCallerConnected;
         mRequest = request;
         mSlot = slot;
@@ -107,6 +116,7 @@
                                         instance(),
                                         mRequest.remainingMillis(mStartedMillis)),
                                 mRequest.body(),
+                                mUsedConnections,
                                 this);
         return mResult;
     }
--- a/gateway/src/test/java/org/dahliapass/gateway/ResponseCheckTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/ResponseCheckTest.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import org.dahliapass.platform.TargetHeaders;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests of {@link ResponseCheck}. */
@@ -52,13 +53,26 @@
 
     @Test
     public void misdirectedRequestIsNotExecuted() {
-        assertEquals(
-                ResponseCheck.of(421, new DefaultHttpHeaders(), ID), ResponseCheck.NOT_EXECUTED);
+        HttpHeaders headers = new DefaultHttpHeaders().set(TargetHeaders.ATTEMPT_ID, ID);
+        assertEquals(ResponseCheck.of(421, headers, ID), ResponseCheck.NOT_EXECUTED);
+    }
+
+    @DataProvider
+    public Object[][] refusalStatuses() {
+        return new Object[][] {{503}, {429}, {421}, {400}};
+    }
+
+    /** A refusal without an id may be a copy of the refusal of an earlier request. */
+    @Test(dataProvider = "refusalStatuses")
+    public void refusalWithoutAttemptIdIsInvalid(int status) {
+        HttpHeaders headers = new DefaultHttpHeaders().set(TargetHeaders.NOT_EXECUTED, "1");
+        assertEquals(ResponseCheck.of(status, headers, ID), ResponseCheck.INVALID);
     }
 
     @Test
     public void refusalWithoutNotExecutedHeaderIsInvalid() {
-        assertEquals(ResponseCheck.of(503, new DefaultHttpHeaders(), ID), ResponseCheck.INVALID);
+        HttpHeaders headers = new DefaultHttpHeaders().set(TargetHeaders.ATTEMPT_ID, ID);
+        assertEquals(ResponseCheck.of(503, headers, ID), ResponseCheck.INVALID);
     }
 
     @Test
--- a/gateway/src/test/java/org/dahliapass/gateway/TargetAttemptTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/TargetAttemptTest.java
@@ -25,6 +25,7 @@
 import org.dahliapass.decisions.health.Outcome;
 import org.dahliapass.decisions.memory.MemoryAccount;
 import org.dahliapass.decisions.traffic.WeightedTarget;
+import org.dahliapass.http.UsedConnections;
 import org.dahliapass.kernel.Futures;
 import org.dahliapass.kernel.MonotonicClock;
 import org.dahliapass.model.DetectionPolicy;
@@ -119,7 +120,8 @@
                         mClock,
                         AttemptCause.FIRST,
                         () -> true,
-                        new RequestCharges(mRuntime));
+                        new RequestCharges(mRuntime),
+                        new UsedConnections());
         CompletableFuture<AttemptResult> result = new CompletableFuture<>();
         mConnections
                 .loop()
--- a/http/src/main/java/org/dahliapass/http/ClientCall.java
+++ b/http/src/main/java/org/dahliapass/http/ClientCall.java
@@ -21,6 +21,7 @@
     private final String mPath;
     private final HttpHeaders mHeaders;
     private final ByteBuf mBody;
+    private final UsedConnections mUsed;
     private final ResponseListener mListener;
     private ClientConnection mConnection;
     private boolean mFinished;
@@ -30,11 +31,13 @@
             String path,
             HttpHeaders headers,
             ByteBuf body,
+            UsedConnections used,
             ResponseListener listener) {
         mMethod = method;
         mPath = path;
         mHeaders = headers;
         mBody = body;
+        mUsed = used;
         mListener = listener;
     }
 
@@ -70,6 +73,7 @@
 
     void attach(ClientConnection connection) {
         mConnection = connection;
+        mUsed.add(connection);
     }
 
     /**
--- a/http/src/main/java/org/dahliapass/http/HttpClient.java
+++ b/http/src/main/java/org/dahliapass/http/HttpClient.java
@@ -20,6 +20,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -75,11 +76,29 @@
         return mLoop;
     }
 
+    /**
+     * Sends a request that is sent once only; must be called on the event loop.
+     *
+     * @see #send(Endpoint, HttpMethod, String, HttpHeaders, ByteBuf, UsedConnections,
+     *     ResponseListener)
+     */
+    public ClientCall send(
+            Endpoint server,
+            HttpMethod method,
+            String path,
+            HttpHeaders headers,
+            ByteBuf body,
+            ResponseListener listener) {
+        return send(server, method, path, headers, body, new UsedConnections(), listener);
+    }
+
     /**
      * Sends a request; must be called on the event loop.
      *
      * @param headers the headers, owned by the call from now on; Content-Length is added
      * @param body the body, in a heap buffer
+     * @param used the connections that have carried the request; the one that carries it now is
+     *     added
      * @param listener receives the response; only {@link ResponseListener#onConnected} may be
      *     called before this method returns
      */
@@ -89,9 +108,10 @@
             String path,
             HttpHeaders headers,
             ByteBuf body,
+            UsedConnections used,
             ResponseListener listener) {
-        ClientCall call = new ClientCall(method, path, headers, body, listener);
-        ClientConnection idleConnection = pollIdle(server);
+        ClientCall call = new ClientCall(method, path, headers, body, used, listener);
+        ClientConnection idleConnection = pollIdle(server, used);
         if (idleConnection != null) {
             sendIfWanted(server, idleConnection, call, true);
         } else {
@@ -100,11 +120,20 @@
         return call;
     }
 
-    private ClientConnection pollIdle(Endpoint server) {
+    /** Removes and returns the newest idle connection that was not used; null if there is none. */
+    private ClientConnection pollIdle(Endpoint server, UsedConnections used) {
         Deque<ClientConnection> idle = mIdle.get(server);
+        if (idle == null) {
+            return null;
+        }
         long now = mClock.millis();
-        while (idle != null && !idle.isEmpty()) {
-            ClientConnection newest = idle.pollLast();
+        Iterator<ClientConnection> newestFirst = idle.descendingIterator();
+        while (newestFirst.hasNext()) {
+            ClientConnection newest = newestFirst.next();
+            if (used.contains(newest)) {
+                continue;
+            }
+            newestFirst.remove();
             if (!newest.isStale(now, mIdleMillis) && newest.pollOpen()) {
                 return newest;
             }
--- a/http/src/test/java/org/dahliapass/http/ClientConnectionTest.java
+++ b/http/src/test/java/org/dahliapass/http/ClientConnectionTest.java
@@ -47,6 +47,7 @@
                         "/",
                         new DefaultHttpHeaders().set("host", "a"),
                         Unpooled.EMPTY_BUFFER,
+                        new UsedConnections(),
                         new RecordingListener());
         mConnection.send(mCall);
     }
--- a/standins/src/main/java/org/dahliapass/standins/SigningTargetStandIn.java
+++ b/standins/src/main/java/org/dahliapass/standins/SigningTargetStandIn.java
@@ -177,9 +177,38 @@
         SHED {
             @Override
             void act(Socket connection, ReceivedRequest request) throws IOException {
-                write(
-                        connection,
-                        head(request, 503, "X-Dahliapass-Not-Executed: 1\r\n") + body(request));
+                write(connection, refusal(request, 503));
+            }
+        },
+        /** Refuses the request as {@link #SHED} does, then executes it and responds. */
+        SHED_AND_RESPOND {
+            @Override
+            void act(Socket connection, ReceivedRequest request) throws IOException {
+                SHED.act(connection, request);
+                RESPOND.act(connection, request);
+            }
+        },
+        /** Refuses the request as {@link #SHED} does, in a response without the attempt ID. */
+        SHED_WITHOUT_ID {
+            @Override
+            void act(Socket connection, ReceivedRequest request) throws IOException {
+                write(connection, withoutId(refusal(request, 503)));
+            }
+        },
+        /** Responds as {@link #MISDIRECTED} does, then executes the request and responds. */
+        MISDIRECTED_AND_RESPOND {
+            @Override
+            void act(Socket connection, ReceivedRequest request) throws IOException {
+                MISDIRECTED.act(connection, request);
+                RESPOND.act(connection, request);
+            }
+        },
+        /** Responds with the failure of {@link #FAIL}, then executes the request and responds. */
+        FAIL_AND_RESPOND {
+            @Override
+            void act(Socket connection, ReceivedRequest request) throws IOException {
+                FAIL.act(connection, request);
+                RESPOND.act(connection, request);
             }
         },
         /** Sends a complete response that says that the target is leaving. */
@@ -210,9 +239,7 @@
         MISDIRECTED {
             @Override
             void act(Socket connection, ReceivedRequest request) throws IOException {
-                write(
-                        connection,
-                        head(request, 421, "X-Dahliapass-Not-Executed: 1\r\n") + body(request));
+                write(connection, refusal(request, 421));
             }
         },
         /** Executes the request and responds with 500. */
@@ -318,6 +345,14 @@
                     + "\r\n\r\n";
         }
 
+        private static String refusal(ReceivedRequest request, int status) {
+            return head(request, status, "X-Dahliapass-Not-Executed: 1\r\n") + body(request);
+        }
+
+        private static String withoutId(String response) {
+            return response.replaceFirst("X-Dahliapass-Attempt-Id: [^\r]*\r\n", "");
+        }
+
         private static String body(ReceivedRequest request) {
             return "answer to " + request.headers().get("x-dahliapass-attempt-id");
         }
@@ -351,8 +386,10 @@
      * @param requestLine the request line
      * @param headers the headers by lower-case name
      * @param body the body
+     * @param connection the number of the connection, counted from 1 in the order of acceptance
      */
-    public record ReceivedRequest(String requestLine, Map<String, String> headers, String body) {}
+    public record ReceivedRequest(
+            String requestLine, Map<String, String> headers, String body, int connection) {}
 
     /** Creates a target with the instance name on a free port. */
     public SigningTargetStandIn(String instance) {
@@ -405,8 +442,11 @@
             try {
                 Socket connection = mSocket.accept();
                 mConnections.add(connection);
+                int number = mConnections.size();
                 Thread unused =
-                        startThread("connection-" + mInstance, () -> serveConnection(connection));
+                        startThread(
+                                "connection-" + mInstance,
+                                () -> serveConnection(connection, number));
             } catch (IOException closed) {
                 // The socket was closed.
                 return;
@@ -414,7 +454,7 @@
         }
     }
 
-    private void serveConnection(Socket connection) {
+    private void serveConnection(Socket connection, int number) {
         try {
             BufferedReader reader =
                     new BufferedReader(
@@ -422,7 +462,7 @@
                                     connection.getInputStream(), StandardCharsets.ISO_8859_1));
             String line = reader.readLine();
             while (line != null) {
-                ReceivedRequest request = readRequest(line, reader);
+                ReceivedRequest request = readRequest(line, reader, number);
                 if (isIntendedTarget(request)) {
                     mReceivedRequests.add(request);
                     mBehaviour.apply(request).act(connection, request);
@@ -453,15 +493,10 @@
         return mMisdirectedCount.get();
     }
 
-    /**
-     * Stops listening and resets all connections, as the kernel does when a process ends.
-     *
-     * <p>Joins the acceptor because the port accepts connections until its thread ends.
-     */
+    /** Stops listening and resets all connections, as the kernel does when a process ends. */
     private void crash() {
         try {
-            mSocket.close();
-            mAcceptor.join();
+            stopListening();
             for (Socket connection : mConnections) {
                 if (!connection.isClosed()) {
                     connection.setSoLinger(true, 0);
@@ -470,6 +505,17 @@
             }
         } catch (IOException failure) {
             throw new UncheckedIOException(failure);
+        }
+    }
+
+    /** Joins the acceptor, because the port accepts connections until its thread ends. */
+    private void stopListening() throws IOException {
+        mSocket.close();
+        if (mAcceptor == null) {
+            return;
+        }
+        try {
+            mAcceptor.join();
         } catch (InterruptedException ended) {
             Thread.currentThread().interrupt();
         }
@@ -490,7 +536,7 @@
         return mClosedConnectionCount.get();
     }
 
-    private static ReceivedRequest readRequest(String line, BufferedReader reader)
+    private static ReceivedRequest readRequest(String line, BufferedReader reader, int connection)
             throws IOException {
         Map<String, String> headers = new TreeMap<>();
         String header = reader.readLine();
@@ -510,7 +556,7 @@
             }
             read += count;
         }
-        return new ReceivedRequest(line, headers, new String(body));
+        return new ReceivedRequest(line, headers, new String(body), connection);
     }
 
     private static Thread startThread(String name, Runnable task) {
@@ -528,7 +574,7 @@
     @Override
     public void close() {
         try {
-            mSocket.close();
+            stopListening();
             for (Socket connection : mConnections) {
                 connection.close();
             }
