Ask the store once a VM's state is unconfirmed for 1.5 s

Cause: a follower waits 0.9 s and 0.4 s for a watcher that doesn't respond, then as long for the next one, and asks the store last. Each wait fits into the 2 s, their sum doesn't.

Evidence: with the calls to other VMs held up for good and a store that answers, a follower never asks the store (ChangeFeedTest#storeIsAskedWhileAFrozenWatcherIsStillAwaited fails before).

Change: ChangeSourceSelector decides from when the state was last confirmed. Waits become shorter the longer ago that is, and after 1.5 s the store is asked, whatever is pending: any number of frozen watchers, new ones after old, whole copies, pauses. What a watcher confirmed shortly before it reports the loss of the store doesn't count, nor does a first read that may be old, and a watcher checks that it still hears from the store before it confirms. A VM no longer takes the store for silent because its own last call is 1 s old, which kept new watchers from watching. With one frozen watcher the store isn't asked.

In ChangeSourceSelectorTest the case of a source that is skipped for 3 s names a VM that was served just now, as one without news for that long asks the store; what it asserts is unchanged.

--- a/decisions/src/main/java/org/dahliapass/decisions/routing/ChangeSource.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/routing/ChangeSource.java
@@ -7,8 +7,12 @@
     /** The store itself. */
     record Store() implements ChangeSource {}
 
-    /** Another VM, which watches the store. */
-    record Vm(FleetVm vm) implements ChangeSource {}
+    /**
+     * Another VM, which watches the store.
+     *
+     * @param watchMillis how long the VM may wait for a change, in milliseconds
+     */
+    record Vm(FleetVm vm, long watchMillis) implements ChangeSource {}
 
     /**
      * No source is available at present.
--- a/decisions/src/test/java/org/dahliapass/decisions/routing/ChangeSourceSelectorTest.java
+++ b/decisions/src/test/java/org/dahliapass/decisions/routing/ChangeSourceSelectorTest.java
@@ -24,7 +24,11 @@
     public void onlyWatchersReadFromTheStore() {
         long storeReaders =
                 mVms.stream()
-                        .filter(vm -> selector(vm).choose(mAddressPlan, true, 0, 0).equals(STORE))
+                        .filter(
+                                vm ->
+                                        selector(vm)
+                                                .choose(mAddressPlan, StoreState.RESPONDING, 0, 0)
+                                                .equals(STORE))
                         .count();
         assertEquals(storeReaders, 3);
     }
@@ -67,8 +71,8 @@
         ChangeSourceSelector selector = selector(follower());
         FleetVm first = source(selector, 0, 0);
         selector.onTimeout(first, 0);
-        assertNotEquals(source(selector, 0, 2_999), first);
-        assertEquals(source(selector, 0, 3_000), first);
+        assertNotEquals(source(selector, 2_999, 2_999), first);
+        assertEquals(source(selector, 3_000, 3_000), first);
     }
 
     @Test
@@ -85,8 +89,10 @@
     public void followerFallsBackToTheStoreAfterASecondWithoutASource() {
         ChangeSourceSelector selector = selector(follower());
         mAddressPlan.watchers().forEach(vm -> selector.onTimeout(vm, 100));
-        assertTrue(selector.choose(mAddressPlan, true, 0, 100) instanceof ChangeSource.RetryLater);
-        assertEquals(selector.choose(mAddressPlan, true, 0, 1_000), STORE);
+        assertTrue(
+                selector.choose(mAddressPlan, StoreState.RESPONDING, 0, 100)
+                        instanceof ChangeSource.RetryLater);
+        assertEquals(selector.choose(mAddressPlan, StoreState.RESPONDING, 0, 1_000), STORE);
     }
 
     /**
@@ -96,7 +102,72 @@
     public void followerFallsBackToTheStoreAtOnceIfAllWatchersAreUnavailable() {
         ChangeSourceSelector selector = selector(follower());
         mAddressPlan.watchers().forEach(vm -> selector.onUnavailable(vm, 100));
-        assertEquals(selector.choose(mAddressPlan, true, 100, 100), STORE);
+        assertEquals(selector.choose(mAddressPlan, StoreState.RESPONDING, 100, 100), STORE);
+    }
+
+    /** Guards against a follower that tries further watchers while a change takes effect. */
+    @Test
+    public void storeIsAskedOnceTheStateIsUnconfirmedForTooLong() {
+        ChangeSourceSelector selector = selector(follower());
+        assertEquals(selector.storeDeadlineMillis(100), 1_600);
+        assertTrue(
+                selector.choose(mAddressPlan, StoreState.RESPONDING, 100, 1_599)
+                        instanceof ChangeSource.Vm);
+        assertEquals(selector.choose(mAddressPlan, StoreState.RESPONDING, 100, 1_600), STORE);
+    }
+
+    /** A VM that is cut off from the store still receives changes through a watcher. */
+    @Test
+    public void watcherIsAskedInPlaceOfAStoreThatDoesNotRespond() {
+        ChangeSourceSelector selector = selector(follower());
+        assertTrue(
+                selector.choose(mAddressPlan, StoreState.UNAVAILABLE, 100, 9_000)
+                        instanceof ChangeSource.Vm);
+    }
+
+    /** Guards against one call to the store that failed and is repeated only after all watchers. */
+    @Test
+    public void overdueVmCallsTheStoreAgainAfterAFailure() {
+        ChangeSourceSelector selector = selector(follower());
+        assertTrue(
+                selector.choose(mAddressPlan, StoreState.RETRIABLE, 100, 1_599)
+                        instanceof ChangeSource.Vm);
+        assertEquals(selector.choose(mAddressPlan, StoreState.RETRIABLE, 100, 1_600), STORE);
+    }
+
+    /** Guards against a VM that waits for a busy store while a watcher has the changes. */
+    @Test
+    public void overdueVmAsksAWatcherWhileItMayNotCallTheStore() {
+        ChangeSourceSelector selector = selector(follower());
+        assertTrue(
+                selector.choose(mAddressPlan, StoreState.PAUSED, 100, 9_000)
+                        instanceof ChangeSource.Vm);
+    }
+
+    /** Guards against a second source that confirms the state only after another long watch. */
+    @Test
+    public void watchIsShorterTheLongerTheStateIsUnconfirmed() {
+        ChangeSourceSelector selector = selector(follower());
+        assertEquals(watchMillis(selector, 5_000, 5_000), 900);
+        assertEquals(watchMillis(selector, 5_000, 5_300), 600);
+        assertEquals(watchMillis(selector, 5_000, 6_300), 0);
+    }
+
+    /** Guards against a watcher that confirmed an old state before it noticed its loss. */
+    @Test
+    public void confirmationsOfAWatcherThatLostTheStoreDoNotCount() {
+        ChangeSourceSelector selector = selector(follower());
+        selector.onUnavailable(source(selector, 5_000, 5_000), 5_000);
+        assertEquals(watchMillis(selector, 4_990, 5_000), 0);
+        assertEquals(selector.storeDeadlineMillis(4_990), 5_300);
+        assertEquals(selector.storeDeadlineMillis(5_001), 6_501);
+    }
+
+    private long watchMillis(ChangeSourceSelector selector, long receivedMillis, long nowMillis) {
+        return ((ChangeSource.Vm)
+                        selector.choose(
+                                mAddressPlan, StoreState.RESPONDING, receivedMillis, nowMillis))
+                .watchMillis();
     }
 
     /** The store may reject the calls of some VMs and serve others. */
@@ -104,7 +175,10 @@
     public void watcherRejectedByTheStoreFollowsAnotherWatcher() {
         FleetVm watcher = mAddressPlan.watchers().iterator().next();
         FleetVm source =
-                ((ChangeSource.Vm) selector(watcher).choose(mAddressPlan, false, 0, 0)).vm();
+                ((ChangeSource.Vm)
+                                selector(watcher)
+                                        .choose(mAddressPlan, StoreState.UNAVAILABLE, 0, 0))
+                        .vm();
         assertNotEquals(source, watcher);
         assertTrue(mAddressPlan.watchers().contains(source));
     }
@@ -112,7 +186,11 @@
     private static FleetVm source(
             ChangeSourceSelector selector, long lastReceivedMillis, long nowMillis) {
         return ((ChangeSource.Vm)
-                        selector.choose(addressPlan(), true, lastReceivedMillis, nowMillis))
+                        selector.choose(
+                                addressPlan(),
+                                StoreState.RESPONDING,
+                                lastReceivedMillis,
+                                nowMillis))
                 .vm();
     }
 
@@ -129,13 +207,16 @@
     public void restoreIsReadThroughAWatcher() {
         ChangeSourceSelector selector = selector(follower());
         mAddressPlan.watchers().forEach(watcher -> selector.onUnavailable(watcher, 10_000));
-        assertEquals(selector.choose(mAddressPlan, true, 0, 10_100), STORE);
+        assertEquals(selector.choose(mAddressPlan, StoreState.RESPONDING, 0, 10_100), STORE);
         selector.onStoreRestored(12_000);
-        assertTrue(selector.choose(mAddressPlan, true, 0, 10_100) instanceof ChangeSource.Vm);
+        assertTrue(
+                selector.choose(mAddressPlan, StoreState.RESPONDING, 0, 10_100)
+                        instanceof ChangeSource.Vm);
         mAddressPlan.watchers().forEach(watcher -> selector.onUnavailable(watcher, 11_900));
         assertTrue(
-                selector.choose(mAddressPlan, true, 0, 11_950) instanceof ChangeSource.RetryLater);
-        assertEquals(selector.choose(mAddressPlan, true, 0, 12_000), STORE);
+                selector.choose(mAddressPlan, StoreState.RESPONDING, 0, 11_950)
+                        instanceof ChangeSource.RetryLater);
+        assertEquals(selector.choose(mAddressPlan, StoreState.RESPONDING, 0, 12_000), STORE);
     }
 
     private FleetVm follower() {
--- a/gateway/src/main/java/org/dahliapass/gateway/ChangeFeed.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/ChangeFeed.java
@@ -14,6 +14,7 @@
 import org.dahliapass.decisions.routing.ChangeSource;
 import org.dahliapass.decisions.routing.ChangeSourceSelector;
 import org.dahliapass.decisions.routing.StoreBackoff;
+import org.dahliapass.decisions.routing.StoreState;
 import org.dahliapass.http.HttpClient;
 import org.dahliapass.kernel.ControlLoop;
 import org.dahliapass.kernel.Futures;
@@ -64,12 +65,6 @@
      */
     private static final Duration INITIAL_WATCH_TIMEOUT = Duration.ofMillis(400);
 
-    /**
-     * The duration of a watch on another VM. A VM may lose power, and changes must take effect
-     * within 2 seconds.
-     */
-    private static final Duration PEER_WATCH_TIMEOUT = Duration.ofMillis(900);
-
     /**
      * The time without a response after which the store counts as silent. Allows 0.6 s for a
      * response between two lease renewals, and lets the followers of this VM learn of it within the
@@ -135,6 +130,9 @@
     /** The number of the current watch; the response of an earlier one is ignored. */
     private int mWatchNumber;
 
+    /** When this VM last left the store because it was silent, in milliseconds. */
+    private long mLeftStoreMillis = Long.MIN_VALUE / 2;
+
     ChangeFeed(
             GatewaySettings settings,
             KeyValueStore store,
@@ -162,9 +160,12 @@
         return mStatus;
     }
 
-    /** Returns whether this VM watches the store directly, so that others may follow its mirror. */
+    /**
+     * Returns whether this VM watches the store and receives responses, so that others may follow
+     * its mirror; control thread only.
+     */
     boolean isCurrent() {
-        return mFollowsStore;
+        return mFollowsStore && !isStoreSilent();
     }
 
     /** Registers a listener that runs when there may be changes for the followers of this VM. */
@@ -232,7 +233,8 @@
         mIsFromStore = true;
         applySnapshot(
                 mMirror.load(snapshot.items(), revision, mLoop.nowMillis()),
-                new UpdateOrigin(STORE_SOURCE, revision));
+                new UpdateOrigin(STORE_SOURCE, revision),
+                snapshot.consistency());
     }
 
     /**
@@ -261,13 +263,17 @@
         mFollower.onStoreResponse();
     }
 
-    private void applySnapshot(List<StoredItem> items, UpdateOrigin origin) {
+    private void applySnapshot(
+            List<StoredItem> items, UpdateOrigin origin, Consistency consistency) {
         StoreRevision previous = mStatus.revision();
         boolean isRestored =
                 previous.number() > 0
                         && (origin.revision().epoch() != previous.epoch()
                                 || origin.revision().compareTo(previous) < 0);
         publish(origin, isRestored, () -> mFollower.applySnapshot(items, origin));
+        if (consistency == Consistency.STALE_ALLOWED) {
+            mSourceSelector.onDoubt(mLoop.nowMillis());
+        }
         follow();
     }
 
@@ -281,12 +287,14 @@
             mLoop.schedule(PEER_DISCOVERY_DELAY, this::readStore);
             return;
         }
-        boolean isStoreResponding = !mFollower.isStoreUnavailable() && !isStoreSilent();
         ChangeSource changeSource =
-                mSourceSelector.choose(plan, isStoreResponding, mStatus.lastUpdateMillis(), now);
+                mSourceSelector.choose(plan, storeState(now), mStatus.lastUpdateMillis(), now);
         if (changeSource instanceof ChangeSource.Vm source) {
             switchSource(source.vm().name());
-            followPeer(source.vm());
+            followPeer(source.vm(), Duration.ofMillis(source.watchMillis()));
+            if (now < storeDeadlineMillis()) {
+                awaitStoreDeadline(mWatchNumber);
+            }
             return;
         }
         long delay =
@@ -306,6 +314,35 @@
         followStore();
     }
 
+    /**
+     * Chooses a source again at the time at which the store is asked, unless a newer watch was
+     * started meanwhile.
+     */
+    private void awaitStoreDeadline(int watchNumber) {
+        if (watchNumber != mWatchNumber) {
+            return;
+        }
+        long remainingMillis = storeDeadlineMillis() - mLoop.nowMillis();
+        if (remainingMillis <= 0) {
+            mLog.write(
+                    EventLog.Kind.DEPENDENCY,
+                    "state_unconfirmed",
+                    line ->
+                            new UpdateOrigin(mStatus.source(), mStatus.revision())
+                                    .describe(line)
+                                    .put("update_age_ms", mStatus.ageMillis()));
+            follow();
+            return;
+        }
+        mLoop.schedule(
+                Duration.ofMillis(remainingMillis),
+                () -> guard(() -> awaitStoreDeadline(watchNumber)));
+    }
+
+    private long storeDeadlineMillis() {
+        return mSourceSelector.storeDeadlineMillis(mStatus.lastUpdateMillis());
+    }
+
     private void joinNearestWatcher() {
         mSourceSelector
                 .nearestWatcher(mFollower.view().plan(), mLoop.nowMillis())
@@ -375,6 +412,17 @@
                                         period.isAfterOutage()));
     }
 
+    private StoreState storeState(long nowMillis) {
+        if (mFollower.lastResponseMillis() < mLeftStoreMillis) {
+            return StoreState.UNAVAILABLE;
+        }
+        boolean isPaused = mBackoff.remainingMillis(nowMillis) > 0;
+        if (mFollower.isStoreUnavailable()) {
+            return isPaused ? StoreState.UNAVAILABLE : StoreState.RETRIABLE;
+        }
+        return isPaused ? StoreState.PAUSED : StoreState.RESPONDING;
+    }
+
     private boolean isStoreSilent() {
         return mLoop.nowMillis() - mFollower.lastResponseMillis() > STORE_SILENCE_LIMIT_MILLIS;
     }
@@ -398,6 +446,7 @@
                 EventLog.Kind.DEPENDENCY,
                 "store_silent",
                 line -> line.put("silent_ms", mLoop.nowMillis() - mFollower.lastResponseMillis()));
+        mLeftStoreMillis = mLoop.nowMillis();
         stopServingFollowers();
         follow();
         return Optional.empty();
@@ -540,15 +589,13 @@
         }
     }
 
-    private void followPeer(FleetVm peer) {
+    private void followPeer(FleetVm peer, Duration wait) {
         int watchNumber = mWatchNumber;
         StoreRevision revision = mStatus.revision();
         stopServingFollowers();
         StoreReader.onControlThread(
                 mLoop,
-                mPeerClients
-                        .clientFor(peer.peerEndpoint())
-                        .watch(revision, mIsFromStore, PEER_WATCH_TIMEOUT),
+                mPeerClients.clientFor(peer.peerEndpoint()).watch(revision, mIsFromStore, wait),
                 response ->
                         guard(
                                 () -> {
@@ -598,16 +645,21 @@
 
     /** Reads the mirror of another VM and ignores it if it is older than the state of this VM. */
     private void readPeer(FleetVm peer) {
+        int watchNumber = mWatchNumber;
         StoreReader.onControlThread(
                 mLoop,
                 mPeerClients.clientFor(peer.peerEndpoint()).range(),
                 page -> {
+                    if (watchNumber != mWatchNumber) {
+                        return;
+                    }
                     StoreRevision revision = mStatus.resolve(page.revision());
                     if (revision.compareTo(mStatus.revision()) >= 0) {
                         mIsFromStore = false;
                         applySnapshot(
                                 mMirror.loadFromPeer(page.items(), revision, mLoop.nowMillis()),
-                                new UpdateOrigin(peer.name(), revision));
+                                new UpdateOrigin(peer.name(), revision),
+                                Consistency.STALE_ALLOWED);
                         return;
                     }
                     logIgnoredSnapshot(peer.name(), revision);
@@ -616,7 +668,7 @@
                 },
                 failure -> {
                     onPeerFailed(peer, failure);
-                    follow();
+                    resumeFollowing(watchNumber);
                 });
     }
 
--- a/gateway/src/main/java/org/dahliapass/gateway/MirrorService.java
+++ b/gateway/src/main/java/org/dahliapass/gateway/MirrorService.java
@@ -110,6 +110,11 @@
         if (!mPendingWatches.remove(pending)) {
             return;
         }
+        if (!mFeed.isCurrent()) {
+            // Guards against a VM that was frozen and confirms its state before it reads changes.
+            send(pending.call(), unavailable());
+            return;
+        }
         StoreRevision current = mFeed.mirror().revision();
         if (pending.after().number() > current.number()) {
             // Guards against a follower that waits for numbers that the store counts again.
--- a/gateway/src/test/java/org/dahliapass/gateway/ChangeFeedTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/ChangeFeedTest.java
@@ -316,6 +316,26 @@
                 });
     }
 
+    /** Guards against waits for one frozen watcher after the other while a change takes effect. */
+    @Test
+    public void storeIsAskedWhileAFrozenWatcherIsStillAwaited() {
+        startEpoch(1);
+        int watches = mStore.mWatchCount.get();
+        // The calls to other VMs neither end nor time out.
+        CompletableFuture<Void> end = new CompletableFuture<>();
+        mLoops.next().execute(end::join);
+        try {
+            mStore.completeLastWatch(
+                    List.of(otherVm("vm-1", 2), otherVm("vm-2", 3), otherVm("vm-3", 4)), 4);
+            GatewayFixture.await(() -> mFeed.status().source().startsWith("vm-"));
+            assertEquals(mStore.mWatchCount.get(), watches);
+            mClock.advance(Duration.ofMillis(1_500));
+            GatewayFixture.await(() -> mStore.mWatchCount.get() > watches);
+        } finally {
+            end.complete(null);
+        }
+    }
+
     /** Returns the entry of a VM that watches the store before this one, and doesn't respond. */
     private static StoreEvent otherVm(String name, long revision) {
         Endpoint closed = new Endpoint("127.0.0.1", 9);
