--- a/decisions/src/main/java/org/dahliapass/decisions/routing/ChangeSourceSelector.java
+++ b/decisions/src/main/java/org/dahliapass/decisions/routing/ChangeSourceSelector.java
@@ -85,7 +85,7 @@
         onDoubt(nowMillis);
     }
 
-    /** Records that what this VM received up to now may have been out of date already. */
+    /** Records that the state of this VM, as received up to now, may be older than it was read. */
     public void onDoubt(long nowMillis) {
         mDoubtedMillis = nowMillis;
     }
