Answer the probes of GatewayCustomerTest that wait for a removed key

The targets of the test refuse all requests, also the probes by which it waits until the removal of the key is in force. Each refused probe is sent again, and the VM's retry budget allows two retries to so few requests. A removal that comes less than 300 ms after the last change is read only then (ChangeFeed's BATCH_DELAY), by about 50 probes later. The request has no retry left, so it isn't authenticated again but refused as not executed, which is true.

Change: the probes are answered, and the request is an at-most-once one with 15 s, which isn't hedged and doesn't run out of time while its first target waits for the removal. It must still get 401 and reach one target.

--- a/gateway/src/test/java/org/dahliapass/gateway/GatewayCustomerTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/GatewayCustomerTest.java
@@ -21,6 +21,11 @@
     private static final String KEY = "k3y-of-c";
     private static final String CUSTOMERS = "[[\"c\",[\"" + KEY + "\",\"new\"],1,0,0]]";
 
+    private static final String LOCK_TIMEOUT = "\"unsafe\",1.2,";
+
+    /** Longer than a busy machine takes to put a configuration in force. */
+    private static final String LONG_LOCK_TIMEOUT = "\"unsafe\",15,";
+
     private GatewayFixture mFixture;
 
     @BeforeMethod
@@ -76,13 +81,17 @@
                 target ->
                         target.setBehaviour(
                                 seen -> {
-                                    if (seen.requestLine().contains("/r/waits")) {
-                                        removeKey();
+                                    if (!seen.requestLine().contains("/l/waits")) {
+                                        // A refusal would use up the retry budget.
+                                        return Behaviour.RESPOND;
                                     }
+                                    removeKey();
                                     return Behaviour.SHED;
                                 }));
-        assertEquals(status("Authorization: Bearer " + KEY, "/r/waits"), 401);
-        assertEquals(mFixture.seen("/r/waits"), 1);
+        // An at-most-once request isn't hedged while its first target waits for the removal.
+        String response = send("POST", "Authorization: Bearer " + KEY, "/l/waits");
+        assertEquals(CallerStandIn.status(response), 401);
+        assertEquals(mFixture.seen("/l/waits"), 1);
     }
 
     private void removeKey() {
@@ -132,8 +141,8 @@
     }
 
     private void configure(long version, String customers) {
-        mFixture.mStore.put(
-                "op/config", GatewayFixtures.configurationWithCustomers(version, customers));
+        String configuration = GatewayFixtures.configurationWithCustomers(version, customers);
+        mFixture.mStore.put("op/config", configuration.replace(LOCK_TIMEOUT, LONG_LOCK_TIMEOUT));
     }
 
     private int status(String headers, String path) {
@@ -141,9 +150,14 @@
     }
 
     private String send(String headers, String path) {
+        return send("GET", headers, path);
+    }
+
+    private String send(String method, String headers, String path) {
         return mFixture.caller()
                 .sendRaw(
-                        "GET "
+                        method
+                                + " "
                                 + path
                                 + " HTTP/1.1\r\nHost: a.example\r\n"
                                 + TargetHeaders.ATTEMPT_ID
