Limit the requests of ResentRequestTest, and say its set-up once

UsedConnectionsTest repeated its first steps in both tests. The assertions are the same; one is added for the second connection, which must not receive a further request either.

--- a/gateway/src/test/java/org/dahliapass/gateway/ResentRequestTest.java
+++ b/gateway/src/test/java/org/dahliapass/gateway/ResentRequestTest.java
@@ -18,6 +18,9 @@
 
 /** Tests of requests that are sent to the same target again, since no other one is left. */
 public final class ResentRequestTest {
+    /** Enough for one of two targets to receive a request. */
+    private static final int MAX_REQUESTS = 100;
+
     private GatewayFixture mFixture;
 
     /** The connection on which the first target received each request first, by request line. */
@@ -53,7 +56,7 @@
         SigningTargetStandIn faulty = mFixture.mTargets.get(0);
         faulty.setBehaviour(request -> answer(request, first, copied));
         String response = "";
-        for (int number = 0; mFirstConnections.isEmpty(); number++) {
+        for (int number = 0; number < MAX_REQUESTS && mFirstConnections.isEmpty(); number++) {
             response = mFixture.caller().send(line + number, "id-" + number, "");
         }
         List<ReceivedRequest> received =
--- a/http/src/test/java/org/dahliapass/http/UsedConnectionsTest.java
+++ b/http/src/test/java/org/dahliapass/http/UsedConnectionsTest.java
@@ -56,27 +56,18 @@
     @Test
     public void requestIsNotSentAgainOnAnIdleConnectionThatCarriedIt() throws Exception {
         UsedConnections used = new UsedConnections();
-        CompletableFuture<Void> first = send(used);
-        Socket firstConnection = mServer.accept();
-        respond(firstConnection);
-        first.get(LIMIT.toSeconds(), TimeUnit.SECONDS);
-        CompletableFuture<Void> second = send(used);
-        Socket secondConnection = mServer.accept();
-        respond(secondConnection);
-        second.get(LIMIT.toSeconds(), TimeUnit.SECONDS);
-        assertEquals(firstConnection.getInputStream().available(), 0);
-        firstConnection.close();
-        secondConnection.close();
+        try (Socket first = serveOnNewConnection(used);
+                Socket second = serveOnNewConnection(used)) {
+            assertEquals(first.getInputStream().available(), 0);
+            assertEquals(second.getInputStream().available(), 0);
+        }
     }
 
     /** Guards against a new connection for each request after one that was sent twice. */
     @Test
     public void usedConnectionIsKeptForOtherRequests() throws Exception {
         UsedConnections used = new UsedConnections();
-        CompletableFuture<Void> first = send(used);
-        Socket firstConnection = mServer.accept();
-        respond(firstConnection);
-        first.get(LIMIT.toSeconds(), TimeUnit.SECONDS);
+        Socket firstConnection = serveOnNewConnection(used);
         CompletableFuture<Void> second = send(used);
         Socket secondConnection = mServer.accept();
         CompletableFuture<Void> other = send(new UsedConnections());
@@ -88,6 +79,15 @@
         secondConnection.close();
     }
 
+    /** Sends a request and answers it on the connection that the client opens for it. */
+    private Socket serveOnNewConnection(UsedConnections used) throws Exception {
+        CompletableFuture<Void> sent = send(used);
+        Socket connection = mServer.accept();
+        respond(connection);
+        sent.get(LIMIT.toSeconds(), TimeUnit.SECONDS);
+        return connection;
+    }
+
     private CompletableFuture<Void> send(UsedConnections used) {
         CompletableFuture<Void> completed = new CompletableFuture<>();
         mClient.loop()
